Found the workspace, the common types and the test script

Cause: nothing stood yet.

Before: an empty repository. Conclusion: the crates around the core can be built side by side.

--- /dev/null
+++ b/crates/kumquatnotch-core/src/clock.rs
@@ -0,0 +1,173 @@
+//! The clock.
+//!
+//! All time in the tier comes from a [`Clock`]. In production it is the clock of
+//! the monoio runtime; tests put a [`PausedClock`] in its place and advance it.
+//! monoio itself has no clock that can be paused, which is why this thin module
+//! exists.
+
+use std::{
+    cell::RefCell,
+    future::Future,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll, Waker},
+    time::{Duration, Instant},
+};
+
+use crate::{Error, LocalFuture, Result};
+
+/// A source of time.
+pub trait Clock {
+    /// The time now.
+    fn now(&self) -> Instant;
+
+    /// Completes once `deadline` has come.
+    fn sleep_until(&self, deadline: Instant) -> LocalFuture<'static, ()>;
+}
+
+/// The clock of the monoio runtime.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RuntimeClock;
+
+impl Clock for RuntimeClock {
+    fn now(&self) -> Instant {
+        Instant::now()
+    }
+
+    fn sleep_until(&self, deadline: Instant) -> LocalFuture<'static, ()> {
+        Box::pin(monoio::time::sleep_until(deadline.into()))
+    }
+}
+
+/// Completes after `span`.
+pub fn sleep(clock: &dyn Clock, span: Duration) -> LocalFuture<'static, ()> {
+    clock.sleep_until(clock.now() + span)
+}
+
+/// Runs `work` until `deadline`; [`Error::TimedOut`] if that comes first.
+pub async fn timeout_at<T>(
+    clock: &dyn Clock,
+    deadline: Instant,
+    work: impl Future<Output = T>,
+) -> Result<T> {
+    let work = std::pin::pin!(work);
+    let timer = clock.sleep_until(deadline);
+    match futures_util::future::select(work, timer).await {
+        futures_util::future::Either::Left((value, _)) => Ok(value),
+        futures_util::future::Either::Right(_) => Err(Error::TimedOut),
+    }
+}
+
+/// Lets the other tasks of the thread run once.
+pub async fn yield_now() {
+    let mut yielded = false;
+    std::future::poll_fn(|context| {
+        if yielded {
+            return Poll::Ready(());
+        }
+        yielded = true;
+        context.waker().wake_by_ref();
+        Poll::Pending
+    })
+    .await;
+}
+
+/// How often [`PausedClock::drive`] lets other tasks run before it moves the time.
+const SETTLE_ROUNDS: usize = 64;
+
+/// A clock for tests that stands still until it is advanced.
+#[derive(Clone, Debug)]
+pub struct PausedClock {
+    state: Rc<RefCell<PausedState>>,
+}
+
+#[derive(Debug)]
+struct PausedState {
+    now: Instant,
+    sleepers: Vec<(Instant, Waker)>,
+}
+
+impl Default for PausedClock {
+    fn default() -> PausedClock {
+        let state = PausedState { now: Instant::now(), sleepers: Vec::new() };
+        PausedClock { state: Rc::new(RefCell::new(state)) }
+    }
+}
+
+impl PausedClock {
+    /// Moves the time on by `span` and wakes every sleeper that is due.
+    pub fn advance(&self, span: Duration) {
+        let due: Vec<Waker> = {
+            let mut state = self.state.borrow_mut();
+            state.now += span;
+            let now = state.now;
+            let (due, rest) = state.sleepers.drain(..).partition(|(at, _)| *at <= now);
+            state.sleepers = rest;
+            let due: Vec<(Instant, Waker)> = due;
+            due.into_iter().map(|(_, waker)| waker).collect()
+        };
+        due.into_iter().for_each(Waker::wake);
+    }
+
+    /// The time at which the next sleeper is due.
+    pub fn next_due(&self) -> Option<Instant> {
+        self.state.borrow().sleepers.iter().map(|(at, _)| *at).min()
+    }
+
+    /// Runs `work` to its end, moving the time on whenever every task waits for it.
+    ///
+    /// This must run inside a runtime if `work` spawns tasks. Work that waits for
+    /// something other than this clock never ends here.
+    pub async fn drive<T>(&self, work: impl Future<Output = T>) -> T {
+        let mut work = std::pin::pin!(work);
+        loop {
+            for _ in 0..SETTLE_ROUNDS {
+                let poll = std::future::poll_fn(|context| Poll::Ready(work.as_mut().poll(context)));
+                if let Poll::Ready(value) = poll.await {
+                    return value;
+                }
+                yield_now().await;
+            }
+            self.advance_to_next();
+        }
+    }
+
+    /// Moves the time on to the next sleeper; false if there is none.
+    pub fn advance_to_next(&self) -> bool {
+        let Some(due) = self.next_due() else {
+            return false;
+        };
+        self.advance(due.saturating_duration_since(self.now()));
+        true
+    }
+}
+
+impl Clock for PausedClock {
+    fn now(&self) -> Instant {
+        self.state.borrow().now
+    }
+
+    fn sleep_until(&self, deadline: Instant) -> LocalFuture<'static, ()> {
+        Box::pin(PausedSleep { clock: self.clone(), deadline })
+    }
+}
+
+struct PausedSleep {
+    clock: PausedClock,
+    deadline: Instant,
+}
+
+impl Future for PausedSleep {
+    type Output = ();
+
+    fn poll(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
+        let mut state = self.clock.state.borrow_mut();
+        if state.now >= self.deadline {
+            return Poll::Ready(());
+        }
+        // A sleeper that is polled again leaves an entry behind, which costs one
+        // spurious wake-up and no more.
+        state.sleepers.push((self.deadline, context.waker().clone()));
+        Poll::Pending
+    }
+}
--- /dev/null
+++ b/crates/kumquatnotch-core/src/collections.rs
@@ -0,0 +1,10 @@
+//! Hash collections with a fast hasher.
+//!
+//! Keys here come from authenticated operators and from the tier itself, so
+//! resistance against chosen keys is not needed.
+
+/// A hash map with a fast hasher.
+pub type HashMap<K, V> = rustc_hash::FxHashMap<K, V>;
+
+/// A hash set with a fast hasher.
+pub type HashSet<T> = rustc_hash::FxHashSet<T>;
--- /dev/null
+++ b/crates/kumquatnotch-core/src/ids.rs
@@ -0,0 +1,152 @@
+//! Identifiers.
+//!
+//! Names that operators write are strings behind `Rc`, as they are copied into
+//! many maps. Numbers that processes draw are random 64-bit values.
+
+use std::{borrow::Borrow, fmt, ops::Deref, rc::Rc};
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_128};
+
+macro_rules! name_types {
+    ($($(#[$doc:meta])* $name:ident),* $(,)?) => {$(
+        $(#[$doc])*
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(Rc<str>);
+
+        impl $name {
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(name: &str) -> $name {
+                $name(Rc::from(name))
+            }
+        }
+
+        impl From<String> for $name {
+            fn from(name: String) -> $name {
+                $name(Rc::from(name))
+            }
+        }
+
+        impl Deref for $name {
+            type Target = str;
+
+            fn deref(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    )*};
+}
+
+name_types! {
+    /// A node of the tier, by the name in its settings.
+    NodeName,
+    /// A target: one replica process of a vendor.
+    TargetName,
+    /// A shard of the index.
+    ShardName,
+    /// A tenant: one organisation whose data is kept apart from its rivals'.
+    TenantName,
+    /// A data centre.
+    DataCentre,
+    /// A region: data centres that are near each other.
+    Region,
+    /// A selector, by the name that callers use.
+    SelectorName,
+}
+
+macro_rules! number_types {
+    ($($(#[$doc:meta])* $name:ident),* $(,)?) => {$(
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{}", self.0)
+            }
+        }
+    )*};
+}
+
+number_types! {
+    /// One life of a node's process, drawn at random at its start.
+    Incarnation,
+    /// A version of the operators' document, counted from one; zero is "none".
+    ConfigVersion,
+    /// A version of the index that targets serve.
+    IndexVersion,
+    /// A query, unique with the incarnation of the node that runs it.
+    QueryId,
+    /// The content of a request, for recognising the same one sent again.
+    Fingerprint,
+}
+
+/// The digest of a stored value.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Digest(pub [u8; 16]);
+
+impl Digest {
+    /// The digest of `bytes`.
+    pub fn of(bytes: &[u8]) -> Digest {
+        Digest(xxh3_128(bytes).to_be_bytes())
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+impl fmt::Debug for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+/// A hash that is the same on every machine.
+pub fn stable_hash(parts: &[&[u8]]) -> u64 {
+    // Each part is hashed for itself, so that ("ab", "c") and ("a", "bc") differ.
+    parts.iter().fold(0, |hash: u64, part| {
+        let mut pair = [0; 16];
+        pair[..8].copy_from_slice(&hash.to_be_bytes());
+        pair[8..].copy_from_slice(&xxh3_64(part).to_be_bytes());
+        xxh3_64(&pair)
+    })
+}
+
+/// Orders `candidates` for `key` by rendezvous hashing, the first in rank first.
+///
+/// A candidate that comes or goes changes only the ranks of the keys it takes
+/// or leaves.
+pub fn rendezvous<'a>(key: &[u8], candidates: &[&'a str]) -> Vec<&'a str> {
+    let mut ranked: Vec<(u64, &str)> = candidates
+        .iter()
+        .map(|candidate| (stable_hash(&[key, candidate.as_bytes()]), *candidate))
+        .collect();
+    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    ranked.into_iter().map(|(_, candidate)| candidate).collect()
+}
--- /dev/null
+++ b/crates/kumquatnotch-core/tests/core.rs
@@ -0,0 +1,141 @@
+//! Tests of the common types.
+
+use std::time::Duration;
+
+use futures_util::FutureExt;
+use kumquatnotch_core::{
+    Clock, Error,
+    clock::{PausedClock, sleep, timeout_at},
+    codec,
+    errors::Result,
+    ids::{NodeName, rendezvous},
+    labels::{Expression, Labels},
+    peer::PeerReply,
+    registry::Registry,
+    ticket::Ticket,
+};
+use yare::parameterized;
+
+fn labels() -> Labels {
+    [("role", "desk"), ("site", "amman")].map(|(k, v)| (k.to_owned(), v.to_owned())).into()
+}
+
+fn block_on<T>(work: impl Future<Output = T>) -> T {
+    let mut runtime =
+        monoio::RuntimeBuilder::<monoio::LegacyDriver>::new().enable_timer().build().unwrap();
+    runtime.block_on(work)
+}
+
+#[parameterized(
+    empty = { "", true },
+    equal = { "role = desk", true },
+    list = { "site in (aqaba, amman), role=desk", true },
+    other = { "site notin (aqaba)", true },
+    absent = { "!retired", true },
+    present = { "role", true },
+    unequal = { "role != desk", false },
+    missing = { "vendor", false },
+    one_fails = { "role = desk, site = irbid", false },
+)]
+fn expression_matches(source: &str, expected: bool) {
+    let expression = Expression::parse(source).unwrap();
+
+    let matches = expression.matches(&labels());
+
+    assert_eq!(matches, expected);
+}
+
+#[parameterized(
+    open_list = { "site in (a, b" },
+    no_value = { "role =" },
+    no_term = { "role = desk," },
+    odd_word = { "role = de$k" },
+    unknown_word = { "site within (a)" },
+)]
+fn expression_is_refused(source: &str) {
+    let result = Expression::parse(source);
+
+    assert_eq!(result.unwrap_err().code(), 1010);
+}
+
+#[test]
+fn a_candidate_that_goes_changes_only_its_own_keys() {
+    let all = ["a", "b", "c", "d"];
+    let rest = ["a", "b", "d"];
+
+    for key in 0..200u32 {
+        let before = rendezvous(&key.to_be_bytes(), &all);
+        let after = rendezvous(&key.to_be_bytes(), &rest);
+
+        let kept: Vec<&str> = before.into_iter().filter(|name| *name != "c").collect();
+        assert_eq!(kept, after);
+    }
+}
+
+#[test]
+fn a_ticket_survives_its_text_form() {
+    let ticket = Ticket {
+        issuer: NodeName::from("n1"),
+        incarnation: kumquatnotch_core::ids::Incarnation(u64::MAX),
+        serial: 7,
+        issued_ms: 12_345,
+        seal: 99,
+    };
+
+    let read: Ticket = ticket.to_string().parse().unwrap();
+
+    assert_eq!(read, ticket);
+}
+
+#[parameterized(
+    short = { "n1:1:2:3" },
+    no_issuer = { ":1:2:3:4" },
+    not_hex = { "n1:1:2:x:4" },
+)]
+fn a_broken_ticket_is_refused(text: &str) {
+    let result: Result<Ticket> = text.parse();
+
+    assert_eq!(result.unwrap_err(), Error::BadTicket);
+}
+
+#[test]
+fn errors_survive_the_codec() {
+    let reply = PeerReply::Failed(Error::overloaded(Duration::from_millis(250)));
+
+    let read: PeerReply = codec::decode(&codec::encode(&reply).unwrap()).unwrap();
+
+    assert_eq!(read, reply);
+}
+
+#[test]
+fn a_paused_clock_wakes_sleepers_in_time() {
+    let clock = PausedClock::default();
+    let mut sleeper = sleep(&clock, Duration::from_secs(5));
+    assert!((&mut sleeper).now_or_never().is_none());
+
+    clock.advance(Duration::from_secs(4));
+    assert!((&mut sleeper).now_or_never().is_none());
+    clock.advance(Duration::from_secs(1));
+
+    assert!((&mut sleeper).now_or_never().is_some());
+}
+
+#[test]
+fn a_timeout_ends_work_that_hangs() {
+    let clock = PausedClock::default();
+    let deadline = clock.now() + Duration::from_secs(1);
+
+    let result = block_on(clock.drive(timeout_at(&clock, deadline, std::future::pending::<()>())));
+
+    assert_eq!(result, Err(Error::TimedOut));
+}
+
+#[test]
+fn services_find_each_other_by_name_and_type() {
+    let registry = Registry::default();
+    registry.register("answer", 42u32);
+
+    assert_eq!(registry.find::<u32>("answer"), Ok(42));
+    assert_eq!(registry.find::<u64>("answer").unwrap_err().code(), 9001);
+    assert_eq!(registry.find::<u32>("question").unwrap_err().code(), 9001);
+}
--- /dev/null
+++ b/crates/kumquatnotchd/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
