--- a/crates/kumquatnotch-core/src/document.rs
+++ b/crates/kumquatnotch-core/src/document.rs
@@ -4,7 +4,7 @@
 //! platform's service in parts by digest (see the config crate) and reaches the
 //! nodes by version. A node holds exactly one document at a time.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
@@ -157,3 +157,12 @@
         self.targets.iter().filter(|(_, target)| selector.targets.matches(&target.labels))
     }
 }
+
+/// The document in force on this node.
+pub trait Documents {
+    /// The document; `None` until one is confirmed.
+    ///
+    /// A query takes it once and keeps it to its end, so that a change in between
+    /// does not mix two versions in one answer.
+    fn current(&self) -> Option<Rc<Document>>;
+}
--- /dev/null
+++ b/crates/kumquatnotch-policy/src/hedge.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
