Keep the writer's number in the history, and drains made by command

Cause: a writer whose reply was lost must recognise its write after another operator has written over it; and a drain made by command must outlast the next apply of files that do not mention it.

--- a/crates/kumquatnotch-core/src/document.rs
+++ b/crates/kumquatnotch-core/src/document.rs
@@ -4,7 +4,12 @@
 //! platform's service in parts by digest (see the config crate) and reaches the
 //! nodes by version. A node holds exactly one document at a time.
 
-use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -33,10 +38,14 @@
     pub selectors: BTreeMap<SelectorName, SelectorSpec>,
     /// The tenants by name.
     pub tenants: BTreeMap<TenantName, TenantSpec>,
+    /// The targets drained by command, which outlast the next files.
+    #[serde(default)]
+    pub drained: BTreeSet<TargetName>,
 }
 
 /// A target as its operators declare it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct TargetSpec {
     /// Where it listens.
     pub address: SocketAddr,
@@ -54,6 +63,7 @@
 
 /// What one kind of query may reach, and how it is treated.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct SelectorSpec {
     /// The targets it may reach.
     pub targets: Expression,
@@ -76,6 +86,7 @@
 
 /// A tenant as its operators declare it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct TenantSpec {
     /// The digests of the keys that its callers may present, in hexadecimal.
     pub keys: Vec<String>,
@@ -93,7 +104,7 @@
 
 /// How a tenant trades the last shards against time.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(default)]
+#[serde(default, deny_unknown_fields)]
 pub struct StopSpec {
     /// After this share of the deadline an answer with enough coverage returns.
     pub patience: f64,
--- a/crates/kumquatnotch-core/src/stored.rs
+++ b/crates/kumquatnotch-core/src/stored.rs
@@ -49,8 +49,19 @@
     pub note: String,
     /// The digest of its manifest.
     pub manifest: Digest,
-    /// Earlier versions with their manifests, the newest first.
-    pub history: Vec<(ConfigVersion, Digest)>,
+    /// Earlier versions, the newest first.
+    pub history: Vec<Past>,
+}
+
+/// An earlier version that can be returned to.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Past {
+    /// The version.
+    pub version: ConfigVersion,
+    /// The number that its writer drew.
+    pub write: u64,
+    /// The digest of its manifest.
+    pub manifest: Digest,
 }
 
 /// The digests of the parts of a document.
