Give marks on the wire a stamp, and exchanges hashes by bucket

A mark that only carried the time left could not be told from a renewed one: a copy that circulates looked like a renewal. With a stamp drawn at each setting a node adopts each setting once. One hash over all records told that two nodes differ, not where; the hashes by bucket confine what is sent back.

--- a/crates/kumquatnotch-core/src/marks.rs
+++ b/crates/kumquatnotch-core/src/marks.rs
@@ -26,6 +26,15 @@
     pub left_ms: u64,
 }
 
+/// A mark on its way between nodes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MarkNews {
+    /// The mark.
+    pub mark: Mark,
+    /// Drawn when it was set or renewed; a node adopts each stamp once.
+    pub stamp: u64,
+}
+
 /// The marks that a node knows.
 pub trait Marks {
     /// Sets a mark and spreads it.
--- a/crates/kumquatnotch-core/src/peer.rs
+++ b/crates/kumquatnotch-core/src/peer.rs
@@ -11,7 +11,7 @@
     Error, LocalFuture, Result,
     answer::GroupAnswer,
     ids::{ConfigVersion, Digest, Incarnation, NodeName, ShardName},
-    marks::Mark,
+    marks::MarkNews,
     member::{Confirmation, NodeRecord},
     query::GroupRequest,
     target::{TargetCall, TargetReply},
@@ -99,7 +99,7 @@
     /// Changed records of nodes.
     pub nodes: Vec<NodeRecord>,
     /// Changed marks.
-    pub marks: Vec<Mark>,
+    pub marks: Vec<MarkNews>,
     /// The newest configuration that the sender knows of.
     pub head: HeadNews,
 }
@@ -129,8 +129,10 @@
 pub struct Exchange {
     /// News, with all records and marks.
     pub gossip: Gossip,
-    /// A hash of the records; equal ones need not be sent back.
+    /// A hash of the records; equal ones need not be sent back. Zero for no records.
     pub hash: u64,
+    /// The hashes of the records by bucket, once the whole is known to differ.
+    pub buckets: Vec<u32>,
 }
 
 /// One call to a target.
