--- /dev/null
+++ b/crates/kumquatnotch-config/src/store.rs
@@ -0,0 +1,334 @@
+//! Publishes documents to the platform's service.
+//!
+//! The head is the only value that changes, and it changes by compare-and-swap.
+//! Each write of it carries a number that its writer drew, so that a write
+//! whose reply was lost is resolved by writing the same again and reading: it
+//! is never guessed.
+
+use std::{collections::hash_map::Entry, rc::Rc, time::Duration};
+
+use kumquatnotch_core::{
+    Clock, Error, Platform, Result,
+    clock::sleep,
+    codec,
+    collections::HashMap,
+    document::Document,
+    ids::{ConfigVersion, Digest, TargetName},
+    peer::StoredValue,
+    platform::{self, Expect},
+    random::Random,
+    stored::{
+        self, HEAD_KEY, HISTORY_LENGTH, Head, Manifest, Past, Stored, check_value, value_key,
+    },
+};
+
+use crate::diff::{diff, to_text};
+
+/// How often a call is tried before the fault is reported.
+const TRY_LIMIT: usize = 8;
+
+/// How long to wait after the first failed try; it doubles with each.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+
+/// The operators' side of the platform's service.
+pub struct Store {
+    platform: Rc<dyn Platform>,
+    clock: Rc<dyn Clock>,
+    random: Random,
+}
+
+/// A document with the head that it was read under.
+#[derive(Clone, Debug)]
+pub struct Current {
+    /// The head; `None` before the first document.
+    pub head: Option<Head>,
+    /// The revision of the head.
+    pub revision: u64,
+    /// The document; empty before the first.
+    pub document: Document,
+}
+
+/// Who writes, and why.
+#[derive(Clone, Copy, Debug)]
+pub struct Authorship<'a> {
+    /// Who.
+    pub author: &'a str,
+    /// Why.
+    pub note: &'a str,
+}
+
+impl Store {
+    /// A store on `platform`.
+    pub fn new(platform: Rc<dyn Platform>, clock: Rc<dyn Clock>, random: Random) -> Store {
+        Store { platform, clock, random }
+    }
+
+    /// Reads the head and its document.
+    pub async fn current(&self) -> Result<Current> {
+        let Some((head, revision)) = self.head().await? else {
+            return Ok(Current { head: None, revision: 0, document: Document::default() });
+        };
+        let document = self.load(head.version, head.manifest).await?;
+        Ok(Current { head: Some(head), revision, document })
+    }
+
+    /// Puts `document` in force in place of `base`; returns its version.
+    ///
+    /// [`Error::Conflict`] tells what another operator changed in between.
+    pub async fn publish(
+        &self,
+        base: &Current,
+        document: &Document,
+        by: Authorship<'_>,
+    ) -> Result<ConfigVersion> {
+        let stored = stored::split(document)?;
+        let new = new_values(base, &stored)?;
+        for value in &new {
+            self.put_value(value).await?;
+        }
+        let version = self.put_head(base, stored.manifest, by).await?;
+        // A value that was there already, unused, may have been collected before
+        // the head pointed at it: nodes could then never put the version in
+        // force. Storing the values once more, now that they are in use, brings
+        // such a value back, and no collector deletes it any more.
+        for value in &new {
+            self.put_value(value).await?;
+        }
+        Ok(version)
+    }
+
+    /// Puts an earlier version in force again, as a new version.
+    pub async fn roll_back(
+        &self,
+        base: &Current,
+        version: ConfigVersion,
+        by: Authorship<'_>,
+    ) -> Result<ConfigVersion> {
+        let past = base.head.iter().flat_map(|head| &head.history);
+        let Some(past) = past.into_iter().find(|past| past.version == version) else {
+            return Err(Error::VersionUnknown { version: version.0 });
+        };
+        // The values must still be there before the head points at them again.
+        self.load(version, past.manifest).await?;
+        self.put_head(base, past.manifest, by).await
+    }
+
+    /// Changes the document by `change`, again on top of every change in between.
+    ///
+    /// This suits changes that mean the same on any document, such as a drain.
+    pub async fn amend(
+        &self,
+        change: impl Fn(&mut Document) -> Result<()>,
+        by: Authorship<'_>,
+    ) -> Result<ConfigVersion> {
+        let mut result = Err(Error::CompareFailed);
+        for _ in 0..TRY_LIMIT {
+            let base = self.current().await?;
+            let mut document = base.document.clone();
+            change(&mut document)?;
+            result = self.publish(&base, &document, by).await;
+            if !matches!(result, Err(Error::Conflict { .. })) {
+                break;
+            }
+        }
+        result
+    }
+
+    /// Deletes stored values that no kept version refers to; returns how many.
+    ///
+    /// `grace` is waited between looking and deleting, and the head is read after
+    /// it: a writer stores its values before its head, and a collector that did
+    /// not wait would delete them in between.
+    pub async fn collect(&self, grace: Duration) -> Result<usize> {
+        let keys = self.platform.list(stored::VALUE_PREFIX).await?;
+        sleep(&*self.clock, grace).await;
+        let used = self.used_keys().await?;
+        let mut count = 0;
+        for key in keys.iter().filter(|key| !used.contains_key(*key)) {
+            self.platform.delete(key, Expect::Any).await?;
+            count += 1;
+        }
+        Ok(count)
+    }
+
+    /// Reads the document of a manifest.
+    pub async fn load(&self, version: ConfigVersion, manifest: Digest) -> Result<Document> {
+        let manifest: Manifest = codec::decode(&self.value(manifest).await?)?;
+        let mut values: HashMap<Digest, Vec<u8>> = HashMap::default();
+        for digest in manifest.digests() {
+            if let Entry::Vacant(vacant) = values.entry(digest) {
+                vacant.insert(self.value(digest).await?);
+            }
+        }
+        stored::join(version, &manifest, |digest| values.get(&digest).map(Vec::as_slice))
+    }
+
+    /// Reads the head with its revision.
+    pub async fn head(&self) -> Result<Option<(Head, u64)>> {
+        match self.get(HEAD_KEY).await? {
+            Some(entry) => Ok(Some((codec::decode(&entry.value)?, entry.revision))),
+            None => Ok(None),
+        }
+    }
+
+    async fn used_keys(&self) -> Result<HashMap<String, ()>> {
+        let mut used = HashMap::default();
+        let Some((head, _)) = self.head().await? else {
+            return Ok(used);
+        };
+        let manifests = head.history.iter().map(|past| past.manifest);
+        for digest in std::iter::once(head.manifest).chain(manifests) {
+            used.insert(value_key(digest), ());
+            let manifest: Manifest = codec::decode(&self.value(digest).await?)?;
+            used.extend(manifest.digests().map(|digest| (value_key(digest), ())));
+        }
+        Ok(used)
+    }
+
+    async fn value(&self, digest: Digest) -> Result<Vec<u8>> {
+        let Some(entry) = self.get(&value_key(digest)).await? else {
+            return Err(Error::internal(format!("value {digest} is missing")));
+        };
+        let value = StoredValue { digest, value: entry.value };
+        check_value(&value)?;
+        Ok(value.value)
+    }
+
+    async fn get(&self, key: &str) -> Result<Option<platform::Entry>> {
+        let mut pause = FIRST_PAUSE;
+        for _ in 1..TRY_LIMIT {
+            match self.platform.get(key).await {
+                Err(Error::PlatformUnavailable | Error::PlatformBusy) => {}
+                result => return result,
+            }
+            sleep(&*self.clock, self.random.jitter(pause)).await;
+            pause *= 2;
+        }
+        self.platform.get(key).await
+    }
+
+    /// Stores a value under its digest; to store it twice does no harm.
+    async fn put_value(&self, value: &StoredValue) -> Result<()> {
+        let key = value_key(value.digest);
+        match self.put(&key, &value.value, Expect::Absent).await {
+            // It is there already, by an earlier version or a try of ours.
+            Ok(_) | Err(Error::CompareFailed) => Ok(()),
+            Err(error) => Err(error),
+        }
+    }
+
+    async fn put_head(
+        &self,
+        base: &Current,
+        manifest: Digest,
+        by: Authorship<'_>,
+    ) -> Result<ConfigVersion> {
+        let head = self.next_head(base, manifest, by);
+        let expect = match base.head {
+            Some(_) => Expect::Revision(base.revision),
+            None => Expect::Absent,
+        };
+        match self.put(HEAD_KEY, &codec::encode(&head)?, expect).await {
+            Ok(_) => Ok(head.version),
+            // Either another operator was first, or a try of ours took effect
+            // and its reply was lost. The number in the head tells which.
+            Err(Error::CompareFailed) => self.resolve(base, &head).await,
+            Err(error) => Err(error),
+        }
+    }
+
+    async fn resolve(&self, base: &Current, ours: &Head) -> Result<ConfigVersion> {
+        let now = self.current().await?;
+        let Some(head) = &now.head else {
+            return Err(Error::CompareFailed);
+        };
+        if is_written(head, ours) {
+            return Ok(ours.version);
+        }
+        let detail = format!(
+            "by {} ({}):\n{}",
+            head.author,
+            head.note,
+            to_text(&diff(&base.document, &now.document)),
+        );
+        Err(Error::Conflict { version: head.version.0, detail })
+    }
+
+    fn next_head(&self, base: &Current, manifest: Digest, by: Authorship<'_>) -> Head {
+        let mut history = Vec::new();
+        if let Some(head) = &base.head {
+            let Head { version, write, manifest, .. } = *head;
+            history.push(Past { version, write, manifest });
+            history.extend(head.history.iter().take(HISTORY_LENGTH - 1).cloned());
+        }
+        let last = base.head.as_ref().map_or(ConfigVersion(0), |head| head.version);
+        Head {
+            version: ConfigVersion(last.0 + 1),
+            write: self.random.number(),
+            author: by.author.to_owned(),
+            note: by.note.to_owned(),
+            manifest,
+            history,
+        }
+    }
+
+    /// Writes a key, and writes the same again while the outcome is unknown.
+    ///
+    /// A write whose reply was lost may also take effect later. Writing the same
+    /// again under the same expectation settles it: one of the two takes effect,
+    /// and the other finds another revision.
+    async fn put(&self, key: &str, value: &[u8], expect: Expect) -> Result<u64> {
+        let mut pause = FIRST_PAUSE;
+        let mut unknown = false;
+        for _ in 0..TRY_LIMIT {
+            match self.platform.put(key, value, expect).await {
+                Err(Error::WriteUnknown) => unknown = true,
+                Err(Error::PlatformUnavailable | Error::PlatformBusy) => {}
+                result => return result,
+            }
+            sleep(&*self.clock, self.random.jitter(pause)).await;
+            pause *= 2;
+        }
+        Err(if unknown { Error::WriteUnknown } else { Error::PlatformUnavailable })
+    }
+}
+
+/// The values of `stored` that the document in force does not use.
+fn new_values<'a>(base: &Current, stored: &'a Stored) -> Result<Vec<&'a StoredValue>> {
+    if base.head.is_none() {
+        return Ok(stored.values.iter().collect());
+    }
+    let used = stored::split(&base.document)?;
+    let is_used = |digest| used.values.iter().any(|value| value.digest == digest);
+    Ok(stored.values.iter().filter(|value| !is_used(value.digest)).collect())
+}
+
+/// Whether `ours` took effect, by the head that is there now.
+fn is_written(now: &Head, ours: &Head) -> bool {
+    now.write == ours.write || now.history.iter().any(|past| past.write == ours.write)
+}
+
+/// Orders a target to take no new work, or takes that back.
+pub fn set_drain(document: &mut Document, name: &TargetName, drain: bool) -> Result<()> {
+    let Some(target) = document.targets.get_mut(name) else {
+        let detail = format!("there is no target {name}");
+        return Err(Error::BadDocument { detail });
+    };
+    target.drain = drain;
+    if drain {
+        document.rules.drained.insert(name.clone());
+    } else {
+        document.rules.drained.remove(name);
+    }
+    Ok(())
+}
+
+/// Carries the drains made by command over to a document read from files.
+pub fn keep_drains(document: &mut Document, current: &Document) {
+    for name in &current.rules.drained {
+        if let Some(target) = document.targets.get_mut(name) {
+            target.drain = true;
+            document.rules.drained.insert(name.clone());
+        }
+    }
+}
