Add stand-ins for targets, the platform and cut links

Cause: tests and history checks need the surroundings of the tier as small fakes, with faults that can be set while they run.

A cut link holds bytes back and sends them on once it is whole, as TCP does; dropping them was ruled out, as it would tear holes into streams.

--- /dev/null
+++ b/crates/standins/src/data.rs
@@ -0,0 +1,48 @@
+//! The data that stand-in targets serve: made from the shard and version, so
+//! that a checker can tell what an answer must hold.
+
+use kumquatnotch_core::{
+    ids::{IndexVersion, ShardName, TenantName, stable_hash},
+    query::Hit,
+};
+use serde_json::{Value, json};
+
+/// How many entries each shard has.
+pub const ENTRIES: u32 = 8;
+
+/// The tenants whose entries the index holds.
+pub const OWNERS: [&str; 2] = ["siam", "barid"];
+
+/// The fields of every hit.
+const SHARD_FIELD: &str = "shard";
+const VERSION_FIELD: &str = "version";
+const NONCE_FIELD: &str = "nonce";
+
+/// The hits of a shard for a query, the best first.
+pub fn hits(shard: &ShardName, version: IndexVersion, body: &str, limit: u32) -> Vec<Hit> {
+    let nonce = field(body, NONCE_FIELD);
+    let mut hits: Vec<Hit> =
+        (0..ENTRIES).map(|number| hit(shard, version, number, &nonce)).collect();
+    hits.sort_by(|a, b| b.score.total_cmp(&a.score).then_with(|| a.key.cmp(&b.key)));
+    hits.truncate(limit as usize);
+    hits
+}
+
+/// One hit: its score and owner depend on the shard, version and number alone.
+pub fn hit(shard: &ShardName, version: IndexVersion, number: u32, nonce: &Value) -> Hit {
+    let parts: [&[u8]; 3] = [shard.as_bytes(), &version.0.to_be_bytes(), &number.to_be_bytes()];
+    let draw = stable_hash(&parts);
+    Hit {
+        key: format!("{shard}/{number}"),
+        score: (draw % 1_000_000) as f64 / 1_000.0,
+        owner: Some(TenantName::from(OWNERS[(draw >> 32) as usize % OWNERS.len()])),
+        fields: json!({ SHARD_FIELD: shard, VERSION_FIELD: version, NONCE_FIELD: nonce }),
+        private: Some(json!({ "rate": draw % 1_000 })),
+    }
+}
+
+/// A field of a request's JSON body; null if it has none.
+pub fn field(body: &str, name: &str) -> Value {
+    let body: Value = serde_json::from_str(body).unwrap_or_default();
+    body.get(name).cloned().unwrap_or_default()
+}
--- /dev/null
+++ b/crates/standins/src/http.rs
@@ -0,0 +1,256 @@
+//! HTTP/1.1 with keep-alive for the stand-ins, and a client for tests.
+
+use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use futures_util::future::{Either, select};
+use kumquatnotch_core::LocalFuture;
+use monoio::{
+    io::{Splitable, sink::SinkExt, stream::Stream},
+    net::TcpStream,
+};
+use monoio_http::{
+    common::body::{Body, BodyExt},
+    h1::{
+        codec::{
+            ClientCodec,
+            decoder::{FillPayload, RequestDecoder},
+            encoder::GenericEncoder,
+        },
+        payload::{FixedPayload, Payload},
+    },
+};
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::signal::Signal;
+
+/// A request as handlers see it.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// The method.
+    pub method: String,
+    /// The path without the query.
+    pub path: String,
+    /// The query.
+    pub query: String,
+    /// The headers.
+    pub headers: http::HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl Request {
+    /// The value of a header, read as `T`.
+    pub fn header<T: std::str::FromStr>(&self, name: &str) -> Option<T> {
+        self.headers.get(name)?.to_str().ok()?.parse().ok()
+    }
+
+    /// The value of a field of the query, read as `T`.
+    pub fn field<T: std::str::FromStr>(&self, name: &str) -> Option<T> {
+        let mut pairs = self.query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.find(|(key, _)| *key == name)?.1.parse().ok()
+    }
+
+    /// The body, read as JSON.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T, Reply> {
+        serde_json::from_slice(&self.body).map_err(|error| Reply::text(400, &error.to_string()))
+    }
+}
+
+/// What a handler does with a request.
+#[derive(Clone, Debug)]
+pub enum Reply {
+    /// It answers.
+    Answer {
+        /// The status.
+        status: u16,
+        /// The value of `x-revision`.
+        revision: Option<u64>,
+        /// The body.
+        body: Bytes,
+        /// Whether the connection is closed afterwards.
+        close: bool,
+    },
+    /// It closes the connection without an answer.
+    Close,
+    /// It never answers, and the connection stays open.
+    Silence,
+}
+
+impl Reply {
+    /// An answer without a body.
+    pub fn status(status: u16) -> Reply {
+        Reply::Answer { status, revision: None, body: Bytes::new(), close: false }
+    }
+
+    /// An answer in plain text.
+    pub fn text(status: u16, text: &str) -> Reply {
+        let body = Bytes::copy_from_slice(text.as_bytes());
+        Reply::Answer { status, revision: None, body, close: false }
+    }
+
+    /// An answer in JSON.
+    pub fn json(status: u16, value: &impl Serialize) -> Reply {
+        let body = serde_json::to_vec(value).expect("the stand-ins' own types can be written");
+        Reply::Answer { status, revision: None, body: body.into(), close: false }
+    }
+}
+
+/// What answers the requests of a connection.
+pub trait Handler {
+    /// Answers `request`.
+    fn handle(&self, request: Request) -> LocalFuture<'_, Reply>;
+}
+
+/// Serves one connection to its end, or until `stop` is given.
+pub async fn serve(stream: TcpStream, handler: Rc<dyn Handler>, stop: &Signal) {
+    let requests = std::pin::pin!(serve_requests(stream, handler));
+    select(requests, stop.wait()).await;
+}
+
+async fn serve_requests(stream: TcpStream, handler: Rc<dyn Handler>) {
+    let _ = stream.set_nodelay(true);
+    let (reader, writer) = stream.into_split();
+    let mut decoder = RequestDecoder::new(reader);
+    let mut encoder = GenericEncoder::new(writer);
+    while let Some(Ok(request)) = decoder.next().await {
+        if decoder.fill_payload().await.is_err() {
+            return;
+        }
+        let (parts, body) = request.into_parts();
+        let Ok(body) = body.bytes().await else {
+            return;
+        };
+        let request = Request {
+            method: parts.method.to_string(),
+            path: parts.uri.path().to_owned(),
+            query: parts.uri.query().unwrap_or_default().to_owned(),
+            headers: parts.headers,
+            body,
+        };
+        let (status, revision, body, close) = match handler.handle(request).await {
+            Reply::Answer { status, revision, body, close } => (status, revision, body, close),
+            Reply::Close => return,
+            Reply::Silence => continue,
+        };
+        let mut response = http::Response::builder().status(status);
+        if let Some(revision) = revision {
+            response = response.header("x-revision", revision);
+        }
+        let payload: Payload = match body.is_empty() {
+            true => Payload::None,
+            false => Payload::Fixed(FixedPayload::new(body)),
+        };
+        let Ok(response) = response.body(payload) else {
+            return;
+        };
+        if encoder.send_and_flush(response).await.is_err() || close {
+            return;
+        }
+    }
+}
+
+/// An answer as the client sees it.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The status.
+    pub status: u16,
+    /// The headers.
+    pub headers: http::HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl Answer {
+    /// The body, read as JSON.
+    pub fn json<T: DeserializeOwned>(&self) -> io::Result<T> {
+        serde_json::from_slice(&self.body).map_err(io::Error::other)
+    }
+
+    /// The value of `x-revision`.
+    pub fn revision(&self) -> Option<u64> {
+        self.headers.get("x-revision")?.to_str().ok()?.parse().ok()
+    }
+}
+
+/// A client of one address, which keeps one connection open.
+pub struct Client {
+    address: SocketAddr,
+    timeout: Duration,
+    open: RefCell<Option<ClientCodec<TcpStream>>>,
+}
+
+impl Client {
+    /// A client of `address` that waits for `timeout` at most.
+    pub fn new(address: SocketAddr, timeout: Duration) -> Client {
+        Client { address, timeout, open: RefCell::new(None) }
+    }
+
+    /// Sends a request with a JSON body.
+    pub async fn post(&self, path: &str, body: &impl Serialize) -> io::Result<Answer> {
+        let body = serde_json::to_vec(body)?;
+        self.send("POST", path, &[], body.into()).await
+    }
+
+    /// Sends a request without a body.
+    pub async fn get(&self, path: &str) -> io::Result<Answer> {
+        self.send("GET", path, &[], Bytes::new()).await
+    }
+
+    /// Sends a request; a connection whose answer is not read is closed.
+    pub async fn send(
+        &self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+    ) -> io::Result<Answer> {
+        let mut request = http::Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", self.address.to_string())
+            .header("content-length", body.len());
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let payload: Payload = match body.is_empty() {
+            true => Payload::None,
+            false => Payload::Fixed(FixedPayload::new(body)),
+        };
+        let request = request.body(payload).map_err(io::Error::other)?;
+        let exchange = std::pin::pin!(self.exchange(request));
+        let timer = std::pin::pin!(monoio::time::sleep(self.timeout));
+        match select(exchange, timer).await {
+            Either::Left((answer, _)) => answer,
+            Either::Right(_) => Err(io::ErrorKind::TimedOut.into()),
+        }
+    }
+
+    async fn exchange(&self, request: http::Request<Payload>) -> io::Result<Answer> {
+        let kept = self.open.borrow_mut().take();
+        let mut codec = match kept {
+            Some(codec) => codec,
+            None => {
+                let stream = TcpStream::connect_addr(self.address).await?;
+                stream.set_nodelay(true)?;
+                ClientCodec::new(stream)
+            }
+        };
+        codec.send_and_flush(request).await.map_err(io::Error::other)?;
+        let response = match codec.next().await {
+            Some(response) => response.map_err(io::Error::other)?,
+            None => return Err(io::ErrorKind::UnexpectedEof.into()),
+        };
+        let (parts, body) = response.into_parts();
+        let mut content = Vec::new();
+        {
+            let mut body = body.with_io(&mut codec);
+            while let Some(chunk) = body.next_data().await {
+                content.extend_from_slice(&chunk.map_err(io::Error::other)?);
+            }
+        }
+        self.open.replace(Some(codec));
+        let status = parts.status.as_u16();
+        Ok(Answer { status, headers: parts.headers, body: content.into() })
+    }
+}
--- /dev/null
+++ b/crates/standins/src/relay.rs
@@ -0,0 +1,198 @@
+//! A TCP relay that cuts, delays or silences a link between two processes.
+
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use futures_util::future::select;
+use kumquatnotch_core::LocalFuture;
+use monoio::{
+    io::{AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt, Splitable},
+    net::TcpStream,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    http::{Handler, Reply, Request},
+    hub::{self, Serving},
+    listen,
+    signal::Signal,
+};
+
+/// How often a cut link looks whether it is whole again.
+const CUT_PAUSE: Duration = Duration::from_millis(10);
+
+/// The bytes read at once.
+const BUFFER: usize = 16 * 1024;
+
+/// A change of a link: what is left out stays as it is.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LinkChange {
+    /// The number of the link; all links of the process if left out.
+    pub link: Option<usize>,
+    /// Holds back what goes from the listener to the upstream.
+    pub cut_up: Option<bool>,
+    /// Holds back what comes from the upstream.
+    pub cut_down: Option<bool>,
+    /// The connections open now carry nothing more; new ones work.
+    pub silence: bool,
+    /// The connections open now are closed.
+    pub close: bool,
+    /// Each piece is this much later, in milliseconds.
+    pub delay_ms: Option<u64>,
+}
+
+/// Where the links of a process listen.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct RelayPorts {
+    /// Where faults are set.
+    pub control: SocketAddr,
+    /// The links, by number.
+    pub links: Vec<SocketAddr>,
+}
+
+/// A running relay, which ends when this is dropped.
+pub struct Relay {
+    /// Where it listens.
+    pub ports: RelayPorts,
+    links: Rc<Links>,
+    stop: Rc<Signal>,
+    _control: Serving,
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.stop.give();
+        self.links.apply(&LinkChange { close: true, ..LinkChange::default() });
+    }
+}
+
+/// The state of one link.
+#[derive(Default)]
+struct Link {
+    cut_up: Cell<bool>,
+    cut_down: Cell<bool>,
+    delay: Cell<Duration>,
+    opened: Cell<u64>,
+    silent_below: Cell<u64>,
+    close: RefCell<Rc<Signal>>,
+}
+
+struct Links(Vec<Rc<Link>>);
+
+impl Relay {
+    /// Starts a link to each upstream, on the given ports; zero for any.
+    pub fn start(control: u16, links: &[(u16, SocketAddr)]) -> io::Result<Relay> {
+        let stop: Rc<Signal> = Rc::default();
+        let mut states = Vec::new();
+        let mut addresses = Vec::new();
+        for (port, upstream) in links {
+            let link = Rc::new(Link::default());
+            let listener = listen(*port)?;
+            addresses.push(listener.local_addr()?);
+            states.push(link.clone());
+            let (upstream, stop) = (*upstream, stop.clone());
+            monoio::spawn(async move {
+                while let Some(stream) = hub::accept(&listener, &stop).await {
+                    monoio::spawn(carry(stream, upstream, link.clone()));
+                }
+            });
+        }
+        let links = Rc::new(Links(states));
+        let control = hub::spawn(listen(control)?, links.clone())?;
+        let ports = RelayPorts { control: control.address, links: addresses };
+        Ok(Relay { ports, links, stop, _control: control })
+    }
+
+    /// Changes one link or all.
+    pub fn apply(&self, change: &LinkChange) {
+        self.links.apply(change);
+    }
+}
+
+impl Links {
+    fn apply(&self, change: &LinkChange) {
+        let chosen = |number: usize| change.link.is_none_or(|link| link == number);
+        for (_, link) in self.0.iter().enumerate().filter(|(number, _)| chosen(*number)) {
+            link.cut_up.set(change.cut_up.unwrap_or(link.cut_up.get()));
+            link.cut_down.set(change.cut_down.unwrap_or(link.cut_down.get()));
+            link.delay.set(change.delay_ms.map_or(link.delay.get(), Duration::from_millis));
+            if change.silence {
+                link.silent_below.set(link.opened.get());
+            }
+            if change.close {
+                link.close.replace(Rc::default()).give();
+            }
+        }
+    }
+}
+
+impl Handler for Links {
+    fn handle(&self, request: Request) -> LocalFuture<'_, Reply> {
+        let reply = match (request.method.as_str(), request.path.as_str()) {
+            ("POST", "/standin/faults") => match request.json::<LinkChange>() {
+                Ok(change) => {
+                    self.apply(&change);
+                    Reply::status(204)
+                }
+                Err(reply) => reply,
+            },
+            _ => Reply::status(404),
+        };
+        Box::pin(async { reply })
+    }
+}
+
+/// Carries one connection until either side ends it or it is closed.
+async fn carry(down: TcpStream, upstream: SocketAddr, link: Rc<Link>) {
+    let number = link.opened.get();
+    link.opened.set(number + 1);
+    let close = link.close.borrow().clone();
+    let Ok(up) = TcpStream::connect_addr(upstream).await else {
+        return;
+    };
+    let _ = (down.set_nodelay(true), up.set_nodelay(true));
+    let (down_reader, down_writer) = down.into_split();
+    let (up_reader, up_writer) = up.into_split();
+    let there = pump(down_reader, up_writer, &link, number, |link| link.cut_up.get());
+    let back = pump(up_reader, down_writer, &link, number, |link| link.cut_down.get());
+    let (there, back) = (std::pin::pin!(there), std::pin::pin!(back));
+    select(select(there, back), close.wait()).await;
+}
+
+async fn pump(
+    mut from: impl AsyncReadRent,
+    mut to: impl AsyncWriteRent,
+    link: &Link,
+    number: u64,
+    is_cut: impl Fn(&Link) -> bool,
+) {
+    let mut buffer = vec![0; BUFFER];
+    loop {
+        let (count, back) = from.read(buffer).await;
+        buffer = back;
+        match count {
+            Ok(count) if count > 0 => buffer.truncate(count),
+            _ => return,
+        }
+        monoio::time::sleep(link.delay.get()).await;
+        // What a cut holds back goes out once it is over, as TCP sends it again;
+        // dropping it would tear a hole into the stream that no network makes.
+        while is_cut(link) {
+            monoio::time::sleep(CUT_PAUSE).await;
+        }
+        if number >= link.silent_below.get() {
+            let (written, back) = to.write_all(buffer).await;
+            buffer = back;
+            if written.is_err() {
+                return;
+            }
+        }
+        buffer.resize(BUFFER, 0);
+    }
+}
--- /dev/null
+++ b/crates/standins/src/targets.rs
@@ -0,0 +1,177 @@
+//! Many stand-in targets in one process, with one port for control.
+
+use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
+
+use kumquatnotch_core::{LocalFuture, ids::TargetName, random::Random};
+use monoio::net::TcpListener;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    faults::FaultChange,
+    http::{self, Handler, Reply, Request},
+    hub::{self, Serving},
+    listen,
+    plan::Plan,
+    records::RunLog,
+    signal::Signal,
+    target::{Connection, Target},
+};
+
+/// How often a target tries to listen on its port again, and the pause between.
+const LISTEN_TRIES: usize = 100;
+const LISTEN_PAUSE: Duration = Duration::from_millis(20);
+
+/// Where the targets of a process listen.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct FleetPorts {
+    /// Where faults are set and runs are read.
+    pub control: SocketAddr,
+    /// The targets, in the order of the plan.
+    pub targets: Vec<TargetPort>,
+}
+
+/// Where a target listens.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct TargetPort {
+    /// Its name.
+    pub name: TargetName,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+/// The targets of a process; they end when this is dropped.
+pub struct Fleet {
+    /// Where they listen.
+    pub ports: FleetPorts,
+    inner: Rc<Inner>,
+    _control: Serving,
+}
+
+struct Inner {
+    targets: Vec<Rc<Target>>,
+    log: Rc<RefCell<RunLog>>,
+    stop: Signal,
+}
+
+impl Fleet {
+    /// Starts the targets of `plan` on the current runtime.
+    pub fn start(plan: &Plan) -> io::Result<Fleet> {
+        let random = Random::with_seed(plan.seed);
+        let log: Rc<RefCell<RunLog>> = Rc::default();
+        let mut targets = Vec::new();
+        let mut listeners = Vec::new();
+        let mut ports = Vec::new();
+        for plan in &plan.target {
+            let listener = listen(plan.port)?;
+            let address = listener.local_addr()?;
+            ports.push(TargetPort { name: plan.name.clone(), address });
+            listeners.push((listener, address.port()));
+            let random = Random::with_seed(random.number());
+            targets.push(Rc::new(Target::new(plan.clone(), random, log.clone())));
+        }
+        let inner = Rc::new(Inner { targets, log, stop: Signal::default() });
+        for (target, (listener, port)) in inner.targets.iter().zip(listeners) {
+            monoio::spawn(live(target.clone(), listener, port, inner.clone()));
+        }
+        let control = hub::spawn(listen(plan.control)?, Rc::new(Control(inner.clone())))?;
+        let ports = FleetPorts { control: control.address, targets: ports };
+        Ok(Fleet { ports, inner, _control: control })
+    }
+
+    /// Changes the faults of one target or all; false if there is no such target.
+    pub fn apply(&self, change: &FaultChange) -> bool {
+        self.inner.apply(change)
+    }
+
+    /// What the targets ran.
+    pub fn log(&self) -> RunLog {
+        self.inner.log.borrow().clone()
+    }
+
+    /// The address of the target of that name.
+    pub fn address(&self, name: &str) -> Option<SocketAddr> {
+        let target = self.ports.targets.iter().find(|target| target.name.as_str() == name);
+        target.map(|target| target.address)
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.inner.stop.give();
+        self.inner.targets.iter().for_each(|target| target.life().stop.give());
+    }
+}
+
+impl Inner {
+    fn apply(&self, change: &FaultChange) -> bool {
+        let named = |target: &&Rc<Target>| match &change.target {
+            Some(name) => target.plan.name == *name,
+            None => true,
+        };
+        let chosen: Vec<&Rc<Target>> = self.targets.iter().filter(named).collect();
+        chosen.iter().for_each(|target| target.apply(change));
+        !chosen.is_empty()
+    }
+}
+
+/// Runs a target from life to life.
+async fn live(target: Rc<Target>, mut listener: TcpListener, port: u16, inner: Rc<Inner>) {
+    loop {
+        let life = target.life();
+        while let Some(stream) = hub::accept(&listener, &life.stop).await {
+            let connection = Rc::new(Connection::open(&target));
+            let life = life.clone();
+            monoio::spawn(async move {
+                connection.prepare().await;
+                http::serve(stream, connection, &life.stop).await;
+            });
+        }
+        // While the port is closed, connects are refused, as with a process
+        // that is gone.
+        drop(listener);
+        let down = target.faults.borrow().restart_ms;
+        monoio::time::sleep(Duration::from_millis(down)).await;
+        if inner.stop.is_given() {
+            return;
+        }
+        target.restart();
+        listener = match listen_again(port).await {
+            Ok(listener) => listener,
+            Err(_) => return,
+        };
+    }
+}
+
+async fn listen_again(port: u16) -> io::Result<TcpListener> {
+    for _ in 0..LISTEN_TRIES {
+        if let Ok(listener) = listen(port) {
+            return Ok(listener);
+        }
+        monoio::time::sleep(LISTEN_PAUSE).await;
+    }
+    listen(port)
+}
+
+/// The control port.
+struct Control(Rc<Inner>);
+
+impl Handler for Control {
+    fn handle(&self, request: Request) -> LocalFuture<'_, Reply> {
+        let reply = match (request.method.as_str(), request.path.as_str()) {
+            ("POST", "/standin/faults") => match request.json::<FaultChange>() {
+                Ok(change) if self.0.apply(&change) => Reply::status(204),
+                Ok(_) => Reply::status(404),
+                Err(reply) => reply,
+            },
+            ("GET", "/standin/log") => {
+                let after: usize = request.field("after").unwrap_or_default();
+                let log = self.0.log.borrow();
+                let runs = log.runs.get(after..).unwrap_or_default().to_vec();
+                let (over_limit, shed) = (log.over_limit, log.shed);
+                Reply::json(200, &RunLog { runs, over_limit, shed })
+            }
+            _ => Reply::status(404),
+        };
+        Box::pin(async { reply })
+    }
+}
