Specify configuration, tickets and leaving, and check them exhaustively

Cause: the promises on shared state can't be shown by tests alone. Before: nothing. Conclusion: a leaving node must stay open for the spread of the news and the validity of advice together; the validity alone refuses advised callers.

--- /dev/null
+++ b/crates/spec/tests/spec.rs
@@ -0,0 +1,72 @@
+//! Checks every specification, and that each mutation is caught.
+
+use spec::{
+    Report, check,
+    config::{self, ConfigModel},
+    leaving::{self, LeavingModel},
+    ticket::{self, TicketModel},
+};
+use yare::parameterized;
+
+fn assert_holds(report: &Report) {
+    assert_eq!(report.violation, None, "{:#?}", report.trace);
+    println!("{} states", report.states);
+}
+
+#[test]
+fn configuration_holds() {
+    assert_holds(&check(&ConfigModel { mutation: config::Mutation::None }));
+}
+
+#[test]
+fn tickets_hold() {
+    assert_holds(&check(&TicketModel { mutation: ticket::Mutation::None }));
+}
+
+#[test]
+fn leaving_holds() {
+    assert_holds(&check(&LeavingModel { mutation: leaving::Mutation::None }));
+}
+
+#[parameterized(
+    take_lower = { config::Mutation::TakeLower, "a node went back to an older version" },
+    serve_unborn = { config::Mutation::ServeUnborn, "a node serves without a version" },
+    no_recheck = { config::Mutation::NoRecheck,
+        "a node serves with an older version than was confirmed everywhere" },
+    blind_write = { config::Mutation::BlindWrite, "a change was accepted twice" },
+    lost_is_failed = { config::Mutation::LostIsFailed, "told refused, but accepted" },
+    serve_empty = { config::Mutation::ServeEmpty,
+        "a node serves with an older version than was confirmed everywhere" },
+)]
+fn a_mutation_of_configuration_is_caught(mutation: config::Mutation, expected: &str) {
+    let report = check(&ConfigModel { mutation });
+
+    assert_eq!(report.violation, Some(expected), "{:#?}", report.trace);
+}
+
+#[parameterized(
+    any_incarnation = { ticket::Mutation::AnyIncarnation, "told not run, but it ran" },
+    run_elsewhere = { ticket::Mutation::RunElsewhere, "told not run, but it ran" },
+    resend_lost = { ticket::Mutation::ResendLost, "told not run, but it ran" },
+    timeout_not_run = { ticket::Mutation::TimeoutNotRun, "told not run, but it ran" },
+    forget_early = { ticket::Mutation::ForgetEarly, "told not run, but it ran" },
+    holder_resends = { ticket::Mutation::HolderResends, "it ran twice" },
+    holder_sends_late = { ticket::Mutation::HolderSendsLate, "told not run, but it ran" },
+)]
+fn a_mutation_of_tickets_is_caught(mutation: ticket::Mutation, expected: &str) {
+    let report = check(&TicketModel { mutation });
+
+    assert_eq!(report.violation, Some(expected), "{:#?}", report.trace);
+}
+
+#[parameterized(
+    ignore_spread = { leaving::Mutation::IgnoreSpread, "a caller with valid advice was refused" },
+    close_at_once = { leaving::Mutation::CloseAtOnce, "a caller with valid advice was refused" },
+    cut_work = { leaving::Mutation::CutWork, "a request was cut" },
+    advise_self = { leaving::Mutation::AdviseSelf, "a caller with valid advice was refused" },
+)]
+fn a_mutation_of_leaving_is_caught(mutation: leaving::Mutation, expected: &str) {
+    let report = check(&LeavingModel { mutation });
+
+    assert_eq!(report.violation, Some(expected), "{:#?}", report.trace);
+}
