--- /dev/null
+++ b/crates/kumquatnotch-net/src/connection.rs
@@ -0,0 +1,230 @@
+//! One connection of a client, from its first byte to its end.
+
+use std::{cell::Cell, pin::pin, rc::Rc, time::Duration};
+
+use futures_util::{FutureExt, select_biased};
+use http::{HeaderValue, Method, Response, StatusCode, Version, header, request::Parts};
+use kumquatnotch_core::{Error, clock};
+use monoio::{
+    io::{
+        OwnedWriteHalf, Splitable,
+        sink::{Sink, SinkExt},
+    },
+    net::TcpStream,
+};
+use monoio_http::{common::body::HttpBody, h1::codec::encoder::GenericEncoder};
+
+use crate::{
+    message::{REQUEST_HEADER, Reply, Request},
+    reader::{Peek, ReadFault, RequestReader},
+    server::{Context, Work},
+};
+
+/// How long the rest of a refused request is read.
+const DISCARD_TIME: Duration = Duration::from_millis(500);
+
+type Encoder = GenericEncoder<OwnedWriteHalf<TcpStream>>;
+
+/// Counts a connection or request for as long as it lives.
+struct Counted<'a>(&'a Cell<usize>);
+
+impl<'a> Counted<'a> {
+    fn new(cell: &'a Cell<usize>) -> Counted<'a> {
+        cell.set(cell.get() + 1);
+        Counted(cell)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Serves a connection to its end.
+pub(crate) async fn serve(stream: TcpStream, context: Rc<Context>) {
+    let _open = Counted::new(&context.open);
+    let (read, write) = stream.into_split();
+    let mut reader = RequestReader::new(read, context.options.body);
+    let mut encoder = Encoder::new(write);
+    while await_request(&mut reader, &context).await {
+        let _busy = Counted::new(&context.busy);
+        if !serve_request(&mut reader, &mut encoder, &context).await {
+            break;
+        }
+    }
+}
+
+/// Waits for a request to begin; false if the connection is to be closed.
+async fn await_request(reader: &mut RequestReader, context: &Context) -> bool {
+    let mut idle = clock::sleep(&*context.clock, context.options.idle).fuse();
+    let mut lingered = pin!(context.lingered().fuse());
+    let mut peek = pin!(reader.peek().fuse());
+    select_biased! {
+        peek = peek => peek == Peek::Data,
+        () = lingered => false,
+        () = idle => false,
+    }
+}
+
+/// Serves one request; false if the connection is to be closed.
+async fn serve_request(
+    reader: &mut RequestReader,
+    encoder: &mut Encoder,
+    context: &Context,
+) -> bool {
+    let deadline = context.clock.now() + context.options.transfer;
+    let read = read_request(reader, encoder);
+    let (request, mut keep) = match clock::timeout_at(&*context.clock, deadline, read).await {
+        Ok(Ok(request)) => request,
+        Ok(Err(ReadFault::Closed)) => return false,
+        Ok(Err(ReadFault::Broken(detail))) => {
+            return refuse(reader, encoder, context, Error::bad_request(detail)).await;
+        }
+        Ok(Err(ReadFault::TooLong)) => {
+            let limit = context.options.body as u64;
+            return refuse(reader, encoder, context, Error::BodyTooLarge { limit }).await;
+        }
+        Err(_) => {
+            let error = Error::bad_request("the request did not arrive in time");
+            return refuse(reader, encoder, context, error).await;
+        }
+    };
+    let number = request.headers.get(REQUEST_HEADER).cloned();
+    let work = context.handler.start(request);
+    let Some(reply) = run(work, reader, encoder, context).await else {
+        return false;
+    };
+    keep &= !context.draining.get();
+    send(encoder, reply, number, keep, context).await && keep
+}
+
+/// Refuses a request that could not be read, and ends the connection.
+async fn refuse(
+    reader: &mut RequestReader,
+    encoder: &mut Encoder,
+    context: &Context,
+    error: Error,
+) -> bool {
+    if send(encoder, Reply::error(&error), None, false, context).await {
+        let _ = Sink::<Response<HttpBody>>::close(encoder).await;
+        let deadline = context.clock.now() + DISCARD_TIME;
+        let _ = clock::timeout_at(&*context.clock, deadline, reader.discard()).await;
+    }
+    false
+}
+
+/// Reads a request, and whether its client keeps the connection.
+async fn read_request(
+    reader: &mut RequestReader,
+    encoder: &mut Encoder,
+) -> Result<(Request, bool), ReadFault> {
+    let (head, decoder): (Parts, _) = reader.head().await?;
+    if expects_continue(&head) {
+        let interim = Response::builder().status(StatusCode::CONTINUE).body(HttpBody::Ready(None));
+        // The builder was given nothing that could be illegal.
+        if let Ok(interim) = interim {
+            encoder.send_and_flush(interim).await.map_err(|_| ReadFault::Closed)?;
+        }
+    }
+    let body = reader.body(&head.headers, decoder).await?;
+    let keep = keeps_alive(&head);
+    let path = head.uri.path().to_owned();
+    let query = head.uri.query().unwrap_or_default().to_owned();
+    Ok((Request { method: head.method, path, query, headers: head.headers, body }, keep))
+}
+
+fn expects_continue(head: &Parts) -> bool {
+    let value = head.headers.get(header::EXPECT);
+    head.method != Method::GET
+        && value.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"100-continue"))
+}
+
+fn keeps_alive(head: &Parts) -> bool {
+    let connection = head.headers.get(header::CONNECTION).and_then(|value| value.to_str().ok());
+    let connection = connection.unwrap_or_default().to_ascii_lowercase();
+    match head.version {
+        Version::HTTP_11 => !connection.contains("close"),
+        _ => connection.contains("keep-alive"),
+    }
+}
+
+/// Runs work to its reply; `None` if the client went away and the work was dropped.
+async fn run(
+    work: Work<'_>,
+    reader: &mut RequestReader,
+    encoder: &mut Encoder,
+    context: &Context,
+) -> Option<Reply> {
+    let Work { reply, lasting } = work;
+    let mut reply = reply.fuse();
+    let mut gone = pin!(client_gone(reader).fuse());
+    loop {
+        let interim = context.options.interim.unwrap_or(Duration::MAX);
+        let mut tick = pin!(
+            async {
+                match interim {
+                    Duration::MAX => std::future::pending().await,
+                    span => clock::sleep(&*context.clock, span).await,
+                }
+            }
+            .fuse()
+        );
+        select_biased! {
+            reply = reply => return Some(reply),
+            () = gone => {
+                if !lasting {
+                    return None;
+                }
+                return Some(reply.await);
+            }
+            () = tick => {
+                // The client takes the silence of this connection for its loss.
+                if !send_interim(encoder).await && !lasting {
+                    return None;
+                }
+            }
+        }
+    }
+}
+
+/// Completes when the client has closed its end.
+///
+/// A client that sends its next request early can't be watched any more.
+async fn client_gone(reader: &mut RequestReader) {
+    if reader.peek().await == Peek::Data {
+        std::future::pending::<()>().await;
+    }
+}
+
+async fn send_interim(encoder: &mut Encoder) -> bool {
+    let interim = Response::builder().status(StatusCode::PROCESSING).body(HttpBody::Ready(None));
+    match interim {
+        Ok(interim) => encoder.send_and_flush(interim).await.is_ok(),
+        Err(_) => false,
+    }
+}
+
+/// Sends a reply; false if the connection broke.
+async fn send(
+    encoder: &mut Encoder,
+    reply: Reply,
+    number: Option<HeaderValue>,
+    keep: bool,
+    context: &Context,
+) -> bool {
+    let Reply { status, mut headers, body } = reply;
+    if let Some(number) = number {
+        headers.insert(REQUEST_HEADER, number);
+    }
+    if !keep {
+        headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    let body = if body.is_empty() { None } else { Some(body) };
+    let mut response = Response::new(HttpBody::Ready(body));
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    let deadline = context.clock.now() + context.options.transfer;
+    let sent = encoder.send_and_flush(response);
+    matches!(clock::timeout_at(&*context.clock, deadline, sent).await, Ok(Ok(())))
+}
--- /dev/null
+++ b/crates/kumquatnotch-net/src/exchange.rs
@@ -0,0 +1,133 @@
+//! One request and its reply on a connection of a client.
+
+use std::{net::SocketAddr, time::Duration};
+
+use futures_util::future::{Either, select};
+use http::{HeaderValue, Uri, header, response::Parts};
+use kumquatnotch_core::{Clock, Error, Result, clock};
+use monoio::{
+    io::{OwnedWriteHalf, Splitable, sink::SinkExt},
+    net::TcpStream,
+};
+use monoio_http::{common::body::HttpBody, h1::codec::encoder::GenericEncoder};
+
+use crate::{
+    message::{REQUEST_HEADER, Reply, Request},
+    reader::{Peek, ReadFault, ResponseReader},
+};
+
+/// The two ends of a connection of a client.
+pub(crate) struct Ends {
+    reader: ResponseReader,
+    encoder: GenericEncoder<OwnedWriteHalf<TcpStream>>,
+    address: SocketAddr,
+}
+
+/// A reply, and whether the connection can be used again.
+pub(crate) struct Exchanged {
+    pub(crate) reply: Reply,
+    pub(crate) keep: bool,
+}
+
+impl Ends {
+    /// Takes over a connection; replies may have bodies of up to `limit` bytes.
+    pub(crate) fn new(stream: TcpStream, address: SocketAddr, limit: usize) -> Ends {
+        let (read, write) = stream.into_split();
+        let reader = ResponseReader::new(read, limit);
+        Ends { reader, encoder: GenericEncoder::new(write), address }
+    }
+
+    /// Completes when an idle connection has ended.
+    ///
+    /// Bytes that nobody asked for end it too: a late or doubled reply would be
+    /// taken for the reply to the next request.
+    pub(crate) async fn ended(&mut self) -> Peek {
+        self.reader.peek().await
+    }
+
+    /// Sends `request` and reads its reply.
+    ///
+    /// With `mute`, the other side is one of our nodes: it sends an interim
+    /// response now and then while it works, and a silence of that length means
+    /// that the connection is lost.
+    pub(crate) async fn exchange(
+        &mut self,
+        request: Request,
+        number: u64,
+        mute: Option<Duration>,
+        clock: &dyn Clock,
+    ) -> Result<Exchanged> {
+        let request = self.head_of(request, number)?;
+        self.encoder.send_and_flush(request).await.map_err(|_| Error::ConnectionLost)?;
+        loop {
+            let head = read_head(&mut self.reader, mute, clock).await?;
+            let (head, decoder) = head;
+            if head.status.is_informational() {
+                continue;
+            }
+            let body = self.reader.body(&head.headers, decoder).await.map_err(to_error)?;
+            let Parts { status, headers, .. } = head;
+            let reply = Reply { status, headers, body };
+            check_number(&reply, number)?;
+            let keep = keeps_alive(&reply);
+            return Ok(Exchanged { reply, keep });
+        }
+    }
+
+    fn head_of(&self, request: Request, number: u64) -> Result<http::Request<HttpBody>> {
+        let uri: Uri = request.target().parse().map_err(Error::internal)?;
+        let body = if request.body.is_empty() { None } else { Some(request.body) };
+        let mut message = http::Request::new(HttpBody::Ready(body));
+        *message.method_mut() = request.method;
+        *message.uri_mut() = uri;
+        *message.headers_mut() = request.headers;
+        let headers = message.headers_mut();
+        let host = HeaderValue::from_str(&self.address.to_string()).map_err(Error::internal)?;
+        headers.insert(header::HOST, host);
+        headers.insert(header::CONTENT_LENGTH, HeaderValue::from_static("0"));
+        headers.insert(REQUEST_HEADER, HeaderValue::from(number));
+        Ok(message)
+    }
+}
+
+type Head = (Parts, monoio_http::h1::codec::decoder::PayloadDecoder<Fixed, Chunked>);
+type Fixed = monoio_http::h1::codec::decoder::FixedBodyDecoder;
+type Chunked = monoio_http::h1::codec::decoder::ChunkedBodyDecoder;
+
+async fn read_head(
+    reader: &mut ResponseReader,
+    mute: Option<Duration>,
+    clock: &dyn Clock,
+) -> Result<Head> {
+    let head = reader.head();
+    let Some(mute) = mute else {
+        return head.await.map_err(to_error);
+    };
+    match select(std::pin::pin!(head), clock::sleep(clock, mute)).await {
+        Either::Left((head, _)) => head.map_err(to_error),
+        Either::Right(_) => Err(Error::ConnectionSilent),
+    }
+}
+
+fn to_error(fault: ReadFault) -> Error {
+    match fault {
+        ReadFault::Closed => Error::ConnectionLost,
+        ReadFault::Broken(detail) => Error::protocol(detail),
+        ReadFault::TooLong => Error::protocol("the reply is too long"),
+    }
+}
+
+/// Checks that a reply which carries a number carries that of its request.
+fn check_number(reply: &Reply, number: u64) -> Result<()> {
+    match reply.header::<u64>(REQUEST_HEADER) {
+        Some(other) if other != number => {
+            Err(Error::protocol(format!("a reply to request {other} came for request {number}")))
+        }
+        _ => Ok(()),
+    }
+}
+
+fn keeps_alive(reply: &Reply) -> bool {
+    let connection: String = reply.header("connection").unwrap_or_default();
+    !connection.eq_ignore_ascii_case("close")
+}
--- a/crates/kumquatnotch-net/src/lib.rs
+++ b/crates/kumquatnotch-net/src/lib.rs
@@ -1,1 +1,34 @@
-//! Placeholder.
+//! How bytes travel: HTTP/1.1 over monoio.
+//!
+//! The server side takes connections from callers, operators and peers, one
+//! task each, and hands whole requests to a [`server::Handler`]. The client side
+//! keeps bounded pools of connections, one task each, and offers the borders of
+//! the core crate over them: [`PeerLinks`], [`TargetLinks`] and
+//! [`PlatformClient`]. What is done about connections that go silent is told in
+//! [`silence`].
+
+#![forbid(unsafe_code)]
+
+pub mod entry;
+pub mod message;
+pub mod peer_links;
+pub mod peer_route;
+pub mod platform_client;
+pub mod server;
+pub mod silence;
+pub mod target_links;
+
+mod connection;
+mod exchange;
+mod flight;
+mod link;
+mod pace;
+mod pool;
+mod reader;
+mod socket;
+mod target_reply;
+
+pub use crate::{
+    peer_links::PeerLinks, platform_client::PlatformClient, server::Server,
+    target_links::TargetLinks,
+};
--- /dev/null
+++ b/crates/kumquatnotch-net/src/peer_links.rs
@@ -0,0 +1,147 @@
+//! The connections to other nodes.
+
+use std::{
+    cell::RefCell,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use kumquatnotch_core::{
+    Clock, Error, LocalFuture, Peers, Result, codec,
+    collections::HashMap,
+    peer::{PeerMessage, PeerReply},
+    random::Random,
+    registry::Registry,
+    services,
+};
+
+use crate::{
+    flight::Plan,
+    message::{MSGPACK, Request},
+    peer_route::PEER_PATH,
+    pool::{Lane, Pool, PoolOptions},
+    silence,
+};
+
+/// How many addresses are kept before unused ones are looked for.
+const SWEEP_SIZE: usize = 64;
+
+/// Options of [`PeerLinks`].
+#[derive(Clone, Debug)]
+pub struct PeerLinkOptions {
+    /// The most connections for sub-requests to one node.
+    pub work: usize,
+    /// The most connections for control messages to one node.
+    pub control: usize,
+    /// The largest reply, in bytes.
+    pub body: usize,
+    /// How long a connection is kept without use.
+    pub idle: Duration,
+}
+
+impl Default for PeerLinkOptions {
+    fn default() -> PeerLinkOptions {
+        PeerLinkOptions { work: 64, control: 2, body: 16 << 20, idle: Duration::from_secs(30) }
+    }
+}
+
+/// The connections to other nodes, by address.
+pub struct PeerLinks {
+    options: PeerLinkOptions,
+    clock: Rc<dyn Clock>,
+    random: Random,
+    pools: RefCell<HashMap<SocketAddr, Rc<Pool>>>,
+}
+
+impl PeerLinks {
+    /// Links that use the clock and generator of the registry; registers itself.
+    pub fn try_new(options: PeerLinkOptions, registry: &Registry) -> Result<Rc<PeerLinks>> {
+        let clock = registry.find::<Rc<dyn Clock>>(services::CLOCK)?;
+        let random = registry.find::<Random>(services::RANDOM)?;
+        let links = Rc::new(PeerLinks { options, clock, random, pools: RefCell::default() });
+        registry.register::<Rc<dyn Peers>>(services::PEERS, links.clone());
+        Ok(links)
+    }
+
+    fn pool(&self, address: SocketAddr) -> Rc<Pool> {
+        let mut pools = self.pools.borrow_mut();
+        if let Some(pool) = pools.get(&address) {
+            return pool.clone();
+        }
+        // Addresses of nodes that are gone would add up over a year of restarts.
+        if pools.len() >= SWEEP_SIZE && pools.len().is_power_of_two() {
+            pools.retain(|_, pool| pool.open_count() > 0);
+        }
+        let PeerLinkOptions { work, control, body, idle } = self.options;
+        let options = PoolOptions { control, work, idle, body };
+        let pool = Pool::new(address, options, self.clock.clone(), self.random.clone());
+        pools.insert(address, pool.clone());
+        pool
+    }
+}
+
+impl Peers for PeerLinks {
+    fn send<'a>(
+        &'a self,
+        address: SocketAddr,
+        message: &'a PeerMessage,
+        deadline: Instant,
+    ) -> LocalFuture<'a, Result<PeerReply>> {
+        Box::pin(async move {
+            let pool = self.pool(address);
+            let request = Request::post(PEER_PATH, MSGPACK, codec::encode(message)?);
+            let plan = Plan {
+                request,
+                timed: true,
+                cancel: None,
+                check: check_of(message),
+                mute: Some(silence::MUTE_TIME),
+            };
+            let reply = match kind_of(message) {
+                Kind::Control => pool.call_again(Lane::Control, &plan, deadline).await?,
+                Kind::Search | Kind::Exclusive => pool.call(Lane::Work, &plan, deadline).await?,
+            };
+            match reply.status.as_u16() {
+                200 => codec::decode(&reply.body),
+                status => Err(Error::protocol(format!("status {status}"))),
+            }
+        })
+    }
+}
+
+/// How a message is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Kind {
+    /// It is answered at once and may be sent twice.
+    Control,
+    /// It takes time and may be sent twice, which its sender decides.
+    Search,
+    /// It takes time and must not be sent twice.
+    Exclusive,
+}
+
+/// How `message` is sent.
+pub(crate) fn kind_of(message: &PeerMessage) -> Kind {
+    match message {
+        PeerMessage::Ping(_)
+        | PeerMessage::PingFor(_)
+        | PeerMessage::News(_)
+        | PeerMessage::Exchange(_)
+        | PeerMessage::Fetch(_)
+        | PeerMessage::ConfigState
+        | PeerMessage::Versions(_) => Kind::Control,
+        PeerMessage::Group(_) => Kind::Search,
+        PeerMessage::Relay(_) | PeerMessage::Exclusive(_) => Kind::Exclusive,
+    }
+}
+
+/// How a connection is checked before `message` is sent on it.
+fn check_of(message: &PeerMessage) -> Option<(Duration, Request)> {
+    let age = match kind_of(message) {
+        Kind::Control => return None,
+        Kind::Search => silence::CHECK_SEARCH,
+        Kind::Exclusive => silence::CHECK_EXCLUSIVE,
+    };
+    Some((age, Request::get("/healthz")))
+}
--- /dev/null
+++ b/crates/kumquatnotch-net/src/peer_route.rs
@@ -0,0 +1,72 @@
+//! The route for messages of other nodes.
+
+use std::rc::Rc;
+
+use http::{Method, StatusCode};
+use kumquatnotch_core::{
+    Error, Result, codec,
+    peer::{PeerHandler, PeerMessage, PeerReply},
+    registry::Registry,
+};
+
+use crate::{
+    message::{MSGPACK, Reply, Request},
+    peer_links::{Kind, kind_of},
+    server::{Handler, Work},
+};
+
+/// The path of the route.
+pub const PEER_PATH: &str = "/peer";
+
+/// Hands each message to the service that it names.
+pub struct PeerRoute {
+    registry: Registry,
+}
+
+impl PeerRoute {
+    /// A route to the services of `registry`.
+    pub fn new(registry: Registry) -> PeerRoute {
+        PeerRoute { registry }
+    }
+
+    async fn answer(&self, message: PeerMessage) -> Reply {
+        let reply = match self.handle(message).await {
+            Ok(reply) => reply,
+            Err(error) => PeerReply::Failed(error),
+        };
+        match codec::encode(&reply) {
+            Ok(body) => Reply::new(StatusCode::OK, MSGPACK, body),
+            Err(error) => Reply::error(&error),
+        }
+    }
+
+    async fn handle(&self, message: PeerMessage) -> Result<PeerReply> {
+        let handler = self.registry.find::<Rc<dyn PeerHandler>>(message.service())?;
+        handler.handle(message).await
+    }
+}
+
+impl Handler for PeerRoute {
+    fn start(&self, request: Request) -> Work<'_> {
+        match (&request.method, request.path.as_str()) {
+            (&Method::POST, PEER_PATH) => {}
+            (&Method::GET, "/healthz") => {
+                return Work::ready(Reply::text(StatusCode::OK, "ok\n"));
+            }
+            (_, path) => {
+                let error = Error::NotFound { path: path.to_owned() };
+                return Work::ready(Reply::error(&error));
+            }
+        }
+        let message: PeerMessage = match codec::decode(&request.body) {
+            Ok(message) => message,
+            Err(error) => return Work::ready(Reply::error(&Error::bad_request(error))),
+        };
+        // A search ends with its asker; what must run at most once goes on, so
+        // that its outcome can be asked for again.
+        match kind_of(&message) {
+            Kind::Exclusive => Work::lasting(self.answer(message)),
+            Kind::Control | Kind::Search => Work::new(self.answer(message)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/kumquatnotch-net/src/pool.rs
@@ -0,0 +1,316 @@
+//! The connections to one address.
+//!
+//! Their number is bounded, and new ones are opened one at a time with backoff
+//! and jitter: each costs a target milliseconds of work, and after a restart of
+//! many nodes a storm of connections would keep the targets from answering at
+//! all. There are two lanes, so that probes and cancellations get through while
+//! work occupies its connections.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::VecDeque,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use futures_channel::oneshot;
+use kumquatnotch_core::{Clock, Error, Result, clock, random::Random};
+
+use crate::{exchange::Ends, link, link::Job, socket};
+
+/// How long opening a connection may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The pause after the first failure to open a connection, before jitter.
+const FIRST_BACKOFF: Duration = Duration::from_millis(20);
+
+/// The longest pause after failures, before jitter.
+const LAST_BACKOFF: Duration = Duration::from_secs(1);
+
+/// What a connection is used for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Lane {
+    /// Probes, cancellations and messages that must not wait behind work.
+    Control,
+    /// Everything else.
+    Work,
+}
+
+const LANES: [Lane; 2] = [Lane::Control, Lane::Work];
+
+/// Bounds of a pool.
+#[derive(Clone, Debug)]
+pub(crate) struct PoolOptions {
+    /// The most connections for control.
+    pub(crate) control: usize,
+    /// The most connections for work.
+    pub(crate) work: usize,
+    /// How long a connection is kept without use.
+    pub(crate) idle: Duration,
+    /// The largest body of a reply, in bytes.
+    pub(crate) body: usize,
+}
+
+/// The connections to one address.
+pub(crate) struct Pool {
+    pub(crate) address: SocketAddr,
+    pub(crate) options: PoolOptions,
+    pub(crate) clock: Rc<dyn Clock>,
+    random: Random,
+    lanes: [RefCell<LaneState>; 2],
+    opening: Cell<bool>,
+    failures: Cell<u32>,
+    pause_end: Cell<Instant>,
+    closed: Cell<bool>,
+}
+
+#[derive(Default)]
+struct LaneState {
+    idle: Vec<(JobSlot, Instant)>,
+    waiters: VecDeque<oneshot::Sender<Result<Lease>>>,
+    open: usize,
+    /// Whether one of them was opened, so that waiting means waiting for its work.
+    served: bool,
+}
+
+type JobSlot = oneshot::Sender<Job>;
+
+/// A connection that was handed out and waits for a job.
+pub(crate) struct Lease {
+    slot: Option<JobSlot>,
+    since: Instant,
+    pool: Rc<Pool>,
+    lane: Lane,
+}
+
+impl Lease {
+    /// How long the connection was idle.
+    pub(crate) fn idle_for(&self) -> Duration {
+        self.pool.clock.now().saturating_duration_since(self.since)
+    }
+
+    /// Gives it the job; false if the connection has ended and nothing was sent.
+    pub(crate) fn run(mut self, job: Job) -> bool {
+        self.slot.take().is_some_and(|slot| slot.send(job).is_ok())
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        // The caller went away between the offer and its job.
+        if let Some(slot) = self.slot.take() {
+            self.pool.hand_out(self.lane, slot, self.since);
+        }
+    }
+}
+
+impl Pool {
+    pub(crate) fn new(
+        address: SocketAddr,
+        options: PoolOptions,
+        clock: Rc<dyn Clock>,
+        random: Random,
+    ) -> Rc<Pool> {
+        let pause_end = Cell::new(clock.now());
+        Rc::new(Pool {
+            address,
+            options,
+            clock,
+            random,
+            lanes: Default::default(),
+            opening: Cell::new(false),
+            failures: Cell::new(0),
+            pause_end,
+            closed: Cell::new(false),
+        })
+    }
+
+    /// A number for a request.
+    pub(crate) fn number(&self) -> u64 {
+        self.random.number()
+    }
+
+    /// Waits for a connection until `deadline`.
+    pub(crate) async fn acquire(self: &Rc<Pool>, lane: Lane, deadline: Instant) -> Result<Lease> {
+        if self.closed.get() {
+            return Err(Error::ConnectFailed);
+        }
+        let receiver = {
+            let mut state = self.lane(lane).borrow_mut();
+            // The one used last is taken first, so that surplus ones grow idle and close.
+            while let Some((slot, since)) = state.idle.pop() {
+                if !slot.is_canceled() {
+                    return Ok(Lease { slot: Some(slot), since, pool: self.clone(), lane });
+                }
+            }
+            // While opening pauses, an address without connections fails at once,
+            // so that the caller can turn to another replica.
+            if state.open == 0 && self.is_pausing() {
+                return Err(Error::ConnectFailed);
+            }
+            let (sender, receiver) = oneshot::channel();
+            state.waiters.push_back(sender);
+            receiver
+        };
+        self.open_more();
+        match clock::timeout_at(&*self.clock, deadline, receiver).await {
+            Ok(Ok(lease)) => lease,
+            Ok(Err(_)) => Err(Error::ConnectFailed),
+            Err(_) if self.lane(lane).borrow().served => Err(Error::ExpiredInQueue),
+            Err(_) => Err(Error::ConnectFailed),
+        }
+    }
+
+    /// Takes a connection that has become idle.
+    pub(crate) fn offer(self: &Rc<Pool>, lane: Lane, slot: JobSlot) {
+        self.hand_out(lane, slot, self.clock.now());
+    }
+
+    fn hand_out(self: &Rc<Pool>, lane: Lane, slot: JobSlot, since: Instant) {
+        // Dropping the slot ends the connection.
+        if self.closed.get() {
+            return;
+        }
+        let mut lease = Lease { slot: Some(slot), since, pool: self.clone(), lane };
+        loop {
+            let Some(waiter) = self.lane(lane).borrow_mut().waiters.pop_front() else {
+                break;
+            };
+            match waiter.send(Ok(lease)) {
+                Ok(()) => return,
+                Err(Ok(back)) => lease = back,
+                Err(Err(_)) => return,
+            }
+        }
+        if let Some(slot) = lease.slot.take() {
+            self.lane(lane).borrow_mut().idle.push((slot, since));
+        }
+    }
+
+    /// Notes that a connection has ended; `useful` if it ever served a request.
+    pub(crate) fn closed(self: &Rc<Pool>, lane: Lane, useful: bool) {
+        if !useful {
+            self.note_failure();
+        }
+        {
+            let mut state = self.lane(lane).borrow_mut();
+            state.open -= 1;
+            state.served &= state.open > 0;
+            state.idle.retain(|(slot, _)| !slot.is_canceled());
+        }
+        self.fail_waiters();
+        self.open_more();
+    }
+
+    /// Closes the idle connections of a lane.
+    pub(crate) fn purge(&self, lane: Lane) {
+        let idle = std::mem::take(&mut self.lane(lane).borrow_mut().idle);
+        drop(idle);
+    }
+
+    /// Closes idle connections now, and the others when their requests end.
+    pub(crate) fn close(&self) {
+        self.closed.set(true);
+        for lane in LANES {
+            self.purge(lane);
+            let waiters = std::mem::take(&mut self.lane(lane).borrow_mut().waiters);
+            drop(waiters);
+        }
+    }
+
+    /// How many connections are open or being opened.
+    pub(crate) fn open_count(&self) -> usize {
+        LANES.iter().map(|lane| self.lane(*lane).borrow().open).sum()
+    }
+
+    fn lane(&self, lane: Lane) -> &RefCell<LaneState> {
+        match lane {
+            Lane::Control => &self.lanes[0],
+            Lane::Work => &self.lanes[1],
+        }
+    }
+
+    fn limit(&self, lane: Lane) -> usize {
+        match lane {
+            Lane::Control => self.options.control,
+            Lane::Work => self.options.work,
+        }
+    }
+
+    fn is_pausing(&self) -> bool {
+        self.clock.now() < self.pause_end.get()
+    }
+
+    /// Starts to open connections if someone waits for one and the bounds allow it.
+    fn open_more(self: &Rc<Pool>) {
+        if self.opening.get() || self.is_pausing() || self.lane_to_open().is_none() {
+            return;
+        }
+        self.opening.set(true);
+        monoio::spawn(open_links(self.clone()));
+    }
+
+    /// The lane in which a connection is wanted and allowed.
+    fn lane_to_open(&self) -> Option<Lane> {
+        if self.closed.get() {
+            return None;
+        }
+        LANES.into_iter().find(|lane| {
+            let mut state = self.lane(*lane).borrow_mut();
+            state.waiters.retain(|waiter| !waiter.is_canceled());
+            !state.waiters.is_empty() && state.open < self.limit(*lane)
+        })
+    }
+
+    fn note_failure(&self) {
+        let failures = self.failures.get();
+        let pause = FIRST_BACKOFF.saturating_mul(1 << failures.min(10)).min(LAST_BACKOFF);
+        self.failures.set(failures.saturating_add(1));
+        self.pause_end.set(self.clock.now() + self.random.jitter(pause));
+    }
+
+    /// Fails those who wait in a lane that has no connection and may open none now.
+    fn fail_waiters(&self) {
+        if !self.is_pausing() {
+            return;
+        }
+        for lane in LANES {
+            let mut state = self.lane(lane).borrow_mut();
+            if state.open > 0 {
+                continue;
+            }
+            for waiter in state.waiters.drain(..) {
+                let _ = waiter.send(Err(Error::ConnectFailed));
+            }
+        }
+    }
+}
+
+/// Opens connections, one after the other, while they are wanted.
+async fn open_links(pool: Rc<Pool>) {
+    while let Some(lane) = pool.lane_to_open() {
+        pool.lane(lane).borrow_mut().open += 1;
+        let deadline = pool.clock.now() + CONNECT_TIMEOUT;
+        let opened = clock::timeout_at(&*pool.clock, deadline, socket::connect(pool.address)).await;
+        metrics::counter!("kumquatnotch_connections_opened_total").increment(1);
+        match opened {
+            Ok(Ok(stream)) => {
+                pool.failures.set(0);
+                pool.lane(lane).borrow_mut().served = true;
+                let ends = Ends::new(stream, pool.address, pool.options.body);
+                let link = link::run(ends, Rc::downgrade(&pool), lane, pool.address);
+                monoio::spawn(link);
+                // The new link offers itself before the next one is opened.
+                clock::yield_now().await;
+            }
+            _ => {
+                pool.lane(lane).borrow_mut().open -= 1;
+                pool.note_failure();
+                break;
+            }
+        }
+    }
+    pool.opening.set(false);
+    pool.fail_waiters();
+}
--- /dev/null
+++ b/crates/kumquatnotch-net/src/reader.rs
@@ -0,0 +1,221 @@
+//! Reading HTTP/1.1 messages from a connection, with bounds.
+//!
+//! The library's decoders wait for the end of a head or chunk however long it
+//! grows. Here each message has a budget of bytes, and a read beyond it fails,
+//! so that no sender can make a process keep more than that.
+
+use std::{cell::Cell, io, rc::Rc};
+
+use bytes::{Bytes, BytesMut};
+use http::{HeaderMap, header};
+use monoio::{
+    BufResult,
+    buf::{IoBufMut, IoVecBufMut},
+    io::{AsyncReadRent, OwnedReadHalf, stream::Stream},
+    net::TcpStream,
+};
+use monoio_http::{
+    common::error::HttpError,
+    h1::{
+        FramedRead,
+        codec::decoder::{
+            ChunkedBodyDecoder, DecodeError, DirectHeadDecoder, DirectWrapper, FixedBodyDecoder,
+            GenericHeadDecoder, PayloadDecoder, RequestHeadDecoder,
+        },
+    },
+};
+
+/// The longest head of a message, in bytes.
+const HEAD_LIMIT: usize = 32 << 10;
+
+/// What a body may cost beyond its own length, for the framing of chunks.
+const BODY_SLACK: usize = 64 << 10;
+
+/// Reads requests.
+pub(crate) type RequestReader =
+    MessageReader<GenericHeadDecoder<(), RequestHeadDecoder, DirectWrapper>>;
+
+/// Reads responses.
+pub(crate) type ResponseReader = MessageReader<DirectHeadDecoder>;
+
+type BodyDecoder = PayloadDecoder<FixedBodyDecoder, ChunkedBodyDecoder>;
+
+/// Why a message could not be read.
+#[derive(Debug)]
+pub(crate) enum ReadFault {
+    /// The connection was closed or broke.
+    Closed,
+    /// The message is not HTTP/1.1 as the library knows it.
+    Broken(String),
+    /// The message is longer than the reader takes.
+    TooLong,
+}
+
+/// What is to be read next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Peek {
+    /// Bytes are there.
+    Data,
+    /// The other side has closed the connection, or it broke.
+    Closed,
+}
+
+/// Reads messages from one connection.
+pub(crate) struct MessageReader<D> {
+    framed: FramedRead<Bounded, D>,
+    left: Rc<Cell<usize>>,
+    limit: usize,
+}
+
+impl<D: Default> MessageReader<D> {
+    /// A reader that takes bodies of up to `limit` bytes.
+    pub(crate) fn new(half: OwnedReadHalf<TcpStream>, limit: usize) -> MessageReader<D> {
+        let left = Rc::new(Cell::new(HEAD_LIMIT));
+        let input = Bounded { half, left: left.clone() };
+        MessageReader { framed: FramedRead::new(input, D::default()), left, limit }
+    }
+}
+
+impl<D> MessageReader<D> {
+    /// Waits for the first byte of a message, or the end of the connection.
+    ///
+    /// Dropping this future loses nothing: with the epoll driver a read that
+    /// has not completed has not taken any bytes, and it starts with an empty buffer.
+    pub(crate) async fn peek(&mut self) -> Peek {
+        self.left.set(HEAD_LIMIT);
+        match self.framed.peek_data().await {
+            Ok(data) if !data.is_empty() => Peek::Data,
+            _ => Peek::Closed,
+        }
+    }
+
+    /// Reads a head and what is needed to read its body.
+    pub(crate) async fn head<H>(&mut self) -> Result<(H, BodyDecoder), ReadFault>
+    where
+        FramedRead<Bounded, D>: Stream<Item = Result<(H, BodyDecoder), HttpError>>,
+    {
+        self.left.set(HEAD_LIMIT);
+        match self.framed.next().await {
+            Some(Ok(head)) => Ok(head),
+            Some(Err(error)) => Err(self.fault(error)),
+            None => Err(ReadFault::Closed),
+        }
+    }
+
+    /// Reads the body that belongs to a head.
+    pub(crate) async fn body(
+        &mut self,
+        headers: &HeaderMap,
+        decoder: BodyDecoder,
+    ) -> Result<Bytes, ReadFault> {
+        check_framing(headers)?;
+        if content_length(headers).is_some_and(|length| length > self.limit as u64) {
+            return Err(ReadFault::TooLong);
+        }
+        self.left.set(self.limit + BODY_SLACK);
+        match decoder {
+            PayloadDecoder::None => Ok(Bytes::new()),
+            PayloadDecoder::Fixed(mut decoder) => match self.framed.next_with(&mut decoder).await {
+                Some(Ok(body)) => Ok(body),
+                Some(Err(error)) => Err(self.fault(error.into())),
+                None => Err(ReadFault::Closed),
+            },
+            PayloadDecoder::Streamed(decoder) => self.chunks(decoder).await,
+        }
+    }
+
+    async fn chunks(&mut self, mut decoder: ChunkedBodyDecoder) -> Result<Bytes, ReadFault> {
+        let mut body = BytesMut::new();
+        loop {
+            match self.framed.next_with(&mut decoder).await {
+                Some(Ok(Some(chunk))) => body.extend_from_slice(&chunk),
+                Some(Ok(None)) => return Ok(body.freeze()),
+                Some(Err(error)) => return Err(self.fault(error.into())),
+                None => return Err(ReadFault::Closed),
+            }
+            if body.len() > self.limit {
+                return Err(ReadFault::TooLong);
+            }
+        }
+    }
+
+    /// Reads and drops what still comes, up to one body.
+    ///
+    /// Closing a connection with unread bytes resets it, and the reset can
+    /// overtake the reply that tells the client what was wrong.
+    pub(crate) async fn discard(&mut self) {
+        let mut left = self.limit;
+        while self.peek().await == Peek::Data {
+            let count = self.framed.read_buffer().len();
+            self.framed.read_buffer_mut().clear();
+            if count > left {
+                return;
+            }
+            left -= count;
+        }
+    }
+
+    fn fault(&self, error: HttpError) -> ReadFault {
+        if self.left.get() == 0 {
+            return ReadFault::TooLong;
+        }
+        match error {
+            HttpError::IOError(_) | HttpError::H1DecodeError(DecodeError::Io(_)) => {
+                ReadFault::Closed
+            }
+            HttpError::H1DecodeError(DecodeError::UnexpectedEof) => ReadFault::Closed,
+            error => ReadFault::Broken(error.to_string()),
+        }
+    }
+}
+
+/// The length that a head gives for its body.
+fn content_length(headers: &HeaderMap) -> Option<u64> {
+    headers.get(header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
+/// Refuses heads that could be read in two ways.
+///
+/// With two lengths, or a length and chunks, this process and another one on
+/// the way could disagree where the message ends, and the rest of one caller's
+/// message would be taken for another's request.
+fn check_framing(headers: &HeaderMap) -> Result<(), ReadFault> {
+    let lengths = headers.get_all(header::CONTENT_LENGTH).iter().count();
+    let chunked = headers.contains_key(header::TRANSFER_ENCODING);
+    if lengths > 1 || (lengths == 1 && chunked) {
+        return Err(ReadFault::Broken("the length of the body is ambiguous".to_owned()));
+    }
+    Ok(())
+}
+
+/// Input that fails once a budget of bytes is used up.
+pub(crate) struct Bounded {
+    half: OwnedReadHalf<TcpStream>,
+    left: Rc<Cell<usize>>,
+}
+
+impl Bounded {
+    fn spend(&self, result: io::Result<usize>) -> io::Result<usize> {
+        let count = result?;
+        self.left.set(self.left.get().saturating_sub(count));
+        Ok(count)
+    }
+}
+
+impl AsyncReadRent for Bounded {
+    async fn read<T: IoBufMut>(&mut self, buf: T) -> BufResult<usize, T> {
+        if self.left.get() == 0 {
+            return (Err(io::ErrorKind::InvalidData.into()), buf);
+        }
+        let (result, buf) = self.half.read(buf).await;
+        (self.spend(result), buf)
+    }
+
+    async fn readv<T: IoVecBufMut>(&mut self, buf: T) -> BufResult<usize, T> {
+        if self.left.get() == 0 {
+            return (Err(io::ErrorKind::InvalidData.into()), buf);
+        }
+        let (result, buf) = self.half.readv(buf).await;
+        (self.spend(result), buf)
+    }
+}
--- /dev/null
+++ b/crates/kumquatnotch-net/src/server.rs
@@ -0,0 +1,225 @@
+//! The server: an accept loop, and one task for each connection.
+//!
+//! A graceful shutdown has two steps. [`Server::drain`] asks clients with each
+//! reply to leave their connection. [`Server::close`] closes idle connections
+//! after a short time in which requests that crossed the shutdown are still
+//! answered, then stops listening and waits for requests in flight.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use futures_channel::oneshot;
+use futures_util::{
+    FutureExt,
+    future::{Either, Shared, select},
+};
+use kumquatnotch_core::{Clock, Error, LocalFuture, Result, clock};
+use monoio::net::TcpListener;
+
+use crate::{
+    connection,
+    message::{Reply, Request},
+    socket,
+};
+
+/// The time for requests that were sent before their client saw the shutdown.
+const LINGER: Duration = Duration::from_millis(300);
+
+/// How often the end of the last request is looked for.
+const END_CHECK: Duration = Duration::from_millis(5);
+
+/// How long accepting pauses when no more connections can be taken.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// What answers requests.
+pub trait Handler {
+    /// Starts the work on `request`.
+    fn start(&self, request: Request) -> Work<'_>;
+}
+
+/// The work on one request.
+pub struct Work<'a> {
+    /// Completes with the reply.
+    pub reply: LocalFuture<'a, Reply>,
+    /// Whether it goes on when its client goes away.
+    ///
+    /// A search is dropped then; a non-idempotent request must run to its end,
+    /// or its outcome would be lost for the client that asks again.
+    pub lasting: bool,
+}
+
+impl<'a> Work<'a> {
+    /// Work that ends when its client goes away.
+    pub fn new(reply: impl Future<Output = Reply> + 'a) -> Work<'a> {
+        Work { reply: Box::pin(reply), lasting: false }
+    }
+
+    /// Work that goes on to its end.
+    pub fn lasting(reply: impl Future<Output = Reply> + 'a) -> Work<'a> {
+        Work { reply: Box::pin(reply), lasting: true }
+    }
+
+    /// A reply that is at hand.
+    pub fn ready(reply: Reply) -> Work<'a> {
+        Work::new(std::future::ready(reply))
+    }
+}
+
+/// Options of a [`Server`].
+#[derive(Clone, Debug)]
+pub struct ServerOptions {
+    /// Where it listens; port 0 lets the system choose.
+    pub address: SocketAddr,
+    /// What it is called in logs and metrics.
+    pub name: &'static str,
+    /// The largest body it takes, in bytes.
+    pub body: usize,
+    /// The most connections open at once.
+    pub connections: usize,
+    /// How long a connection may wait for its next request.
+    pub idle: Duration,
+    /// How long a request may take to arrive once it has begun, and a reply to leave.
+    pub transfer: Duration,
+    /// How often a client is told that its request still runs; never if absent.
+    pub interim: Option<Duration>,
+}
+
+impl Default for ServerOptions {
+    fn default() -> ServerOptions {
+        ServerOptions {
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            name: "entry",
+            body: 1 << 20,
+            connections: 4_000,
+            idle: Duration::from_secs(60),
+            transfer: Duration::from_secs(10),
+            interim: None,
+        }
+    }
+}
+
+/// What the connections of a server share.
+pub(crate) struct Context {
+    pub(crate) options: ServerOptions,
+    pub(crate) clock: Rc<dyn Clock>,
+    pub(crate) handler: Rc<dyn Handler>,
+    pub(crate) draining: Cell<bool>,
+    pub(crate) closing: Shared<oneshot::Receiver<()>>,
+    pub(crate) open: Cell<usize>,
+    pub(crate) busy: Cell<usize>,
+}
+
+/// A server.
+#[derive(Clone)]
+pub struct Server {
+    shared: Rc<Context>,
+    address: SocketAddr,
+    closer: Rc<RefCell<Option<oneshot::Sender<()>>>>,
+}
+
+impl Server {
+    /// Listens, and starts to accept connections.
+    pub fn try_new(
+        options: ServerOptions,
+        clock: Rc<dyn Clock>,
+        handler: Rc<dyn Handler>,
+    ) -> Result<Server> {
+        let name = options.name;
+        let listener = socket::listen(options.address)
+            .and_then(|listener| Ok((listener.local_addr()?, listener)));
+        let (address, listener) = listener.map_err(|error| Error::BadSettings {
+            detail: format!("can't listen at {}: {error}", options.address),
+        })?;
+        let (closer, closing) = oneshot::channel();
+        let shared = Rc::new(Context {
+            options,
+            clock,
+            handler,
+            draining: Cell::new(false),
+            closing: closing.shared(),
+            open: Cell::new(0),
+            busy: Cell::new(0),
+        });
+        monoio::spawn(accept(listener, shared.clone()));
+        tracing::info!("net: {name} listens at {address}");
+        Ok(Server { shared, address, closer: Rc::new(RefCell::new(Some(closer))) })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// How many connections are open.
+    pub fn connections(&self) -> usize {
+        self.shared.open.get()
+    }
+
+    /// How many requests are in work.
+    pub fn requests(&self) -> usize {
+        self.shared.busy.get()
+    }
+
+    /// Asks clients with each reply from now on to leave their connection.
+    pub fn drain(&self) {
+        self.shared.draining.set(true);
+    }
+
+    /// Closes idle connections, stops listening, and waits until requests in
+    /// flight have ended; false if some had not by `deadline`.
+    pub async fn close(&self, deadline: Instant) -> bool {
+        self.drain();
+        if let Some(closer) = self.closer.borrow_mut().take() {
+            let _ = closer.send(());
+        }
+        let clock = &*self.shared.clock;
+        while self.shared.open.get() > 0 {
+            if clock.now() >= deadline {
+                return false;
+            }
+            clock::sleep(clock, END_CHECK).await;
+        }
+        true
+    }
+}
+
+impl Context {
+    /// Completes when connections that have been idle since the shutdown must close.
+    pub(crate) async fn lingered(&self) {
+        let _ = self.closing.clone().await;
+        clock::sleep(&*self.clock, LINGER).await;
+    }
+}
+
+async fn accept(listener: TcpListener, shared: Rc<Context>) {
+    // Until the linger time ends, new connections are taken too: their requests
+    // get a refusal that says "not run", where a reset connection says nothing.
+    let end = shared.lingered();
+    let mut end = std::pin::pin!(end);
+    loop {
+        if shared.open.get() >= shared.options.connections {
+            // The rest waits in the backlog of the kernel.
+            let pause = clock::sleep(&*shared.clock, ACCEPT_PAUSE);
+            if let Either::Left(_) = select(end.as_mut(), pause).await {
+                return;
+            }
+            continue;
+        }
+        let next = std::pin::pin!(listener.accept());
+        match select(next, end.as_mut()).await {
+            Either::Left((Ok((stream, _)), _)) => {
+                monoio::spawn(connection::serve(stream, shared.clone()));
+            }
+            Either::Left((Err(error), _)) => {
+                // Out of descriptors: those in use come back when requests end.
+                tracing::warn!("net: {} can't accept: {error}", shared.options.name);
+                clock::sleep(&*shared.clock, ACCEPT_PAUSE).await;
+            }
+            Either::Right(_) => return,
+        }
+    }
+}
