--- /dev/null
+++ b/crates/kumquatnotch-member/src/config_service.rs
@@ -0,0 +1,226 @@
+//! The configuration service: the document in force and how it gets there.
+//!
+//! A document is put in force only if its version is above the one in force, so
+//! no message, however late, can bring an earlier one back. Reading the
+//! platform's head is in [`crate::readers`], fetching parts in [`crate::fetch`],
+//! and what a node does at birth and after a freeze in [`crate::recheck`].
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::{Rc, Weak},
+    time::Instant,
+};
+
+use kumquatnotch_core::{
+    Clock, Error, LocalFuture, Platform, Result, clock,
+    collections::{HashMap, HashSet},
+    document::{Document, Documents},
+    ids::{ConfigVersion, Digest},
+    lifecycle::{Lifecycle, Stage},
+    peer::{CONFIG_SERVICE, HeadNews, PeerHandler, PeerMessage, PeerReply, StoredValue},
+    random::Random,
+    registry::Registry,
+    services,
+    stored::Manifest,
+};
+use tracing::info;
+
+use crate::{
+    fetch::Wanted,
+    head_board::{HeadListener, InForce},
+    membership_service::{MEMBERSHIP, MembershipService},
+    options::ConfigOptions,
+    pulse::{BEAT, Pulse},
+    readers::Backoff,
+    recheck::Gate,
+    traffic,
+};
+
+/// Keeps the operators' document in force on this node.
+pub struct ConfigService {
+    pub(crate) options: ConfigOptions,
+    pub(crate) clock: Rc<dyn Clock>,
+    pub(crate) random: Random,
+    pub(crate) platform: Rc<dyn Platform>,
+    pub(crate) members: Rc<MembershipService>,
+    pub(crate) wanted: RefCell<Wanted>,
+    pub(crate) values: RefCell<HashMap<Digest, Rc<StoredValue>>>,
+    pub(crate) backoff: RefCell<Backoff>,
+    pub(crate) pulse: Pulse,
+    pub(crate) gate: Gate,
+    /// Rumours are only collected until the node has decided on its first document.
+    pub(crate) born: Cell<bool>,
+    pub(crate) me: Weak<ConfigService>,
+    document: RefCell<Option<Rc<Document>>>,
+    /// The digests of the document in force and of the one before.
+    kept: RefCell<[HashSet<Digest>; 2]>,
+    lifecycle: Option<Lifecycle>,
+}
+
+impl ConfigService {
+    /// Puts the service together and registers it.
+    ///
+    /// Needs the platform and a [`MembershipService`] in the registry.
+    pub fn try_new(options: ConfigOptions, registry: &Registry) -> Result<Rc<ConfigService>> {
+        if options.readers == 0 || options.read_period.is_zero() {
+            let detail = "configuration needs a reader and a period".to_owned();
+            return Err(Error::BadSettings { detail });
+        }
+        let clock: Rc<dyn Clock> = registry.find(services::CLOCK)?;
+        let members: Rc<MembershipService> = registry.find(MEMBERSHIP)?;
+        let platform: Rc<dyn Platform> = registry.find(services::PLATFORM)?;
+        let random: Random = registry.find(services::RANDOM)?;
+        let now = clock.now();
+        let service = Rc::new_cyclic(|me: &Weak<ConfigService>| ConfigService {
+            random,
+            platform,
+            members: members.clone(),
+            wanted: RefCell::default(),
+            values: RefCell::default(),
+            backoff: RefCell::default(),
+            pulse: Pulse::new(now, options.freeze_limit),
+            gate: Gate::default(),
+            born: Cell::new(false),
+            me: me.clone(),
+            document: RefCell::default(),
+            kept: RefCell::default(),
+            lifecycle: registry.find(services::LIFECYCLE).ok(),
+            clock,
+            options,
+        });
+        members.board.listen(service.me.clone());
+        registry.register::<Rc<dyn Documents>>(services::DOCUMENTS, service.clone());
+        registry.register::<Rc<dyn PeerHandler>>(CONFIG_SERVICE, service.clone());
+        Ok(service)
+    }
+
+    /// Spawns the tasks of the service.
+    pub fn start(&self) {
+        let Some(me) = self.me.upgrade() else {
+            return;
+        };
+        self.pulse.beat(self.clock.now());
+        monoio::spawn(me.clone().run_pulse());
+        monoio::spawn(me.run_life());
+    }
+
+    /// The version in force; zero for none.
+    pub fn version(&self) -> ConfigVersion {
+        self.members.board.in_force().map(|state| state.version).unwrap_or_default()
+    }
+
+    /// Whether the document in force may be served.
+    ///
+    /// False from a freeze of this process until peers or the platform were asked
+    /// again, at most for the time that the options give.
+    pub fn is_fresh(&self) -> bool {
+        let now = self.clock.now();
+        if self.pulse.is_late(now) {
+            // A request may be handled before the task that notices the freeze runs.
+            self.gate.close(now + self.options.recheck_limit);
+        }
+        self.gate.is_open(now)
+    }
+
+    /// Puts a document in force if its version is above the present one.
+    pub(crate) fn put_in_force(&self, state: InForce, manifest: &Manifest, document: Document) {
+        if !self.members.board.advance(state) {
+            return;
+        }
+        info!("config: version {} in force", state.version);
+        metrics::gauge!("kumquatnotch_config_version").set(state.version.0 as f64);
+        *self.document.borrow_mut() = Some(Rc::new(document));
+        self.drop_values(state.manifest, manifest);
+        if let Some(lifecycle) = &self.lifecycle {
+            lifecycle.advance(Stage::Serving);
+        }
+        let members = self.members.clone();
+        let fanout = self.options.push_fanout;
+        monoio::spawn(async move { members.push_to(fanout).await });
+    }
+
+    /// Drops the values that neither this document nor the one before has.
+    ///
+    /// Peers that were told of the earlier one may still be fetching it.
+    fn drop_values(&self, digest: Digest, manifest: &Manifest) {
+        let digests: HashSet<Digest> = manifest.digests().chain([digest]).collect();
+        let mut kept = self.kept.borrow_mut();
+        kept.swap(0, 1);
+        kept[0] = digests;
+        let mut values = self.values.borrow_mut();
+        values.retain(|digest, _| kept.iter().any(|digests| digests.contains(digest)));
+    }
+
+    /// Notices freezes, and asks again after one.
+    async fn run_pulse(self: Rc<Self>) {
+        loop {
+            clock::sleep(&*self.clock, BEAT).await;
+            let now = self.clock.now();
+            if self.pulse.beat(now).is_some() {
+                self.gate.close(now + self.options.recheck_limit);
+            }
+            if self.gate.take_request() {
+                monoio::spawn(self.clone().recheck());
+            }
+        }
+    }
+
+    async fn run_life(self: Rc<Self>) {
+        self.be_born().await;
+        self.run_readings().await;
+    }
+
+    fn answer_fetch(&self, digests: &[Digest]) -> Vec<StoredValue> {
+        let values = self.values.borrow();
+        let mut bytes = 0;
+        let mut found = Vec::new();
+        for value in digests.iter().filter_map(|digest| values.get(digest)) {
+            bytes += value.value.len();
+            // One value always goes, or a large one could never be had.
+            if bytes > self.options.reply_limit && !found.is_empty() {
+                break;
+            }
+            found.push(StoredValue::clone(value));
+        }
+        found
+    }
+}
+
+impl Documents for ConfigService {
+    fn current(&self) -> Option<Rc<Document>> {
+        if !self.is_fresh() {
+            return None;
+        }
+        self.document.borrow().clone()
+    }
+}
+
+impl HeadListener for ConfigService {
+    fn heard(&self, head: HeadNews, teller: SocketAddr) {
+        self.wanted.borrow_mut().add(head, teller, self.clock.now());
+        if self.born.get() {
+            self.start_fetching();
+        }
+    }
+
+    fn doubt(&self) {
+        self.gate.close(self.clock.now() + self.options.recheck_limit);
+    }
+}
+
+impl PeerHandler for ConfigService {
+    fn handle(&self, message: PeerMessage) -> LocalFuture<'_, Result<PeerReply>> {
+        Box::pin(async move {
+            let reply = match message {
+                PeerMessage::Fetch(digests) => PeerReply::Values(self.answer_fetch(&digests)),
+                PeerMessage::ConfigState => {
+                    PeerReply::ConfigState(self.members.board.confirmation())
+                }
+                _ => return Err(Error::protocol("not for configuration")),
+            };
+            traffic::count_reply(&reply);
+            Ok(reply)
+        })
+    }
+}
--- /dev/null
+++ b/crates/kumquatnotch-member/src/exchange.rs
@@ -0,0 +1,216 @@
+//! Joining, and finding what was missed: exchanges of everything, by hash first.
+//!
+//! A node that knows nobody asks the seeds, and the platform's list of VMs if no
+//! seed answers. Both are only addresses to try; neither is believed about who
+//! is there. Now and then a node also tries one that it holds for gone, or a
+//! seed: that is how two halves that were apart find each other again.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use kumquatnotch_core::{
+    Result, clock,
+    ids::stable_hash,
+    member::{NodeRecord, NodeState},
+    peer::{Exchange, Gossip, PeerMessage, PeerReply},
+};
+
+use crate::{
+    membership_service::MembershipService,
+    table::{BUCKET_COUNT, bucket_of},
+};
+
+/// The hash that asks for everything.
+const EMPTY_HASH: u64 = 0;
+
+/// The records in one exchange, besides the first one of a node that joins.
+const RECORD_LIMIT: usize = 200;
+
+/// The marks in one exchange.
+const MARK_LIMIT: usize = 64;
+
+/// How long a joining node waits between two rounds, at first and at last.
+const JOIN_GAPS: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(5));
+
+/// The addresses tried in one round of joining.
+const JOIN_WIDTH: usize = 5;
+
+/// The fewest seconds between two readings of the platform's list by one node.
+///
+/// It grows with the nodes, so that all of them together read once a second.
+const LIST_GAP: Duration = Duration::from_secs(60);
+
+impl MembershipService {
+    /// Joins, then announces this node.
+    pub(crate) async fn run_joining(self: Rc<Self>) {
+        let start = self.clock.now();
+        let mut gap = JOIN_GAPS.0;
+        let mut addresses = self.options.seeds.clone();
+        while !self.join_round(&addresses).await && !self.is_due(start) {
+            clock::sleep(&*self.clock, self.random.jitter(gap)).await;
+            gap = (gap * 2).min(JOIN_GAPS.1);
+            addresses.extend(self.listed().await);
+        }
+        // Callers and peers should not meet a node without a document. But if none
+        // can be had, as before the first one is written, the node must be known:
+        // the nodes share the readings of the platform by their number.
+        while self.board.has_listener() && self.board.in_force().is_none() && !self.is_due(start) {
+            clock::sleep(&*self.clock, JOIN_GAPS.0 / 10).await;
+        }
+        self.announced.set(true);
+        self.spread_local();
+    }
+
+    fn is_due(&self, start: std::time::Instant) -> bool {
+        self.clock.now().saturating_duration_since(start) >= self.options.announce_wait
+    }
+
+    /// Exchanges with one random peer now and then.
+    pub(crate) async fn run_exchanges(self: Rc<Self>) {
+        loop {
+            clock::sleep(&*self.clock, self.random.jitter(self.options.exchange_period)).await;
+            if let Some(peer) = self.pick_peers(1, |_| true).first() {
+                // The next one makes up for a failure.
+                let _ = self.exchange_with(peer.peer).await;
+            }
+        }
+    }
+
+    /// Tries nodes that are gone or not known.
+    pub(crate) async fn run_reaching(self: Rc<Self>) {
+        let mut listed = Vec::new();
+        let mut list_due = self.clock.now() + self.random.jitter(LIST_GAP);
+        loop {
+            let alone = self.table.borrow().live().next().is_none();
+            let period = if alone { JOIN_GAPS.1 } else { self.options.reach_period };
+            clock::sleep(&*self.clock, self.random.jitter(period)).await;
+            if self.clock.now() >= list_due {
+                listed = self.listed().await;
+                let count = self.table.borrow().live().count() as u32;
+                let gap = LIST_GAP.max(Duration::from_secs(1) * count);
+                list_due = self.clock.now() + self.random.jitter(gap);
+            }
+            if let Some(address) = self.unreached(&listed) {
+                let _ = self.exchange_with(address).await;
+            }
+        }
+    }
+
+    /// Exchanges with the node at `address`.
+    pub(crate) async fn exchange_with(&self, address: SocketAddr) -> Result<()> {
+        let known = self.table.borrow().live().next().is_some();
+        let buckets = self.table.borrow().buckets();
+        let hash = if known { whole(&buckets) } else { EMPTY_HASH };
+        let to = self.table.borrow().at(address).map(|entry| entry.record.name.clone());
+        let mut gossip = self.gossip(to.as_deref(), false);
+        self.add_marks(&mut gossip);
+        let reply = self.exchange_step(address, Exchange { gossip, hash, buckets: vec![] }).await?;
+        if reply.buckets.is_empty() || hash == EMPTY_HASH {
+            return Ok(());
+        }
+        // The tables differ; what the other sent tells where.
+        let buckets = self.table.borrow().buckets();
+        let mut gossip = self.gossip(to.as_deref(), false);
+        gossip.nodes.extend(self.differing(&buckets, &reply.buckets));
+        let hash = whole(&buckets);
+        self.exchange_step(address, Exchange { gossip, hash, buckets }).await?;
+        Ok(())
+    }
+
+    pub(crate) fn answer_exchange(&self, exchange: Exchange) -> Exchange {
+        self.absorb(&exchange.gossip);
+        let buckets = self.table.borrow().buckets();
+        let hash = whole(&buckets);
+        let mut gossip = self.gossip(Some(&exchange.gossip.from), false);
+        self.add_marks(&mut gossip);
+        if exchange.hash == hash {
+            return Exchange { gossip, hash, buckets: Vec::new() };
+        }
+        if exchange.hash == EMPTY_HASH {
+            gossip.nodes.extend(self.table.borrow().live().cloned());
+        } else if exchange.buckets.len() == BUCKET_COUNT {
+            gossip.nodes.extend(self.differing(&buckets, &exchange.buckets));
+        }
+        Exchange { gossip, hash, buckets }
+    }
+
+    async fn exchange_step(&self, address: SocketAddr, exchange: Exchange) -> Result<Exchange> {
+        let deadline = self.clock.now() + self.options.probe_timeout;
+        match self.send(address, &PeerMessage::Exchange(exchange), deadline).await? {
+            PeerReply::Exchange(exchange) => Ok(exchange),
+            _ => Err(kumquatnotch_core::Error::protocol("not an exchange")),
+        }
+    }
+
+    /// Whether a peer answered.
+    async fn join_round(&self, addresses: &[SocketAddr]) -> bool {
+        let mut others: Vec<SocketAddr> =
+            addresses.iter().copied().filter(|address| *address != self.options.peer).collect();
+        if others.is_empty() && self.platform.is_none() {
+            return true;
+        }
+        self.random.shuffle(&mut others);
+        others.truncate(JOIN_WIDTH);
+        for address in others {
+            if self.exchange_with(address).await.is_ok() {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// The addresses on the platform's list, which lags.
+    async fn listed(&self) -> Vec<SocketAddr> {
+        let Some(platform) = &self.platform else {
+            return Vec::new();
+        };
+        let vms = platform.vms().await.unwrap_or_default();
+        vms.into_iter().map(|vm| vm.peer).collect()
+    }
+
+    /// A node that is gone, or an address at which none is known.
+    fn unreached(&self, listed: &[SocketAddr]) -> Option<SocketAddr> {
+        let table = self.table.borrow();
+        let gone = table.others().filter(|entry| entry.record.state == NodeState::Gone);
+        let gone: Vec<SocketAddr> = gone.map(|entry| entry.record.peer).collect();
+        let unknown: Vec<SocketAddr> = (self.options.seeds.iter().chain(listed))
+            .copied()
+            .filter(|address| *address != self.options.peer && table.at(*address).is_none())
+            .collect();
+        let first = if self.random.chance(0.5) { &gone } else { &unknown };
+        let pool = if first.is_empty() && gone.is_empty() { &unknown } else { first };
+        let pool = if pool.is_empty() { &gone } else { pool };
+        self.random.pick(pool).copied()
+    }
+
+    /// This node's records in the buckets that differ, those of gone nodes too.
+    ///
+    /// A record of a gone node lets the other check it, and lets it refute.
+    fn differing(&self, ours: &[u32], theirs: &[u32]) -> Vec<NodeRecord> {
+        let table = self.table.borrow();
+        let mut records: Vec<NodeRecord> = table
+            .others()
+            .map(|entry| &entry.record)
+            .filter(|record| {
+                let bucket = bucket_of(&record.name);
+                ours.get(bucket) != theirs.get(bucket)
+            })
+            .cloned()
+            .collect();
+        self.random.shuffle(&mut records);
+        records.truncate(RECORD_LIMIT);
+        records
+    }
+
+    fn add_marks(&self, gossip: &mut Gossip) {
+        let mut marks = self.marks.borrow().all(self.clock.now());
+        self.random.shuffle(&mut marks);
+        marks.truncate(MARK_LIMIT);
+        gossip.marks = marks;
+    }
+}
+
+/// The hash of all buckets; never the one that asks for everything.
+fn whole(buckets: &[u32]) -> u64 {
+    let bytes: Vec<u8> = buckets.iter().flat_map(|bucket| bucket.to_be_bytes()).collect();
+    stable_hash(&[&bytes]).max(EMPTY_HASH + 1)
+}
--- /dev/null
+++ b/crates/kumquatnotch-member/src/fetch.rs
@@ -0,0 +1,236 @@
+//! Fetching the parts of a version: from who told of it, from others, from the platform.
+//!
+//! Only digests that this node lacks are asked for, and every value is checked
+//! against its digest, so it does not matter who sends it.
+
+use std::{
+    collections::VecDeque,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use kumquatnotch_core::{
+    Error, Result, clock, codec,
+    ids::{ConfigVersion, Digest},
+    peer::{HeadNews, PeerMessage, PeerReply, StoredValue},
+    stored::{self, Manifest},
+};
+use tracing::warn;
+
+use crate::{
+    config_service::ConfigService,
+    head_board::{InForce, moment},
+    traffic,
+};
+
+/// How many tellers of a version are remembered.
+const TELLER_LIMIT: usize = 8;
+
+/// How many other peers are asked if no teller has a value.
+const OTHER_PEERS: usize = 3;
+
+/// How many attempts are made before the next message has to tell of it again.
+const ATTEMPTS: usize = 3;
+
+/// The time a peer has to send values; they are longer than control messages.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The time between two attempts.
+const RETRY_GAP: Duration = Duration::from_millis(500);
+
+/// All nodes together turn to the platform for values about this often a second.
+const PLATFORM_RATE: f64 = 20.0;
+
+/// The highest version that is known, and who has it.
+#[derive(Debug, Default)]
+pub(crate) struct Wanted {
+    pub(crate) head: Option<InForce>,
+    tellers: VecDeque<SocketAddr>,
+    /// Whether this node read it from the platform, where no peer may have it yet.
+    read: bool,
+    busy: bool,
+}
+
+impl Wanted {
+    /// Adds what a peer told.
+    pub(crate) fn add(&mut self, head: HeadNews, teller: SocketAddr, now: Instant) {
+        let confirmed = moment(now, head.age_ms);
+        self.raise(head, confirmed);
+        let wanted = self.version();
+        if head.version == wanted && !self.tellers.contains(&teller) {
+            self.tellers.push_front(teller);
+            self.tellers.truncate(TELLER_LIMIT);
+        }
+    }
+
+    /// Adds what the platform told.
+    pub(crate) fn add_reading(&mut self, head: HeadNews, asked: Instant) {
+        self.raise(head, asked);
+        self.read |= head.version == self.version();
+    }
+
+    pub(crate) fn version(&self) -> ConfigVersion {
+        self.head.map(|head| head.version).unwrap_or_default()
+    }
+
+    fn raise(&mut self, head: HeadNews, confirmed: Instant) {
+        if head.version < self.version() {
+            return;
+        }
+        if head.version > self.version() {
+            self.tellers.clear();
+            self.read = false;
+            self.head = None;
+        }
+        let known = self.head.get_or_insert(InForce {
+            version: head.version,
+            manifest: head.manifest,
+            confirmed,
+        });
+        known.confirmed = known.confirmed.max(confirmed);
+    }
+}
+
+impl ConfigService {
+    /// Fetches the wanted version in its own task, unless that is under way.
+    pub(crate) fn start_fetching(&self) {
+        let Some(me) = self.me.upgrade() else {
+            return;
+        };
+        let mut wanted = self.wanted.borrow_mut();
+        if wanted.busy || wanted.version() <= self.version() {
+            return;
+        }
+        wanted.busy = true;
+        monoio::spawn(me.run_fetching());
+    }
+
+    async fn run_fetching(self: Rc<Self>) {
+        for attempt in 0..ATTEMPTS {
+            let head = self.wanted.borrow().head;
+            let Some(head) = head.filter(|head| head.version > self.version()) else {
+                break;
+            };
+            match self.obtain(head).await {
+                Ok(()) => continue,
+                Err(error) => warn!("config: version {} not fetched: {error}", head.version),
+            }
+            if attempt + 1 < ATTEMPTS {
+                clock::sleep(&*self.clock, self.random.jitter(RETRY_GAP)).await;
+            }
+        }
+        self.wanted.borrow_mut().busy = false;
+    }
+
+    /// Gets every value of a version and puts it in force.
+    async fn obtain(&self, head: InForce) -> Result<()> {
+        self.complete(&[head.manifest]).await?;
+        let manifest: Manifest = codec::decode(&self.value(head.manifest)?.value)?;
+        let digests: Vec<Digest> = manifest.digests().collect();
+        self.complete(&digests).await?;
+        let document = {
+            let values = self.values.borrow();
+            let value = |digest: Digest| values.get(&digest).map(|value| value.value.as_slice());
+            stored::join(head.version, &manifest, value)?
+        };
+        // A confirmation may have come while the parts were fetched.
+        let wanted = self.wanted.borrow().head.filter(|wanted| wanted.version == head.version);
+        self.put_in_force(wanted.unwrap_or(head), &manifest, document);
+        Ok(())
+    }
+
+    /// Gets those of `digests` that are not here.
+    async fn complete(&self, digests: &[Digest]) -> Result<()> {
+        if self.lacking(digests).is_empty() {
+            return Ok(());
+        }
+        let (sources, read) = {
+            let wanted = self.wanted.borrow();
+            (wanted.tellers.iter().copied().collect::<Vec<_>>(), wanted.read)
+        };
+        // Nobody but the platform may have what this node is among the first to read.
+        if read && sources.is_empty() {
+            self.complete_from_platform(digests).await?;
+        }
+        for source in sources.into_iter().chain(self.other_peers()) {
+            self.complete_from(source, digests).await;
+            if self.lacking(digests).is_empty() {
+                return Ok(());
+            }
+        }
+        let share = PLATFORM_RATE / self.node_count() as f64;
+        if read || self.random.chance(share) {
+            self.complete_from_platform(digests).await?;
+        }
+        match self.lacking(digests).first() {
+            Some(digest) => Err(Error::internal(format!("part {digest} is missing"))),
+            None => Ok(()),
+        }
+    }
+
+    /// Asks one peer as long as it sends something.
+    async fn complete_from(&self, source: SocketAddr, digests: &[Digest]) {
+        loop {
+            let lacking = self.lacking(digests);
+            if lacking.is_empty() {
+                return;
+            }
+            let message = PeerMessage::Fetch(lacking);
+            traffic::count_message(&message);
+            let deadline = self.clock.now() + FETCH_TIMEOUT;
+            let sent = self.members.peers.send(source, &message, deadline);
+            let reply = clock::timeout_at(&*self.clock, deadline, sent).await;
+            let Ok(Ok(PeerReply::Values(values))) = reply else {
+                return;
+            };
+            if !self.keep(values) {
+                return;
+            }
+        }
+    }
+
+    async fn complete_from_platform(&self, digests: &[Digest]) -> Result<()> {
+        for digest in self.lacking(digests) {
+            metrics::counter!("kumquatnotch_value_readings_total").increment(1);
+            let entry = self.platform.get(&stored::value_key(digest)).await?;
+            if let Some(entry) = entry {
+                self.keep(vec![StoredValue { digest, value: entry.value }]);
+            }
+        }
+        Ok(())
+    }
+
+    /// Keeps values that have their digests; whether one was of use.
+    fn keep(&self, values: Vec<StoredValue>) -> bool {
+        let mut useful = false;
+        for value in values {
+            if let Err(error) = stored::check_value(&value) {
+                warn!("config: part {} refused: {error}", value.digest);
+                continue;
+            }
+            let earlier = self.values.borrow_mut().insert(value.digest, Rc::new(value));
+            useful |= earlier.is_none();
+        }
+        useful
+    }
+
+    fn lacking(&self, digests: &[Digest]) -> Vec<Digest> {
+        let values = self.values.borrow();
+        let mut lacking: Vec<Digest> =
+            digests.iter().copied().filter(|digest| !values.contains_key(digest)).collect();
+        lacking.sort_unstable();
+        lacking.dedup();
+        lacking
+    }
+
+    fn value(&self, digest: Digest) -> Result<Rc<StoredValue>> {
+        let value = self.values.borrow().get(&digest).cloned();
+        value.ok_or_else(|| Error::internal(format!("part {digest} is missing")))
+    }
+
+    fn other_peers(&self) -> Vec<SocketAddr> {
+        let peers = self.members.pick_peers(OTHER_PEERS, |_| true);
+        peers.into_iter().map(|peer| peer.peer).collect()
+    }
+}
--- /dev/null
+++ b/crates/kumquatnotch-member/src/head_board.rs
@@ -0,0 +1,151 @@
+//! Where membership and configuration meet: the version in force and its confirmation.
+//!
+//! Membership messages carry the version that is in force here, so a peer that
+//! is told of a higher one can fetch it from the teller. The age of the last
+//! reading of the platform travels as a span; the time on the way is not in it.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::{Rc, Weak},
+    time::{Duration, Instant},
+};
+
+use kumquatnotch_core::{
+    Clock,
+    ids::{ConfigVersion, Digest},
+    member::Confirmation,
+    peer::HeadNews,
+};
+
+/// The oldest confirmation that is told apart.
+const AGE_LIMIT: Duration = Duration::from_secs(365 * 24 * 3_600);
+
+/// Told of versions that are above the one in force.
+pub(crate) trait HeadListener {
+    /// A peer at `teller` has `head` in force.
+    fn heard(&self, head: HeadNews, teller: SocketAddr);
+
+    /// Others took this node as gone, so it may have missed changes.
+    fn doubt(&self);
+}
+
+/// The version in force on this node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct InForce {
+    pub(crate) version: ConfigVersion,
+    pub(crate) manifest: Digest,
+    /// When the platform was last known to have it as the newest.
+    pub(crate) confirmed: Instant,
+}
+
+/// The version in force, shared by the two services.
+pub(crate) struct HeadBoard {
+    clock: Rc<dyn Clock>,
+    state: Cell<Option<InForce>>,
+    listener: RefCell<Option<Weak<dyn HeadListener>>>,
+    muted: Cell<Instant>,
+}
+
+impl HeadBoard {
+    pub(crate) fn new(clock: Rc<dyn Clock>) -> HeadBoard {
+        let muted = Cell::new(clock.now());
+        HeadBoard { clock, state: Cell::new(None), listener: RefCell::new(None), muted }
+    }
+
+    pub(crate) fn listen(&self, listener: Weak<dyn HeadListener>) {
+        *self.listener.borrow_mut() = Some(listener);
+    }
+
+    /// Whether there is a configuration service.
+    pub(crate) fn has_listener(&self) -> bool {
+        self.listener.borrow().is_some()
+    }
+
+    pub(crate) fn in_force(&self) -> Option<InForce> {
+        self.state.get()
+    }
+
+    /// Puts a version in force, if it is higher.
+    pub(crate) fn advance(&self, next: InForce) -> bool {
+        let higher = self.state.get().is_none_or(|state| state.version < next.version);
+        if higher {
+            self.state.set(Some(next));
+        }
+        higher
+    }
+
+    /// Notes that `version` was the newest at `when`.
+    pub(crate) fn confirm(&self, version: ConfigVersion, when: Instant) {
+        let Some(mut state) = self.state.get() else {
+            return;
+        };
+        if state.version == version && state.confirmed < when {
+            state.confirmed = when;
+            self.state.set(Some(state));
+        }
+    }
+
+    /// Takes the head of a peer's message.
+    pub(crate) fn heard(&self, head: HeadNews, teller: Option<SocketAddr>) {
+        let version = self.state.get().map(|state| state.version).unwrap_or_default();
+        if head.version > version {
+            if let (Some(listener), Some(teller)) = (self.listener(), teller) {
+                listener.heard(head, teller);
+            }
+            return;
+        }
+        let now = self.clock.now();
+        // Messages that waited while this process was frozen tell an age that is
+        // too low by the time they waited; asked again, peers tell the right one.
+        if now < self.muted.get() {
+            return;
+        }
+        self.confirm(head.version, moment(now, head.age_ms));
+    }
+
+    /// Takes no age from messages for `span`.
+    pub(crate) fn mute(&self, span: Duration) {
+        self.muted.set(self.clock.now() + span);
+    }
+
+    /// Passes on that others took this node as gone.
+    pub(crate) fn doubt(&self) {
+        if let Some(listener) = self.listener() {
+            listener.doubt();
+        }
+    }
+
+    /// The version in force as it is told to peers.
+    pub(crate) fn news(&self) -> HeadNews {
+        match self.state.get() {
+            Some(state) => HeadNews {
+                version: state.version,
+                manifest: state.manifest,
+                age_ms: self.age_ms(state),
+            },
+            None => {
+                HeadNews { version: ConfigVersion(0), manifest: Digest([0; 16]), age_ms: u64::MAX }
+            }
+        }
+    }
+
+    pub(crate) fn confirmation(&self) -> Confirmation {
+        let news = self.news();
+        Confirmation { version: news.version, age_ms: news.age_ms }
+    }
+
+    fn age_ms(&self, state: InForce) -> u64 {
+        self.clock.now().saturating_duration_since(state.confirmed).as_millis() as u64
+    }
+
+    fn listener(&self) -> Option<Rc<dyn HeadListener>> {
+        self.listener.borrow().as_ref()?.upgrade()
+    }
+}
+
+/// The moment that was `age_ms` before `now`.
+pub(crate) fn moment(now: Instant, age_ms: u64) -> Instant {
+    let age = Duration::from_millis(age_ms).min(AGE_LIMIT);
+    now.checked_sub(age).unwrap_or(now)
+}
--- /dev/null
+++ b/crates/kumquatnotch-member/src/mark_store.rs
@@ -0,0 +1,107 @@
+//! The marks that this node knows.
+//!
+//! A mark must end by itself, so circulation must not keep it alive. Each
+//! setting or renewal draws a stamp, and a node adopts a stamp once in its life:
+//! a copy that comes back, however late, changes nothing. What a stamp can gain
+//! is the time its messages travel, once for each node it passes, and never
+//! more, as the time left is counted anew from what the sender had left.
+//!
+//! The stamp of a mark is remembered for [`STAMP_MEMORY`] after its end. Only a
+//! node that was suspended for longer, by a host that stopped its clock too,
+//! can bring the mark back, for the time that it had left then.
+
+use std::time::{Duration, Instant};
+
+use kumquatnotch_core::{
+    collections::HashMap,
+    marks::{Mark, MarkKind, MarkNews},
+};
+
+const STAMP_MEMORY: Duration = Duration::from_secs(600);
+
+/// A renewal by less than this share of the time left is not worth its messages.
+const RENEWAL_SHARE: f64 = 0.5;
+
+/// The marks by kind.
+#[derive(Debug)]
+pub(crate) struct MarkStore {
+    marks: HashMap<MarkKind, Held>,
+    seen: HashMap<u64, Instant>,
+    limit: usize,
+    life: Duration,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    until: Instant,
+    stamp: u64,
+}
+
+impl MarkStore {
+    pub(crate) fn new(limit: usize, life: Duration) -> MarkStore {
+        MarkStore { marks: HashMap::default(), seen: HashMap::default(), limit, life }
+    }
+
+    /// Sets or renews a mark; what has to be told to others.
+    ///
+    /// Several nodes notice the same fact, and renew it often; as long as at least
+    /// half of the time asked for is left, nothing is told.
+    pub(crate) fn set(&mut self, mark: &Mark, stamp: u64, now: Instant) -> Option<MarkNews> {
+        let held = self.left(&mark.kind, now).unwrap_or_default();
+        let asked = self.capped(mark.left_ms);
+        if held >= asked.mul_f64(RENEWAL_SHARE) {
+            return None;
+        }
+        let news = MarkNews { mark: mark.clone(), stamp };
+        self.adopt(&news, now).then_some(news)
+    }
+
+    /// Adopts a mark of a peer; whether it is new and travels on.
+    pub(crate) fn adopt(&mut self, news: &MarkNews, now: Instant) -> bool {
+        if news.mark.left_ms == 0 || self.seen.contains_key(&news.stamp) {
+            return false;
+        }
+        let kind = &news.mark.kind;
+        let full = self.marks.len() >= self.limit && !self.marks.contains_key(kind);
+        if full {
+            metrics::counter!("kumquatnotch_marks_refused_total").increment(1);
+            return false;
+        }
+        let until = now + self.capped(news.mark.left_ms);
+        self.seen.insert(news.stamp, until + STAMP_MEMORY);
+        let longer = self.marks.get(kind).is_none_or(|held| held.until < until);
+        if longer {
+            self.marks.insert(kind.clone(), Held { until, stamp: news.stamp });
+        }
+        longer
+    }
+
+    /// The time left of a mark.
+    pub(crate) fn left(&self, kind: &MarkKind, now: Instant) -> Option<Duration> {
+        let held = self.marks.get(kind)?;
+        let left = held.until.saturating_duration_since(now);
+        (!left.is_zero()).then_some(left)
+    }
+
+    /// A mark as it is sent now.
+    pub(crate) fn news(&self, kind: &MarkKind, now: Instant) -> Option<MarkNews> {
+        let stamp = self.marks.get(kind)?.stamp;
+        let left_ms = self.left(kind, now)?.as_millis() as u64;
+        Some(MarkNews { mark: Mark { kind: kind.clone(), left_ms }, stamp })
+    }
+
+    /// Every mark as it is sent now.
+    pub(crate) fn all(&self, now: Instant) -> Vec<MarkNews> {
+        self.marks.keys().filter_map(|kind| self.news(kind, now)).collect()
+    }
+
+    /// Drops what has expired.
+    pub(crate) fn expire(&mut self, now: Instant) {
+        self.marks.retain(|_, held| held.until > now);
+        self.seen.retain(|_, until| *until > now);
+    }
+
+    fn capped(&self, left_ms: u64) -> Duration {
+        Duration::from_millis(left_ms).min(self.life)
+    }
+}
--- /dev/null
+++ b/crates/kumquatnotch-member/src/membership_service.rs
@@ -0,0 +1,346 @@
+//! The membership service: its state, its tasks and what other services see.
+//!
+//! The tasks are written in [`crate::probe`] (is each node there),
+//! [`crate::spread`] (changes on messages and pushed) and [`crate::exchange`]
+//! (joining, and finding what was missed).
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::VecDeque,
+    rc::{Rc, Weak},
+    time::{Duration, Instant},
+};
+
+use kumquatnotch_core::{
+    Clock, LocalFuture, Peers, Platform, Result, clock,
+    ids::NodeName,
+    lifecycle::{Lifecycle, Stage},
+    marks::{Mark, MarkKind, Marks},
+    member::{Confirmation, Members, NodeRecord, NodeState},
+    peer::{MEMBER_SERVICE, PeerHandler, PeerMessage, PeerReply},
+    random::Random,
+    registry::Registry,
+    services,
+};
+use tracing::{info, warn};
+
+use crate::{
+    deltas::{Allowance, Deltas},
+    head_board::HeadBoard,
+    incarnation,
+    mark_store::MarkStore,
+    options::MembershipOptions,
+    probe::Check,
+    pulse::{BEAT, Pulse},
+    table::{Effect, Table},
+    traffic,
+};
+
+/// The membership service itself, an `Rc<MembershipService>`.
+pub const MEMBERSHIP: &str = "membership";
+
+/// How slow this node may take itself for, as a multiple of its time-outs.
+const HEALTH_LIMIT: u32 = 4;
+
+/// Keeps the list of nodes and spreads what all nodes share.
+pub struct MembershipService {
+    pub(crate) options: MembershipOptions,
+    pub(crate) clock: Rc<dyn Clock>,
+    pub(crate) random: Random,
+    pub(crate) peers: Rc<dyn Peers>,
+    pub(crate) platform: Option<Rc<dyn Platform>>,
+    pub(crate) board: HeadBoard,
+    pub(crate) table: RefCell<Table>,
+    pub(crate) deltas: RefCell<Deltas>,
+    pub(crate) marks: RefCell<MarkStore>,
+    pub(crate) allowance: RefCell<Allowance>,
+    pub(crate) checks: RefCell<VecDeque<Check>>,
+    pub(crate) pulse: Pulse,
+    /// Zero if this node's own probes work; higher if they fail without a witness.
+    pub(crate) health: Cell<u32>,
+    pub(crate) announced: Cell<bool>,
+    outlived: Cell<bool>,
+    lifecycle: Option<Lifecycle>,
+    me: Weak<MembershipService>,
+}
+
+impl MembershipService {
+    /// Puts the service together and registers it, under the names of core too.
+    ///
+    /// Needs the clock, the generator and the peers; uses the platform and the
+    /// lifecycle if they are registered.
+    pub fn try_new(
+        options: MembershipOptions,
+        registry: &Registry,
+    ) -> Result<Rc<MembershipService>> {
+        options.check()?;
+        let clock: Rc<dyn Clock> = registry.find(services::CLOCK)?;
+        let random: Random = registry.find(services::RANDOM)?;
+        let peers: Rc<dyn Peers> = registry.find(services::PEERS)?;
+        let now = clock.now();
+        let local = local_record(&options, &random);
+        let service = Rc::new_cyclic(|me| MembershipService {
+            board: HeadBoard::new(clock.clone()),
+            table: RefCell::new(Table::new(local, options.check_gone)),
+            deltas: RefCell::default(),
+            marks: RefCell::new(MarkStore::new(options.mark_limit, options.mark_life)),
+            allowance: RefCell::new(Allowance::new(options.delta_rate, options.delta_burst, now)),
+            checks: RefCell::default(),
+            pulse: Pulse::new(now, options.freeze_limit),
+            health: Cell::new(0),
+            announced: Cell::new(false),
+            outlived: Cell::new(false),
+            platform: registry.find(services::PLATFORM).ok(),
+            lifecycle: registry.find(services::LIFECYCLE).ok(),
+            clock,
+            random,
+            peers,
+            options,
+            me: me.clone(),
+        });
+        registry.register(MEMBERSHIP, service.clone());
+        registry.register::<Rc<dyn Members>>(services::MEMBERS, service.clone());
+        registry.register::<Rc<dyn Marks>>(services::MARKS, service.clone());
+        registry.register::<Rc<dyn PeerHandler>>(MEMBER_SERVICE, service.clone());
+        Ok(service)
+    }
+
+    /// Spawns the tasks of the service.
+    pub fn start(&self) {
+        let Some(me) = self.me.upgrade() else {
+            return;
+        };
+        self.pulse.beat(self.clock.now());
+        monoio::spawn(me.clone().run_pulse());
+        monoio::spawn(me.clone().run_joining());
+        monoio::spawn(me.clone().run_probes());
+        monoio::spawn(me.clone().run_checks());
+        monoio::spawn(me.clone().run_pushes());
+        monoio::spawn(me.clone().run_exchanges());
+        monoio::spawn(me.run_reaching());
+    }
+
+    /// Tells the others that this node ends its work and takes no new callers.
+    pub fn leave(&self) {
+        if self.table.borrow().local().state != NodeState::Up {
+            return;
+        }
+        info!("member: leaving");
+        self.table.borrow_mut().raise_local(Some(NodeState::Leaving));
+        self.spread_local();
+    }
+
+    /// Tells the others that this process ends now.
+    pub async fn farewell(&self) {
+        self.leave();
+        self.table.borrow_mut().raise_local(Some(NodeState::Gone));
+        self.spread_local();
+        self.push_to(self.options.push_fanout * 2).await;
+    }
+
+    /// Whether a later process has this node's name or address.
+    ///
+    /// The program should then end its work and be started again.
+    pub fn is_outlived(&self) -> bool {
+        self.outlived.get()
+    }
+
+    /// How often this process was found to have been frozen.
+    pub fn freezes(&self) -> u64 {
+        self.pulse.freezes()
+    }
+
+    /// Notices a freeze of this process; called before anything is judged.
+    ///
+    /// What peers did not answer meanwhile is no evidence against them, so the
+    /// suspicions go on from here, and this node refutes what others may hold
+    /// against it before it hears of it.
+    pub(crate) fn notice_freeze(&self) {
+        let Some(lost) = self.pulse.beat(self.clock.now()) else {
+            return;
+        };
+        warn!("member: frozen for {} ms", lost.as_millis());
+        metrics::counter!("kumquatnotch_freezes_total").increment(1);
+        let mut table = self.table.borrow_mut();
+        table.extend_suspicions(lost);
+        table.raise_local(None);
+        drop(table);
+        self.board.mute(self.options.freeze_limit);
+        self.spread_local();
+    }
+
+    /// Acts on what a report changed.
+    pub(crate) fn follow(&self, effect: Effect, news: &NodeRecord) {
+        match effect {
+            Effect::Stale => {}
+            Effect::Fresh => self.deltas.borrow_mut().add_node(news),
+            Effect::Doubtful => self.queue_check(Check::of_report(news.clone())),
+            Effect::Refuted { gone } => {
+                metrics::counter!("kumquatnotch_refutations_total").increment(1);
+                self.note_health(false);
+                self.spread_local();
+                if gone {
+                    self.board.doubt();
+                }
+            }
+            // The number must not change once others, and tickets, carry it.
+            Effect::Outlived(other) if !self.announced.get() => {
+                let number = incarnation::above(other, &self.random);
+                self.table.borrow_mut().renumber_local(number);
+            }
+            Effect::Outlived(_) => {
+                if !self.outlived.replace(true) {
+                    warn!("member: another process has this name or address");
+                }
+            }
+        }
+    }
+
+    /// Lets this node's own time-outs grow while its probes fail for want of a witness.
+    pub(crate) fn note_health(&self, good: bool) {
+        let health = self.health.get();
+        self.health.set(if good {
+            health.saturating_sub(1)
+        } else {
+            (health + 1).min(HEALTH_LIMIT)
+        });
+    }
+
+    /// When a suspicion that begins now ends.
+    pub(crate) fn suspect_until(&self) -> Instant {
+        let span = self.options.probe_period.mul_f64(self.options.suspicion_factor * self.scale());
+        self.clock.now() + span.max(self.options.suspicion_min)
+    }
+
+    /// log10 of the nodes, at least one.
+    pub(crate) fn scale(&self) -> f64 {
+        let count = self.table.borrow().live().count() + 2;
+        (count as f64).log10().max(1.0)
+    }
+
+    pub(crate) fn spread_local(&self) {
+        if self.announced.get() {
+            let local = self.table.borrow().local().clone();
+            self.deltas.borrow_mut().add_node(&local);
+        }
+    }
+
+    /// Notices freezes and ends what is over.
+    async fn run_pulse(self: Rc<Self>) {
+        loop {
+            clock::sleep(&*self.clock, BEAT).await;
+            self.notice_freeze();
+            let now = self.clock.now();
+            self.end_suspicions(now);
+            self.marks.borrow_mut().expire(now);
+            let stage = self.lifecycle.as_ref().map(Lifecycle::stage);
+            if stage.is_some_and(|stage| stage >= Stage::Leaving) {
+                self.leave();
+            }
+        }
+    }
+
+    /// Takes suspects that did not refute in time as gone, and forgets old ones.
+    ///
+    /// The end of a suspicion is not told to others: each node that heard of the
+    /// suspicion ends it itself.
+    fn end_suspicions(&self, now: Instant) {
+        let mut table = self.table.borrow_mut();
+        for record in table.overdue(now) {
+            if record.state == NodeState::Gone {
+                table.forget(&record.name);
+                continue;
+            }
+            info!("member: {} is gone", record.name);
+            let gone = NodeRecord { state: NodeState::Gone, ..record };
+            table.put(gone, now + self.options.forget_after);
+        }
+    }
+}
+
+impl Members for MembershipService {
+    fn local(&self) -> NodeRecord {
+        self.table.borrow().local().clone()
+    }
+
+    fn known(&self) -> Vec<NodeRecord> {
+        let table = self.table.borrow();
+        let mut known: Vec<NodeRecord> = table.live().cloned().collect();
+        known.push(table.local().clone());
+        known.sort_unstable_by(|a, b| a.name.cmp(&b.name));
+        known
+    }
+
+    fn generation(&self) -> u64 {
+        self.table.borrow().generation()
+    }
+
+    fn find(&self, name: &NodeName) -> Option<NodeRecord> {
+        let table = self.table.borrow();
+        if table.local().name == *name {
+            return Some(table.local().clone());
+        }
+        let record = &table.get(name)?.record;
+        (record.state != NodeState::Gone).then(|| record.clone())
+    }
+
+    fn report_silent(&self, name: &NodeName) {
+        self.queue_check(Check::of_silence(name.clone()));
+    }
+
+    fn confirmed(&self) -> Confirmation {
+        self.board.confirmation()
+    }
+}
+
+impl Marks for MembershipService {
+    fn set(&self, mark: Mark) {
+        let stamp = self.random.number();
+        let news = self.marks.borrow_mut().set(&mark, stamp, self.clock.now());
+        if let Some(news) = news {
+            self.deltas.borrow_mut().add_mark(&news);
+        }
+    }
+
+    fn left_ms(&self, kind: &MarkKind) -> Option<u64> {
+        let left: Duration = self.marks.borrow().left(kind, self.clock.now())?;
+        Some(left.as_millis() as u64)
+    }
+
+    fn all(&self) -> Vec<Mark> {
+        let news = self.marks.borrow().all(self.clock.now());
+        news.into_iter().map(|news| news.mark).collect()
+    }
+}
+
+impl PeerHandler for MembershipService {
+    fn handle(&self, message: PeerMessage) -> LocalFuture<'_, Result<PeerReply>> {
+        Box::pin(async move {
+            self.notice_freeze();
+            let reply = match message {
+                PeerMessage::Ping(gossip) => PeerReply::Ack(self.answer_ping(gossip)),
+                PeerMessage::News(gossip) => PeerReply::Ack(self.answer_news(gossip)),
+                PeerMessage::PingFor(request) => self.answer_ping_for(request).await,
+                PeerMessage::Exchange(exchange) => {
+                    PeerReply::Exchange(self.answer_exchange(exchange))
+                }
+                _ => return Err(kumquatnotch_core::Error::protocol("not for membership")),
+            };
+            traffic::count_reply(&reply);
+            Ok(reply)
+        })
+    }
+}
+
+fn local_record(options: &MembershipOptions, random: &Random) -> NodeRecord {
+    NodeRecord {
+        name: options.name.clone(),
+        incarnation: options.incarnation.unwrap_or_else(|| incarnation::draw_now(random)),
+        counter: 1,
+        state: NodeState::Up,
+        peer: options.peer,
+        entry: options.entry,
+        centre: options.centre.clone(),
+        region: options.region.clone(),
+    }
+}
--- /dev/null
+++ b/crates/kumquatnotch-member/src/probe.rs
@@ -0,0 +1,258 @@
+//! Probing: each node asks one other a second, and asks others to ask in its place.
+//!
+//! A node is suspected only if it answered neither this node nor a helper, while
+//! at least one helper answered this node. Without such a witness the fault may
+//! lie here: a node that is cut off, or whose incoming packets are lost, would
+//! otherwise accuse everybody, and all would have to refute. A group that is cut
+//! off and smaller than the rest finds few witnesses and therefore judges
+//! slowly.
+
+use std::{rc::Rc, time::Instant};
+
+use kumquatnotch_core::{
+    clock,
+    ids::NodeName,
+    member::{NodeRecord, NodeState},
+    peer::{PeerMessage, PeerReply, PingFor},
+};
+
+use crate::{
+    membership_service::MembershipService,
+    table::{Effect, beats},
+};
+
+/// How many checks may wait.
+const CHECK_LIMIT: usize = 256;
+
+/// Checks are made this many times as often as probes.
+const CHECKS_A_PROBE: u32 = 4;
+
+/// A node that has to be probed out of turn.
+#[derive(Clone, Debug)]
+pub(crate) struct Check {
+    name: NodeName,
+    /// A report that it is gone, which the probe carries.
+    report: Option<NodeRecord>,
+}
+
+impl Check {
+    pub(crate) fn of_report(report: NodeRecord) -> Check {
+        Check { name: report.name.clone(), report: Some(report) }
+    }
+
+    pub(crate) fn of_silence(name: NodeName) -> Check {
+        Check { name, report: None }
+    }
+}
+
+impl MembershipService {
+    /// Probes one node after another, each in its own task.
+    pub(crate) async fn run_probes(self: Rc<Self>) {
+        let mut near = Vec::new();
+        let mut far = Vec::new();
+        loop {
+            clock::sleep(&*self.clock, self.random.jitter(self.options.probe_period)).await;
+            if !self.announced.get() {
+                continue;
+            }
+            let Some(subject) = self.next_subject(&mut near, &mut far) else {
+                continue;
+            };
+            let me = self.clone();
+            monoio::spawn(async move { me.probe(subject, None).await });
+        }
+    }
+
+    /// Probes the nodes that something speaks against.
+    pub(crate) async fn run_checks(self: Rc<Self>) {
+        let gap = self.options.probe_period / CHECKS_A_PROBE;
+        loop {
+            clock::sleep(&*self.clock, self.random.jitter(gap)).await;
+            let check = self.checks.borrow_mut().pop_front();
+            let Some((subject, report)) = check.and_then(|check| self.pending(check)) else {
+                continue;
+            };
+            let me = self.clone();
+            monoio::spawn(async move { me.probe(subject, report).await });
+        }
+    }
+
+    pub(crate) fn queue_check(&self, check: Check) {
+        let mut checks = self.checks.borrow_mut();
+        let waiting = checks.iter().any(|waiting| waiting.name == check.name);
+        if !waiting && checks.len() < CHECK_LIMIT {
+            checks.push_back(check);
+        }
+    }
+
+    /// Asks the subject in the place of another node.
+    pub(crate) async fn answer_ping_for(&self, request: PingFor) -> PeerReply {
+        self.absorb(&request.gossip);
+        let subject = &request.subject;
+        match self.ping(subject, Some(subject)).await {
+            true => PeerReply::Ack(self.gossip(Some(&request.gossip.from), true)),
+            false => PeerReply::Nack,
+        }
+    }
+
+    async fn probe(&self, subject: NodeRecord, report: Option<NodeRecord>) {
+        let freezes = self.pulse.freezes();
+        if self.ping(&subject, report.as_ref()).await {
+            self.note_health(true);
+            return;
+        }
+        let witness = self.ask_helpers(&subject).await;
+        self.notice_freeze();
+        // A freeze of this process looks like silence of the others.
+        if self.pulse.freezes() != freezes {
+            return;
+        }
+        match witness {
+            Witness::Alive => self.note_health(true),
+            Witness::Silent => self.accuse(&subject),
+            Witness::None if self.options.need_witness => self.note_health(false),
+            Witness::None => self.accuse(&subject),
+        }
+    }
+
+    /// Whether the subject itself answers.
+    async fn ping(&self, subject: &NodeRecord, report: Option<&NodeRecord>) -> bool {
+        let mut gossip = self.gossip(Some(&subject.name), true);
+        let accusation = report.filter(|report| report.state >= NodeState::Suspect);
+        gossip.nodes.extend(accusation.cloned());
+        let wait = self.options.probe_timeout * (1 + self.health.get());
+        let deadline = self.clock.now() + wait;
+        match self.send(subject.peer, &PeerMessage::Ping(gossip), deadline).await {
+            // Another process may have the address now.
+            Ok(PeerReply::Ack(gossip)) => {
+                gossip.from == subject.name && gossip.incarnation >= subject.incarnation
+            }
+            _ => false,
+        }
+    }
+
+    async fn ask_helpers(&self, subject: &NodeRecord) -> Witness {
+        let helpers = self.pick_helpers(subject);
+        if helpers.is_empty() {
+            // With two nodes there is nobody to ask.
+            let alone = self.table.borrow().live().count() <= 1;
+            return if alone { Witness::Silent } else { Witness::None };
+        }
+        // A helper waits for the subject; its own reply needs time too.
+        let wait = self.options.probe_timeout * (1 + self.health.get()) * 2;
+        let deadline = self.clock.now() + wait;
+        let asks = helpers.iter().map(|helper| self.ask_helper(helper, subject, deadline));
+        let answers = futures_util::future::join_all(asks).await;
+        answers.into_iter().max().unwrap_or(Witness::None)
+    }
+
+    async fn ask_helper(
+        &self,
+        helper: &NodeRecord,
+        subject: &NodeRecord,
+        deadline: Instant,
+    ) -> Witness {
+        let request =
+            PingFor { subject: subject.clone(), gossip: self.gossip(Some(&helper.name), false) };
+        match self.send(helper.peer, &PeerMessage::PingFor(request), deadline).await {
+            Ok(PeerReply::Ack(_)) => Witness::Alive,
+            Ok(PeerReply::Nack) => Witness::Silent,
+            _ => Witness::None,
+        }
+    }
+
+    /// One helper near the subject, one near this node, the others anywhere.
+    fn pick_helpers(&self, subject: &NodeRecord) -> Vec<NodeRecord> {
+        let other = |record: &NodeRecord| record.name != subject.name;
+        let mut helpers = self.pick_peers(1, |r| other(r) && r.centre == subject.centre);
+        helpers.extend(self.pick_peers(1, |r| other(r) && r.centre == self.options.centre));
+        helpers.extend(self.pick_peers(self.options.helpers, other));
+        let mut seen = Vec::new();
+        helpers.retain(|helper| {
+            let fresh = !seen.contains(&helper.name);
+            seen.push(helper.name.clone());
+            fresh
+        });
+        helpers.truncate(self.options.helpers);
+        helpers
+    }
+
+    fn accuse(&self, subject: &NodeRecord) {
+        let mut table = self.table.borrow_mut();
+        let Some(entry) = table.get(&subject.name) else {
+            return;
+        };
+        // It has refuted or changed meanwhile.
+        if entry.record.incarnation != subject.incarnation || entry.record.counter > subject.counter
+        {
+            return;
+        }
+        let state = match entry.record.state {
+            NodeState::Up => NodeState::Suspect,
+            // It went without a farewell.
+            NodeState::Leaving => NodeState::Gone,
+            NodeState::Suspect | NodeState::Gone => return,
+        };
+        let record = NodeRecord { state, ..entry.record.clone() };
+        drop(table);
+        let until = match state {
+            NodeState::Gone => self.clock.now() + self.options.forget_after,
+            _ => self.suspect_until(),
+        };
+        metrics::counter!("kumquatnotch_suspicions_total").increment(1);
+        table = self.table.borrow_mut();
+        table.put(record.clone(), until);
+        drop(table);
+        self.follow(Effect::Fresh, &record);
+    }
+
+    /// The next node in turn; the lists are filled anew, shuffled, when used up.
+    fn next_subject(
+        &self,
+        near: &mut Vec<NodeName>,
+        far: &mut Vec<NodeName>,
+    ) -> Option<NodeRecord> {
+        let local = self.random.chance(self.options.local_share);
+        let (first, second) = if local { (near, far) } else { (far, near) };
+        self.next_of(first, local).or_else(|| self.next_of(second, !local))
+    }
+
+    fn next_of(&self, names: &mut Vec<NodeName>, near: bool) -> Option<NodeRecord> {
+        let table = self.table.borrow();
+        if names.is_empty() {
+            let centre = &self.options.centre;
+            let fit = table.live().filter(|record| (record.centre == *centre) == near);
+            names.extend(fit.map(|record| record.name.clone()));
+            self.random.shuffle(names);
+        }
+        while let Some(name) = names.pop() {
+            let record = table.get(&name).map(|entry| &entry.record);
+            if let Some(record) = record.filter(|record| record.state != NodeState::Gone) {
+                return Some(record.clone());
+            }
+        }
+        None
+    }
+
+    /// The node to check, if what speaks against it has not been answered.
+    fn pending(&self, check: Check) -> Option<(NodeRecord, Option<NodeRecord>)> {
+        let table = self.table.borrow();
+        let record = &table.get(&check.name)?.record;
+        let open = match &check.report {
+            Some(report) => beats(report, record),
+            None => record.state != NodeState::Gone,
+        };
+        open.then(|| (record.clone(), check.report))
+    }
+}
+
+/// What the helpers found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Witness {
+    /// No helper answered.
+    None,
+    /// A helper answered that the subject does not.
+    Silent,
+    /// The subject answered a helper.
+    Alive,
+}
--- /dev/null
+++ b/crates/kumquatnotch-member/src/readers.rs
@@ -0,0 +1,136 @@
+//! Who reads the platform's head, and how often.
+//!
+//! The readers are the first few of the known nodes by rendezvous hashing. No
+//! lease is involved: views differ for a while and there may be more or fewer
+//! readers, which costs calls and never truth. A node that has heard no
+//! confirmation for some seconds reads with a chance of one over the number of
+//! nodes, so that all of them together read about once a second.
+//!
+//! At 1,900 nodes that is 5 calls/s in the steady state. In an outage each node
+//! waits up to [`crate::ConfigOptions::backoff_limit`] between attempts: 5/8
+//! calls/s of the readers and at most one of all others. The return of the
+//! platform changes no rate at once, as nobody waits for it; the first to
+//! succeed tells the others.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use kumquatnotch_core::{
+    Error, Result, clock, codec,
+    ids::rendezvous,
+    member::{Members, NodeState},
+    peer::HeadNews,
+    random::Random,
+    stored::{HEAD_KEY, Head},
+};
+use tracing::warn;
+
+use crate::config_service::ConfigService;
+
+/// The key by which the readers are ranked.
+const READERS_KEY: &[u8] = b"config-readers";
+
+/// When the platform may be called again after failures.
+#[derive(Debug, Default)]
+pub(crate) struct Backoff {
+    failures: u32,
+    until: Option<Instant>,
+}
+
+impl Backoff {
+    pub(crate) fn is_over(&self, now: Instant) -> bool {
+        self.until.is_none_or(|until| until <= now)
+    }
+
+    fn note(&mut self, good: bool, period: Duration, limit: Duration, now: Instant, r: &Random) {
+        if good {
+            *self = Backoff::default();
+            return;
+        }
+        let span = period * 2u32.saturating_pow(self.failures.min(16));
+        self.failures += 1;
+        self.until = Some(now + r.jitter(span.min(limit)));
+    }
+}
+
+impl ConfigService {
+    pub(crate) async fn run_readings(self: Rc<Self>) {
+        loop {
+            clock::sleep(&*self.clock, self.random.jitter(self.options.read_period)).await;
+            if self.may_read() {
+                // The backoff has noted a failure.
+                let _ = self.read_head().await;
+            }
+        }
+    }
+
+    /// Reads the head; what it says is confirmed or wanted from now on.
+    pub(crate) async fn read_head(&self) -> Result<Option<HeadNews>> {
+        // The reading took place after this moment, whenever the reply comes.
+        let asked = self.clock.now();
+        let result = self.platform.get(HEAD_KEY).await;
+        metrics::counter!("kumquatnotch_head_readings_total").increment(1);
+        let now = self.clock.now();
+        let (period, limit) = (self.options.read_period, self.options.backoff_limit);
+        self.backoff.borrow_mut().note(result.is_ok(), period, limit, now, &self.random);
+        let Some(entry) = result? else {
+            return Ok(None);
+        };
+        let head: Head = codec::decode(&entry.value)?;
+        let age_ms = now.saturating_duration_since(asked).as_millis() as u64;
+        let news = HeadNews { version: head.version, manifest: head.manifest, age_ms };
+        self.take_reading(news, asked)?;
+        Ok(Some(news))
+    }
+
+    /// Whether this node is one of the readers.
+    pub(crate) fn is_reader(&self) -> bool {
+        let known = self.members.known();
+        let names: Vec<&str> = known
+            .iter()
+            .filter(|record| record.state == NodeState::Up)
+            .map(|record| record.name.as_str())
+            .collect();
+        let local = self.members.local().name;
+        let first = rendezvous(READERS_KEY, &names).into_iter().take(self.options.readers);
+        first.into_iter().any(|name| name == local.as_str())
+    }
+
+    /// How many nodes are known, this one too.
+    pub(crate) fn node_count(&self) -> usize {
+        self.members.known().len()
+    }
+
+    fn may_read(&self) -> bool {
+        if !self.backoff.borrow().is_over(self.clock.now()) {
+            return false;
+        }
+        if self.is_reader() {
+            return true;
+        }
+        let age = Duration::from_millis(self.members.confirmed().age_ms);
+        age >= self.options.silence && self.random.chance(1.0 / self.node_count() as f64)
+    }
+
+    fn take_reading(&self, news: HeadNews, asked: Instant) -> Result<()> {
+        let version = self.version();
+        if news.version < version {
+            // The service was set back, as from an old backup. What was in force
+            // stays: going back would undo an accepted change.
+            warn!("config: the platform has version {}, below {version}", news.version);
+            metrics::counter!("kumquatnotch_head_reverted_total").increment(1);
+            return Err(Error::StaleVersion { version: news.version.0 });
+        }
+        if news.version == version {
+            self.members.board.confirm(version, asked);
+            return Ok(());
+        }
+        self.wanted.borrow_mut().add_reading(news, asked);
+        if self.born.get() {
+            self.start_fetching();
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/kumquatnotch-member/src/recheck.rs
@@ -0,0 +1,168 @@
+//! Birth, and waking from a freeze: asking before serving.
+//!
+//! A newborn node takes the highest version among the answers of several peers
+//! if their confirmations are young. Otherwise it asks the platform. If that
+//! fails too, the highest version that the peers have is enough: in an outage
+//! nothing new can be accepted, so what they have is still true.
+//!
+//! What remains unprovable: a version may have been accepted just before the
+//! outage and be in force only on nodes that this one can't reach. It then
+//! serves the version before, as the peers that it asked do, and the age of its
+//! confirmation says how long that has been so.
+//!
+//! A node that wakes from a freeze holds back its document until the platform or
+//! peers have answered, at most [`crate::ConfigOptions::recheck_limit`]. If
+//! nobody answers it serves again what it had, as in an outage.
+
+use std::{
+    cell::Cell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use futures_util::future::{join, join_all};
+use kumquatnotch_core::{
+    clock,
+    ids::ConfigVersion,
+    peer::{PeerMessage, PeerReply},
+};
+use tracing::info;
+
+use crate::config_service::ConfigService;
+
+/// How often a waiting node looks whether it has what it waits for.
+const LOOK_GAP: Duration = Duration::from_millis(20);
+
+/// The time between two rounds of a newborn node, at first and at last.
+const BIRTH_GAPS: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(5));
+
+/// Whether the document may be served.
+#[derive(Debug, Default)]
+pub(crate) struct Gate {
+    closed_until: Cell<Option<Instant>>,
+    requested: Cell<bool>,
+}
+
+impl Gate {
+    /// Closes until `limit` and asks for a recheck, unless it is closed already.
+    pub(crate) fn close(&self, limit: Instant) {
+        if self.closed_until.get().is_none() {
+            self.closed_until.set(Some(limit));
+            self.requested.set(true);
+        }
+    }
+
+    pub(crate) fn is_open(&self, now: Instant) -> bool {
+        self.closed_until.get().is_none_or(|limit| limit <= now)
+    }
+
+    /// Whether a recheck was asked for; asked once.
+    pub(crate) fn take_request(&self) -> bool {
+        self.requested.take()
+    }
+
+    fn open(&self) {
+        self.closed_until.set(None);
+    }
+}
+
+/// What peers answered.
+#[derive(Clone, Copy, Debug, Default)]
+struct Evidence {
+    answers: usize,
+    asked: usize,
+    version: ConfigVersion,
+    /// The age of the youngest confirmation of that version.
+    age: Duration,
+}
+
+impl ConfigService {
+    /// Decides on the first document.
+    pub(crate) async fn be_born(self: &Rc<Self>) {
+        let mut gap = BIRTH_GAPS.0;
+        loop {
+            let evidence = self.ask_peers().await;
+            if self.is_enough(&evidence, true) || self.is_enough_after_platform(&evidence).await {
+                break;
+            }
+            clock::sleep(&*self.clock, self.random.jitter(gap)).await;
+            gap = (gap * 2).min(BIRTH_GAPS.1);
+        }
+        self.born.set(true);
+        self.start_fetching();
+    }
+
+    /// Asks again after a freeze, then opens the gate.
+    pub(crate) async fn recheck(self: Rc<Self>) {
+        let limit = self.clock.now() + self.options.recheck_limit;
+        let work = async {
+            while !self.ask_again().await {
+                clock::sleep(&*self.clock, BIRTH_GAPS.0).await;
+            }
+            while self.wanted.borrow().version() > self.version() {
+                self.start_fetching();
+                clock::sleep(&*self.clock, LOOK_GAP).await;
+            }
+        };
+        let answered = clock::timeout_at(&*self.clock, limit, work).await.is_ok();
+        info!("config: rechecked after a freeze, answered: {answered}");
+        self.gate.open();
+    }
+
+    /// Whether the platform or enough peers answered.
+    async fn ask_again(&self) -> bool {
+        let (reading, evidence) = join(self.read_head(), self.ask_peers()).await;
+        reading.is_ok() || self.is_enough(&evidence, true)
+    }
+
+    /// Asks several peers which version they have; what they say is taken in.
+    async fn ask_peers(&self) -> Evidence {
+        let peers = self.members.pick_peers(self.options.witnesses, |_| true);
+        let asks = peers.iter().map(|peer| self.members.ask_head(peer));
+        let mut evidence = Evidence { asked: peers.len(), ..Evidence::default() };
+        for head in join_all(asks).await.into_iter().flatten() {
+            evidence.answers += 1;
+            let age = Duration::from_millis(head.age_ms);
+            if head.version > evidence.version {
+                evidence.version = head.version;
+                evidence.age = age;
+            } else if head.version == evidence.version {
+                evidence.age = evidence.age.min(age);
+            }
+        }
+        evidence
+    }
+
+    /// Whether every peer that was asked answered, and one has a document.
+    fn is_enough(&self, evidence: &Evidence, young: bool) -> bool {
+        let complete = evidence.asked > 0 && evidence.answers == evidence.asked;
+        let fresh = !young || evidence.age <= self.options.fresh_age;
+        complete && evidence.version > ConfigVersion(0) && fresh
+    }
+
+    /// Whether the platform answered with a document, or failed and peers are enough.
+    async fn is_enough_after_platform(&self, evidence: &Evidence) -> bool {
+        if !self.backoff.borrow().is_over(self.clock.now()) {
+            return self.is_enough(evidence, false);
+        }
+        match self.read_head().await {
+            Ok(head) => head.is_some(),
+            Err(_) => self.is_enough(evidence, false),
+        }
+    }
+}
+
+impl crate::MembershipService {
+    /// The configuration that a peer has in force.
+    pub(crate) async fn ask_head(
+        &self,
+        peer: &kumquatnotch_core::member::NodeRecord,
+    ) -> Option<kumquatnotch_core::peer::HeadNews> {
+        let message = PeerMessage::Ping(self.gossip(Some(&peer.name), false));
+        let deadline = self.clock.now() + self.options.probe_timeout;
+        match self.send(peer.peer, &message, deadline).await {
+            Ok(PeerReply::Ack(gossip)) => Some(gossip.head),
+            _ => None,
+        }
+    }
+}
