--- a/crates/kumquatnotch-core/src/lib.rs
+++ b/crates/kumquatnotch-core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod query;
 pub mod random;
 pub mod registry;
+pub mod report;
 pub mod services;
 pub mod stored;
 pub mod target;
