Check histories for breaches of the eight promises

The checker is pure: it takes a recorded history and has one module a promise. The stand-ins' data depend on shard and version alone, so a hit of another version is known even where its label lies, and the best hits of the covered shards are known exactly. "Not run" is judged for the request and not for one try: a refusal after an earlier try had run counts as false. Targets now also record what they refuse while they drain, as work that reached them.

A general linearizability search was ruled out: each promise here has its own order over nonces, and a direct join tells what broke.

--- /dev/null
+++ b/crates/history/src/configuration.rs
@@ -0,0 +1,117 @@
+//! An accepted configuration is in force everywhere within seconds and never reverts.
+//!
+//! Readings are what nodes say of themselves and the versions that answers name.
+//! Outages of the platform, and the stops of the node itself, put the time off:
+//! news can't spread then. A node that starts has no such excuse: it must not
+//! serve before it knows what is in force.
+
+use std::collections::BTreeMap;
+
+use kumquatnotch_core::ids::ConfigVersion;
+
+use crate::{
+    checker::{Bounds, Findings, Promise},
+    record::{Accepted, History, Life, Reading},
+};
+
+/// Looks for nodes that are behind or go back, and for accepted changes lost.
+pub fn check(history: &History, bounds: &Bounds, findings: &mut Findings) {
+    let readings = readings(history);
+    check_accepted(history, findings);
+    check_order(&readings, findings);
+    check_spread(history, &readings, bounds, findings);
+}
+
+/// The readings of each life, in the order in which they began.
+fn readings(history: &History) -> Vec<Reading> {
+    let from_answers = history.answers().map(|(attempt, _, answer)| Reading {
+        life: attempt.life.clone(),
+        sent_us: attempt.sent_us,
+        ended_us: attempt.ended_us,
+        version: answer.config,
+    });
+    let mut readings: Vec<Reading> = history.readings.iter().cloned().chain(from_answers).collect();
+    readings.sort_by_key(|reading| reading.sent_us);
+    readings
+}
+
+fn check_accepted(history: &History, findings: &mut Findings) {
+    let mut versions: Vec<ConfigVersion> =
+        history.accepted.iter().map(|accepted| accepted.version).collect();
+    versions.sort();
+    for pair in versions.windows(2).filter(|pair| pair[0] == pair[1]) {
+        let detail = format!("version {} was accepted from two operators", pair[0]);
+        findings.add(Promise::Configuration, detail);
+    }
+    if let Some(newest) = versions.last().filter(|newest| **newest > history.last) {
+        let detail = format!("version {newest} was accepted, but {} is stored", history.last);
+        findings.add(Promise::Configuration, detail);
+    }
+}
+
+/// A reading that began after another of the same life was there must not be older.
+fn check_order(readings: &[Reading], findings: &mut Findings) {
+    let mut lives: BTreeMap<&Life, Vec<&Reading>> = BTreeMap::new();
+    for reading in readings {
+        lives.entry(&reading.life).or_default().push(reading);
+    }
+    for (life, readings) in lives {
+        let mut ended: Vec<&Reading> = readings.clone();
+        ended.sort_by_key(|reading| reading.ended_us);
+        let mut ended = ended.into_iter().peekable();
+        let mut newest = ConfigVersion(0);
+        for reading in readings {
+            while let Some(earlier) = ended.next_if(|ended| ended.ended_us < reading.sent_us) {
+                newest = newest.max(earlier.version);
+            }
+            if reading.version < newest {
+                let detail =
+                    format!("{} went back from version {newest} to {}", life.node, reading.version);
+                findings.add(Promise::Configuration, detail);
+            }
+        }
+    }
+}
+
+fn check_spread(history: &History, readings: &[Reading], bounds: &Bounds, findings: &mut Findings) {
+    for reading in readings {
+        let late = |accepted: &&Accepted| {
+            accepted.version > reading.version
+                && due(accepted, reading, history, bounds) < reading.sent_us
+        };
+        if let Some(accepted) = history.accepted.iter().find(late) {
+            let span = reading.sent_us.saturating_sub(accepted.at_us) / 1_000;
+            let detail = format!(
+                "{} has version {}, {span} ms after {} was accepted",
+                reading.life.node, reading.version, accepted.version,
+            );
+            findings.add(Promise::Configuration, detail);
+        }
+    }
+}
+
+fn due(accepted: &Accepted, reading: &Reading, history: &History, bounds: &Bounds) -> u64 {
+    let mut due = accepted.at_us + bounds.config_us;
+    for disturbance in &history.disturbances {
+        let concerns = disturbance.node.as_ref().is_none_or(|node| *node == reading.life.node);
+        if concerns && disturbance.from_us <= due && disturbance.until_us >= accepted.at_us {
+            due = due.max(disturbance.until_us + bounds.config_us);
+        }
+    }
+    due
+}
+
+/// How long each accepted version took to be read on every node, in microseconds.
+///
+/// Readings are taken at intervals, so this is too long by up to one of them.
+pub fn spread_times(history: &History) -> Vec<u64> {
+    let readings = readings(history);
+    let spread = |accepted: &Accepted| {
+        let behind = readings.iter().filter(|reading| {
+            reading.version < accepted.version && reading.sent_us > accepted.at_us
+        });
+        let last = behind.map(|reading| reading.sent_us).max();
+        last.map_or(0, |last| last - accepted.at_us)
+    };
+    history.accepted.iter().map(spread).collect()
+}
--- /dev/null
+++ b/crates/history/src/exclusives.rs
@@ -0,0 +1,39 @@
+//! A non-idempotent request runs at most once, and its outcome is told truly.
+
+use serde_json::Value;
+
+use crate::{
+    checker::{Findings, Promise},
+    record::{Attempt, History, Outcome},
+};
+
+/// Looks for requests that ran twice, or whose outcome changed.
+pub fn check(history: &History, findings: &mut Findings) {
+    let runs = history.runs_by_nonce();
+    for (nonce, attempts) in history.exclusives() {
+        let runs = runs.get(&nonce).map(Vec::as_slice).unwrap_or_default();
+        if runs.len() > 1 {
+            let targets: Vec<&str> = runs.iter().map(|run| run.target.as_str()).collect();
+            let detail = format!("{nonce:x} ran {} times, on {targets:?}", runs.len());
+            findings.add(Promise::Exclusives, detail);
+        }
+        if runs.iter().any(|run| !run.exclusive) {
+            findings.add(Promise::Exclusives, format!("{nonce:x} ran as a search"));
+        }
+        let results = results(&attempts);
+        if !results.is_empty() && runs.is_empty() {
+            findings.add(Promise::Exclusives, format!("{nonce:x} is done, but never ran"));
+        }
+        if results.windows(2).any(|pair| pair[0] != pair[1]) {
+            findings.add(Promise::Exclusives, format!("{nonce:x} has two outcomes"));
+        }
+    }
+}
+
+fn results<'a>(attempts: &[&'a Attempt]) -> Vec<&'a Value> {
+    let done = attempts.iter().filter_map(|attempt| match &attempt.outcome {
+        Outcome::Done(result) => Some(result),
+        _ => None,
+    });
+    done.collect()
+}
--- /dev/null
+++ b/crates/history/src/refusals.rs
@@ -0,0 +1,38 @@
+//! A refusal that says "not run" is true.
+//!
+//! It speaks of the request, not of one try: no target may have run it before,
+//! and none may run it later unless its caller sends it again.
+
+use standins::records::RunRecord;
+
+use crate::{
+    checker::{Findings, Promise},
+    record::{Attempt, History},
+};
+
+/// Looks for refused requests that ran.
+pub fn check(history: &History, findings: &mut Findings) {
+    let runs = history.runs_by_nonce();
+    let exclusives = history.exclusives();
+    for (attempt, failure) in history.failures().filter(|(_, failure)| failure.not_run) {
+        let siblings = exclusives.get(&attempt.nonce).map(Vec::as_slice).unwrap_or_default();
+        let runs = runs.get(&attempt.nonce).map(Vec::as_slice).unwrap_or_default();
+        if let Some(run) = runs.iter().find(|run| belies(run, attempt, siblings)) {
+            let detail = format!(
+                "{:x} was refused with {} as not run, but ran on {}, {} us after the refusal",
+                attempt.nonce,
+                failure.code,
+                run.target,
+                run.start_us as i64 - attempt.ended_us as i64,
+            );
+            findings.add(Promise::Refusals, detail);
+        }
+    }
+}
+
+fn belies(run: &RunRecord, refused: &Attempt, siblings: &[&Attempt]) -> bool {
+    let sent_again = siblings
+        .iter()
+        .any(|attempt| attempt.sent_us >= refused.ended_us && attempt.sent_us <= run.start_us);
+    run.start_us <= refused.ended_us || !sent_again
+}
--- /dev/null
+++ b/crates/history/src/snapshot.rs
@@ -0,0 +1,54 @@
+//! Every answer comes from one snapshot of the index.
+//!
+//! The stand-ins make the score and owner of a hit from its shard, version and
+//! number, so a hit of another version is known even if its label lies.
+
+use kumquatnotch_core::{
+    answer::Answer,
+    ids::{IndexVersion, ShardName},
+    query::Hit,
+};
+use standins::data;
+
+use crate::{
+    checker::{Findings, Promise},
+    record::History,
+};
+
+/// Looks for answers that mix snapshots.
+pub fn check(history: &History, findings: &mut Findings) {
+    for (attempt, _, answer) in history.answers() {
+        let Some(layout) = history.layouts.get(&answer.coverage.version) else {
+            let version = answer.coverage.version;
+            let detail = format!("{:x} is from version {version}, never published", attempt.nonce);
+            findings.add(Promise::Snapshot, detail);
+            continue;
+        };
+        for detail in strangers(answer, layout) {
+            findings.add(Promise::Snapshot, format!("{:x}: {detail}", attempt.nonce));
+        }
+    }
+}
+
+/// The hits that are not of the answer's snapshot.
+fn strangers(answer: &Answer, layout: &[ShardName]) -> Vec<String> {
+    let version = answer.coverage.version;
+    let is_stranger = |hit: &&Hit| match shard_and_number(hit) {
+        Some((shard, number)) => !layout.contains(&shard) || !is_of(hit, &shard, number, version),
+        None => true,
+    };
+    let strangers = answer.hits.iter().filter(is_stranger);
+    strangers.map(|hit| format!("hit {} is not of version {version}", hit.key)).collect()
+}
+
+fn is_of(hit: &Hit, shard: &ShardName, number: u32, version: IndexVersion) -> bool {
+    let expected = data::hit(shard, version, number, &serde_json::Value::Null);
+    let labelled = hit.fields["version"].as_u64() == Some(version.0);
+    labelled && hit.score == expected.score && hit.owner == expected.owner
+}
+
+/// The shard of a hit and its number there.
+pub fn shard_and_number(hit: &Hit) -> Option<(ShardName, u32)> {
+    let (shard, number) = hit.key.rsplit_once('/')?;
+    Some((ShardName::from(shard), number.parse().ok()?))
+}
--- /dev/null
+++ b/crates/history/tests/answers_checker.rs
@@ -0,0 +1,168 @@
+//! The checker on answers: a clean history passes, each planted violation is caught.
+//!
+//! Every case takes the clean history, breaks one promise in it as a faulty tier
+//! would, and expects the checker to name that promise.
+
+mod fixture;
+
+use history::{
+    checker::{Bounds, Promise, check},
+    record::{History, Outcome},
+};
+use kumquatnotch_core::{
+    answer::Missing,
+    ids::{IndexVersion, ShardName, TenantName},
+};
+use serde_json::json;
+use standins::{data, records::RunEnd};
+use yare::parameterized;
+
+use fixture::{HOLD, SEARCH, clean, promises, shards, with_answer};
+
+#[test]
+fn a_clean_history_passes() {
+    let findings = check(&clean(), &Bounds::default());
+
+    assert!(findings.violations.is_empty(), "{:?}", findings.violations);
+    assert_eq!(findings.counts().len(), Promise::ALL.len());
+}
+
+fn hit_of_another_version(history: &mut History) {
+    history.layouts.insert(IndexVersion(2), shards());
+    let other = data::hits(&shards()[0], IndexVersion(2), r#"{"nonce":1}"#, 1).remove(0);
+    with_answer(history, |answer| answer.hits[0] = other);
+}
+
+fn hit_of_another_version_with_a_lying_label(history: &mut History) {
+    let mut other = data::hits(&shards()[0], IndexVersion(2), r#"{"nonce":1}"#, 1).remove(0);
+    other.fields["version"] = json!(1);
+    with_answer(history, |answer| answer.hits[0] = other);
+}
+
+fn unknown_version(history: &mut History) {
+    with_answer(history, |answer| answer.coverage.version = IndexVersion(9));
+}
+
+fn shard_of_another_layout(history: &mut History) {
+    let stranger = data::hits(&ShardName::from("r7"), IndexVersion(1), r#"{"nonce":1}"#, 1);
+    with_answer(history, |answer| answer.hits[0] = stranger[0].clone());
+}
+
+#[parameterized(
+    other_version = { hit_of_another_version },
+    lying_label = { hit_of_another_version_with_a_lying_label },
+    never_published = { unknown_version },
+    other_layout = { shard_of_another_layout },
+)]
+fn a_mixed_snapshot_is_caught(plant: fn(&mut History)) {
+    let mut history = clean();
+
+    plant(&mut history);
+
+    assert!(promises(&history).contains(&Promise::Snapshot));
+}
+
+fn empty_success(history: &mut History) {
+    with_answer(history, |answer| {
+        answer.hits.clear();
+        answer.coverage.covered = 3;
+        answer.coverage.missing.clear();
+    });
+}
+
+fn success_that_covers_nothing(history: &mut History) {
+    with_answer(history, |answer| {
+        answer.hits.clear();
+        answer.coverage.covered = 0;
+        let miss = |shard| Missing { shard, code: 4005, reason: String::new() };
+        answer.coverage.missing = shards().into_iter().map(miss).collect();
+    });
+}
+
+fn fewer_asked(history: &mut History) {
+    with_answer(history, |answer| {
+        answer.coverage.asked = 2;
+        answer.coverage.missing.clear();
+    });
+}
+
+fn sum_is_wrong(history: &mut History) {
+    with_answer(history, |answer| answer.coverage.covered = 3);
+}
+
+fn lost_hit(history: &mut History) {
+    with_answer(history, |answer| {
+        answer.hits.remove(1);
+    });
+}
+
+fn doubled_hit(history: &mut History) {
+    with_answer(history, |answer| answer.hits[1] = answer.hits[0].clone());
+}
+
+fn covered_shard_never_ran(history: &mut History) {
+    history.runs.remove(0);
+}
+
+fn covered_shard_ran_another_version(history: &mut History) {
+    history.runs[0].version = Some(IndexVersion(2));
+}
+
+fn covered_shard_was_cancelled(history: &mut History) {
+    history.runs[0].end = RunEnd::Cancelled;
+}
+
+#[parameterized(
+    empty = { empty_success },
+    nothing = { success_that_covers_nothing },
+    fewer = { fewer_asked },
+    sum = { sum_is_wrong },
+    lost = { lost_hit },
+    doubled = { doubled_hit },
+    never_ran = { covered_shard_never_ran },
+    other_version = { covered_shard_ran_another_version },
+    cancelled = { covered_shard_was_cancelled },
+)]
+fn an_untrue_coverage_is_caught(plant: fn(&mut History)) {
+    let mut history = clean();
+
+    plant(&mut history);
+
+    assert!(promises(&history).contains(&Promise::Coverage));
+}
+
+fn crossed_answer(history: &mut History) {
+    with_answer(history, |answer| *answer = fixture::answer(77));
+}
+
+fn torn_answer(history: &mut History) {
+    history.attempts[SEARCH].outcome = Outcome::Unreadable("EOF".to_owned());
+}
+
+fn crossed_result(history: &mut History) {
+    let other = json!({ "key": "room", "nonce": 77 });
+    history.attempts[HOLD].outcome = Outcome::Done(other);
+}
+
+fn leaked_private_field(history: &mut History) {
+    history.attempts[SEARCH].tenant = TenantName::from("barid");
+}
+
+fn withheld_private_field(history: &mut History) {
+    with_answer(history, |answer| answer.hits.iter_mut().for_each(|hit| hit.private = None));
+}
+
+#[parameterized(
+    crossed_hits = { crossed_answer },
+    torn_reply = { torn_answer },
+    crossed_outcome = { crossed_result },
+    leaked = { leaked_private_field },
+    withheld = { withheld_private_field },
+)]
+fn an_answer_that_is_not_the_callers_own_is_caught(plant: fn(&mut History)) {
+    let mut history = clean();
+
+    plant(&mut history);
+
+    assert!(promises(&history).contains(&Promise::Answers));
+}
--- /dev/null
+++ b/crates/history/tests/promises_checker.rs
@@ -0,0 +1,226 @@
+//! The checker on all that is promised besides the content of answers.
+//!
+//! Every case takes the clean history, breaks one promise in it as a faulty tier
+//! would, and expects the checker to name that promise.
+
+mod fixture;
+
+use history::{
+    checker::Promise,
+    configuration::spread_times,
+    record::{Accepted, Disturbance, History, Outcome, Reading, Request},
+};
+use kumquatnotch_core::ids::{ConfigVersion, NodeName, TargetName};
+use serde_json::json;
+use standins::records::Refusal;
+use yare::parameterized;
+
+use fixture::{LIMIT, SECOND, attempt, clean, exclusive, life, promises, run, with_answer};
+
+#[parameterized(
+    before = { 20 * SECOND + 5_000 },
+    after = { 21 * SECOND },
+)]
+fn a_false_not_run_is_caught(start_us: u64) {
+    let mut history = clean();
+
+    history.runs.push(run(3, "h0", None, start_us));
+
+    assert_eq!(promises(&history), [Promise::Refusals]);
+}
+
+#[test]
+fn a_refused_request_may_run_when_it_is_sent_again() {
+    let mut history = clean();
+    let done = json!({ "key": "room", "nonce": 3 });
+    let mut again = attempt(3, exclusive(), Outcome::Done(done));
+    (again.sent_us, again.ended_us) = (22 * SECOND, 23 * SECOND);
+    history.attempts.push(again);
+
+    history.runs.push(run(3, "h0", None, 22 * SECOND + 1_000));
+
+    assert_eq!(promises(&history), []);
+}
+
+#[test]
+fn a_refusal_after_the_request_ran_is_caught_though_it_was_sent_again() {
+    // The first try runs and its reply is lost; the second is refused as "not
+    // run". The caller books elsewhere and holds two rooms.
+    let mut history = clean();
+    let mut first = attempt(3, exclusive(), Outcome::Broken);
+    (first.sent_us, first.ended_us) = (18 * SECOND, 19 * SECOND);
+    history.attempts.push(first);
+
+    history.runs.push(run(3, "h0", None, 18 * SECOND + 1_000));
+
+    assert_eq!(promises(&history), [Promise::Refusals]);
+}
+
+fn ran_twice(history: &mut History) {
+    history.runs.push(run(2, "h1", None, 21 * SECOND));
+}
+
+fn done_but_never_ran(history: &mut History) {
+    history.runs.remove(2);
+}
+
+fn two_outcomes(history: &mut History) {
+    let done = json!({ "key": "room", "nonce": 2, "target": "another" });
+    history.attempts.push(attempt(2, exclusive(), Outcome::Done(done)));
+}
+
+#[parameterized(
+    ran_again = { ran_twice },
+    never = { done_but_never_ran },
+    outcomes = { two_outcomes },
+)]
+fn a_repeated_exclusive_request_is_caught(plant: fn(&mut History)) {
+    let mut history = clean();
+
+    plant(&mut history);
+
+    assert_eq!(promises(&history), [Promise::Exclusives]);
+}
+
+#[parameterized(
+    ran = { 16, false, true },
+    refused = { 16, true, true },
+    in_time = { 14, false, false },
+    taken_back = { 41, false, false },
+)]
+fn late_work_of_a_leaving_target_is_caught(second: u64, refused: bool, caught: bool) {
+    let mut history = clean();
+    let mut late = run(99, "s9", Some(1), second * SECOND);
+    late.target = TargetName::from("s9-a");
+
+    if refused {
+        let refusal = Refusal { target: late.target.clone(), arrived_us: late.arrived_us };
+        history.drained.push(refusal);
+    } else {
+        history.runs.push(late);
+    }
+
+    assert_eq!(promises(&history).contains(&Promise::Leaving), caught);
+}
+
+fn outage(node: Option<&str>, from: u64, until: u64) -> Disturbance {
+    let node = node.map(NodeName::from);
+    Disturbance { node, from_us: from * SECOND, until_us: until * SECOND }
+}
+
+#[test]
+fn an_outage_puts_off_the_order_to_leave() {
+    let mut history = clean();
+    let mut late = run(99, "s9", Some(1), 16 * SECOND);
+    late.target = TargetName::from("s9-a");
+    history.runs.push(late);
+
+    history.disturbances.push(outage(None, 9, 13));
+
+    assert_eq!(promises(&history), []);
+}
+
+#[parameterized(
+    in_flight = { true, 29, true },
+    fresh_connection = { false, 31, true },
+    idle_connection = { true, 31, false },
+)]
+fn a_request_cut_by_a_shutdown_is_caught(kept: bool, sent: u64, caught: bool) {
+    let mut history = clean();
+    let mut cut = attempt(4, Request::Search { limit: LIMIT }, Outcome::Broken);
+    cut.life = life("n1");
+    cut.kept = kept;
+    (cut.sent_us, cut.ended_us) = (sent * SECOND, 32 * SECOND);
+
+    history.attempts.push(cut);
+
+    assert_eq!(promises(&history).contains(&Promise::Shutdown), caught);
+}
+
+#[parameterized(
+    killed = { None, false },
+    failed = { Some(32 * SECOND), false },
+)]
+fn a_shutdown_that_does_not_end_well_is_caught(exited_us: Option<u64>, success: bool) {
+    let mut history = clean();
+
+    history.shutdowns[0].exited_us = exited_us;
+    history.shutdowns[0].success = success;
+
+    assert_eq!(promises(&history), [Promise::Shutdown]);
+}
+
+fn reading(node: &str, second: u64, version: u64) -> Reading {
+    Reading {
+        life: life(node),
+        sent_us: second * SECOND,
+        ended_us: second * SECOND + 1_000,
+        version: ConfigVersion(version),
+    }
+}
+
+fn reverted(history: &mut History) {
+    history.readings.push(reading("n1", 12, 2));
+    history.readings.push(reading("n1", 13, 1));
+}
+
+fn late(history: &mut History) {
+    history.readings.push(reading("n2", 16, 1));
+}
+
+fn fresh_node_with_an_old_version(history: &mut History) {
+    let mut fresh = reading("n1", 35, 1);
+    fresh.life.start = 1;
+    history.readings.push(fresh);
+}
+
+fn answer_with_an_old_version(history: &mut History) {
+    with_answer(history, |answer| answer.config = ConfigVersion(1));
+}
+
+fn accepted_twice(history: &mut History) {
+    history.accepted.push(Accepted { version: ConfigVersion(2), at_us: 11 * SECOND });
+}
+
+fn accepted_and_lost(history: &mut History) {
+    history.last = ConfigVersion(1);
+}
+
+#[parameterized(
+    went_back = { reverted },
+    behind = { late },
+    fresh = { fresh_node_with_an_old_version },
+    answer = { answer_with_an_old_version },
+    two_writers = { accepted_twice },
+    lost = { accepted_and_lost },
+)]
+fn a_configuration_that_is_not_in_force_is_caught(plant: fn(&mut History)) {
+    let mut history = clean();
+
+    plant(&mut history);
+
+    let promises = promises(&history);
+    assert!(!promises.is_empty());
+    assert!(promises.iter().all(|promise| *promise == Promise::Configuration));
+}
+
+#[parameterized(
+    platform = { None, true },
+    own = { Some("n2"), true },
+    of_another = { Some("n3"), false },
+)]
+fn a_disturbance_puts_off_a_configuration(node: Option<&str>, excused: bool) {
+    let mut history = clean();
+    late(&mut history);
+
+    history.disturbances.push(outage(node, 11, 14));
+
+    assert_eq!(promises(&history).is_empty(), excused);
+}
+
+#[test]
+fn the_spread_of_a_change_is_measured() {
+    let times = spread_times(&clean());
+
+    assert_eq!(times, [0, SECOND]);
+}
--- a/crates/standins/src/records.rs
+++ b/crates/standins/src/records.rs
@@ -52,11 +52,22 @@
     pub end: RunEnd,
 }
 
+/// A request that a draining target refused.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Refusal {
+    /// The target.
+    pub target: TargetName,
+    /// When it came, in microseconds.
+    pub arrived_us: u64,
+}
+
 /// The runs of all targets of a process, and counts.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct RunLog {
     /// The runs, in the order of their starts.
     pub runs: Vec<RunRecord>,
+    /// The requests that draining targets refused.
+    pub drained: Vec<Refusal>,
     /// Connections over a target's limit.
     pub over_limit: u64,
     /// Requests refused because a target's queue was full or it shed all.
--- a/crates/standins/src/target.rs
+++ b/crates/standins/src/target.rs
@@ -22,7 +22,7 @@
     http::{Handler, Reply, Request},
     now_us,
     plan::TargetPlan,
-    records::{RunEnd, RunLog, RunRecord},
+    records::{Refusal, RunEnd, RunLog, RunRecord},
     signal::Signal,
     slots::Slots,
 };
@@ -212,6 +212,8 @@
             return self.shed();
         }
         if self.target.faults.borrow().drain {
+            let target = self.target.plan.name.clone();
+            self.target.log.borrow_mut().drained.push(Refusal { target, arrived_us: now_us() });
             return Reply::json(503, &json!({}));
         }
         if !self.target.holds(&call) {
--- a/crates/standins/src/targets.rs
+++ b/crates/standins/src/targets.rs
@@ -168,7 +168,8 @@
                 let log = self.0.log.borrow();
                 let runs = log.runs.get(after..).unwrap_or_default().to_vec();
                 let (over_limit, shed) = (log.over_limit, log.shed);
-                Reply::json(200, &RunLog { runs, over_limit, shed })
+                let drained = log.drained.clone();
+                Reply::json(200, &RunLog { runs, drained, over_limit, shed })
             }
             _ => Reply::status(404),
         };
--- a/crates/standins/tests/targets.rs
+++ b/crates/standins/tests/targets.rs
@@ -165,6 +165,7 @@
 
         assert_eq!(answer.status, status);
         assert!(fleet.log().runs.is_empty());
+        assert_eq!(fleet.log().drained.len(), usize::from(status == 503));
     });
 }
 
