Give the holder its decisions: choice, limits, queue, hedges, retries, containment

Cause: the thin holder called any replica at once, whatever its state. Each decision is a trait of the policy crate with the naive form beside it; the holder feeds them with its own observations and carries them out.

--- /dev/null
+++ b/crates/kumquatnotch-holder/src/calls.rs
@@ -0,0 +1,257 @@
+//! Calls to targets: sending one, hedging it, trying it again.
+
+use std::{pin::Pin, rc::Rc, time::Duration};
+
+use futures_util::future::{Either, select};
+use kumquatnotch_core::{
+    Error, Result,
+    clock::sleep,
+    ids::TargetName,
+    marks::MarkKind,
+    target::{TargetCall, TargetReply},
+};
+use kumquatnotch_policy::{containment::Verdict, retry::Attempt};
+
+use crate::{
+    core::Core,
+    slots::{Slot, Work},
+};
+
+/// How long a target that says it drains is marked for all nodes.
+///
+/// The mark is renewed while probes say the same, and a target that has come
+/// back is used again soon after.
+pub const DRAINING_SPAN: Duration = Duration::from_secs(10);
+
+impl Core {
+    /// Runs `work` on a replica of its shard, again on another if that is safe.
+    pub async fn run(self: &Rc<Self>, work: &Rc<Work>) -> Result<TargetReply> {
+        self.retry.borrow_mut().on_call();
+        let mut tried = Vec::new();
+        let mut tries = 0;
+        loop {
+            let alone = match self.verdict(work.print) {
+                Verdict::Free => false,
+                Verdict::Alone => true,
+                Verdict::Refused(left) => return Err(contained(left)),
+            };
+            let slot = self.acquire(work, &tried, alone).await?;
+            tries += 1;
+            let error = match self.attempt(work, slot, alone, &mut tried).await {
+                Ok(reply) => return Ok(reply),
+                Err(error) => error,
+            };
+            // The request has run, so the refusal "not run" would be untrue of it.
+            if matches!(self.verdict(work.print), Verdict::Refused(_)) {
+                return Err(error);
+            }
+            let Some(wait) = self.next_attempt(work, &error, tries, &tried) else {
+                return Err(error);
+            };
+            self.meters.retries.increment(1);
+            if !wait.is_zero() {
+                sleep(&*self.clock, wait).await;
+                tried.clear();
+            }
+        }
+    }
+
+    /// How the request of this fingerprint may run.
+    pub fn verdict(&self, print: kumquatnotch_core::ids::Fingerprint) -> Verdict {
+        match self.marks.left_ms(&MarkKind::Contained(print)) {
+            Some(left) => Verdict::Refused(Duration::from_millis(left)),
+            None => self.containment.borrow().verdict(print, self.now()),
+        }
+    }
+
+    fn next_attempt(
+        &self,
+        work: &Work,
+        error: &Error,
+        tries: u32,
+        tried: &[TargetName],
+    ) -> Option<Duration> {
+        let attempt = Attempt {
+            error,
+            tries,
+            exclusive: work.is_exclusive(),
+            other: self.has_other(work, tried),
+            deadline: work.deadline,
+        };
+        self.retry.borrow_mut().next(&attempt, self.now())
+    }
+
+    fn has_other(&self, work: &Work, tried: &[TargetName]) -> bool {
+        let table = self.table.borrow();
+        let names = table.index.get(&work.shard).map(Vec::as_slice).unwrap_or_default();
+        names.iter().any(|name| work.reach.contains(name) && !tried.contains(name))
+    }
+
+    /// One attempt, with a second copy on another replica if it is late.
+    async fn attempt(
+        self: &Rc<Self>,
+        work: &Rc<Work>,
+        slot: Slot,
+        alone: bool,
+        tried: &mut Vec<TargetName>,
+    ) -> Result<TargetReply> {
+        tried.push(slot.target.clone());
+        self.hedge.borrow_mut().on_call();
+        let first = self.call(work, slot);
+        let delay = self.hedge.borrow().delay();
+        let Some(delay) = delay.filter(|_| work.hedged && !alone) else {
+            return first.await;
+        };
+        let first = Box::pin(first);
+        let first = match select(first, sleep(&*self.clock, delay)).await {
+            Either::Left((result, _)) => return result,
+            Either::Right(((), first)) => first,
+        };
+        let Some(slot) = self.hedge_slot(work, tried) else {
+            return first.await;
+        };
+        tried.push(slot.target.clone());
+        first_success(first, Box::pin(self.call(work, slot))).await
+    }
+
+    /// A slot for a second copy, if one is free and the budget pays for it.
+    fn hedge_slot(self: &Rc<Self>, work: &Work, tried: &[TargetName]) -> Option<Slot> {
+        let slot = self.spare_slot(work, tried)?;
+        if !self.hedge.borrow_mut().spend() {
+            // It was never used, so it tells nothing of the replica.
+            let mut slot = slot;
+            slot.settled = true;
+            return None;
+        }
+        self.meters.hedges.increment(1);
+        Some(slot)
+    }
+
+    /// Sends `work` to the replica of `slot` and learns from how it ends.
+    async fn call(self: &Rc<Self>, work: &Rc<Work>, mut slot: Slot) -> Result<TargetReply> {
+        let call = TargetCall {
+            id: self.random.number(),
+            shard: work.shard.clone(),
+            version: work.version,
+            tenant: work.tenant.clone(),
+            class: work.class,
+            body: work.body.clone(),
+            limit: work.limit,
+            exclusive: work.is_exclusive(),
+        };
+        work.sent.set(true);
+        self.meters.calls.increment(1);
+        let spec = slot.spec.clone();
+        let result = self.targets.call(&slot.target, &spec, &call, work.deadline).await;
+        match result {
+            Ok(reply) if work.version.is_some_and(|version| version != reply.version) => {
+                slot.settled = true;
+                // Hits of another version would mix two snapshots in one answer.
+                Err(Error::protocol("answered from another version"))
+            }
+            Ok(reply) => {
+                self.on_reply(work, &mut slot, &reply);
+                Ok(reply)
+            }
+            Err(error) => {
+                self.on_error(work, &mut slot, &error).await;
+                Err(public(error))
+            }
+        }
+    }
+
+    fn on_reply(&self, work: &Work, slot: &mut Slot, reply: &TargetReply) {
+        slot.settled = true;
+        let now = self.now();
+        let latency = now.saturating_duration_since(slot.started);
+        let mut table = self.table.borrow_mut();
+        if let Some(entry) = table.entries.get_mut(&slot.target) {
+            entry.replica.on_answer(latency, reply.load, now);
+            entry.limit.on_answer(slot.level, latency, now);
+            entry.stuck = 0;
+        }
+        if let Some(shard) = table.shards.get_mut(&work.shard) {
+            shard.add_service(latency);
+        }
+        drop(table);
+        self.hedge.borrow_mut().on_latency(latency);
+        self.containment.borrow_mut().on_answer(work.print, &work.shard);
+        self.meters.record_service(&work.tenant, work.class, latency);
+    }
+
+    async fn on_error(self: &Rc<Self>, work: &Work, slot: &mut Slot, error: &Error) {
+        let now = self.now();
+        let target = &slot.target;
+        // The text of an error may hold a rival's data, so only its code is logged.
+        tracing::debug!(%target, code = error.code(), "holder: call failed");
+        match error {
+            Error::ConnectionLost => {
+                self.check_crash(target).await;
+                slot.settled = true;
+                return;
+            }
+            // These say how long the target kept us waiting, as a dropped call does.
+            Error::TimedOut => return,
+            Error::ConnectionSilent => {
+                self.meters.silences.increment(1);
+                return;
+            }
+            _ => slot.settled = true,
+        }
+        let mut table = self.table.borrow_mut();
+        let Some(entry) = table.entries.get_mut(target) else {
+            return;
+        };
+        match error {
+            Error::Shed { .. } => {
+                let retry = error.retry_after().unwrap_or_default();
+                entry.replica.on_shed(retry, now);
+                entry.limit.on_shed(slot.level, now);
+                self.meters.sheds.increment(1);
+            }
+            Error::Draining => {
+                entry.replica.on_draining();
+                drop(table);
+                self.mark(MarkKind::Draining(target.clone()), DRAINING_SPAN);
+                tracing::info!(%target, "holder: target drains");
+            }
+            Error::VersionGone { version } => {
+                let version = kumquatnotch_core::ids::IndexVersion(*version);
+                entry.replica.on_version_gone(&work.shard, version);
+            }
+            Error::ConnectFailed => {
+                entry.replica.on_unreachable(now, &self.random);
+                entry.next_probe = entry.replica.down_until();
+            }
+            _ => {}
+        }
+    }
+}
+
+/// The refusal of a contained request.
+pub fn contained(left: Duration) -> Error {
+    Error::Contained { retry_ms: left.as_millis() as u64 }
+}
+
+/// `error` without the target's own words, which may hold what only one tenant may see.
+fn public(error: Error) -> Error {
+    match error {
+        Error::TargetFailed { .. } => {
+            Error::TargetFailed { detail: "it reported a failure".to_owned() }
+        }
+        Error::Protocol { .. } => Error::protocol("the target's reply can't be read"),
+        error => error,
+    }
+}
+
+/// The first success of two calls; the last error if both fail.
+async fn first_success<T>(
+    first: Pin<Box<impl Future<Output = Result<T>>>>,
+    second: Pin<Box<impl Future<Output = Result<T>>>>,
+) -> Result<T> {
+    match select(first, second).await {
+        Either::Left((Ok(value), _)) | Either::Right((Ok(value), _)) => Ok(value),
+        Either::Left((Err(_), second)) => second.await,
+        Either::Right((Err(_), first)) => first.await,
+    }
+}
--- /dev/null
+++ b/crates/kumquatnotch-holder/src/crash.rs
@@ -0,0 +1,126 @@
+//! What a lost connection means: did the target crash, and under which request?
+
+use std::rc::Rc;
+
+use futures_channel::oneshot;
+use kumquatnotch_core::{
+    document::TargetSpec, ids::TargetName, marks::MarkKind, target::TargetStatus,
+};
+use kumquatnotch_policy::containment::Running;
+
+use crate::{core::Core, table::Entry};
+
+/// A check that is on; one that is cut short counts as a crash.
+struct Check<'a> {
+    core: &'a Core,
+    target: &'a TargetName,
+    present: Vec<Running>,
+    crashed: bool,
+}
+
+impl Drop for Check<'_> {
+    fn drop(&mut self) {
+        self.core.end_check(self.target, &self.present, self.crashed);
+    }
+}
+
+enum Begun {
+    First { known: Option<u64>, spec: Rc<TargetSpec>, present: Vec<Running> },
+    Joined(oneshot::Receiver<()>),
+    Gone,
+}
+
+impl Core {
+    /// Finds out whether `target` crashed, after a call to it was cut off.
+    ///
+    /// Every call that was in flight is cut off by the same crash. The first one
+    /// asks the target; the others wait for what it hears, so that one crash
+    /// isn't counted once for each of them.
+    pub async fn check_crash(self: &Rc<Self>, target: &TargetName) {
+        let (known, spec, present) = match self.begin_check(target) {
+            Begun::First { known, spec, present } => (known, spec, present),
+            Begun::Joined(receiver) => {
+                let _ = receiver.await;
+                return;
+            }
+            Begun::Gone => return,
+        };
+        // A caller that gives up during the check must not save the request from
+        // being suspected, so "crashed" holds until the target says otherwise.
+        let mut check = Check { core: self, target, present, crashed: true };
+        let deadline = self.now() + self.options.probe_timeout;
+        let status = self.targets.probe(target, &spec, deadline).await;
+        check.crashed = match &status {
+            Ok(status) => known != Some(status.incarnation),
+            Err(_) => true,
+        };
+        self.heard(target, status.ok());
+    }
+
+    fn begin_check(&self, target: &TargetName) -> Begun {
+        let mut table = self.table.borrow_mut();
+        let Some(entry) = table.entries.get_mut(target) else {
+            return Begun::Gone;
+        };
+        if let Some(waiting) = &mut entry.checking {
+            let (sender, receiver) = oneshot::channel();
+            waiting.push(sender);
+            return Begun::Joined(receiver);
+        }
+        entry.checking = Some(Vec::new());
+        let known = entry.replica.incarnation();
+        Begun::First { known, spec: entry.spec.clone(), present: present(entry) }
+    }
+
+    fn heard(&self, target: &TargetName, status: Option<TargetStatus>) {
+        let now = self.now();
+        let mut table = self.table.borrow_mut();
+        let Some(entry) = table.entries.get_mut(target) else {
+            return;
+        };
+        match status {
+            Some(status) => {
+                if entry.replica.on_probe(&status, now) {
+                    entry.limit.reset();
+                }
+            }
+            None => {
+                entry.replica.on_unreachable(now, &self.random);
+                entry.limit.reset();
+                entry.next_probe = entry.replica.down_until();
+            }
+        }
+    }
+
+    fn end_check(&self, target: &TargetName, present: &[Running], crashed: bool) {
+        let waiting = {
+            let mut table = self.table.borrow_mut();
+            let entry = table.entries.get_mut(target);
+            entry.and_then(|entry| entry.checking.take()).unwrap_or_default()
+        };
+        if crashed {
+            self.meters.crashes.increment(1);
+            tracing::warn!(%target, beside = present.len(), "holder: target crashed");
+            let mut containment = self.containment.borrow_mut();
+            if let Some(print) = containment.on_crash(present, self.now()) {
+                let span = containment.span();
+                drop(containment);
+                self.mark(MarkKind::Contained(print), span);
+                tracing::warn!(%print, "holder: request crashes targets and is contained");
+            }
+        }
+        for sender in waiting {
+            let _ = sender.send(());
+        }
+    }
+}
+
+fn present(entry: &Entry) -> Vec<Running> {
+    let mut present: Vec<Running> = Vec::new();
+    for (_, running) in &entry.running {
+        if !present.contains(running) {
+            present.push(running.clone());
+        }
+    }
+    present
+}
--- /dev/null
+++ b/crates/kumquatnotch-holder/src/group.rs
@@ -0,0 +1,218 @@
+//! Sub-requests for groups of shards.
+
+use std::{
+    cell::Cell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use futures_util::{
+    StreamExt,
+    future::{Either, select},
+    stream::FuturesUnordered,
+};
+use kumquatnotch_core::{
+    Error, Result,
+    answer::{GroupAnswer, ShardFault, ShardVersions},
+    document::Class,
+    ids::{ShardName, TenantName},
+    query::GroupRequest,
+    target::HeldVersion,
+};
+use kumquatnotch_policy::{containment::Verdict, queue::Waiter};
+
+use crate::{
+    calls::contained,
+    core::Core,
+    merge::{merge_hits, strip_private},
+    slots::Work,
+    table::Reach,
+};
+
+/// A group is refused as a whole once one in this many of its shards would refuse.
+///
+/// Each shard refusing for itself would leave almost every query with gaps,
+/// and the part of it that ran would be wasted.
+const REFUSING_SHARDS: usize = 2;
+
+impl Core {
+    /// Answers `request` with what its shards return in time.
+    pub async fn answer_group(self: &Rc<Self>, request: &GroupRequest) -> Result<GroupAnswer> {
+        self.follow_document()?;
+        let start = self.now();
+        let deadline = start + Duration::from_millis(request.deadline_ms);
+        let patience = start + Duration::from_millis(request.patience_ms);
+        let reach = self.table.borrow_mut().reach(&request.selector)?;
+        if let Verdict::Refused(left) = self.verdict(request.fingerprint) {
+            return Err(contained(left));
+        }
+        self.admit_group(request, deadline)?;
+        let works: Vec<Rc<Work>> = request
+            .shards
+            .iter()
+            .map(|shard| Rc::new(self.shard_work(request, shard, &reach, deadline)))
+            .collect();
+        let results = self.gather(&works, patience.min(deadline), deadline).await;
+        Ok(self.merge(request, &works, results))
+    }
+
+    fn shard_work(
+        &self,
+        request: &GroupRequest,
+        shard: &ShardName,
+        reach: &Reach,
+        deadline: Instant,
+    ) -> Work {
+        Work {
+            shard: shard.clone(),
+            version: Some(request.version),
+            tenant: request.tenant.clone(),
+            weight: self.weight(&request.tenant),
+            class: request.class,
+            body: request.body.clone(),
+            limit: request.limit,
+            print: request.fingerprint,
+            reach: reach.clone(),
+            deadline,
+            // A second copy of the whole group is one copy too many already.
+            hedged: !request.hedge,
+            sent: Cell::new(false),
+        }
+    }
+
+    /// The share of a tenant.
+    pub fn weight(&self, tenant: &TenantName) -> u32 {
+        let table = self.table.borrow();
+        let tenants = table.document.as_ref().map(|document| &document.rules.tenants);
+        tenants.and_then(|tenants| tenants.get(tenant)).map_or(1, |tenant| tenant.weight)
+    }
+
+    /// Refuses the group if too many of its shards would refuse it.
+    fn admit_group(&self, request: &GroupRequest, deadline: Instant) -> Result<()> {
+        let now = self.now();
+        let waiter = Waiter {
+            id: 0,
+            class: request.class,
+            tenant: request.tenant.clone(),
+            weight: self.weight(&request.tenant),
+            since: now,
+            deadline,
+        };
+        let table = self.table.borrow();
+        let mut refusing = 0;
+        let mut longest = Duration::ZERO;
+        for name in &request.shards {
+            let Some(shard) = table.shards.get(name).filter(|shard| !shard.queue.is_empty()) else {
+                continue;
+            };
+            let pace = table.pace(name, self.options.holders, now);
+            if let Err(error) = shard.queue.admit(&waiter, pace, now) {
+                refusing += 1;
+                longest = longest.max(error.retry_after().unwrap_or_default());
+            }
+        }
+        if refusing == 0 || refusing * REFUSING_SHARDS < request.shards.len() {
+            return Ok(());
+        }
+        self.meters.refusals.increment(1);
+        Err(Error::overloaded(longest))
+    }
+
+    /// Runs every work until `patience`, or longer while nothing is there.
+    async fn gather(
+        self: &Rc<Self>,
+        works: &[Rc<Work>],
+        patience: Instant,
+        deadline: Instant,
+    ) -> Vec<Option<Result<kumquatnotch_core::target::TargetReply>>> {
+        let mut results: Vec<_> = works.iter().map(|_| None).collect();
+        let mut running: FuturesUnordered<_> = works
+            .iter()
+            .enumerate()
+            .map(|(index, work)| async move { (index, self.run(work).await) })
+            .collect();
+        let mut covered = 0;
+        let mut timer = self.clock.sleep_until(patience);
+        loop {
+            match select(running.next(), timer).await {
+                Either::Left((None, _)) => return results,
+                Either::Left((Some((index, result)), rest)) => {
+                    covered += usize::from(result.is_ok());
+                    results[index] = Some(result);
+                    timer = rest;
+                }
+                Either::Right(_) if covered > 0 || self.now() >= deadline => return results,
+                Either::Right(_) => timer = self.clock.sleep_until(deadline),
+            }
+        }
+    }
+
+    fn merge(
+        &self,
+        request: &GroupRequest,
+        works: &[Rc<Work>],
+        results: Vec<Option<Result<kumquatnotch_core::target::TargetReply>>>,
+    ) -> GroupAnswer {
+        let mut hits = Vec::new();
+        let mut covered = Vec::new();
+        let mut missing = Vec::new();
+        for (work, result) in works.iter().zip(results) {
+            let shard = work.shard.clone();
+            match result {
+                Some(Ok(reply)) => {
+                    hits.extend(reply.hits);
+                    covered.push(shard);
+                }
+                Some(Err(error)) => missing.push(ShardFault { shard, error }),
+                None if work.sent.get() => {
+                    missing.push(ShardFault { shard, error: Error::TimedOut });
+                }
+                None => missing.push(ShardFault { shard, error: Error::ExpiredInQueue }),
+            }
+        }
+        let mut hits = merge_hits(hits, request.limit as usize);
+        strip_private(&mut hits, &request.tenant);
+        let held = self.held(&request.shards);
+        let wait = self.class_wait(&request.shards, request.class, &request.tenant);
+        GroupAnswer { hits, covered, missing, held, wait_us: wait.as_micros() as u64 }
+    }
+
+    /// The versions of `shards` that usable replicas hold.
+    pub fn held(&self, shards: &[ShardName]) -> Vec<ShardVersions> {
+        let now = self.now();
+        let table = self.table.borrow();
+        let versions = |shard: &ShardName| {
+            let names = table.index.get(shard).map(Vec::as_slice).unwrap_or_default();
+            let entries = names.iter().filter_map(|name| table.entries.get(name));
+            let usable = entries.filter(|entry| entry.is_usable(now));
+            let mut versions: Vec<HeldVersion> = usable
+                .flat_map(|entry| entry.replica.held())
+                .filter(|held| held.shard == *shard)
+                .cloned()
+                .collect();
+            versions.sort_by(|a, b| (a.version, &a.collection).cmp(&(b.version, &b.collection)));
+            versions.dedup();
+            versions
+        };
+        shards
+            .iter()
+            .map(|shard| ShardVersions { shard: shard.clone(), versions: versions(shard) })
+            .collect()
+    }
+
+    /// The mean time that requests of this class and tenant would wait now.
+    fn class_wait(&self, shards: &[ShardName], class: Class, tenant: &TenantName) -> Duration {
+        if shards.is_empty() {
+            return Duration::ZERO;
+        }
+        let now = self.now();
+        let weight = self.weight(tenant);
+        let table = self.table.borrow();
+        let waits = shards.iter().filter_map(|name| {
+            let shard = table.shards.get(name).filter(|shard| !shard.queue.is_empty())?;
+            let pace = table.pace(name, self.options.holders, now);
+            Some(shard.queue.expected_wait(class, tenant, weight, pace))
+        });
+        waits.sum::<Duration>() / shards.len() as u32
+    }
+}
--- a/crates/kumquatnotch-holder/src/lib.rs
+++ b/crates/kumquatnotch-holder/src/lib.rs
@@ -3,12 +3,30 @@
 //! A holder owns a group of shards. It answers sub-requests of roots for them
 //! out of the replicas that serve them, and is the only part that decides which
 //! replica runs a call, how many run at once, who waits, and what is tried
-//! again.
+//! again. The decisions themselves are the traits of the policy crate; this
+//! crate feeds them with what it observes and carries them out.
+//!
+//! A call goes through these modules in turn: `group` splits a sub-request into
+//! its shards, `slots` and `offers` find each a replica or a place in the queue,
+//! `calls` sends it, hedges it and tries it again, `crash` looks into a lost
+//! connection, and `merge` puts the answers together. `probes` keeps the
+//! observations fresh between calls.
 
 #![forbid(unsafe_code)]
 
+mod calls;
+mod core;
+mod crash;
+mod group;
+mod meters;
+mod offers;
+mod probes;
+mod slots;
+mod table;
+
+pub mod decisions;
 pub mod merge;
 pub mod options;
 pub mod service;
 
-pub use crate::{options::HolderOptions, service::HolderService};
+pub use crate::{decisions::Decisions, options::HolderOptions, service::HolderService};
--- /dev/null
+++ b/crates/kumquatnotch-holder/src/meters.rs
@@ -0,0 +1,72 @@
+//! What the holder counts.
+
+use std::{cell::RefCell, time::Duration};
+
+use kumquatnotch_core::{collections::HashMap, document::Class, ids::TenantName};
+use metrics::{Counter, Histogram, counter, histogram};
+
+/// The metrics of a holder.
+///
+/// Handles are kept, as looking one up by its labels on each call allocates.
+pub struct Meters {
+    spans: RefCell<HashMap<(TenantName, Class), Spans>>,
+    /// Calls sent to targets.
+    pub calls: Counter,
+    /// Second copies of late calls.
+    pub hedges: Counter,
+    /// Repeated attempts.
+    pub retries: Counter,
+    /// Calls that targets refused.
+    pub sheds: Counter,
+    /// Requests refused for want of capacity.
+    pub refusals: Counter,
+    /// Targets that crashed under a call.
+    pub crashes: Counter,
+    /// Connections that went silent.
+    pub silences: Counter,
+}
+
+#[derive(Clone)]
+struct Spans {
+    wait: Histogram,
+    service: Histogram,
+}
+
+impl Default for Meters {
+    fn default() -> Meters {
+        Meters {
+            spans: RefCell::default(),
+            calls: counter!("holder_calls_total"),
+            hedges: counter!("holder_hedges_total"),
+            retries: counter!("holder_retries_total"),
+            sheds: counter!("holder_sheds_total"),
+            refusals: counter!("holder_refusals_total"),
+            crashes: counter!("holder_crashes_total"),
+            silences: counter!("holder_silent_connections_total"),
+        }
+    }
+}
+
+impl Meters {
+    /// A call of this tenant and class waited for a slot.
+    pub fn record_wait(&self, tenant: &TenantName, class: Class, span: Duration) {
+        self.spans(tenant, class).wait.record(span.as_secs_f64());
+    }
+
+    /// A call of this tenant and class was answered by a target.
+    pub fn record_service(&self, tenant: &TenantName, class: Class, span: Duration) {
+        self.spans(tenant, class).service.record(span.as_secs_f64());
+    }
+
+    fn spans(&self, tenant: &TenantName, class: Class) -> Spans {
+        let mut spans = self.spans.borrow_mut();
+        let entry = spans.entry((tenant.clone(), class)).or_insert_with(|| {
+            let labels = [("tenant", tenant.to_string()), ("class", class.as_str().to_owned())];
+            Spans {
+                wait: histogram!("holder_wait_seconds", &labels),
+                service: histogram!("holder_service_seconds", &labels),
+            }
+        });
+        entry.clone()
+    }
+}
--- /dev/null
+++ b/crates/kumquatnotch-holder/src/offers.rs
@@ -0,0 +1,185 @@
+//! Which replica a call is offered, if any.
+
+use std::time::Instant;
+
+use kumquatnotch_core::{Error, Result, collections::HashMap, document::Class, ids::TargetName};
+use kumquatnotch_policy::{
+    choice::{Candidate, Need, Pick},
+    queue::Turn,
+    replica::Fitness,
+};
+
+use crate::{
+    core::Core,
+    slots::Work,
+    table::{Entry, Pending, Table},
+};
+
+/// One slot out of this many is kept free for the desk.
+const SLOTS_PER_RESERVE: u32 = 4;
+
+/// Whether a call can be given a slot.
+pub enum Offer {
+    Start(TargetName),
+    Wait,
+    /// No replica can run it, whatever it waits for.
+    Never(Error),
+}
+
+/// The turn of a call that nobody waits before.
+pub const ALONE_TURN: Turn = Turn { ahead: 0, assured: false };
+
+pub struct Request<'a> {
+    pub work: &'a Work,
+    pub tried: &'a [TargetName],
+    pub alone: bool,
+    pub id: u64,
+    /// Whether only replicas that were not tried will do.
+    pub strict: bool,
+}
+
+impl<'a> Request<'a> {
+    pub fn of(pending: &'a Pending) -> Request<'a> {
+        let Pending { waiter, work, tried, alone, .. } = pending;
+        Request { work, tried, alone: *alone, id: waiter.id, strict: false }
+    }
+}
+
+impl Core {
+    /// Whether a lesser class has to leave the last free slots to the desk.
+    ///
+    /// A slot can't be taken back, so without a reserve every desk call that
+    /// meets full slots waits for the end of an audit's call.
+    pub fn keeps_reserve(&self, table: &Table, request: &Request<'_>, now: Instant) -> bool {
+        if request.work.class == Class::Desk {
+            return false;
+        }
+        let names = table.index.get(&request.work.shard).map(Vec::as_slice).unwrap_or_default();
+        let usable = names
+            .iter()
+            .filter_map(|name| table.entries.get(name))
+            .filter(|entry| entry.fitness(now) == Fitness::Ready);
+        let (slots, busy) = usable.fold((0u32, 0u32), |(slots, busy), entry| {
+            let allowed = entry.allowed(self.options.holders);
+            (slots.saturating_add(allowed), busy + entry.replica.in_flight().min(allowed))
+        });
+        slots != u32::MAX && slots - busy <= slots / SLOTS_PER_RESERVE
+    }
+
+    /// Finds `request` a replica.
+    pub fn offer(
+        &self,
+        table: &mut Table,
+        request: &Request<'_>,
+        turn: Turn,
+        now: Instant,
+    ) -> Offer {
+        let Work { shard, print, .. } = request.work;
+        let Some(names) = table.index.get(shard) else {
+            return Offer::Never(Error::NoTarget);
+        };
+        let usable = match usable(&table.entries, names, request, now) {
+            Ok(usable) => usable,
+            Err(error) => return Offer::Never(error),
+        };
+        if request.alone {
+            // Two copies of one suspect would crash two targets at once.
+            if table.alone.contains(print) {
+                return Offer::Wait;
+            }
+            return offer_alone(&mut table.entries, &usable, request.id);
+        }
+        let candidates: Vec<Candidate> =
+            usable.iter().map(|name| self.candidate(&table.entries[name], now)).collect();
+        let need = Need { ahead: turn.ahead, urgent: request.work.class == Class::Desk };
+        match self.choice.pick(&candidates, need, &self.random) {
+            Pick::Take(index) => Offer::Start(usable[index].clone()),
+            Pick::Wait => Offer::Wait,
+        }
+    }
+
+    fn candidate(&self, entry: &Entry, now: Instant) -> Candidate {
+        let in_flight = entry.replica.in_flight();
+        // Nothing joins a suspect request, or a replica that is emptied for one.
+        let closed = entry.alone.is_some()
+            || entry.reserved.is_some()
+            || entry.fitness(now) != Fitness::Ready;
+        let slots = if closed { in_flight } else { entry.allowed(self.options.holders) };
+        Candidate {
+            in_flight,
+            slots,
+            latency: entry.replica.latency(),
+            delay: entry.delay,
+            reported: entry.replica.reported(),
+            idle: entry.replica.idle(now),
+            warming: self.warmup.is_warming(&entry.replica),
+        }
+    }
+}
+
+/// The replicas that could run `request`, now or once they have a free slot.
+fn usable(
+    entries: &HashMap<TargetName, Entry>,
+    names: &[TargetName],
+    request: &Request<'_>,
+    now: Instant,
+) -> Result<Vec<TargetName>> {
+    let Work { shard, version, reach, deadline, .. } = request.work;
+    let mut usable = Vec::with_capacity(names.len());
+    let mut error = Error::NoTarget;
+    for name in names.iter().filter(|name| reach.contains(*name)) {
+        let entry = &entries[name];
+        match entry.fitness(now) {
+            Fitness::Ready => {}
+            Fitness::Shedding(until) if until < *deadline => {}
+            Fitness::Shedding(until) => {
+                let retry_ms = (until - now).as_millis() as u64;
+                error = Error::Shed { retry_ms };
+                continue;
+            }
+            Fitness::Draining | Fitness::Down => continue,
+        }
+        let holds = match version {
+            Some(version) => entry.replica.holds(shard, *version),
+            None => entry.replica.serves(shard),
+        };
+        // Before the first probe the document is all there is to go by.
+        if holds.unwrap_or(entry.spec.shard == *shard) {
+            usable.push(name.clone());
+        } else if let Some(version) = version {
+            error = Error::VersionGone { version: version.0 };
+        }
+    }
+    if usable.is_empty() {
+        return Err(error);
+    }
+    let fresh = |name: &TargetName| !request.tried.contains(name);
+    if request.strict || usable.iter().any(fresh) {
+        usable.retain(fresh);
+    }
+    if usable.is_empty() { Err(Error::NoTarget) } else { Ok(usable) }
+}
+
+/// Finds a suspect request a replica with nothing in flight, or empties one.
+fn offer_alone(entries: &mut HashMap<TargetName, Entry>, usable: &[TargetName], id: u64) -> Offer {
+    let open = |entry: &Entry| entry.reserved.is_none_or(|other| other == id);
+    let idle = usable.iter().find(|name| {
+        let entry = &entries[*name];
+        entry.replica.in_flight() == 0 && open(entry)
+    });
+    if let Some(name) = idle {
+        return Offer::Start(name.clone());
+    }
+    if usable.iter().any(|name| entries[name].reserved == Some(id)) {
+        return Offer::Wait;
+    }
+    // Without a reservation a busy replica would never be empty.
+    let least = usable
+        .iter()
+        .filter(|name| open(&entries[*name]))
+        .min_by_key(|name| entries[*name].replica.in_flight());
+    if let Some(entry) = least.and_then(|name| entries.get_mut(name)) {
+        entry.reserved = Some(id);
+    }
+    Offer::Wait
+}
--- a/crates/kumquatnotch-holder/src/service.rs
+++ b/crates/kumquatnotch-holder/src/service.rs
@@ -1,152 +1,102 @@
-//! The service that answers sub-requests for groups of shards.
+//! The service that a node registers for its peers and for itself.
 
-use std::{
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{cell::Cell, fmt::Write, rc::Rc, time::Duration};
 
-use futures_util::future::join_all;
 use kumquatnotch_core::{
-    Clock, Error, LocalFuture, Result, Targets,
-    answer::{GroupAnswer, ShardFault, ShardVersions},
-    clock::timeout_at,
-    document::{Document, Documents, TargetSpec},
-    ids::{SelectorName, ShardName, TargetName},
+    Error, LocalFuture, Result,
+    ids::{Fingerprint, stable_hash},
     peer::{HOLDER_SERVICE, PeerHandler, PeerMessage, PeerReply, RelayCall},
-    query::GroupRequest,
-    random::Random,
     registry::Registry,
-    services,
-    target::{TargetCall, TargetReply},
+    target::TargetReply,
 };
+use kumquatnotch_policy::replica::Fitness;
 
-use crate::{
-    HolderOptions,
-    merge::{merge_hits, strip_private},
-};
+use crate::{Decisions, HolderOptions, core::Core, slots::Work, table::Entry};
 
 /// Answers sub-requests out of the replicas of its shards.
 pub struct HolderService {
-    clock: Rc<dyn Clock>,
-    documents: Rc<dyn Documents>,
-    random: Random,
-    targets: Rc<dyn Targets>,
+    core: Rc<Core>,
 }
 
 impl HolderService {
     /// A holder of the services in `registry`, registered there itself.
-    pub fn try_new(_options: HolderOptions, registry: &Registry) -> Result<Rc<HolderService>> {
-        let holder = Rc::new(HolderService {
-            clock: registry.find(services::CLOCK)?,
-            documents: registry.find(services::DOCUMENTS)?,
-            random: registry.find(services::RANDOM)?,
-            targets: registry.find(services::TARGETS)?,
-        });
+    pub fn try_new(options: HolderOptions, registry: &Registry) -> Result<Rc<HolderService>> {
+        HolderService::with_decisions(options, Decisions::default(), registry)
+    }
+
+    /// The same with decisions of the caller's own.
+    pub fn with_decisions(
+        options: HolderOptions,
+        decisions: Decisions,
+        registry: &Registry,
+    ) -> Result<Rc<HolderService>> {
+        let core = Core::try_new(options, decisions, registry)?;
+        let holder = Rc::new(HolderService { core });
         let handler: Rc<dyn PeerHandler> = holder.clone();
         registry.register(HOLDER_SERVICE, handler);
         Ok(holder)
     }
 
     /// Starts the background work; this must run inside a runtime.
-    pub fn start(self: &Rc<Self>) {}
-
-    /// The state of the targets as text for the status page.
-    pub fn status_text(&self) -> String {
-        String::new()
+    pub fn start(&self) {
+        monoio::spawn(self.watch());
     }
 
-    async fn answer_group(&self, request: &GroupRequest) -> Result<GroupAnswer> {
-        let document = self.documents.current().ok_or(Error::NotReady)?;
-        let deadline = self.clock.now() + Duration::from_millis(request.deadline_ms);
-        let calls = request
-            .shards
-            .iter()
-            .map(|shard| self.call_shard(&document, request, shard.clone(), deadline));
-        let mut answer = GroupAnswer {
-            hits: Vec::new(),
-            covered: Vec::new(),
-            missing: Vec::new(),
-            held: Vec::new(),
-            wait_us: 0,
-        };
-        for (shard, result) in request.shards.iter().cloned().zip(join_all(calls).await) {
-            match result {
-                Ok(reply) => {
-                    answer.hits.extend(reply.hits);
-                    answer.covered.push(shard);
-                }
-                Err(error) => answer.missing.push(ShardFault { shard, error }),
-            }
-        }
-        answer.hits = merge_hits(answer.hits, request.limit as usize);
-        strip_private(&mut answer.hits, &request.tenant);
-        Ok(answer)
+    /// The background work, for callers that run it themselves.
+    pub fn watch(&self) -> impl Future<Output = ()> + 'static {
+        self.core.clone().watch()
     }
 
-    async fn call_shard(
-        &self,
-        document: &Document,
-        request: &GroupRequest,
-        shard: ShardName,
-        deadline: Instant,
-    ) -> Result<TargetReply> {
-        let (name, spec) = self.choose(document, &request.selector, &shard)?;
-        let call = TargetCall {
-            id: self.random.number(),
-            shard,
-            version: Some(request.version),
-            tenant: request.tenant.clone(),
-            class: request.class,
-            body: request.body.clone(),
-            limit: request.limit,
-            exclusive: false,
-        };
-        let reply = self.targets.call(name, spec, &call, deadline);
-        timeout_at(&*self.clock, deadline, reply).await?
-    }
-
-    async fn relay(&self, relay: &RelayCall) -> Result<TargetReply> {
-        let document = self.documents.current().ok_or(Error::NotReady)?;
-        let deadline = self.clock.now() + Duration::from_millis(relay.deadline_ms);
-        let (name, spec) = self.choose(&document, &relay.selector, &relay.call.shard)?;
-        let reply = self.targets.call(name, spec, &relay.call, deadline);
-        timeout_at(&*self.clock, deadline, reply).await?
+    /// The state of the targets as text for the status page.
+    pub fn status_text(&self) -> String {
+        let now = self.core.now();
+        let table = self.core.table.borrow();
+        let mut text = String::new();
+        let mut names: Vec<_> = table.entries.keys().collect();
+        names.sort_unstable();
+        for name in names {
+            let entry = &table.entries[name];
+            let _ = writeln!(text, "target {name} {}", entry_text(entry, entry.fitness(now)));
+        }
+        let mut shards: Vec<_> = table.shards.iter().collect();
+        shards.sort_unstable_by_key(|(name, _)| (*name).clone());
+        for (name, shard) in shards {
+            let _ = writeln!(text, "shard {name} waiting {}", shard.queue.len());
+        }
+        text
     }
 
-    fn choose<'a>(
-        &self,
-        document: &'a Document,
-        selector: &SelectorName,
-        shard: &ShardName,
-    ) -> Result<(&'a TargetName, &'a TargetSpec)> {
-        let Some(spec) = document.rules.selectors.get(selector) else {
-            return Err(Error::UnknownSelector { name: selector.to_string() });
+    /// Runs one call of an exclusive request, at most once.
+    async fn relay(&self, relay: RelayCall) -> Result<TargetReply> {
+        self.core.follow_document()?;
+        let reach = self.core.table.borrow_mut().reach(&relay.selector)?;
+        let RelayCall { call, deadline_ms, .. } = relay;
+        let parts: [&[u8]; 3] =
+            [call.tenant.as_bytes(), call.shard.as_bytes(), call.body.as_bytes()];
+        let work = Work {
+            shard: call.shard.clone(),
+            version: None,
+            weight: self.core.weight(&call.tenant),
+            print: Fingerprint(stable_hash(&parts)),
+            tenant: call.tenant,
+            class: call.class,
+            body: call.body,
+            limit: call.limit,
+            reach,
+            deadline: self.core.now() + Duration::from_millis(deadline_ms),
+            hedged: false,
+            sent: Cell::new(false),
         };
-        let usable: Vec<_> = document
-            .select(spec)
-            .filter(|(_, target)| target.shard == *shard && !target.drain)
-            .collect();
-        self.random.pick(&usable).copied().ok_or(Error::NoTarget)
-    }
-
-    async fn versions(&self, shards: &[ShardName]) -> Result<Vec<ShardVersions>> {
-        let document = self.documents.current().ok_or(Error::NotReady)?;
-        let deadline = self.clock.now() + kumquatnotch_core::peer::CONTROL_TIMEOUT;
-        let probes = document
-            .targets
-            .iter()
-            .filter(|(_, spec)| shards.contains(&spec.shard) && !spec.drain)
-            .map(|(name, spec)| self.targets.probe(name, spec, deadline));
-        let probed = timeout_at(&*self.clock, deadline, join_all(probes)).await?;
-        let held: Vec<_> = probed.into_iter().flatten().flat_map(|status| status.held).collect();
-        let versions = shards.iter().map(|shard| {
-            let mut versions: Vec<_> =
-                held.iter().filter(|held| held.shard == *shard).cloned().collect();
-            versions.sort_by_key(|held| held.version);
-            versions.dedup();
-            ShardVersions { shard: shard.clone(), versions }
-        });
-        Ok(versions.collect())
+        let work = Rc::new(work);
+        let core = &self.core;
+        let running =
+            kumquatnotch_core::clock::timeout_at(&*core.clock, work.deadline, core.run(&work));
+        match running.await {
+            Ok(result) => result,
+            // Only what never left may be called "not run".
+            Err(_) if work.sent.get() => Err(Error::TimedOut),
+            Err(_) => Err(Error::ExpiredInQueue),
+        }
     }
 }
 
@@ -155,17 +105,30 @@
         Box::pin(async move {
             match message {
                 PeerMessage::Group(request) => {
-                    let answer = self.answer_group(&request).await?;
+                    let answer = self.core.answer_group(&request).await?;
                     Ok(PeerReply::Group(Box::new(answer)))
                 }
                 PeerMessage::Versions(shards) => {
-                    Ok(PeerReply::Versions(self.versions(&shards).await?))
+                    Ok(PeerReply::Versions(self.core.versions(&shards).await?))
                 }
                 PeerMessage::Relay(relay) => {
-                    Ok(PeerReply::Relay(Box::new(self.relay(&relay).await?)))
+                    Ok(PeerReply::Relay(Box::new(self.relay(*relay).await?)))
                 }
                 _ => Err(Error::protocol("not a message for a holder")),
             }
         })
     }
 }
+
+fn entry_text(entry: &Entry, fitness: Fitness) -> String {
+    let state = match fitness {
+        Fitness::Ready => "ready",
+        Fitness::Draining => "draining",
+        Fitness::Down => "down",
+        Fitness::Shedding(_) => "shedding",
+    };
+    let latency = entry.replica.latency().unwrap_or_default();
+    let slots = entry.limit.allowed();
+    let running = entry.replica.in_flight();
+    format!("{state}, {running} of {slots} slots, {:.1} ms", latency.as_secs_f64() * 1e3)
+}
--- /dev/null
+++ b/crates/kumquatnotch-holder/src/slots.rs
@@ -0,0 +1,322 @@
+//! Slots of replicas: who gets one, and who waits for it.
+
+use std::{
+    cell::Cell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use futures_channel::oneshot;
+use kumquatnotch_core::{
+    Error, Result,
+    document::{Class, TargetSpec},
+    ids::{Fingerprint, IndexVersion, ShardName, TargetName, TenantName},
+};
+use kumquatnotch_policy::{containment::Running, queue::Waiter};
+
+use crate::{
+    core::Core,
+    offers::{ALONE_TURN, Offer, Request},
+    table::{Pending, Reach, Shard, Table},
+};
+
+/// After the desk has asked for a shard, a slot is kept free for it this long.
+const URGENT_SPAN: Duration = Duration::from_millis(250);
+/// What is to run on one replica of a shard.
+pub struct Work {
+    pub shard: ShardName,
+    /// `None` for an exclusive request.
+    pub version: Option<IndexVersion>,
+    pub tenant: TenantName,
+    pub weight: u32,
+    pub class: Class,
+    pub body: String,
+    pub limit: u32,
+    pub print: Fingerprint,
+    pub reach: Reach,
+    pub deadline: Instant,
+    /// Whether it may be sent twice when it is late.
+    pub hedged: bool,
+    /// Whether it was ever sent.
+    pub sent: Cell<bool>,
+}
+
+impl Work {
+    pub fn is_exclusive(&self) -> bool {
+        self.version.is_none()
+    }
+}
+
+/// A slot of a replica that is taken for one call; dropping it frees it.
+pub struct Slot {
+    pub core: Rc<Core>,
+    pub id: u64,
+    pub target: TargetName,
+    pub spec: Rc<TargetSpec>,
+    /// How many calls are in flight to the replica with this one.
+    pub level: u32,
+    pub started: Instant,
+    /// The suspect request that runs alone in it.
+    pub alone: Option<Fingerprint>,
+    /// Whether the call has ended by itself.
+    pub settled: bool,
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let elapsed = self.core.now().saturating_duration_since(self.started);
+        self.core.release(self, (!self.settled).then_some(elapsed));
+    }
+}
+
+/// A place in a queue; dropping it leaves the queue.
+struct Place<'a> {
+    core: &'a Core,
+    shard: &'a ShardName,
+    id: u64,
+    alone: bool,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.core.leave_queue(self);
+    }
+}
+
+impl Core {
+    /// Waits for a slot.
+    pub async fn acquire(
+        self: &Rc<Self>,
+        work: &Rc<Work>,
+        tried: &[TargetName],
+        alone: bool,
+    ) -> Result<Slot> {
+        let (id, receiver) = match self.enqueue(work, tried, alone)? {
+            Entered::Started(slot) => return Ok(slot),
+            Entered::Waiting(id, receiver) => (id, receiver),
+        };
+        let since = self.now();
+        let place = Place { core: self, shard: &work.shard, id, alone };
+        self.dispatch(&work.shard);
+        let slot = receiver.await.unwrap_or(Err(Error::ExpiredInQueue));
+        drop(place);
+        let wait = self.now().saturating_duration_since(since);
+        self.meters.record_wait(&work.tenant, work.class, wait);
+        slot
+    }
+
+    /// A second slot for `work` if one is free and nobody waits for it.
+    pub fn spare_slot(self: &Rc<Self>, work: &Work, tried: &[TargetName]) -> Option<Slot> {
+        let now = self.now();
+        let mut table = self.table.borrow_mut();
+        if !table.shards.get(&work.shard)?.queue.is_empty() {
+            return None;
+        }
+        let request = Request { work, tried, alone: false, id: 0, strict: true };
+        let Offer::Start(name) = self.offer(&mut table, &request, ALONE_TURN, now) else {
+            return None;
+        };
+        Some(self.start(&mut table, &name, work, false, now))
+    }
+
+    fn enqueue(
+        self: &Rc<Self>,
+        work: &Rc<Work>,
+        tried: &[TargetName],
+        alone: bool,
+    ) -> Result<Entered> {
+        let now = self.now();
+        let id = self.next_serial();
+        let mut table = self.table.borrow_mut();
+        let shard = table.ask(&work.shard, now, self.new_queue);
+        if work.class == Class::Desk {
+            shard.urgent = Some(now);
+        }
+        let idle = shard.queue.is_empty();
+        let request = Request { work, tried, alone, id, strict: false };
+        match self.offer(&mut table, &request, ALONE_TURN, now) {
+            Offer::Start(name) if idle => {
+                let slot = self.start(&mut table, &name, work, alone, now);
+                return Ok(Entered::Started(slot));
+            }
+            Offer::Never(error) => return Err(error),
+            _ => {}
+        }
+        let pace = table.pace(&work.shard, self.options.holders, now);
+        let shard = table.ask(&work.shard, now, self.new_queue);
+        let waiter = Waiter {
+            id,
+            class: work.class,
+            tenant: work.tenant.clone(),
+            weight: work.weight,
+            since: now,
+            deadline: work.deadline,
+        };
+        if let Err(error) = shard.queue.admit(&waiter, pace, now) {
+            self.meters.refusals.increment(1);
+            return Err(error);
+        }
+        let (sender, receiver) = oneshot::channel();
+        shard.queue.push(waiter.clone());
+        let (work, tried) = (work.clone(), tried.to_vec());
+        shard.pending.insert(id, Pending { waiter, work, tried, alone, sender });
+        Ok(Entered::Waiting(id, receiver))
+    }
+
+    /// Gives free slots of a shard to those who wait.
+    pub fn dispatch(self: &Rc<Self>, name: &ShardName) {
+        // A slot whose waiter has gone away frees itself, which must not happen
+        // while the table is borrowed.
+        let mut unclaimed = Vec::new();
+        loop {
+            let mut table = self.table.borrow_mut();
+            let Some(mut shard) = table.shards.remove(name) else {
+                break;
+            };
+            let more = self.dispatch_one(&mut table, &mut shard, &mut unclaimed);
+            table.shards.insert(name.clone(), shard);
+            if !more {
+                break;
+            }
+        }
+        drop(unclaimed);
+    }
+
+    fn dispatch_one(
+        self: &Rc<Self>,
+        table: &mut Table,
+        shard: &mut Shard,
+        unclaimed: &mut Vec<Result<Slot>>,
+    ) -> bool {
+        if shard.queue.is_empty() {
+            return false;
+        }
+        let now = self.now();
+        let mut chosen = None;
+        let mut doomed = Vec::new();
+        let Shard { queue, pending, urgent, .. } = shard;
+        let busy = urgent.is_some_and(|at| now.saturating_duration_since(at) < URGENT_SPAN);
+        let taken = queue.take(now, &mut |waiter, turn| {
+            let Some(entry) = pending.get(&waiter.id) else {
+                return true;
+            };
+            let request = Request::of(entry);
+            if busy && !turn.assured && self.keeps_reserve(table, &request, now) {
+                return false;
+            }
+            match self.offer(table, &request, turn, now) {
+                Offer::Start(name) => chosen = Some(name),
+                Offer::Wait => return false,
+                Offer::Never(error) => {
+                    doomed.push((waiter.clone(), error));
+                    return false;
+                }
+            }
+            true
+        });
+        let mut more = !doomed.is_empty();
+        for (waiter, error) in doomed {
+            queue.remove(&waiter);
+            if let Some(gone) = pending.remove(&waiter.id) {
+                let _ = gone.sender.send(Err(error));
+            }
+        }
+        let Some(waiter) = taken else {
+            return more;
+        };
+        more = true;
+        let (Some(entry), Some(name)) = (pending.remove(&waiter.id), chosen) else {
+            return more;
+        };
+        let slot = self.start(table, &name, &entry.work, entry.alone, now);
+        if let Err(slot) = entry.sender.send(Ok(slot)) {
+            unclaimed.push(slot);
+        }
+        more
+    }
+
+    /// Takes a slot of `name`.
+    fn start(
+        self: &Rc<Self>,
+        table: &mut Table,
+        name: &TargetName,
+        work: &Work,
+        alone: bool,
+        now: Instant,
+    ) -> Slot {
+        let id = self.next_serial();
+        let entry = table.entries.get_mut(name).expect("the replica was found in the table");
+        let level = entry.replica.on_start(now);
+        entry.limit.on_start(level);
+        entry.running.push((id, Running { print: work.print, shard: work.shard.clone() }));
+        if alone {
+            entry.alone = Some(id);
+            entry.reserved = None;
+            table.alone.insert(work.print);
+        }
+        let spec = entry.spec.clone();
+        let core = self.clone();
+        let alone = alone.then_some(work.print);
+        Slot { core, id, target: name.clone(), spec, level, started: now, alone, settled: false }
+    }
+
+    /// Frees a slot; `given_up` tells how long a call lasted that was dropped.
+    fn release(self: &Rc<Self>, slot: &Slot, given_up: Option<Duration>) {
+        let now = self.now();
+        let mut shards = Vec::new();
+        {
+            let mut table = self.table.borrow_mut();
+            let Table { entries, alone, .. } = &mut *table;
+            if let Some(print) = &slot.alone {
+                alone.remove(print);
+            }
+            let Some(entry) = entries.get_mut(&slot.target) else {
+                return;
+            };
+            let Some(at) = entry.running.iter().position(|(id, _)| *id == slot.id) else {
+                return;
+            };
+            let (_, running) = entry.running.swap_remove(at);
+            entry.replica.on_end();
+            if let Some(elapsed) = given_up {
+                entry.replica.on_given_up(elapsed);
+                entry.on_stuck(now);
+                self.hedge.borrow_mut().on_latency(elapsed);
+            }
+            if entry.alone == Some(slot.id) {
+                entry.alone = None;
+            }
+            shards.push(entry.spec.shard.clone());
+            let held = entry.replica.held().iter().map(|held| &held.shard);
+            for shard in held.chain(std::iter::once(&running.shard)) {
+                if !shards.contains(shard) {
+                    shards.push(shard.clone());
+                }
+            }
+        }
+        for shard in &shards {
+            self.dispatch(shard);
+        }
+    }
+
+    fn leave_queue(&self, place: &Place<'_>) {
+        let mut table = self.table.borrow_mut();
+        let Table { shards, entries, .. } = &mut *table;
+        if place.alone {
+            let entries = entries.values_mut();
+            let reserved = entries.filter(|entry| entry.reserved == Some(place.id));
+            reserved.for_each(|entry| entry.reserved = None);
+        }
+        let Some(shard) = shards.get_mut(place.shard) else {
+            return;
+        };
+        if let Some(gone) = shard.pending.remove(&place.id) {
+            shard.queue.remove(&gone.waiter);
+        }
+    }
+}
+
+enum Entered {
+    Started(Slot),
+    Waiting(u64, oneshot::Receiver<Result<Slot>>),
+}
