--- a/crates/kumquatnotch-policy/src/admission.rs
+++ b/crates/kumquatnotch-policy/src/admission.rs
@@ -1,1 +1,259 @@
-//! Placeholder.
+//! Admission: which requests are refused at once under overload.
+//!
+//! A request that will wait until its caller has given up costs capacity and
+//! helps nobody. What holders say of the wait for a slot, set against the time a
+//! request can wait, gives the pressure on its class. Between a low and a high
+//! mark requests are refused by chance, more of them as the pressure rises, so
+//! that the queues stay filled and the refusals do not come in waves. A tenant
+//! above its share of what runs here is refused more, one below it less.
+
+use std::{
+    cell::RefCell,
+    time::{Duration, Instant},
+};
+
+use kumquatnotch_core::{collections::HashMap, document::Class, ids::TenantName, random::Random};
+
+/// A request that asks to be taken in.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entrant {
+    /// Its tenant.
+    pub tenant: TenantName,
+    /// The tenant's share against other tenants.
+    pub weight: u32,
+    /// Its class.
+    pub class: Class,
+    /// How long it can wait and still be of use.
+    pub patience: Duration,
+}
+
+/// Decides which requests are taken in.
+pub trait Admission {
+    /// Takes the request in, or tells when to come back.
+    fn enter(&self, now: Instant, entrant: &Entrant) -> Result<(), Duration>;
+
+    /// A request that was taken in has ended.
+    fn leave(&self, entrant: &Entrant);
+
+    /// A holder says how long requests of `class` wait for a slot.
+    fn learn(&self, now: Instant, class: Class, wait: Duration);
+
+    /// How long requests of `class` wait now, as far as is known.
+    fn wait(&self, now: Instant, class: Class) -> Duration;
+
+    /// How many requests run.
+    fn running(&self) -> usize;
+}
+
+/// Where refusals of a class begin and where everything is refused, as shares of
+/// the time that a request can wait.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Marks {
+    /// Below this nothing is refused.
+    pub low: f64,
+    /// From here on everything is.
+    pub high: f64,
+    /// The share of [`AdmissionOptions::most`] that the class may fill.
+    pub room: f64,
+}
+
+/// Options of [`GradedAdmission`].
+#[derive(Clone, Debug)]
+pub struct AdmissionOptions {
+    /// The marks by class, the most urgent first.
+    pub marks: [Marks; 3],
+    /// How many requests run at once at most.
+    pub most: usize,
+    /// In which time an observed wait counts half.
+    pub half_life: Duration,
+    /// The shortest time to come back.
+    pub least_retry: Duration,
+    /// The longest time to come back.
+    pub most_retry: Duration,
+}
+
+impl Default for AdmissionOptions {
+    fn default() -> AdmissionOptions {
+        AdmissionOptions {
+            marks: [
+                Marks { low: 0.3, high: 0.9, room: 1.0 },
+                Marks { low: 0.2, high: 0.6, room: 0.8 },
+                Marks { low: 0.1, high: 0.4, room: 0.5 },
+            ],
+            most: 2_048,
+            half_life: Duration::from_millis(200),
+            least_retry: Duration::from_millis(50),
+            most_retry: Duration::from_secs(5),
+        }
+    }
+}
+
+/// The weight of a wait that is longer, or shorter, than the one known.
+const RISE: f64 = 0.5;
+const FALL: f64 = 0.1;
+/// With fewer requests than this, shares of tenants mean nothing.
+const LEAST_RUNNING: usize = 4;
+
+/// Refuses by class, wait and share.
+pub struct GradedAdmission {
+    options: AdmissionOptions,
+    random: Random,
+    state: RefCell<State>,
+}
+
+#[derive(Default)]
+struct State {
+    waits: [Wait; 3],
+    running: usize,
+    tenants: HashMap<TenantName, Running>,
+}
+
+#[derive(Clone, Copy, Default)]
+struct Wait {
+    seconds: f64,
+    at: Option<Instant>,
+}
+
+#[derive(Clone, Copy)]
+struct Running {
+    count: usize,
+    weight: u32,
+}
+
+impl GradedAdmission {
+    /// An admission with nothing running.
+    pub fn new(options: AdmissionOptions, random: Random) -> GradedAdmission {
+        GradedAdmission { options, random, state: RefCell::default() }
+    }
+
+    /// The chance of being refused, from zero to one, before shares.
+    fn pressure(&self, state: &State, now: Instant, entrant: &Entrant) -> f64 {
+        let marks = self.options.marks[entrant.class as usize];
+        let room = self.options.most as f64 * marks.room;
+        if state.running as f64 >= room {
+            return 1.0;
+        }
+        let wait = self.seconds(state, now, entrant.class);
+        let ratio = wait / entrant.patience.as_secs_f64().max(f64::EPSILON);
+        ((ratio - marks.low) / (marks.high - marks.low)).clamp(0.0, 1.0)
+    }
+
+    /// The wait of a class; a less urgent one never waits less than a more urgent.
+    fn seconds(&self, state: &State, now: Instant, class: Class) -> f64 {
+        let waits = state.waits.iter().take(class as usize + 1);
+        waits.map(|wait| wait.faded(now, self.options.half_life)).fold(0.0, f64::max)
+    }
+
+    fn retry(&self, wait: f64, pressure: f64) -> Duration {
+        let span = Duration::from_secs_f64(wait * (1.0 + pressure));
+        let AdmissionOptions { least_retry, most_retry, .. } = self.options;
+        // Callers that were refused together must not come back together.
+        self.random.jitter(span.clamp(least_retry * 2, most_retry)).clamp(least_retry, most_retry)
+    }
+}
+
+impl Admission for GradedAdmission {
+    fn enter(&self, now: Instant, entrant: &Entrant) -> Result<(), Duration> {
+        let mut state = self.state.borrow_mut();
+        let pressure = self.pressure(&state, now, entrant);
+        if pressure > 0.0 {
+            let chance = pressure * state.excess(&entrant.tenant, entrant.weight);
+            // At full pressure nobody enters, whatever its share.
+            if pressure >= 1.0 || self.random.chance(chance) {
+                return Err(self.retry(self.seconds(&state, now, entrant.class), pressure));
+            }
+        }
+        state.running += 1;
+        let running = state
+            .tenants
+            .entry(entrant.tenant.clone())
+            .or_insert(Running { count: 0, weight: entrant.weight });
+        running.count += 1;
+        running.weight = entrant.weight;
+        Ok(())
+    }
+
+    fn leave(&self, entrant: &Entrant) {
+        let mut state = self.state.borrow_mut();
+        state.running = state.running.saturating_sub(1);
+        let Some(running) = state.tenants.get_mut(&entrant.tenant) else {
+            return;
+        };
+        running.count = running.count.saturating_sub(1);
+        if running.count == 0 {
+            state.tenants.remove(&entrant.tenant);
+        }
+    }
+
+    fn learn(&self, now: Instant, class: Class, wait: Duration) {
+        let mut state = self.state.borrow_mut();
+        let known = &mut state.waits[class as usize];
+        let faded = known.faded(now, self.options.half_life);
+        let seen = wait.as_secs_f64();
+        let share = if seen > faded { RISE } else { FALL };
+        *known = Wait { seconds: faded + share * (seen - faded), at: Some(now) };
+    }
+
+    fn wait(&self, now: Instant, class: Class) -> Duration {
+        Duration::from_secs_f64(self.seconds(&self.state.borrow(), now, class))
+    }
+
+    fn running(&self) -> usize {
+        self.state.borrow().running
+    }
+}
+
+impl Wait {
+    /// What was seen, fading with time: if everything is refused nobody brings
+    /// news, and the class must open again by itself.
+    fn faded(&self, now: Instant, half_life: Duration) -> f64 {
+        let Some(at) = self.at else {
+            return 0.0;
+        };
+        let age = now.saturating_duration_since(at).as_secs_f64();
+        self.seconds * (-age / half_life.as_secs_f64()).exp2()
+    }
+}
+
+impl State {
+    /// How far a tenant is above (more than one) or below its share of what runs.
+    fn excess(&self, tenant: &TenantName, weight: u32) -> f64 {
+        if self.running < LEAST_RUNNING {
+            return 1.0;
+        }
+        let own = self.tenants.get(tenant).map_or(0, |running| running.count) as f64;
+        let others = self.tenants.iter().filter(|(name, _)| *name != tenant);
+        let weights: u32 = others.map(|(_, running)| running.weight.max(1)).sum();
+        let weight = f64::from(weight.max(1));
+        let fair = weight / (weight + f64::from(weights));
+        own / self.running as f64 / fair
+    }
+}
+
+/// Takes everything in; the baseline.
+#[derive(Default)]
+pub struct AdmitAll {
+    running: RefCell<usize>,
+}
+
+impl Admission for AdmitAll {
+    fn enter(&self, _now: Instant, _entrant: &Entrant) -> Result<(), Duration> {
+        *self.running.borrow_mut() += 1;
+        Ok(())
+    }
+
+    fn leave(&self, _entrant: &Entrant) {
+        let mut running = self.running.borrow_mut();
+        *running = running.saturating_sub(1);
+    }
+
+    fn learn(&self, _now: Instant, _class: Class, _wait: Duration) {}
+
+    fn wait(&self, _now: Instant, _class: Class) -> Duration {
+        Duration::ZERO
+    }
+
+    fn running(&self) -> usize {
+        *self.running.borrow()
+    }
+}
--- a/crates/kumquatnotch-policy/src/advice.rs
+++ b/crates/kumquatnotch-policy/src/advice.rs
@@ -1,1 +1,110 @@
-//! Placeholder.
+//! Entry advice: the order in which a caller should use the nodes.
+//!
+//! Callers keep the advice for a while and use the first address that works.
+//! Giving all callers of a data centre the same first address would herd them
+//! onto one node; so nodes that are equally near come in a random order,
+//! weighted by what is known of their load.
+
+use std::{net::SocketAddr, time::Duration};
+
+use kumquatnotch_core::{
+    ids::{DataCentre, Region},
+    member::NodeState,
+    random::Random,
+};
+
+/// A node that may be advised.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EntryNode {
+    /// Where it listens for callers.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub centre: DataCentre,
+    /// Its region.
+    pub region: Region,
+    /// Its state.
+    pub state: NodeState,
+    /// How long requests wait there, if it is known.
+    pub wait: Option<Duration>,
+}
+
+/// Where a caller is, as far as it says.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Near<'a> {
+    /// Its data centre.
+    pub centre: Option<&'a DataCentre>,
+    /// Its region.
+    pub region: Option<&'a Region>,
+}
+
+/// Orders nodes for a caller.
+pub trait EntryPolicy {
+    /// The addresses, the first one to use first.
+    fn order(&self, nodes: &[EntryNode], near: Near<'_>) -> Vec<SocketAddr>;
+}
+
+/// Near nodes first, in a weighted random order among equals.
+#[derive(Clone, Debug)]
+pub struct SpreadEntry {
+    random: Random,
+    busy: Duration,
+}
+
+impl SpreadEntry {
+    /// A node where requests wait for `busy` counts as one step farther away.
+    pub fn new(random: Random, busy: Duration) -> SpreadEntry {
+        SpreadEntry { random, busy }
+    }
+
+    /// Draws so that a node comes first among equals in proportion to its weight.
+    fn draw(&self, node: &EntryNode) -> f64 {
+        let wait = node.wait.unwrap_or_default().as_secs_f64();
+        let weight = 1.0 / (1.0 + wait / self.busy.as_secs_f64().max(f64::EPSILON));
+        -(1.0 - self.random.fraction()).ln() / weight
+    }
+
+    fn step(&self, node: &EntryNode, near: Near<'_>) -> u8 {
+        let is_busy = node.wait.is_some_and(|wait| wait >= self.busy);
+        distance(node, near) + u8::from(is_busy)
+    }
+}
+
+impl EntryPolicy for SpreadEntry {
+    fn order(&self, nodes: &[EntryNode], near: Near<'_>) -> Vec<SocketAddr> {
+        let mut drawn: Vec<(u8, f64, SocketAddr)> = usable(nodes)
+            .into_iter()
+            .map(|node| (self.step(node, near), self.draw(node), node.address))
+            .collect();
+        drawn.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        drawn.into_iter().map(|(_, _, address)| address).collect()
+    }
+}
+
+/// Always the nearest node in the order given; the baseline.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NearestEntry;
+
+impl EntryPolicy for NearestEntry {
+    fn order(&self, nodes: &[EntryNode], near: Near<'_>) -> Vec<SocketAddr> {
+        let mut ranked = usable(nodes);
+        ranked.sort_by_key(|node| distance(node, near));
+        ranked.into_iter().map(|node| node.address).collect()
+    }
+}
+
+/// The nodes that are up; suspect ones only if there is no other.
+///
+/// A leaving node is never advised: a caller that keeps the advice would meet a
+/// closed port.
+fn usable(nodes: &[EntryNode]) -> Vec<&EntryNode> {
+    let of = |state| nodes.iter().filter(move |node| node.state == state);
+    let up: Vec<&EntryNode> = of(NodeState::Up).collect();
+    if up.is_empty() { of(NodeState::Suspect).collect() } else { up }
+}
+
+fn distance(node: &EntryNode, near: Near<'_>) -> u8 {
+    if near.centre == Some(&node.centre) {
+        return 0;
+    }
+    if near.region == Some(&node.region) { 1 } else { 3 }
+}
--- /dev/null
+++ b/crates/kumquatnotch-query/src/front.rs
@@ -0,0 +1,330 @@
+//! The front: what callers reach, apart from any protocol.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use kumquatnotch_core::{
+    Clock, Error, LocalFuture, Result,
+    answer::Answer,
+    clock::sleep,
+    document::{Class, Document, Documents, SelectorSpec},
+    front::{EntryAdvice, ExclusiveBody, Front, TicketGrant},
+    ids::{QueryId, TenantName},
+    lifecycle::{Lifecycle, Stage},
+    marks::{MarkKind, Marks},
+    member::Members,
+    query::SearchRequest,
+    random::Random,
+    registry::Registry,
+    services,
+    ticket::Outcome,
+};
+use kumquatnotch_policy::{
+    admission::{Admission, AdmissionOptions, AdmitAll, Entrant, GradedAdmission},
+    advice::{EntryPolicy, NearestEntry, SpreadEntry},
+    stop::{StopRule, TenantStop, WaitForAll},
+};
+
+use crate::{
+    FrontOptions,
+    access::{Access, permitted},
+    canary::Proven,
+    entry::advise,
+    meters,
+    planner::Planner,
+    router::{Ends, ROUTER, Router},
+    search::Search,
+    tickets::{TICKETS, TicketService},
+};
+
+/// A node where requests wait this long is advised as if it were farther away.
+const BUSY_WAIT: Duration = Duration::from_millis(50);
+
+/// What a node does for callers.
+pub struct FrontService {
+    options: FrontOptions,
+    clock: Rc<dyn Clock>,
+    random: Random,
+    members: Rc<dyn Members>,
+    marks: Rc<dyn Marks>,
+    documents: Rc<dyn Documents>,
+    lifecycle: Lifecycle,
+    router: Rc<Router>,
+    tickets: Rc<TicketService>,
+    planner: Planner,
+    access: Access,
+    proven: Proven,
+    admission: Box<dyn Admission>,
+    stop_rule: Box<dyn StopRule>,
+    entry: Box<dyn EntryPolicy>,
+}
+
+impl FrontService {
+    /// A front over the services in `registry`.
+    pub fn try_new(options: FrontOptions, registry: &Registry) -> Result<Rc<FrontService>> {
+        let clock: Rc<dyn Clock> = registry.find(services::CLOCK)?;
+        let random: Random = registry.find(services::RANDOM)?;
+        let router: Rc<Router> = registry.find(ROUTER)?;
+        Ok(Rc::new(FrontService {
+            planner: Planner::new(clock.clone(), router.clone(), options.version_wait),
+            proven: Proven::new(options.canary_memory, options.canary_entries),
+            admission: admission(&options, &random),
+            stop_rule: stop_rule(&options),
+            entry: entry(&options, &random),
+            access: Access::default(),
+            members: registry.find(services::MEMBERS)?,
+            marks: registry.find(services::MARKS)?,
+            documents: registry.find(services::DOCUMENTS)?,
+            lifecycle: registry.find(services::LIFECYCLE)?,
+            tickets: registry.find(TICKETS)?,
+            options,
+            clock,
+            random,
+            router,
+        }))
+    }
+
+    /// Starts the background work; this must run inside a runtime.
+    pub fn start(self: &Rc<Self>) {
+        let front = self.clone();
+        monoio::spawn(async move {
+            while front.lifecycle.stage() < Stage::Closing {
+                let age = front.options.version_age;
+                sleep(&*front.clock, front.random.jitter(age)).await;
+                if let Some(document) = front.documents.current() {
+                    front.planner.keep_fresh(&document, age).await;
+                }
+            }
+        });
+    }
+
+    /// How many requests of callers run on this node.
+    pub fn running(&self) -> usize {
+        self.admission.running() + self.tickets.running()
+    }
+
+    /// The state of the root as text for the status page.
+    pub fn status_text(&self) -> String {
+        let now = self.clock.now();
+        let waits = Class::ALL
+            .map(|class| format!("{} {:?}", class.as_str(), self.admission.wait(now, class)));
+        format!(
+            "searches: {} running; wait {}\nversions: {} shards heard of\n{}{}",
+            self.admission.running(),
+            waits.join(", "),
+            self.planner.view.len(),
+            self.router.status_text(),
+            self.tickets.status_text(),
+        )
+    }
+
+    /// The document, if this node serves.
+    fn serving(&self) -> Result<Rc<Document>> {
+        match self.lifecycle.stage() {
+            Stage::Starting => Err(Error::NotReady),
+            // Callers keep the advice for a while: a leaving node still serves.
+            Stage::Serving | Stage::Leaving => self.documents.current().ok_or(Error::NotReady),
+            Stage::Closing => Err(Error::Leaving),
+        }
+    }
+
+    async fn search_now(&self, key: &str, request: SearchRequest) -> Result<Answer> {
+        let document = self.serving()?;
+        let tenant = self.access.tenant(&document, key)?;
+        let spec = permitted(&document, &request.selector, &tenant, false)?;
+        let result = self.search_as(&document, &tenant, spec, request).await;
+        match &result {
+            Ok(answer) => {
+                let span = Duration::from_micros(answer.elapsed_us);
+                meters::answered(&tenant, spec.class, span, &answer.coverage);
+            }
+            Err(error) => meters::refused("search", Some(spec.class), error),
+        }
+        result
+    }
+
+    async fn search_as(
+        &self,
+        document: &Document,
+        tenant: &TenantName,
+        spec: &SelectorSpec,
+        request: SearchRequest,
+    ) -> Result<Answer> {
+        let start = self.clock.now();
+        let (body, deadline) = self.check(spec, &request)?;
+        let fingerprint = request.fingerprint(tenant);
+        if let Some(retry_ms) = self.marks.left_ms(&MarkKind::Contained(fingerprint)) {
+            return Err(Error::Contained { retry_ms });
+        }
+        let Some(declared) = document.rules.tenants.get(tenant) else {
+            return Err(Error::Unauthorised);
+        };
+        let patience = self.stop_rule.patience(&declared.stop, deadline);
+        let entrant = Entrant {
+            tenant: tenant.clone(),
+            weight: declared.weight,
+            class: spec.class,
+            patience,
+        };
+        let _running = Running::enter(&*self.admission, entrant, start)?;
+        let margin = self.options.margin.min(deadline / 10);
+        let finish = start + deadline - margin;
+        let search = Search {
+            clock: &*self.clock,
+            router: &self.router,
+            planner: &self.planner,
+            admission: &*self.admission,
+            stop_rule: &*self.stop_rule,
+            document,
+            selector: (&request.selector, spec),
+            stop: declared.stop,
+            query: QueryId(self.random.number()),
+            tenant: tenant.clone(),
+            body,
+            limit: request.limit,
+            fingerprint,
+            start,
+            deadline,
+            ends: ends(start + patience, finish, margin),
+            margin,
+            follow_up: self.options.follow_up,
+            plans: self.options.plans,
+            canary_start: self.options.canary_start,
+        };
+        let canary = self.options.canary && !self.proven.knows(start, fingerprint);
+        let result = search.run(canary).await;
+        self.prove(&search, &result);
+        result
+    }
+
+    /// Remembers whether the request may go to all shards at once the next time.
+    fn prove(&self, search: &Search<'_>, result: &Result<Answer>) {
+        let crash = Error::ConnectionLost.code();
+        match result {
+            Ok(answer) if answer.coverage.missing.iter().all(|missing| missing.code != crash) => {
+                self.proven.learn(self.clock.now(), search.fingerprint);
+            }
+            _ => self.proven.unlearn(search.fingerprint),
+        }
+    }
+
+    /// The body as text and the deadline, if both are within bounds.
+    fn check(&self, spec: &SelectorSpec, request: &SearchRequest) -> Result<(String, Duration)> {
+        let body = request.query.to_string();
+        if body.len() > self.options.body_limit {
+            return Err(Error::BodyTooLarge { limit: self.options.body_limit as u64 });
+        }
+        if request.limit == 0 || request.limit > self.options.most_hits {
+            let most = self.options.most_hits;
+            return Err(Error::bad_request(format!("limit must be from 1 to {most}")));
+        }
+        let asked = request.deadline_ms.map(Duration::from_millis);
+        let deadline = asked.unwrap_or(spec.deadline()).min(spec.deadline());
+        if deadline < self.options.least_deadline {
+            let least = self.options.least_deadline.as_millis();
+            return Err(Error::bad_request(format!("deadline_ms must be at least {least}")));
+        }
+        Ok((body, deadline))
+    }
+
+    fn grant(&self, key: &str) -> Result<TicketGrant> {
+        let document = self.serving()?;
+        let tenant = self.access.tenant(&document, key)?;
+        self.tickets.issue(&tenant)
+    }
+
+    async fn exclusive_now(&self, key: &str, body: ExclusiveBody) -> Result<Outcome> {
+        // Any refusal here that says "not run" might be false: an earlier copy of
+        // the request, sent through another node, may have run. Only the issuer
+        // knows. So a node that can't ask it tells the caller to ask again.
+        let Some(document) = self.documents.current() else {
+            return Err(Error::IssuerUnreachable);
+        };
+        let tenant = self.access.tenant(&document, key)?;
+        self.tickets.exclusive(&document, &tenant, body).await
+    }
+}
+
+impl Front for FrontService {
+    fn search<'a>(
+        &'a self,
+        key: &'a str,
+        request: SearchRequest,
+    ) -> LocalFuture<'a, Result<Answer>> {
+        Box::pin(self.search_now(key, request))
+    }
+
+    fn ticket(&self, key: &str) -> Result<TicketGrant> {
+        self.grant(key).inspect_err(|error| meters::refused("ticket", None, error))
+    }
+
+    fn exclusive<'a>(
+        &'a self,
+        key: &'a str,
+        body: ExclusiveBody,
+    ) -> LocalFuture<'a, Result<Outcome>> {
+        Box::pin(async move {
+            let result = self.exclusive_now(key, body).await;
+            if let Err(error) | Ok(Outcome::Failed(error)) = &result {
+                meters::refused("exclusive", None, error);
+            }
+            result
+        })
+    }
+
+    fn advice(&self, near: Option<&str>) -> EntryAdvice {
+        let document = self.documents.current();
+        let caller = (self.lifecycle.stage(), near);
+        let valid = self.options.advice_valid;
+        advise(&*self.entry, &*self.members, &self.router, document.as_deref(), caller, valid)
+    }
+}
+
+/// Holders answer a margin before the root does, and partially another one before.
+fn ends(patience: Instant, finish: Instant, margin: Duration) -> Ends {
+    let deadline = finish - margin;
+    Ends { patience: patience.min(deadline - margin), deadline, finish }
+}
+
+fn admission(options: &FrontOptions, random: &Random) -> Box<dyn Admission> {
+    if options.admission {
+        Box::new(GradedAdmission::new(AdmissionOptions::default(), random.clone()))
+    } else {
+        Box::new(AdmitAll::default())
+    }
+}
+
+fn stop_rule(options: &FrontOptions) -> Box<dyn StopRule> {
+    if options.stop_early { Box::new(TenantStop) } else { Box::new(WaitForAll) }
+}
+
+fn entry(options: &FrontOptions, random: &Random) -> Box<dyn EntryPolicy> {
+    if options.advice_spread {
+        Box::new(SpreadEntry::new(random.clone(), BUSY_WAIT))
+    } else {
+        Box::new(NearestEntry)
+    }
+}
+
+/// Counts a request as running until it is dropped, be it because its caller left.
+struct Running<'a> {
+    admission: &'a dyn Admission,
+    entrant: Entrant,
+}
+
+impl<'a> Running<'a> {
+    fn enter(admission: &'a dyn Admission, entrant: Entrant, now: Instant) -> Result<Running<'a>> {
+        admission.enter(now, &entrant).map_err(Error::overloaded)?;
+        meters::running(admission.running());
+        Ok(Running { admission, entrant })
+    }
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.admission.leave(&self.entrant);
+        meters::running(self.admission.running());
+    }
+}
--- /dev/null
+++ b/crates/kumquatnotch-query/src/gather.rs
@@ -0,0 +1,328 @@
+//! One round of a search: the fan-out over groups and the gathering of answers.
+//!
+//! Every shard asked for is in exactly one place at any time: still open, late,
+//! covered or failed. What is open or late when the round ends is listed as
+//! missing, so that the numbers of the answer always add up.
+
+use std::{collections::BTreeMap, rc::Rc, time::Instant};
+
+use futures_util::{
+    StreamExt,
+    future::{Either, select},
+    stream::FuturesUnordered,
+};
+use kumquatnotch_core::{
+    Error, LocalFuture, Result,
+    answer::{Coverage, GroupAnswer, Missing},
+    collections::HashSet,
+    ids::ShardName,
+    query::Hit,
+};
+use kumquatnotch_policy::stop::Progress;
+
+use crate::{
+    canary::first_shard,
+    meters,
+    plan::{Expected, Gone, Plan},
+    router::Ends,
+    search::Search,
+};
+
+/// How a round ended.
+pub(crate) enum Round {
+    /// With the hits and what they cover.
+    Done(Vec<Hit>, Coverage),
+    /// Shards do not have the version any more, and this other plan is better.
+    Gone(Rc<Plan>),
+}
+
+/// The shards of one request to a holder.
+struct Part {
+    group: usize,
+    shards: Vec<ShardName>,
+    canary: bool,
+}
+
+type Answered = (Part, Result<GroupAnswer>);
+
+/// The state of a round.
+pub(crate) struct Gather<'a> {
+    search: &'a Search<'a>,
+    plan: &'a Plan,
+    open: FuturesUnordered<LocalFuture<'a, Answered>>,
+    /// The parts that wait for the canary, and until when.
+    held_back: Option<(Vec<Part>, Instant)>,
+    waiting: HashSet<ShardName>,
+    /// The shards that holders gave up because partial answers were wanted.
+    late: Vec<ShardName>,
+    covered: u32,
+    faults: Vec<(ShardName, Error)>,
+    hits: Vec<Hit>,
+    followed: bool,
+    is_last: bool,
+}
+
+impl<'a> Gather<'a> {
+    /// A round over `plan` that has not begun; no other follows if it `is_last`.
+    pub fn new(search: &'a Search<'a>, plan: &'a Plan, is_last: bool) -> Gather<'a> {
+        Gather {
+            search,
+            plan,
+            open: FuturesUnordered::new(),
+            held_back: None,
+            waiting: plan.shards.iter().map(|expected| expected.shard.clone()).collect(),
+            late: Vec::new(),
+            covered: 0,
+            faults: Vec::new(),
+            hits: Vec::new(),
+            followed: false,
+            is_last,
+        }
+    }
+
+    /// Runs the round to its end; `gone` takes shards without the version.
+    pub async fn run(mut self, canary: bool, gone: &mut Gone) -> Result<Round> {
+        self.fan_out(canary);
+        let search = self.search;
+        loop {
+            let now = search.clock.now();
+            let is_over = now >= search.ends.finish;
+            if is_over || search.stop_rule.is_enough(&search.stop, &self.progress(now)) {
+                return self.finish(is_over);
+            }
+            if self.open.is_empty() && self.held_back.is_none() {
+                if !self.follow_up(now) {
+                    return self.finish(is_over);
+                }
+                continue;
+            }
+            let timer = search.clock.sleep_until(self.next_timer(now));
+            match select(self.open.next(), timer).await {
+                Either::Left((Some((part, result)), _)) => {
+                    let known = gone.len();
+                    self.take(part, result, gone)?;
+                    if gone.len() > known
+                        && let Some(next) = self.replan(gone)
+                    {
+                        return Ok(Round::Gone(next));
+                    }
+                }
+                Either::Left((None, _)) | Either::Right(_) => self.release_due(),
+            }
+        }
+    }
+
+    fn replan(&self, gone: &Gone) -> Option<Rc<Plan>> {
+        if self.is_last { None } else { self.search.replan(self.plan, gone) }
+    }
+
+    fn progress(&self, now: Instant) -> Progress {
+        let late = if self.may_follow(now) { self.late.len() } else { 0 };
+        Progress {
+            elapsed: now.saturating_duration_since(self.search.start),
+            deadline: self.search.deadline,
+            asked: self.plan.asked(),
+            covered: self.covered,
+            open: (self.waiting.len() + late) as u32,
+        }
+    }
+
+    fn next_timer(&self, now: Instant) -> Instant {
+        let search = self.search;
+        let patience = search.start + search.stop_rule.patience(&search.stop, search.deadline);
+        let release = self.held_back.as_ref().map(|(_, until)| *until);
+        let timers = [Some(patience), release, Some(search.ends.finish)];
+        timers.into_iter().flatten().filter(|at| *at > now).min().unwrap_or(search.ends.finish)
+    }
+
+    /// Sends the parts, or the canary's first.
+    fn fan_out(&mut self, canary: bool) {
+        let mut shards: Vec<&Expected> = self.plan.shards.iter().collect();
+        if !canary || shards.is_empty() {
+            for part in self.parts(&shards) {
+                self.send(part, self.search.ends);
+            }
+            return;
+        }
+        meters::canary();
+        let first = shards.swap_remove(first_shard(self.search.fingerprint, &self.plan.shards));
+        for mut part in self.parts(&[first]) {
+            part.canary = true;
+            self.send(part, self.search.ends);
+        }
+        let until = self.search.clock.now() + self.search.canary_delay();
+        self.held_back = Some((self.parts(&shards), until));
+    }
+
+    fn parts(&self, shards: &[&Expected]) -> Vec<Part> {
+        let mut groups: BTreeMap<usize, Vec<ShardName>> = BTreeMap::new();
+        for expected in shards {
+            let group = self.search.router.group(self.search.document, &expected.home);
+            groups.entry(group).or_default().push(expected.shard.clone());
+        }
+        let parts = groups.into_iter();
+        parts.map(|(group, shards)| Part { group, shards, canary: false }).collect()
+    }
+
+    fn send(&mut self, part: Part, ends: Ends) {
+        let search = self.search;
+        let request = search.request(self.plan.version, part.shards.clone());
+        self.open.push(Box::pin(async move {
+            let answer = search.router.ask(part.group, &request, ends).await;
+            (part, answer)
+        }));
+    }
+
+    /// Sends what waited for the canary, as it has answered.
+    fn release(&mut self) {
+        for part in self.held_back.take().map(|(parts, _)| parts).unwrap_or_default() {
+            self.send(part, self.search.ends);
+        }
+    }
+
+    /// Sends it as well if the canary is merely slow.
+    fn release_due(&mut self) {
+        let now = self.search.clock.now();
+        if self.held_back.as_ref().is_some_and(|(_, until)| now >= *until) {
+            self.release();
+        }
+    }
+
+    /// Takes the answer of a part; an error ends the search.
+    fn take(&mut self, part: Part, result: Result<GroupAnswer>, gone: &mut Gone) -> Result<()> {
+        let search = self.search;
+        let answer = match result {
+            Ok(answer) => answer,
+            Err(error) => {
+                // No holder answered. That tells nothing about the request itself.
+                for shard in &part.shards {
+                    self.fail(shard.clone(), error.clone());
+                }
+                self.release();
+                return Ok(());
+            }
+        };
+        search.learn(&answer);
+        for shard in &answer.covered {
+            if self.waiting.remove(shard) {
+                self.covered += 1;
+            }
+        }
+        self.hits.extend(answer.hits);
+        for fault in answer.missing {
+            self.take_fault(&part, fault.shard, fault.error, gone)?;
+        }
+        // A shard that is in neither list must not vanish from the answer.
+        for shard in part.shards {
+            self.fail(shard, Error::protocol("left out of an answer"));
+        }
+        self.release();
+        Ok(())
+    }
+
+    fn take_fault(
+        &mut self,
+        part: &Part,
+        shard: ShardName,
+        error: Error,
+        gone: &mut Gone,
+    ) -> Result<()> {
+        match &error {
+            // The one shard that the request went to failed as crash-causing
+            // requests do. Sending it to the others would crash them too.
+            Error::Contained { .. } | Error::ConnectionLost
+                if part.canary && self.held_back.is_some() =>
+            {
+                return Err(error);
+            }
+            // Holders know it as crash-causing by now. It has run on other shards,
+            // so that "not run" would be false.
+            Error::Contained { retry_ms } => {
+                let detail = format!("the request crashes targets; refused for {retry_ms} ms");
+                return Err(Error::TargetFailed { detail });
+            }
+            Error::VersionGone { .. } => {
+                gone.insert((self.plan.version, shard.clone()));
+            }
+            Error::TimedOut if !self.followed => {
+                if self.waiting.remove(&shard) {
+                    self.late.push(shard);
+                }
+                return Ok(());
+            }
+            _ => {}
+        }
+        self.fail(shard, error);
+        Ok(())
+    }
+
+    fn fail(&mut self, shard: ShardName, error: Error) {
+        if self.waiting.remove(&shard) {
+            self.faults.push((shard, error));
+        }
+    }
+
+    fn may_follow(&self, now: Instant) -> bool {
+        let search = self.search;
+        search.follow_up && !self.followed && now + search.margin < search.ends.deadline
+    }
+
+    /// Asks once more for shards that were late, if the coverage is not enough.
+    ///
+    /// Holders cut them off when partial answers were wanted, which was right for
+    /// a tenant whose coverage is enough by then. If it is not, the rest of the
+    /// deadline is theirs.
+    fn follow_up(&mut self, now: Instant) -> bool {
+        if self.late.is_empty() || !self.may_follow(now) {
+            return false;
+        }
+        self.followed = true;
+        let late: HashSet<ShardName> = self.late.drain(..).collect();
+        meters::followed_up(late.len());
+        let plan = self.plan;
+        let shards: Vec<&Expected> =
+            plan.shards.iter().filter(|expected| late.contains(&expected.shard)).collect();
+        let parts = self.parts(&shards);
+        self.waiting.extend(late);
+        let ends = Ends { patience: self.search.ends.deadline, ..self.search.ends };
+        for part in parts {
+            self.send(part, ends);
+        }
+        true
+    }
+
+    /// Lists what is still open, and checks that something was covered.
+    fn finish(mut self, is_over: bool) -> Result<Round> {
+        let is_cut = !self.waiting.is_empty() || !self.late.is_empty();
+        let open = self.waiting.drain().chain(self.late.drain(..));
+        self.faults.extend(open.map(|shard| (shard, Error::TimedOut)));
+        self.faults.sort_by(|a, b| a.0.cmp(&b.0));
+        if self.covered == 0 {
+            return Err(nothing_covered(&self.faults));
+        }
+        let mut missing: Vec<Missing> =
+            self.faults.iter().map(|(shard, error)| Missing::new(shard.clone(), error)).collect();
+        missing.extend(self.plan.absent.iter().cloned());
+        let coverage = Coverage {
+            version: self.plan.version,
+            asked: self.covered + missing.len() as u32,
+            covered: self.covered,
+            missing,
+            stopped_early: is_cut && !is_over,
+        };
+        Ok(Round::Done(self.hits, coverage))
+    }
+}
+
+/// The error of a search that no shard answered.
+///
+/// If each shard was refused for want of capacity, the caller is told when to
+/// come back; a lost search is never an empty success.
+fn nothing_covered(faults: &[(ShardName, Error)]) -> Error {
+    let is_refusal = |error: &Error| matches!(error, Error::Overloaded { .. } | Error::Shed { .. });
+    if faults.is_empty() || !faults.iter().all(|(_, error)| is_refusal(error)) {
+        return Error::NothingCovered;
+    }
+    let retry = faults.iter().filter_map(|(_, error)| error.retry_after()).max();
+    Error::overloaded(retry.unwrap_or_default())
+}
--- /dev/null
+++ b/crates/kumquatnotch-query/src/health.rs
@@ -0,0 +1,106 @@
+//! What this node has seen of its peers as holders.
+//!
+//! A frozen holder keeps its connections open and says nothing. Membership finds
+//! that within seconds; until then each query would wait out a hedge delay. So a
+//! peer that has requests open and has not said a word for a while is asked last,
+//! and is tried again now and then. It is never taken as dead here.
+
+use std::{
+    cell::RefCell,
+    time::{Duration, Instant},
+};
+
+use kumquatnotch_core::{collections::HashMap, ids::NodeName};
+
+/// The weight of a new wait in the smoothed one.
+const WAIT_WEIGHT: f64 = 0.2;
+
+/// What is known of each peer.
+#[derive(Default)]
+pub(crate) struct Health {
+    peers: RefCell<HashMap<NodeName, Peer>>,
+}
+
+#[derive(Default)]
+struct Peer {
+    open: usize,
+    silent_since: Option<Instant>,
+    tried: Option<Instant>,
+    wait_us: f64,
+}
+
+impl Health {
+    /// A request to `name` was sent.
+    pub fn sent(&self, name: &NodeName, now: Instant) {
+        let mut peers = self.peers.borrow_mut();
+        let peer = peers.entry(name.clone()).or_default();
+        peer.open += 1;
+        peer.silent_since.get_or_insert(now);
+    }
+
+    /// `name` said something, be it an error.
+    pub fn replied(&self, name: &NodeName) {
+        if let Some(peer) = self.peers.borrow_mut().get_mut(name) {
+            peer.silent_since = None;
+        }
+    }
+
+    /// A request to `name` is over; one given up before `silence` is no evidence.
+    pub fn closed(&self, name: &NodeName, now: Instant, silence: Duration) {
+        let mut peers = self.peers.borrow_mut();
+        let Some(peer) = peers.get_mut(name) else {
+            return;
+        };
+        peer.open = peer.open.saturating_sub(1);
+        let young = |since: Instant| now.saturating_duration_since(since) < silence;
+        if peer.open == 0 && peer.silent_since.is_some_and(young) {
+            peer.silent_since = None;
+        } else if peer.open > 0 && peer.silent_since.is_none() {
+            peer.silent_since = Some(now);
+        }
+    }
+
+    /// Whether `name` has been silent for `silence`; once per `retrial` it gets
+    /// another chance.
+    pub fn is_silent(
+        &self,
+        name: &NodeName,
+        now: Instant,
+        silence: Duration,
+        retrial: Duration,
+    ) -> bool {
+        let mut peers = self.peers.borrow_mut();
+        let Some(peer) = peers.get_mut(name) else {
+            return false;
+        };
+        let Some(since) = peer.silent_since else {
+            return false;
+        };
+        if now.saturating_duration_since(since) < silence {
+            return false;
+        }
+        let due = peer.tried.is_none_or(|at| now.saturating_duration_since(at) >= retrial);
+        if due {
+            peer.tried = Some(now);
+        }
+        !due
+    }
+
+    /// `name` says that requests wait this long there.
+    pub fn learn_wait(&self, name: &NodeName, wait: Duration) {
+        let mut peers = self.peers.borrow_mut();
+        let peer = peers.entry(name.clone()).or_default();
+        peer.wait_us += WAIT_WEIGHT * (wait.as_micros() as f64 - peer.wait_us);
+    }
+
+    /// How long requests wait at `name`, as far as is known.
+    pub fn wait(&self, name: &NodeName) -> Option<Duration> {
+        let peers = self.peers.borrow();
+        peers.get(name).map(|peer| Duration::from_micros(peer.wait_us.max(0.0) as u64))
+    }
+
+    /// Forgets peers that `keep` does not name.
+    pub fn retain(&self, keep: impl Fn(&NodeName) -> bool) {
+        self.peers.borrow_mut().retain(|name, peer| peer.open > 0 || keep(name));
+    }
+}
--- /dev/null
+++ b/crates/kumquatnotch-query/src/plan.rs
@@ -0,0 +1,221 @@
+//! The choice of one snapshot for a whole answer.
+//!
+//! The layout of a version - the collections, how many shards each has, and
+//! which were seen - decides how many shards an answer must be asked for. So a
+//! shard that nobody has seen at that version still counts, and is listed as
+//! missing, and a repartitioned collection is neither counted twice nor thinned.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use kumquatnotch_core::{
+    Error, Result,
+    answer::Missing,
+    ids::{IndexVersion, ShardName},
+};
+
+use crate::view::VersionView;
+
+/// What an answer is taken from and which shards are asked.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Plan {
+    /// The snapshot.
+    pub version: IndexVersion,
+    /// The shards that can be asked.
+    pub shards: Vec<Expected>,
+    /// The shards that belong to the snapshot but can't be asked.
+    pub absent: Vec<Missing>,
+}
+
+/// A shard that can be asked.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Expected {
+    /// The shard, by its name at the snapshot.
+    pub shard: ShardName,
+    /// The declared shard whose replicas hold it, which decides its group.
+    pub home: ShardName,
+}
+
+impl Plan {
+    /// How many shards the answer must be asked for.
+    pub fn asked(&self) -> u32 {
+        (self.shards.len() + self.absent.len()) as u32
+    }
+
+    /// This plan with what is in `gone` listed as missing.
+    pub(crate) fn without(&self, gone: &Gone) -> Plan {
+        let error = Error::VersionGone { version: self.version.0 };
+        let lost = |e: &&Expected| gone.contains(&(self.version, e.shard.clone()));
+        let (lost, left): (Vec<&Expected>, Vec<&Expected>) = self.shards.iter().partition(lost);
+        let mut absent = self.absent.clone();
+        absent.extend(lost.into_iter().map(|e| Missing::new(e.shard.clone(), &error)));
+        Plan { version: self.version, shards: left.into_iter().cloned().collect(), absent }
+    }
+
+    /// Whether this plan reaches a larger share of its shards than `other`.
+    pub fn is_better(&self, other: &Plan) -> bool {
+        let (own, others) = (self.shards.len() as u64, other.shards.len() as u64);
+        own * u64::from(other.asked()) > others * u64::from(self.asked())
+    }
+}
+
+/// Shards that turned out not to have a version while a query ran.
+pub(crate) type Gone = BTreeSet<(IndexVersion, ShardName)>;
+
+/// Plans an answer over the declared `shards`.
+///
+/// The newest version that every shard has is taken, else the one with the best
+/// coverage, the newest first.
+pub fn plan(view: &VersionView, shards: &[ShardName]) -> Result<Plan> {
+    plan_without(view, shards, &Gone::new())
+}
+
+/// As [`plan`], not counting on what is in `gone`.
+pub(crate) fn plan_without(view: &VersionView, shards: &[ShardName], gone: &Gone) -> Result<Plan> {
+    let layouts = Layouts::read(view, shards, gone);
+    let mut best: Option<Plan> = None;
+    for version in layouts.versions.iter().rev() {
+        let plan = layouts.plan(*version);
+        if best.as_ref().is_none_or(|best| plan.is_better(best)) {
+            best = Some(plan);
+        }
+    }
+    best.filter(|plan| !plan.shards.is_empty()).ok_or(Error::NoSnapshot)
+}
+
+/// The layouts of all versions that were seen.
+#[derive(Default)]
+struct Layouts {
+    versions: BTreeSet<IndexVersion>,
+    collections: BTreeMap<String, BTreeMap<IndexVersion, Layout>>,
+    unknown: Vec<Unknown>,
+}
+
+/// One collection at one version.
+#[derive(Clone, Default)]
+struct Layout {
+    total: u32,
+    /// The shards that were seen, with the declared shard that holds each.
+    shards: BTreeMap<ShardName, ShardName>,
+    /// The shards that are there by their reports but not in truth.
+    gone: BTreeSet<ShardName>,
+}
+
+/// A declared shard whose replicas hold nothing, as far as is known.
+struct Unknown {
+    shard: ShardName,
+    /// The collections it was seen in before.
+    collections: BTreeSet<String>,
+}
+
+impl Layouts {
+    fn read(view: &VersionView, shards: &[ShardName], gone: &Gone) -> Layouts {
+        let mut layouts = Layouts::default();
+        view.visit(shards, |home, report| match report {
+            Some(report) if !report.versions.is_empty() => {
+                for held in &report.versions {
+                    layouts.versions.insert(held.version);
+                    let versions = layouts.collections.entry(held.collection.clone()).or_default();
+                    let layout = versions.entry(held.version).or_default();
+                    layout.total = layout.total.max(held.total);
+                    let is_gone = gone.contains(&(held.version, held.shard.clone()));
+                    if is_gone {
+                        layout.gone.insert(held.shard.clone());
+                    } else {
+                        layout.shards.entry(held.shard.clone()).or_insert_with(|| home.clone());
+                    }
+                }
+            }
+            Some(report) => layouts
+                .unknown
+                .push(Unknown { shard: home.clone(), collections: report.collections.clone() }),
+            None => {
+                layouts.unknown.push(Unknown { shard: home.clone(), collections: BTreeSet::new() })
+            }
+        });
+        layouts
+    }
+
+    fn plan(&self, version: IndexVersion) -> Plan {
+        let mut plan = Plan { version, ..Plan::default() };
+        let mut names = Names::new(&self.unknown);
+        let gone = Error::VersionGone { version: version.0 };
+        for (collection, versions) in &self.collections {
+            let (layout, present) = nearest(versions, version);
+            let mut open = (layout.total as usize).max(layout.shards.len() + layout.gone.len());
+            if present {
+                open -= layout.shards.len();
+                let seen = layout.shards.iter();
+                plan.shards.extend(
+                    seen.map(|(shard, home)| Expected { shard: shard.clone(), home: home.clone() }),
+                );
+            }
+            // What is left of the collection can't be asked. The slots get the
+            // names of shards that are known to belong to it, as far as they go.
+            let mut lost: BTreeSet<&ShardName> = layout.gone.iter().collect();
+            if !present {
+                lost.extend(layout.shards.keys());
+            }
+            for shard in lost.into_iter().take(open) {
+                plan.absent.push(Missing::new(shard.clone(), &gone));
+                open -= 1;
+            }
+            names.fill(collection, open, &mut plan.absent);
+        }
+        names.rest(&mut plan.absent);
+        plan.shards.sort();
+        plan.shards.dedup_by(|a, b| a.shard == b.shard);
+        plan
+    }
+}
+
+/// The layout at `version`, else the nearest one before, else after it.
+fn nearest(versions: &BTreeMap<IndexVersion, Layout>, version: IndexVersion) -> (&Layout, bool) {
+    if let Some(layout) = versions.get(&version) {
+        return (layout, true);
+    }
+    let before = versions.range(..version).next_back();
+    let nearest = before.or_else(|| versions.range(version..).next());
+    // A collection is in the map because one version of it was seen.
+    let (_, layout) = nearest.expect("a collection has a version");
+    (layout, false)
+}
+
+/// Names for shards that belong to a snapshot but were not seen at it.
+struct Names<'a> {
+    unknown: Vec<&'a Unknown>,
+    known: BTreeSet<String>,
+}
+
+impl<'a> Names<'a> {
+    fn new(unknown: &'a [Unknown]) -> Names<'a> {
+        Names { unknown: unknown.iter().collect(), known: BTreeSet::new() }
+    }
+
+    /// Lists `open` shards of `collection` as missing.
+    fn fill(&mut self, collection: &str, open: usize, absent: &mut Vec<Missing>) {
+        self.known.insert(collection.to_owned());
+        for number in 0..open {
+            // First a shard that was seen in this collection, then one that was
+            // never seen anywhere and may belong to it.
+            let seen = self.unknown.iter().position(|u| u.collections.contains(collection));
+            let place = seen.or_else(|| self.unknown.iter().position(|u| u.collections.is_empty()));
+            let shard = match place {
+                Some(place) => self.unknown.remove(place).shard.clone(),
+                None => ShardName::from(format!("{collection}/unseen-{number}")),
+            };
+            absent.push(Missing::new(shard, &Error::NoTarget));
+        }
+    }
+
+    /// Lists what is left and not accounted for by a collection that is known.
+    ///
+    /// A shard never heard of may belong to a collection that is down as a
+    /// whole: leaving it out would make a thin answer look whole.
+    fn rest(self, absent: &mut Vec<Missing>) {
+        for unknown in self.unknown {
+            if unknown.collections.is_disjoint(&self.known) {
+                absent.push(Missing::new(unknown.shard.clone(), &Error::NoTarget));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/kumquatnotch-query/src/runner.rs
@@ -0,0 +1,152 @@
+//! The run of one exclusive request, from its shard to a certain or unknown outcome.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use kumquatnotch_core::{
+    Clock, Error, Result,
+    clock::sleep,
+    document::Document,
+    ids::{ShardName, rendezvous},
+    member::NodeRecord,
+    peer::{PeerMessage, PeerReply, RelayCall},
+    random::Random,
+    target::{LEAST_CALL_TIME, TargetCall, TargetReply},
+    ticket::{ExclusiveRequest, Outcome},
+};
+
+use crate::{TicketOptions, router::Router};
+
+/// The pause before a request that was refused is sent on again.
+const REFUSED_PAUSE: Duration = Duration::from_millis(5);
+
+/// Runs exclusive requests through the holders of their shards.
+pub(crate) struct Runner {
+    clock: Rc<dyn Clock>,
+    random: Random,
+    router: Rc<Router>,
+    tries: usize,
+    grace: Duration,
+    margin: Duration,
+}
+
+impl Runner {
+    pub fn new(
+        options: &TicketOptions,
+        clock: Rc<dyn Clock>,
+        random: Random,
+        router: Rc<Router>,
+    ) -> Runner {
+        let TicketOptions { tries, grace, margin, .. } = *options;
+        Runner { clock, random, router, tries, grace, margin }
+    }
+
+    /// Runs `request` once.
+    ///
+    /// It is sent on again only after a reply that is certain: nothing ran. A
+    /// connection that breaks after sending leaves the outcome unknown, and the
+    /// request is not sent again.
+    pub async fn run(
+        &self,
+        document: &Document,
+        request: &ExclusiveRequest,
+        deadline: Instant,
+    ) -> Outcome {
+        let Some(shard) = shard_of(document, request) else {
+            return Outcome::Failed(Error::NoTarget);
+        };
+        let group = self.router.group(document, &shard);
+        let mut last = Error::ExpiredInQueue;
+        for attempt in 0..self.tries {
+            if self.clock.now() + LEAST_CALL_TIME > deadline {
+                // It waited here and never left.
+                return Outcome::Failed(Error::ExpiredInQueue);
+            }
+            let holders = self.router.holders(group);
+            if holders.is_empty() {
+                return Outcome::Failed(Error::NoTarget);
+            }
+            let holder = &holders[attempt % holders.len()];
+            match self.relay(holder, document, request, &shard, deadline).await {
+                Ok(reply) => return Outcome::Done(reply.result),
+                Err(error) if error.is_not_run() => last = error,
+                // It ran and failed: that is known for certain.
+                Err(error @ Error::TargetFailed { .. }) => return Outcome::Failed(error),
+                Err(_) => return Outcome::Failed(Error::OutcomeUnknown),
+            }
+            if is_final(&last) || !self.pause(&last, deadline).await {
+                break;
+            }
+        }
+        Outcome::Failed(told(last))
+    }
+
+    /// Waits until the request may be sent on again; false if there is no time for it.
+    async fn pause(&self, error: &Error, deadline: Instant) -> bool {
+        let pause = error.retry_after().unwrap_or(REFUSED_PAUSE);
+        if self.clock.now() + pause + LEAST_CALL_TIME > deadline {
+            return false;
+        }
+        sleep(&*self.clock, pause).await;
+        true
+    }
+
+    async fn relay(
+        &self,
+        holder: &NodeRecord,
+        document: &Document,
+        request: &ExclusiveRequest,
+        shard: &ShardName,
+        deadline: Instant,
+    ) -> Result<TargetReply> {
+        let spec = document.rules.selectors.get(&request.selector);
+        let left = deadline.saturating_duration_since(self.clock.now());
+        let call = TargetCall {
+            id: self.random.number(),
+            shard: shard.clone(),
+            version: None,
+            tenant: request.tenant.clone(),
+            class: spec.map(|spec| spec.class).unwrap_or_default(),
+            body: request.body.clone(),
+            limit: 0,
+            exclusive: true,
+        };
+        let deadline_ms = (left - self.margin.min(left / 10)).as_millis() as u64;
+        let relay = RelayCall { selector: request.selector.clone(), call, deadline_ms };
+        let message = PeerMessage::Relay(Box::new(relay));
+        // The reply is waited for beyond the deadline: the caller can still ask
+        // for the outcome, and a late reply is better than none.
+        match self.router.send(holder, &message, deadline + self.grace).await? {
+            PeerReply::Relay(reply) => Ok(*reply),
+            _ => Err(Error::protocol("not a reply of a target")),
+        }
+    }
+}
+
+/// The shard of a request: the first in rank for its key, whichever node asks.
+fn shard_of(document: &Document, request: &ExclusiveRequest) -> Option<ShardName> {
+    let spec = document.rules.selectors.get(&request.selector)?;
+    let mut shards: Vec<&str> =
+        document.select(spec).map(|(_, target)| target.shard.as_str()).collect();
+    shards.sort_unstable();
+    shards.dedup();
+    rendezvous(request.key.as_bytes(), &shards).first().map(|shard| ShardName::from(*shard))
+}
+
+/// Whether a refusal would be the same at another holder or time.
+fn is_final(error: &Error) -> bool {
+    matches!(error, Error::Contained { .. } | Error::ExpiredInQueue | Error::BodyTooLarge { .. })
+}
+
+/// The error for the caller: a holder's trouble with its own document is no fault
+/// of the request.
+fn told(error: Error) -> Error {
+    match error {
+        Error::UnknownSelector { .. } | Error::Leaving | Error::NotReady | Error::ConnectFailed => {
+            Error::NoTarget
+        }
+        error => error,
+    }
+}
--- /dev/null
+++ b/crates/kumquatnotch-query/src/search.rs
@@ -0,0 +1,127 @@
+//! One search from its plan to its answer.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use kumquatnotch_core::{
+    Clock, Error, Result,
+    answer::{Answer, Coverage, GroupAnswer},
+    document::{Class, Document, SelectorSpec, StopSpec},
+    ids::{Fingerprint, IndexVersion, QueryId, SelectorName, ShardName, TenantName},
+    query::{GroupRequest, Hit},
+};
+use kumquatnotch_policy::{admission::Admission, stop::StopRule};
+
+use crate::{
+    gather::{Gather, Round},
+    merge::merge,
+    meters,
+    plan::{Gone, Plan},
+    planner::Planner,
+    router::{Ends, Router},
+};
+
+/// The share of the deadline within which versions must have been told.
+const PLAN_SHARE: u32 = 2;
+
+/// A search that was taken in, with what it needs to run.
+pub(crate) struct Search<'a> {
+    pub clock: &'a dyn Clock,
+    pub router: &'a Router,
+    pub planner: &'a Planner,
+    pub admission: &'a dyn Admission,
+    pub stop_rule: &'a dyn StopRule,
+    pub document: &'a Document,
+    pub selector: (&'a SelectorName, &'a SelectorSpec),
+    pub stop: StopSpec,
+    pub query: QueryId,
+    pub tenant: TenantName,
+    pub body: String,
+    pub limit: u32,
+    pub fingerprint: Fingerprint,
+    pub start: Instant,
+    pub deadline: Duration,
+    pub ends: Ends,
+    pub margin: Duration,
+    pub follow_up: bool,
+    pub plans: usize,
+    pub canary_start: Duration,
+}
+
+impl Search<'_> {
+    /// Runs the search; with `canary` it goes to one shard first.
+    pub async fn run(&self, canary: bool) -> Result<Answer> {
+        let planned_by = self.start + self.deadline / PLAN_SHARE;
+        let mut plan = self.planner.plan(self.document, self.selector, planned_by).await?;
+        let mut gone = Gone::new();
+        for round in 0..self.plans.max(1) {
+            let gather = Gather::new(self, &plan, round + 1 >= self.plans);
+            // The canary of the first round has told what there is to tell.
+            match gather.run(canary && round == 0, &mut gone).await? {
+                Round::Done(hits, coverage) => return Ok(self.answer(hits, coverage)),
+                Round::Gone(next) => {
+                    meters::replanned();
+                    tracing::info!("front: planned again at version {}", next.version);
+                    plan = next;
+                }
+            }
+        }
+        Err(Error::NoSnapshot)
+    }
+
+    fn answer(&self, hits: Vec<Hit>, coverage: Coverage) -> Answer {
+        let span = self.clock.now().saturating_duration_since(self.start);
+        Answer {
+            hits: merge(hits, self.limit as usize, &self.tenant),
+            coverage,
+            config: self.document.version,
+            elapsed_us: span.as_micros() as u64,
+        }
+    }
+
+    /// Another plan for the whole answer, if there is a better one and time for it.
+    pub fn replan(&self, old: &Plan, gone: &Gone) -> Option<Rc<Plan>> {
+        if self.clock.now() + self.margin >= self.ends.patience {
+            return None;
+        }
+        self.planner.replan(self.document, self.selector, old, gone)
+    }
+
+    /// The request for `shards`; the router fills in the times.
+    pub fn request(&self, version: IndexVersion, shards: Vec<ShardName>) -> GroupRequest {
+        GroupRequest {
+            query: self.query,
+            tenant: self.tenant.clone(),
+            class: self.class(),
+            selector: self.selector.0.clone(),
+            version,
+            shards,
+            body: self.body.clone(),
+            limit: self.limit,
+            fingerprint: self.fingerprint,
+            patience_ms: 0,
+            deadline_ms: 0,
+            hedge: false,
+        }
+    }
+
+    /// How long a canary is waited for.
+    pub fn canary_delay(&self) -> Duration {
+        // Half of the patience at most, so that a slow canary leaves time for the rest.
+        let most = self.ends.patience.saturating_duration_since(self.start) / 2;
+        self.router.canary_delay(self.class(), self.canary_start).min(most)
+    }
+
+    /// Takes what an answer tells besides its hits.
+    pub fn learn(&self, answer: &GroupAnswer) {
+        let now = self.clock.now();
+        self.planner.view.learn(now, &answer.held);
+        self.admission.learn(now, self.class(), Duration::from_micros(answer.wait_us));
+    }
+
+    pub fn class(&self) -> Class {
+        self.selector.1.class
+    }
+}
--- /dev/null
+++ b/crates/kumquatnotch-query/src/tickets.rs
@@ -0,0 +1,340 @@
+//! Non-idempotent requests: at most once, by a ticket of one life of one node.
+//!
+//! Only the node and incarnation that issued a ticket runs the request under it,
+//! and keeps the outcome for as long as the ticket could run anything. So no
+//! agreement between nodes and no write to the platform is needed: a second copy
+//! finds the first one's entry, and an issuer that has died takes the right to
+//! run with it. Every other node passes a request on and never runs it.
+//!
+//! What a caller is told:
+//!
+//! * the outcome, the same each time it asks;
+//! * [`Error::StillRunning`]: ask again;
+//! * [`Error::IssuerUnreachable`]: the issuer is, or may be, alive but did not
+//!   answer; ask again with the same ticket;
+//! * [`Error::OutcomeUnknown`]: the request may have run, and nothing will tell;
+//!   either the issuer's life is over, or the request left for a target and no
+//!   certain reply came back. It does not run again;
+//! * an error that says "not run" only from the issuer, which then never runs
+//!   the request under that ticket.
+
+use std::{
+    cell::Cell,
+    rc::{Rc, Weak},
+    time::{Duration, Instant},
+};
+
+use kumquatnotch_core::{
+    Clock, Error, LocalFuture, Result,
+    clock::timeout_at,
+    document::{Document, Documents},
+    front::{ExclusiveBody, TicketGrant},
+    ids::{TenantName, stable_hash},
+    lifecycle::{Lifecycle, Stage},
+    member::{Members, NodeState},
+    peer::{PeerHandler, PeerMessage, PeerReply},
+    random::Random,
+    registry::Registry,
+    services,
+    ticket::{ExclusiveRequest, Outcome, Ticket},
+};
+
+use crate::{
+    TicketOptions, meters,
+    outcomes::{Found, Outcomes, RunGuard},
+    router::{ROUTER, Router},
+    runner::Runner,
+};
+
+/// The name under which the [`TicketService`] is registered, an `Rc<TicketService>`.
+pub const TICKETS: &str = "tickets";
+
+/// The time a caller waits if neither it nor a selector that is known here says.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(1);
+
+/// Issues tickets and runs the requests under them.
+pub struct TicketService {
+    this: Weak<TicketService>,
+    options: TicketOptions,
+    clock: Rc<dyn Clock>,
+    members: Rc<dyn Members>,
+    documents: Rc<dyn Documents>,
+    lifecycle: Lifecycle,
+    router: Rc<Router>,
+    runner: Runner,
+    outcomes: Outcomes,
+    serial: Cell<u64>,
+    secret: [u64; 2],
+    started: Instant,
+}
+
+impl TicketService {
+    /// Tickets over the services in `registry`.
+    pub fn try_new(options: TicketOptions, registry: &Registry) -> Result<Rc<TicketService>> {
+        let clock: Rc<dyn Clock> = registry.find(services::CLOCK)?;
+        let random: Random = registry.find(services::RANDOM)?;
+        let members: Rc<dyn Members> = registry.find(services::MEMBERS)?;
+        let documents: Rc<dyn Documents> = registry.find(services::DOCUMENTS)?;
+        let lifecycle: Lifecycle = registry.find(services::LIFECYCLE)?;
+        let router: Rc<Router> = registry.find(ROUTER)?;
+        if members.local().name.contains(':') {
+            let detail = "the name of a node must not contain a colon".to_owned();
+            return Err(Error::BadSettings { detail });
+        }
+        // An outcome is told for as long again as its ticket may run something:
+        // a caller that sends at the last moment can still ask.
+        let outcomes = Outcomes::new(options.valid * 2, options.entries);
+        let runner = Runner::new(&options, clock.clone(), random.clone(), router.clone());
+        Ok(Rc::new_cyclic(|this| TicketService {
+            this: this.clone(),
+            started: clock.now(),
+            secret: [random.number(), random.number()],
+            serial: Cell::new(0),
+            options,
+            clock,
+            members,
+            documents,
+            lifecycle,
+            router,
+            runner,
+            outcomes,
+        }))
+    }
+
+    /// Issues a ticket to `tenant`.
+    pub fn issue(&self, tenant: &TenantName) -> Result<TicketGrant> {
+        // Without a ticket nothing can have run: here is the one place where a
+        // refusal for want of room costs nothing.
+        let (running, kept) = self.outcomes.counts();
+        if running >= self.options.runs || kept >= self.options.entries {
+            return Err(Error::overloaded(self.options.grace));
+        }
+        let serial = self.serial.get() + 1;
+        self.serial.set(serial);
+        let local = self.members.local();
+        let issued_ms = self.age_ms();
+        let ticket = Ticket {
+            seal: self.seal(tenant, serial, issued_ms),
+            issuer: local.name,
+            incarnation: local.incarnation,
+            serial,
+            issued_ms,
+        };
+        let valid = match self.lifecycle.stage() {
+            // The outcome goes with this process, which will not stay for long.
+            Stage::Leaving | Stage::Closing => self.options.leaving_valid.min(self.options.valid),
+            _ => self.options.valid,
+        };
+        Ok(TicketGrant { ticket: ticket.to_string(), valid_ms: valid.as_millis() as u64 })
+    }
+
+    /// The time since this service was made, which no pause of the wall clock moves.
+    fn age_ms(&self) -> u64 {
+        self.clock.now().saturating_duration_since(self.started).as_millis() as u64
+    }
+
+    /// A keyed hash by which this process knows its own tickets and their tenant.
+    ///
+    /// It keeps tenants from asking for each other's outcomes. It need not stand
+    /// against an attacker who computes: callers hold keys, and peers are trusted.
+    fn seal(&self, tenant: &TenantName, serial: u64, issued_ms: u64) -> u64 {
+        let [first, second] = self.secret.map(u64::to_be_bytes);
+        let (serial, issued) = (serial.to_be_bytes(), issued_ms.to_be_bytes());
+        stable_hash(&[&first, tenant.as_bytes(), &serial, &issued, &second])
+    }
+
+    /// Runs a request of `tenant` or tells its outcome, here or at the issuer.
+    pub async fn exclusive(
+        &self,
+        document: &Document,
+        tenant: &TenantName,
+        body: ExclusiveBody,
+    ) -> Result<Outcome> {
+        let start = self.clock.now();
+        let ticket: Ticket = body.ticket.parse()?;
+        let bound = document.rules.selectors.get(&body.selector).map(|spec| spec.deadline());
+        let asked = body.deadline_ms.map(Duration::from_millis);
+        let most = bound.unwrap_or(DEFAULT_DEADLINE);
+        let deadline = asked.unwrap_or(most).min(most);
+        let margin = self.options.margin.min(deadline / 10);
+        let request = ExclusiveRequest {
+            ticket: body.ticket,
+            tenant: tenant.clone(),
+            selector: body.selector,
+            key: body.key,
+            body: body.request.to_string(),
+            deadline_ms: (deadline - margin).as_millis() as u64,
+        };
+        let outcome = if ticket.issuer == self.members.local().name {
+            self.take(&ticket, request).await
+        } else {
+            self.pass_on(&ticket, request, start + deadline).await
+        };
+        meters::exclusive(tenant, self.clock.now().saturating_duration_since(start));
+        Ok(outcome)
+    }
+
+    /// Passes a request on to the issuer of its ticket, which alone may run it.
+    async fn pass_on(
+        &self,
+        ticket: &Ticket,
+        request: ExclusiveRequest,
+        deadline: Instant,
+    ) -> Outcome {
+        let issuer = match self.members.find(&ticket.issuer) {
+            Some(record) if record.state != NodeState::Gone => record,
+            _ => return Outcome::Failed(self.without_issuer()),
+        };
+        // The record may be older than the issuer's present life, or newer than
+        // the ticket's: the node itself knows which life it is, so it is asked.
+        let message = PeerMessage::Exclusive(Box::new(request));
+        match self.router.send(&issuer, &message, deadline).await {
+            Ok(PeerReply::Exclusive(outcome)) => outcome,
+            // Even if this copy certainly was not delivered, another one may have
+            // been. So this is never "not run".
+            Ok(_) | Err(_) => {
+                tracing::warn!("ticket: issuer {} did not answer", issuer.name);
+                Outcome::Failed(Error::IssuerUnreachable)
+            }
+        }
+    }
+
+    /// What is told if the issuer is no member any more.
+    fn without_issuer(&self) -> Error {
+        // A node that has just started may not have heard of all members yet.
+        let age = Duration::from_millis(self.age_ms());
+        if age < self.options.settle {
+            return Error::IssuerUnreachable;
+        }
+        Error::OutcomeUnknown
+    }
+
+    /// Runs a request under an own ticket, or waits for the run, or tells the outcome.
+    async fn take(&self, ticket: &Ticket, request: ExclusiveRequest) -> Outcome {
+        let deadline = self.clock.now() + Duration::from_millis(request.deadline_ms);
+        match self.admit(ticket, request, deadline) {
+            Found::Ended(outcome) => outcome,
+            Found::Running(outcome) => match timeout_at(&*self.clock, deadline, outcome).await {
+                Ok(Ok(outcome)) => outcome,
+                Ok(Err(_)) | Err(_) => Outcome::Failed(Error::StillRunning),
+            },
+            Found::Nothing | Found::Other => Outcome::Failed(Error::BadTicket),
+        }
+    }
+
+    /// Finds the entry of a ticket, or makes it and starts the run. This never
+    /// waits: between the look and the entry no other copy can come in.
+    fn admit(&self, ticket: &Ticket, request: ExclusiveRequest, deadline: Instant) -> Found {
+        let local = self.members.local();
+        if ticket.issuer != local.name {
+            // Never passed on again, so that two views can't make a circle.
+            return failed(Error::IssuerUnreachable);
+        }
+        if ticket.incarnation != local.incarnation {
+            // An earlier life of this node issued it. What that life ran is not
+            // known to anybody, and this one must not run it.
+            return failed(Error::OutcomeUnknown);
+        }
+        if ticket.seal != self.seal(&request.tenant, ticket.serial, ticket.issued_ms) {
+            return failed(Error::BadTicket);
+        }
+        let now = self.clock.now();
+        let hash = request_hash(&request);
+        match self.outcomes.find(now, ticket.serial, hash) {
+            Found::Nothing => {}
+            found => return found,
+        }
+        let valid_ms = self.options.valid.as_millis() as u64;
+        if self.age_ms() > ticket.issued_ms + valid_ms {
+            return failed(Error::TicketExpired);
+        }
+        if !self.outcomes.begin(now, ticket.serial, hash) {
+            // A refusal that isn't kept must not say "not run".
+            return failed(Error::IssuerUnreachable);
+        }
+        self.start(ticket.serial, request, deadline);
+        self.outcomes.find(now, ticket.serial, hash)
+    }
+
+    /// Starts the run, or ends the entry at once if the request can't be run.
+    fn start(&self, serial: u64, request: ExclusiveRequest, deadline: Instant) {
+        let document = match self.check(&request) {
+            Ok(document) => document,
+            Err(error) => return self.outcomes.end(serial, Outcome::Failed(error)),
+        };
+        let Some(this) = self.this.upgrade() else {
+            return self.outcomes.end(serial, Outcome::Failed(Error::Leaving));
+        };
+        // A task of its own: the caller may go away, and the run goes on, so that
+        // its outcome can be asked for.
+        monoio::spawn(async move {
+            let guard = RunGuard { outcomes: &this.outcomes, serial };
+            let outcome = this.runner.run(&document, &request, deadline).await;
+            if outcome == Outcome::Failed(Error::OutcomeUnknown) {
+                tracing::warn!("ticket: the outcome of {serial} is unknown");
+            }
+            this.outcomes.end(serial, outcome);
+            drop(guard);
+            this.gauge();
+        });
+        self.gauge();
+    }
+
+    /// The document that the request runs under, if it may run now.
+    fn check(&self, request: &ExclusiveRequest) -> Result<Rc<Document>> {
+        if self.lifecycle.stage() == Stage::Closing {
+            return Err(Error::Leaving);
+        }
+        if self.outcomes.counts().0 > self.options.runs {
+            return Err(Error::overloaded(self.options.grace));
+        }
+        if request.body.len() > self.options.body_limit {
+            return Err(Error::BodyTooLarge { limit: self.options.body_limit as u64 });
+        }
+        let document = self.documents.current().ok_or(Error::NotReady)?;
+        crate::access::permitted(&document, &request.selector, &request.tenant, true)?;
+        Ok(document)
+    }
+
+    fn gauge(&self) {
+        let (running, kept) = self.outcomes.counts();
+        meters::tickets(running, kept);
+    }
+
+    /// How many requests run under tickets of this node.
+    pub fn running(&self) -> usize {
+        self.outcomes.counts().0
+    }
+
+    /// The state of the tickets as text for the status page.
+    pub fn status_text(&self) -> String {
+        let (running, kept) = self.outcomes.counts();
+        let issued = self.serial.get();
+        format!("tickets: {issued} issued, {running} running, {kept} outcomes kept\n")
+    }
+}
+
+impl PeerHandler for TicketService {
+    fn handle(&self, message: PeerMessage) -> LocalFuture<'_, Result<PeerReply>> {
+        Box::pin(async move {
+            let PeerMessage::Exclusive(request) = message else {
+                return Err(Error::protocol("not a message for the issuer of a ticket"));
+            };
+            let outcome = match request.ticket.parse() {
+                Ok(ticket) => self.take(&ticket, *request).await,
+                Err(error) => Outcome::Failed(error),
+            };
+            Ok(PeerReply::Exclusive(outcome))
+        })
+    }
+}
+
+fn failed(error: Error) -> Found {
+    Found::Ended(Outcome::Failed(error))
+}
+
+/// By which a request under a ticket is recognised; the time to wait is no part of it.
+fn request_hash(request: &ExclusiveRequest) -> u64 {
+    let ExclusiveRequest { tenant, selector, key, body, .. } = request;
+    stable_hash(&[tenant.as_bytes(), selector.as_bytes(), key.as_bytes(), body.as_bytes()])
+}
--- /dev/null
+++ b/crates/kumquatnotch-query/tests/common/holder.rs
@@ -0,0 +1,165 @@
+//! A holder that answers out of a table of shards.
+
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use futures_util::future::join_all;
+use kumquatnotch_core::{
+    Clock, Error, LocalFuture, Result,
+    answer::{GroupAnswer, ShardFault, ShardVersions},
+    clock::{PausedClock, sleep, timeout_at},
+    ids::{IndexVersion, NodeName, ShardName},
+    peer::{PeerHandler, PeerMessage, PeerReply, RelayCall},
+    query::{GroupRequest, Hit},
+    target::{HeldVersion, TargetReply},
+};
+
+/// What a shard does.
+#[derive(Clone, Debug, Default)]
+pub struct ShardState {
+    pub delay: Duration,
+    pub fault: Option<Error>,
+    pub versions: Vec<HeldVersion>,
+}
+
+/// The shards, shared by the holders of all nodes.
+pub struct Shards {
+    clock: PausedClock,
+    states: RefCell<BTreeMap<ShardName, ShardState>>,
+    /// Which node asked which shard at which version.
+    pub asked: RefCell<Vec<(NodeName, ShardName, IndexVersion)>>,
+    /// The bodies that ran exclusively, with the shard.
+    pub runs: RefCell<Vec<(ShardName, String)>>,
+    /// What an exclusive call answers, instead of running.
+    pub refusals: RefCell<Vec<Error>>,
+    pub run_delay: RefCell<Duration>,
+    pub wait: RefCell<Duration>,
+}
+
+impl Shards {
+    pub fn new(clock: PausedClock) -> Shards {
+        Shards {
+            clock,
+            states: RefCell::default(),
+            asked: RefCell::default(),
+            runs: RefCell::default(),
+            refusals: RefCell::default(),
+            run_delay: RefCell::new(Duration::from_millis(2)),
+            wait: RefCell::default(),
+        }
+    }
+
+    pub fn set_versions(&self, shard: &ShardName, versions: Vec<HeldVersion>) {
+        self.change(shard, |state| state.versions = versions);
+    }
+
+    pub fn change(&self, shard: &ShardName, change: impl FnOnce(&mut ShardState)) {
+        change(self.states.borrow_mut().entry(shard.clone()).or_default());
+    }
+
+    /// The declared shard whose replicas hold `shard` at `version`, if any do.
+    fn find(&self, shard: &ShardName, version: IndexVersion) -> Option<ShardState> {
+        let states = self.states.borrow();
+        let holds = |state: &&ShardState| {
+            state.versions.iter().any(|held| held.shard == *shard && held.version == version)
+        };
+        states.values().find(holds).cloned()
+    }
+
+    fn versions(&self, shards: &[ShardName]) -> Vec<ShardVersions> {
+        let states = self.states.borrow();
+        let of = |shard: &ShardName| {
+            let versions = states.get(shard).map(|state| state.versions.clone());
+            ShardVersions { shard: shard.clone(), versions: versions.unwrap_or_default() }
+        };
+        shards.iter().map(of).collect()
+    }
+
+    async fn call(&self, request: &GroupRequest, shard: &ShardName) -> Result<Vec<Hit>> {
+        let start: Instant = self.clock.now();
+        let Some(state) = self.find(shard, request.version) else {
+            return Err(Error::VersionGone { version: request.version.0 });
+        };
+        let patience = Duration::from_millis(request.patience_ms.min(request.deadline_ms));
+        let work = sleep(&self.clock, state.delay);
+        timeout_at(&self.clock, start + patience, work).await?;
+        if let Some(error) = state.fault {
+            return Err(error);
+        }
+        Ok(vec![hit(shard, request.version)])
+    }
+
+    async fn group(&self, name: &NodeName, request: &GroupRequest) -> GroupAnswer {
+        for shard in &request.shards {
+            self.asked.borrow_mut().push((name.clone(), shard.clone(), request.version));
+        }
+        let calls = request.shards.iter().map(|shard| self.call(request, shard));
+        let mut answer = GroupAnswer {
+            hits: Vec::new(),
+            covered: Vec::new(),
+            missing: Vec::new(),
+            held: self.versions(&request.shards),
+            wait_us: self.wait.borrow().as_micros() as u64,
+        };
+        for (shard, result) in request.shards.iter().cloned().zip(join_all(calls).await) {
+            match result {
+                Ok(hits) => {
+                    answer.hits.extend(hits);
+                    answer.covered.push(shard);
+                }
+                Err(error) => answer.missing.push(ShardFault { shard, error }),
+            }
+        }
+        answer
+    }
+
+    async fn relay(&self, relay: RelayCall) -> Result<PeerReply> {
+        if !self.refusals.borrow().is_empty() {
+            return Err(self.refusals.borrow_mut().remove(0));
+        }
+        self.runs.borrow_mut().push((relay.call.shard, relay.call.body));
+        let delay = *self.run_delay.borrow();
+        sleep(&self.clock, delay).await;
+        let number = self.runs.borrow().len();
+        let result = serde_json::json!({ "held": number });
+        Ok(PeerReply::Relay(Box::new(TargetReply { result, ..TargetReply::default() })))
+    }
+}
+
+/// One hit of a shard: an entry of the rival with a private rate.
+pub fn hit(shard: &ShardName, version: IndexVersion) -> Hit {
+    Hit {
+        key: format!("{shard}/room"),
+        score: 1.0,
+        owner: Some("barid".into()),
+        fields: serde_json::json!({ "version": version.0 }),
+        private: Some(serde_json::json!({ "rate": 40 })),
+    }
+}
+
+pub struct FakeHolder {
+    pub name: NodeName,
+    pub shards: Rc<Shards>,
+}
+
+impl PeerHandler for FakeHolder {
+    fn handle(&self, message: PeerMessage) -> LocalFuture<'_, Result<PeerReply>> {
+        Box::pin(async move {
+            match message {
+                PeerMessage::Group(request) => {
+                    let answer = self.shards.group(&self.name, &request).await;
+                    Ok(PeerReply::Group(Box::new(answer)))
+                }
+                PeerMessage::Versions(shards) => {
+                    Ok(PeerReply::Versions(self.shards.versions(&shards)))
+                }
+                PeerMessage::Relay(relay) => self.shards.relay(*relay).await,
+                _ => Err(Error::protocol("not for a holder")),
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/kumquatnotch-query/tests/common/net.rs
@@ -0,0 +1,114 @@
+//! A network between nodes that loses, holds back and doubles on request.
+
+use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, time::Instant};
+
+use kumquatnotch_core::{
+    Error, LocalFuture, Peers, Result,
+    clock::{PausedClock, sleep},
+    peer::{PeerHandler, PeerMessage, PeerReply},
+    registry::Registry,
+};
+
+use super::ms;
+
+/// What is wrong on the way to a node.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Way {
+    /// Nothing; half a millisecond each way.
+    Fine,
+    /// Nobody listens.
+    Closed,
+    /// Messages arrive in the kernel of a stopped process: no reply, and nothing
+    /// runs until it is woken.
+    Frozen,
+    /// The message is handled, and the connection breaks before the reply.
+    ReplyLost,
+    /// The connection breaks before the message is handled.
+    RequestLost,
+    /// Everything takes this many milliseconds longer.
+    Slow(u64),
+}
+
+pub struct Net {
+    clock: PausedClock,
+    nodes: RefCell<BTreeMap<SocketAddr, Registry>>,
+    ways: RefCell<BTreeMap<SocketAddr, Way>>,
+    backlog: RefCell<Vec<(SocketAddr, PeerMessage)>>,
+    pub sent: RefCell<Vec<(SocketAddr, PeerMessage)>>,
+}
+
+impl Net {
+    pub fn new(clock: PausedClock) -> Net {
+        Net {
+            clock,
+            nodes: RefCell::default(),
+            ways: RefCell::default(),
+            backlog: RefCell::default(),
+            sent: RefCell::default(),
+        }
+    }
+
+    pub fn attach(&self, address: SocketAddr, registry: Registry) {
+        self.nodes.borrow_mut().insert(address, registry);
+    }
+
+    pub fn set(&self, address: SocketAddr, way: Way) {
+        self.ways.borrow_mut().insert(address, way);
+    }
+
+    fn way(&self, address: SocketAddr) -> Way {
+        self.ways.borrow().get(&address).copied().unwrap_or(Way::Fine)
+    }
+
+    /// Wakes a frozen node: what lay in its sockets is handled now.
+    pub async fn wake(&self, address: SocketAddr) {
+        self.set(address, Way::Fine);
+        let backlog: Vec<_> = self.backlog.borrow_mut().drain(..).collect();
+        for (to, message) in backlog.into_iter().filter(|(to, _)| *to == address) {
+            let _ = self.handle(to, message).await;
+        }
+    }
+
+    /// Hands `message` to the node at `address` as a late copy would.
+    pub async fn handle(&self, address: SocketAddr, message: PeerMessage) -> Result<PeerReply> {
+        let registry = self.nodes.borrow().get(&address).cloned().ok_or(Error::ConnectFailed)?;
+        let handler: std::rc::Rc<dyn PeerHandler> = registry.find(message.service())?;
+        handler.handle(message).await.or_else(|error| Ok(PeerReply::Failed(error)))
+    }
+
+    async fn deliver(&self, address: SocketAddr, message: PeerMessage) -> Result<PeerReply> {
+        self.sent.borrow_mut().push((address, message.clone()));
+        sleep(&self.clock, ms(1) / 2).await;
+        match self.way(address) {
+            Way::Closed => return Err(Error::ConnectFailed),
+            Way::RequestLost => return Err(Error::ConnectionLost),
+            Way::Frozen => {
+                self.backlog.borrow_mut().push((address, message));
+                return std::future::pending().await;
+            }
+            Way::Slow(span) => sleep(&self.clock, ms(span)).await,
+            Way::Fine | Way::ReplyLost => {}
+        }
+        let reply = self.handle(address, message).await?;
+        sleep(&self.clock, ms(1) / 2).await;
+        match self.way(address) {
+            Way::ReplyLost => Err(Error::ConnectionLost),
+            Way::Frozen => std::future::pending().await,
+            _ => Ok(reply),
+        }
+    }
+}
+
+impl Peers for Net {
+    fn send<'a>(
+        &'a self,
+        address: SocketAddr,
+        message: &'a PeerMessage,
+        deadline: Instant,
+    ) -> LocalFuture<'a, Result<PeerReply>> {
+        Box::pin(async move {
+            let work = self.deliver(address, message.clone());
+            kumquatnotch_core::clock::timeout_at(&self.clock, deadline, work).await?
+        })
+    }
+}
