--- a/crates/kumquatnotch-net/src/entry.rs
+++ b/crates/kumquatnotch-net/src/entry.rs
@@ -1,17 +1,20 @@
 //! The routes for callers and operators.
 
-use std::rc::Rc;
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use http::{Method, StatusCode};
 use kumquatnotch_core::{
     Error, LocalFuture, Result,
     front::{ExclusiveBody, Front},
+    registry::Registry,
+    report::ConfigReport,
+    services,
     ticket::Outcome,
 };
 use serde::Serialize;
 
 use crate::{
-    message::{Reply, Request, TEXT},
+    message::{Reply, Request},
     server::{Handler, Work},
 };
 
@@ -24,16 +27,26 @@
     fn status(&self) -> String;
 
     /// The configuration in force on each known node.
-    fn config(&self) -> LocalFuture<'_, serde_json::Value>;
+    fn config(&self) -> LocalFuture<'_, ConfigReport>;
 
     /// Its metrics in Prometheus' text form.
     fn metrics(&self) -> String;
 }
 
+/// The name under which an `Rc<dyn Operator>` is registered.
+pub const OPERATOR: &str = "operator";
+
+/// When a caller that met the bound on searches may come back.
+const BUSY_RETRY: Duration = Duration::from_millis(100);
+
 /// The routes for callers and operators.
+///
+/// The services behind them are looked up with each request, as the listener is
+/// there before them: they need its address.
 pub struct EntryRoute {
-    front: Rc<dyn Front>,
-    operator: Rc<dyn Operator>,
+    registry: Registry,
+    limit: usize,
+    searches: Cell<usize>,
 }
 
 #[derive(Serialize)]
@@ -42,28 +55,42 @@
 }
 
 impl EntryRoute {
-    /// Routes to `front` and `operator`.
-    pub fn new(front: Rc<dyn Front>, operator: Rc<dyn Operator>) -> EntryRoute {
-        EntryRoute { front, operator }
+    /// Routes to the services of `registry`, with at most `limit` searches at once.
+    pub fn new(registry: Registry, limit: usize) -> EntryRoute {
+        EntryRoute { registry, limit, searches: Cell::new(0) }
+    }
+
+    fn front(&self) -> Result<Rc<dyn Front>> {
+        self.registry.find(services::FRONT)
+    }
+
+    fn operator(&self) -> Result<Rc<dyn Operator>> {
+        self.registry.find(OPERATOR)
     }
 
     async fn search(&self, request: Request) -> Reply {
+        // Only searches are refused here: whether a non-idempotent request has run
+        // is known to the front alone, and a refusal says "not run".
+        if self.searches.get() >= self.limit {
+            return Reply::error(&Error::overloaded(BUSY_RETRY));
+        }
+        let _running = Running::new(&self.searches);
         let answer = async {
             let key = key_of(&request)?;
-            self.front.search(key, request.json()?).await
+            self.front()?.search(key, request.json()?).await
         };
         to_reply(answer.await)
     }
 
     fn ticket(&self, request: &Request) -> Reply {
-        to_reply(key_of(request).and_then(|key| self.front.ticket(key)))
+        to_reply(key_of(request).and_then(|key| self.front()?.ticket(key)))
     }
 
     async fn exclusive(&self, request: Request) -> Reply {
         let outcome = async {
             let key = key_of(&request)?;
             let body: ExclusiveBody = request.json()?;
-            self.front.exclusive(key, body).await
+            self.front()?.exclusive(key, body).await
         };
         match outcome.await {
             Ok(Outcome::Done(done)) => Reply::json(StatusCode::OK, &Done { done }),
@@ -72,18 +99,37 @@
     }
 
     fn advice(&self, request: &Request) -> Reply {
-        Reply::json(StatusCode::OK, &self.front.advice(request.field("near")))
+        to_reply(self.front().map(|front| front.advice(request.field("near"))))
     }
 
-    fn ready(&self) -> Reply {
-        match self.operator.is_ready() {
-            true => Reply::text(StatusCode::OK, "ready\n"),
-            false => Reply::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+    async fn config(&self) -> Reply {
+        match self.operator() {
+            Ok(operator) => Reply::json(StatusCode::OK, &operator.config().await),
+            Err(error) => Reply::error(&error),
         }
     }
 
-    async fn config(&self) -> Reply {
-        Reply::json(StatusCode::OK, &self.operator.config().await)
+    fn page(&self, page: impl FnOnce(&dyn Operator) -> Reply) -> Work<'_> {
+        Work::ready(match self.operator() {
+            Ok(operator) => page(&*operator),
+            Err(error) => Reply::error(&error),
+        })
+    }
+}
+
+/// Counts a search for as long as it runs.
+struct Running<'a>(&'a Cell<usize>);
+
+impl<'a> Running<'a> {
+    fn new(cell: &'a Cell<usize>) -> Running<'a> {
+        cell.set(cell.get() + 1);
+        Running(cell)
+    }
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
     }
 }
 
@@ -107,15 +153,22 @@
             "/v1/tickets" => Work::ready(self.ticket(&request)),
             "/v1/exclusive" => Work::lasting(self.exclusive(request)),
             "/v1/entry" => Work::ready(self.advice(&request)),
-            "/readyz" => Work::ready(self.ready()),
-            "/status" => Work::ready(Reply::text(StatusCode::OK, self.operator.status())),
+            "/readyz" => self.page(ready),
+            "/status" => self.page(|operator| Reply::text(StatusCode::OK, operator.status())),
+            "/metrics" => self.page(|operator| Reply::text(StatusCode::OK, operator.metrics())),
             "/v1/config" => Work::new(self.config()),
-            "/metrics" => Work::ready(Reply::new(StatusCode::OK, TEXT, self.operator.metrics())),
             _ => Work::ready(Reply::text(StatusCode::OK, "ok\n")),
         }
     }
 }
 
+fn ready(operator: &dyn Operator) -> Reply {
+    match operator.is_ready() {
+        true => Reply::text(StatusCode::OK, "ready\n"),
+        false => Reply::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+    }
+}
+
 fn key_of(request: &Request) -> Result<&str> {
     request.bearer().ok_or(Error::Unauthorised)
 }
--- a/crates/kumquatnotch-net/src/lib.rs
+++ b/crates/kumquatnotch-net/src/lib.rs
@@ -9,6 +9,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod caller_client;
 pub mod entry;
 pub mod message;
 pub mod peer_links;
@@ -29,6 +30,6 @@
 mod target_reply;
 
 pub use crate::{
-    peer_links::PeerLinks, platform_client::PlatformClient, server::Server,
-    target_links::TargetLinks,
+    caller_client::CallerClient, peer_links::PeerLinks, platform_client::PlatformClient,
+    server::Server, target_links::TargetLinks,
 };
--- a/crates/kumquatnotch-net/src/message.rs
+++ b/crates/kumquatnotch-net/src/message.rs
@@ -153,12 +153,12 @@
     }
 
     /// A header, read as `T`.
-    pub(crate) fn header<T: FromStr>(&self, name: &str) -> Option<T> {
+    pub fn header<T: FromStr>(&self, name: &str) -> Option<T> {
         self.headers.get(name)?.to_str().ok()?.parse().ok()
     }
 
     /// The body, read as JSON.
-    pub(crate) fn read_json<T: DeserializeOwned>(&self) -> Result<T> {
+    pub fn read_json<T: DeserializeOwned>(&self) -> Result<T> {
         serde_json::from_slice(&self.body).map_err(Error::protocol)
     }
 }
--- /dev/null
+++ b/crates/kumquatnotch/src/node.rs
@@ -0,0 +1,254 @@
+//! A node: every service, registered by its name, and the order in which they
+//! start and end.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use kumquatnotch_config::settings::Settings;
+use kumquatnotch_core::{
+    Clock, LocalFuture, Result,
+    clock::{self, RuntimeClock},
+    ids::{DataCentre, NodeName, Region},
+    lifecycle::{Lifecycle, Stage},
+    random::Random,
+    registry::Registry,
+    services,
+};
+use kumquatnotch_holder::{HolderOptions, HolderService};
+use kumquatnotch_member::{ConfigOptions, ConfigService, MembershipOptions, MembershipService};
+use kumquatnotch_net::{
+    PeerLinks, PlatformClient, Server, TargetLinks,
+    entry::{EntryRoute, OPERATOR, Operator},
+    peer_links::PeerLinkOptions,
+    peer_route::PeerRoute,
+    platform_client::PlatformOptions,
+    server::ServerOptions,
+    silence::INTERIM_PERIOD,
+    target_links::TargetLinkOptions,
+};
+use kumquatnotch_query::{FrontOptions, FrontService, QueryOptions, RouterOptions};
+
+use crate::operator::NodeOperator;
+
+/// How long the advice given out may still be in use after it has lapsed.
+///
+/// A caller takes its advice to lapse from when the reply came, which is a way
+/// of at most 20 ms later than when it was given.
+const ADVICE_SLACK: Duration = Duration::from_millis(500);
+
+/// The largest message between nodes, in bytes.
+const PEER_BODY: usize = 16 << 20;
+
+/// The most connections that a node takes from others.
+const PEER_CONNECTIONS: usize = 16_000;
+
+/// Options of a [`Node`].
+pub struct NodeOptions {
+    /// The settings.
+    pub settings: Settings,
+    /// Renders the metrics of the process in Prometheus' text form.
+    pub metrics: Box<dyn Fn() -> String>,
+}
+
+impl NodeOptions {
+    /// Options without metrics.
+    pub fn new(settings: Settings) -> NodeOptions {
+        NodeOptions { settings, metrics: Box::new(String::new) }
+    }
+}
+
+/// How a node ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Shutdown {
+    /// Every request in flight ended.
+    Clean,
+    /// Some had not when the time for the shutdown was over.
+    Cut,
+}
+
+/// A node of the tier.
+pub struct Node {
+    /// The services, by name.
+    pub registry: Registry,
+    settings: Settings,
+    clock: Rc<dyn Clock>,
+    lifecycle: Lifecycle,
+    entry: Server,
+    peer: Server,
+    members: Rc<MembershipService>,
+    config: Rc<ConfigService>,
+    holder: Rc<HolderService>,
+    front: Rc<FrontService>,
+}
+
+impl Node {
+    /// Listens, and puts every service together; none of them runs yet.
+    ///
+    /// This must run inside a runtime.
+    pub fn try_new(options: NodeOptions) -> Result<Node> {
+        let NodeOptions { settings, metrics } = options;
+        let registry = Registry::default();
+        let clock: Rc<dyn Clock> = Rc::new(RuntimeClock);
+        let lifecycle = Lifecycle::default();
+        registry.register::<Rc<dyn Clock>>(services::CLOCK, clock.clone());
+        registry.register(services::RANDOM, generator(&settings));
+        registry.register(services::LIFECYCLE, lifecycle.clone());
+
+        // The way out.
+        TargetLinks::try_new(target_options(&settings), &registry)?;
+        PeerLinks::try_new(PeerLinkOptions { body: PEER_BODY, ..Default::default() }, &registry)?;
+        PlatformClient::try_new(platform_options(&settings), &registry)?;
+
+        // The way in, which comes first because membership tells its addresses.
+        let route = Rc::new(EntryRoute::new(registry.clone(), settings.limits.requests));
+        let entry = Server::try_new(entry_options(&settings), clock.clone(), route)?;
+        let route = Rc::new(PeerRoute::new(registry.clone()));
+        let peer = Server::try_new(peer_options(&settings), clock.clone(), route)?;
+
+        // What runs in between, each after those that it looks up.
+        let options = member_options(&settings, &entry, &peer);
+        let members = MembershipService::try_new(options, &registry)?;
+        let config = ConfigService::try_new(ConfigOptions::default(), &registry)?;
+        let holder = HolderService::try_new(holder_options(&settings), &registry)?;
+        let front = kumquatnotch_query::install(query_options(&settings), &registry)?;
+        let operator = NodeOperator::new(&registry, holder.clone(), front.clone(), metrics)?;
+        registry.register::<Rc<dyn Operator>>(OPERATOR, Rc::new(operator));
+
+        Ok(Node {
+            registry,
+            settings,
+            clock,
+            lifecycle,
+            entry,
+            peer,
+            members,
+            config,
+            holder,
+            front,
+        })
+    }
+
+    /// The servers for callers and for peers.
+    pub fn servers(&self) -> (&Server, &Server) {
+        (&self.entry, &self.peer)
+    }
+
+    /// Starts every service.
+    pub fn start(&self) {
+        self.members.start();
+        self.config.start();
+        self.holder.start();
+        self.front.start();
+    }
+
+    /// Runs until `stop` completes, then leaves gracefully.
+    pub async fn run(&self, stop: LocalFuture<'_, ()>) -> Shutdown {
+        self.start();
+        stop.await;
+        self.leave().await
+    }
+
+    /// Leaves gracefully: no request in flight is cut while time is left.
+    pub async fn leave(&self) -> Shutdown {
+        // Callers keep the address of this node for as long as its advice said, so
+        // it serves them for that long; it is advised to nobody from now on.
+        tracing::info!("node: leaving, and serving until the advice given out has lapsed");
+        self.lifecycle.advance(Stage::Leaving);
+        self.members.leave();
+        self.entry.drain();
+        clock::sleep(&*self.clock, self.settings.advice.valid + ADVICE_SLACK).await;
+
+        // Whoever still comes is refused, truthfully and by name.
+        tracing::info!("node: closing with {} requests in flight", self.entry.requests());
+        self.lifecycle.advance(Stage::Closing);
+        let deadline = self.clock.now() + self.settings.limits.shutdown;
+        let entry = self.entry.close(deadline).await;
+
+        // Peers are told last: until here they may have asked for work of theirs.
+        self.members.farewell().await;
+        let peer = self.close_peer(deadline).await;
+        match entry && peer {
+            true => Shutdown::Clean,
+            false => Shutdown::Cut,
+        }
+    }
+
+    async fn close_peer(&self, deadline: Instant) -> bool {
+        let closed = self.peer.close(deadline).await;
+        if !closed {
+            tracing::warn!("node: {} requests of peers are cut", self.peer.requests());
+        }
+        closed
+    }
+}
+
+fn generator(settings: &Settings) -> Random {
+    match settings.seed {
+        Some(seed) => Random::with_seed(seed),
+        None => Random::from_entropy(),
+    }
+}
+
+fn target_options(settings: &Settings) -> TargetLinkOptions {
+    TargetLinkOptions { connections: settings.limits.connections, ..Default::default() }
+}
+
+fn platform_options(settings: &Settings) -> PlatformOptions {
+    let platform = &settings.platform;
+    PlatformOptions { address: platform.address, timeout: platform.timeout, ..Default::default() }
+}
+
+fn entry_options(settings: &Settings) -> ServerOptions {
+    ServerOptions {
+        address: settings.listen.entry,
+        name: "entry",
+        body: settings.limits.body as usize,
+        connections: settings.limits.callers,
+        ..Default::default()
+    }
+}
+
+fn peer_options(settings: &Settings) -> ServerOptions {
+    ServerOptions {
+        address: settings.listen.peer,
+        name: "peer",
+        body: PEER_BODY,
+        connections: PEER_CONNECTIONS,
+        interim: Some(INTERIM_PERIOD),
+        ..Default::default()
+    }
+}
+
+fn member_options(settings: &Settings, entry: &Server, peer: &Server) -> MembershipOptions {
+    MembershipOptions {
+        name: NodeName::from(settings.node.name.as_str()),
+        peer: settings.peer_address(peer.address()),
+        entry: settings.entry_address(entry.address()),
+        centre: DataCentre::from(settings.node.centre.as_str()),
+        region: Region::from(settings.node.region.as_str()),
+        seeds: settings.join.seeds.clone(),
+        ..Default::default()
+    }
+}
+
+fn holder_options(settings: &Settings) -> HolderOptions {
+    HolderOptions {
+        centre: DataCentre::from(settings.node.centre.as_str()),
+        holders: settings.groups.holders as u32,
+        ..Default::default()
+    }
+}
+
+fn query_options(settings: &Settings) -> QueryOptions {
+    QueryOptions {
+        front: FrontOptions { advice_valid: settings.advice.valid, ..Default::default() },
+        router: RouterOptions {
+            group_shards: settings.groups.shards,
+            holders: settings.groups.holders,
+            ..Default::default()
+        },
+        ..Default::default()
+    }
+}
--- /dev/null
+++ b/crates/kumquatnotch/src/operator.rs
@@ -0,0 +1,146 @@
+//! What a node shows its operators.
+
+use std::{
+    fmt::Write,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use futures_util::{StreamExt, stream};
+use kumquatnotch_core::{
+    Clock, Error, LocalFuture, Peers, Result,
+    document::{Document, Documents},
+    lifecycle::{Lifecycle, Stage},
+    marks::Marks,
+    member::{Confirmation, Members, NodeRecord},
+    peer::{CONTROL_TIMEOUT, PeerMessage, PeerReply},
+    registry::Registry,
+    report::{ConfigReport, NodeReport},
+    services,
+};
+use kumquatnotch_holder::HolderService;
+use kumquatnotch_net::entry::Operator;
+use kumquatnotch_query::FrontService;
+
+/// How many nodes are asked for their configuration at once.
+const ASKED_AT_ONCE: usize = 64;
+
+/// What a node shows its operators.
+pub struct NodeOperator {
+    clock: Rc<dyn Clock>,
+    lifecycle: Lifecycle,
+    members: Rc<dyn Members>,
+    marks: Rc<dyn Marks>,
+    documents: Rc<dyn Documents>,
+    peers: Rc<dyn Peers>,
+    holder: Rc<HolderService>,
+    front: Rc<FrontService>,
+    metrics: Box<dyn Fn() -> String>,
+    start: Instant,
+}
+
+impl NodeOperator {
+    /// An operator's view of the services in `registry`.
+    pub fn new(
+        registry: &Registry,
+        holder: Rc<HolderService>,
+        front: Rc<FrontService>,
+        metrics: Box<dyn Fn() -> String>,
+    ) -> Result<NodeOperator> {
+        let clock: Rc<dyn Clock> = registry.find(services::CLOCK)?;
+        Ok(NodeOperator {
+            start: clock.now(),
+            lifecycle: registry.find(services::LIFECYCLE)?,
+            members: registry.find(services::MEMBERS)?,
+            marks: registry.find(services::MARKS)?,
+            documents: registry.find(services::DOCUMENTS)?,
+            peers: registry.find(services::PEERS)?,
+            clock,
+            holder,
+            front,
+            metrics,
+        })
+    }
+
+    async fn config_of(&self, record: NodeRecord) -> NodeReport {
+        let (confirmation, error) = match self.ask(&record).await {
+            Ok(confirmation) => (Some(confirmation), None),
+            Err(error) => (None, Some(error.to_string())),
+        };
+        NodeReport { name: record.name, state: record.state, confirmation, error }
+    }
+
+    async fn ask(&self, record: &NodeRecord) -> Result<Confirmation> {
+        if record.name == self.members.local().name {
+            return Ok(self.members.confirmed());
+        }
+        let deadline = self.clock.now() + CONTROL_TIMEOUT;
+        match self.peers.send(record.peer, &PeerMessage::ConfigState, deadline).await? {
+            PeerReply::ConfigState(confirmation) => Ok(confirmation),
+            PeerReply::Failed(error) => Err(error),
+            reply => Err(Error::protocol(format!("unexpected {reply:?}"))),
+        }
+    }
+
+    fn write_status(&self, text: &mut String) -> std::fmt::Result {
+        let local = self.members.local();
+        let uptime = self.clock.now().saturating_duration_since(self.start);
+        let confirmed = self.members.confirmed();
+        let age = Duration::from_millis(confirmed.age_ms);
+        writeln!(text, "node: {} in {}, {}", local.name, local.centre, local.region)?;
+        writeln!(text, "stage: {:?}, up for {uptime:.0?}", self.lifecycle.stage())?;
+        writeln!(text, "callers: {}, peers: {}", local.entry, local.peer)?;
+        writeln!(text, "configuration: version {}, confirmed {age:.1?} ago", confirmed.version)?;
+        if let Some(document) = self.documents.current() {
+            write_document(text, &document)?;
+        }
+        let known = self.members.known();
+        writeln!(text, "\nnodes: {}", known.len())?;
+        for node in known {
+            let NodeRecord { name, state, centre, entry, .. } = node;
+            writeln!(text, "  {name} {state:?} in {centre}, callers at {entry}")?;
+        }
+        let marks = self.marks.all();
+        writeln!(text, "\nmarks: {}", marks.len())?;
+        for mark in marks {
+            writeln!(text, "  {:?} for {} ms", mark.kind, mark.left_ms)?;
+        }
+        writeln!(text, "\ncallers:\n{}", self.front.status_text())?;
+        writeln!(text, "\ntargets:\n{}", self.holder.status_text())
+    }
+}
+
+fn write_document(text: &mut String, document: &Document) -> std::fmt::Result {
+    let rules = &document.rules;
+    writeln!(
+        text,
+        "document: {} targets, {} selectors, {} tenants",
+        document.targets.len(),
+        rules.selectors.len(),
+        rules.tenants.len(),
+    )
+}
+
+impl Operator for NodeOperator {
+    fn is_ready(&self) -> bool {
+        self.lifecycle.stage() == Stage::Serving && self.documents.current().is_some()
+    }
+
+    fn status(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string can't fail.
+        let _ = self.write_status(&mut text);
+        text
+    }
+
+    fn config(&self) -> LocalFuture<'_, ConfigReport> {
+        Box::pin(async move {
+            let asked = stream::iter(self.members.known()).map(|record| self.config_of(record));
+            ConfigReport { nodes: asked.buffered(ASKED_AT_ONCE).collect().await }
+        })
+    }
+
+    fn metrics(&self) -> String {
+        (self.metrics)()
+    }
+}
--- /dev/null
+++ b/crates/kumquatnotchd/src/meters.rs
@@ -0,0 +1,39 @@
+//! Metrics, rendered for the node's own HTTP endpoint.
+
+use std::time::Duration;
+
+use kumquatnotch::core::{Error, Result};
+use metrics_exporter_prometheus::{BuildError, Matcher, PrometheusBuilder, PrometheusHandle};
+
+/// The bounds of histograms of times, in seconds.
+const TIME_BUCKETS: [f64; 16] =
+    [0.001, 0.002, 0.003, 0.005, 0.0075, 0.01, 0.02, 0.03, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0];
+
+/// The bounds of histograms of coverage.
+const COVERAGE_BUCKETS: [f64; 8] = [0.0, 0.25, 0.5, 0.75, 0.9, 0.95, 0.99, 1.0];
+
+/// How often the samples of histograms are put into their buckets.
+const UPKEEP: Duration = Duration::from_secs(5);
+
+/// Starts to collect metrics; the result renders them.
+pub fn install() -> Result<Box<dyn Fn() -> String>> {
+    let recorder = builder().map_err(Error::internal)?.build_recorder();
+    let handle = recorder.handle();
+    metrics::set_global_recorder(recorder).map_err(Error::internal)?;
+    monoio::spawn(keep_up(handle.clone()));
+    Ok(Box::new(move || handle.render()))
+}
+
+fn builder() -> Result<PrometheusBuilder, BuildError> {
+    PrometheusBuilder::new()
+        .set_buckets_for_metric(Matcher::Suffix("_seconds".to_owned()), &TIME_BUCKETS)?
+        .set_buckets_for_metric(Matcher::Suffix("_coverage".to_owned()), &COVERAGE_BUCKETS)
+}
+
+/// Without it, samples would pile up in memory between two scrapes.
+async fn keep_up(handle: PrometheusHandle) {
+    loop {
+        monoio::time::sleep(UPKEEP).await;
+        handle.run_upkeep();
+    }
+}
