Let other tasks run when one yields

A future that woke itself was polled again before every other task: monoio puts a task that wakes itself at the head of its queue and polls its main future in a loop. Under PausedClock::drive no spawned task ever ran; 100 nodes of the membership tests passed 60 s of paused time without one message. A test drives a clock beside a spawned ticker.

--- a/crates/kumquatnotch-core/src/clock.rs
+++ b/crates/kumquatnotch-core/src/clock.rs
@@ -59,17 +59,12 @@
 }
 
 /// Lets the other tasks of the thread run once.
+///
+/// A future that only wakes itself is polled again before any other task, as
+/// the runtime puts it at the head of its queue, or polls it in a loop if it is
+/// the main one. Waiting for an empty task at the tail lets all others run.
 pub async fn yield_now() {
-    let mut yielded = false;
-    std::future::poll_fn(|context| {
-        if yielded {
-            return Poll::Ready(());
-        }
-        yielded = true;
-        context.waker().wake_by_ref();
-        Poll::Pending
-    })
-    .await;
+    monoio::spawn(std::future::ready(())).await;
 }
 
 /// How often [`PausedClock::drive`] lets other tasks run before it moves the time.
--- a/crates/kumquatnotch-core/tests/core.rs
+++ b/crates/kumquatnotch-core/tests/core.rs
@@ -130,6 +130,28 @@
     assert_eq!(result, Err(Error::TimedOut));
 }
 
+/// A service's task never ran under a paused clock: the driver that yielded was
+/// polled again before every other task, and moved the time on without them.
+/// The test saw its own waits pass and nothing of the service happen.
+#[test]
+fn a_driven_clock_lets_spawned_tasks_run() {
+    let clock = PausedClock::default();
+    let ticks = std::rc::Rc::new(std::cell::Cell::new(0));
+    let (counter, ticker) = (ticks.clone(), clock.clone());
+
+    block_on(clock.clone().drive(async move {
+        monoio::spawn(async move {
+            loop {
+                sleep(&ticker, Duration::from_secs(1)).await;
+                counter.set(counter.get() + 1);
+            }
+        });
+        sleep(&clock, Duration::from_millis(10_500)).await;
+    }));
+
+    assert_eq!(ticks.get(), 10);
+}
+
 #[test]
 fn services_find_each_other_by_name_and_type() {
     let registry = Registry::default();
