Test the root against failing holders, rolling versions and lost replies

Cause: each failure of the query path and of tickets needs a test that tells what the caller sees. Before: a random test of plans found a declared shard whose replicas are empty, held by those of another one, listed as covered and as missing in one answer (2 names, 3 asked).

--- a/crates/kumquatnotch-query/src/plan.rs
+++ b/crates/kumquatnotch-query/src/plan.rs
@@ -10,6 +10,7 @@
 use kumquatnotch_core::{
     Error, Result,
     answer::Missing,
+    collections::HashSet,
     ids::{IndexVersion, ShardName},
 };
 
@@ -164,6 +165,10 @@
         names.rest(&mut plan.absent);
         plan.shards.sort();
         plan.shards.dedup_by(|a, b| a.shard == b.shard);
+        // Collections that share the name of a shard share the shard.
+        let mut names: HashSet<ShardName> =
+            plan.shards.iter().map(|expected| expected.shard.clone()).collect();
+        plan.absent.retain(|missing| names.insert(missing.shard.clone()));
         plan
     }
 }
--- a/crates/kumquatnotch-query/tests/common/holder.rs
+++ b/crates/kumquatnotch-query/tests/common/holder.rs
@@ -38,6 +38,8 @@
     pub refusals: RefCell<Vec<Error>>,
     pub run_delay: RefCell<Duration>,
     pub wait: RefCell<Duration>,
+    /// The node whose answers are those to other requests.
+    pub crossed: RefCell<Option<NodeName>>,
 }
 
 impl Shards {
@@ -50,6 +52,7 @@
             refusals: RefCell::default(),
             run_delay: RefCell::new(Duration::from_millis(2)),
             wait: RefCell::default(),
+            crossed: RefCell::default(),
         }
     }
 
@@ -105,6 +108,12 @@
             held: self.versions(&request.shards),
             wait_us: self.wait.borrow().as_micros() as u64,
         };
+        if self.crossed.borrow().as_ref() == Some(name) {
+            let other = ShardName::from("of-another-request");
+            answer.hits.push(hit(&other, request.version));
+            answer.covered.push(other);
+            return answer;
+        }
         for (shard, result) in request.shards.iter().cloned().zip(join_all(calls).await) {
             match result {
                 Ok(hits) => {
--- a/crates/kumquatnotch-query/tests/common/mod.rs
+++ b/crates/kumquatnotch-query/tests/common/mod.rs
@@ -53,6 +53,8 @@
     pub documents: Rc<FakeDocuments>,
     pub members: Rc<RefCell<BTreeMap<NodeName, NodeRecord>>>,
     pub generation: Rc<Cell<u64>>,
+    /// The nodes that one node does not see.
+    pub unseen: Rc<RefCell<Vec<(NodeName, NodeName)>>>,
     pub nodes: Vec<Node>,
 }
 
@@ -78,6 +80,7 @@
         documents: Rc::new(FakeDocuments(RefCell::new(Some(Rc::new(document(shards)))))),
         members: Rc::default(),
         generation: Rc::default(),
+        unseen: Rc::default(),
         nodes: Vec::new(),
         clock,
     };
@@ -120,6 +123,7 @@
             local: record.clone(),
             all: self.members.clone(),
             generation: self.generation.clone(),
+            unseen: self.unseen.clone(),
         });
         registry.register(services::MEMBERS, members);
         let shared: Rc<dyn Marks> = marks.clone();
@@ -141,6 +145,23 @@
         self.generation.set(self.generation.get() + 1);
     }
 
+    /// Node `number` takes `other` as gone, and no other node does.
+    pub fn hide(&self, number: usize, other: usize) {
+        let name = |number: usize| self.nodes[number].record.name.clone();
+        self.unseen.borrow_mut().push((name(number), name(other)));
+        self.generation.set(self.generation.get() + 1);
+    }
+
+    pub fn set_way(&self, number: usize, way: net::Way) {
+        self.net.set(self.nodes[number].record.peer, way);
+    }
+
+    /// The nodes that `shard` was asked through, in order.
+    pub fn askers(&self, shard: &ShardName) -> Vec<NodeName> {
+        let asked = self.shards.asked.borrow();
+        asked.iter().filter(|(_, name, _)| name == shard).map(|(node, _, _)| node.clone()).collect()
+    }
+
     pub fn change_document(&self, change: impl FnOnce(&mut Document)) {
         let mut document = (**self.documents.0.borrow().as_ref().unwrap()).clone();
         document.version = ConfigVersion(document.version.0 + 1);
@@ -274,6 +295,14 @@
     local: NodeRecord,
     all: Rc<RefCell<BTreeMap<NodeName, NodeRecord>>>,
     generation: Rc<Cell<u64>>,
+    unseen: Rc<RefCell<Vec<(NodeName, NodeName)>>>,
+}
+
+impl FakeMembers {
+    fn sees(&self, node: &NodeRecord) -> bool {
+        let pair = (self.local.name.clone(), node.name.clone());
+        node.state != NodeState::Gone && !self.unseen.borrow().contains(&pair)
+    }
 }
 
 impl Members for FakeMembers {
@@ -283,7 +312,7 @@
 
     fn known(&self) -> Vec<NodeRecord> {
         let all = self.all.borrow();
-        all.values().filter(|node| node.state != NodeState::Gone).cloned().collect()
+        all.values().filter(|node| self.sees(node)).cloned().collect()
     }
 
     fn generation(&self) -> u64 {
--- /dev/null
+++ b/crates/kumquatnotch-query/tests/holders.rs
@@ -0,0 +1,232 @@
+//! Searches while holders of groups fail.
+
+mod common;
+
+use common::{net::Way, *};
+use kumquatnotch_core::{
+    Error,
+    marks::{Mark, MarkKind},
+    query::SearchRequest,
+};
+use kumquatnotch_query::{FrontOptions, QueryOptions};
+use yare::parameterized;
+
+fn without_canary() -> QueryOptions {
+    let front = FrontOptions { canary: false, ..FrontOptions::default() };
+    QueryOptions { front, ..QueryOptions::default() }
+}
+
+/// What the caller sees: a full answer, hardly later.
+/// Order: the holder of some groups is gone and nothing listens there; the
+/// next in rank is asked at once. Why: membership needs seconds to know.
+#[parameterized(
+    nobody_listens = { Way::Closed },
+    request_lost = { Way::RequestLost },
+    reply_lost = { Way::ReplyLost },
+)]
+fn a_dead_holder_costs_time_and_no_coverage(way: Way) {
+    let world = world_with(4, 40, without_canary());
+
+    let answer = run(&world, async {
+        world.search(0).await.unwrap();
+        world.set_way(1, way);
+        world.search(0).await.unwrap()
+    });
+
+    assert!(answer.coverage.is_full(), "{:?}", answer.coverage.missing);
+    assert!(answer.elapsed_us < 10_000, "{} us", answer.elapsed_us);
+}
+
+/// What the caller sees: the first search waits for one hedge delay; those after
+/// it do not. Order: a holder is stopped and keeps its connections open; the
+/// hedge goes to the next in rank; from then on the silent one is asked last.
+/// Why: paying a hedge for each group of each query would use up the budget.
+#[test]
+fn a_frozen_holder_delays_one_search_and_not_the_next() {
+    let world = world_with(4, 40, without_canary());
+
+    let spans = run(&world, async {
+        for _ in 0..20 {
+            world.search(0).await.unwrap();
+        }
+        world.set_way(1, Way::Frozen);
+        let mut spans = Vec::new();
+        for _ in 0..10 {
+            let answer = world.search(0).await.unwrap();
+            assert!(answer.coverage.is_full(), "{:?}", answer.coverage.missing);
+            spans.push(answer.elapsed_us);
+            kumquatnotch_core::clock::sleep(&world.clock, ms(40)).await;
+        }
+        spans
+    });
+
+    assert!(spans[0] < 100_000, "{spans:?}");
+    assert!(spans[5..].iter().filter(|span| **span > 5_000).count() <= 1, "{spans:?}");
+}
+
+/// What the caller sees: full answers from both nodes.
+/// Order: node 0 takes node 2 as gone, node 1 does not; both ask their own holder
+/// of the same group. Why: where views differ a group has two holders for a
+/// while, which costs slots of targets and never truth.
+#[test]
+fn nodes_that_disagree_about_holders_both_answer_in_full() {
+    let world = world_with(3, 40, without_canary());
+    world.hide(0, 2);
+
+    let (first, second) =
+        run(&world, async { (world.search(0).await.unwrap(), world.search(1).await.unwrap()) });
+
+    assert!(first.coverage.is_full() && second.coverage.is_full());
+    let two = (0..40).filter(|number| {
+        let askers = world.askers(&shard(*number));
+        askers.len() == 2 && askers[0] != askers[1]
+    });
+    assert!(two.count() > 0);
+}
+
+/// What the caller sees: a full answer with its own hits only.
+/// Order: a holder sends the answer to another request; the root sees shards it
+/// did not ask for, drops it, and asks the next holder.
+/// Why: hits of another request would be rooms that nobody searched for.
+#[test]
+fn a_crossed_answer_reaches_nobody() {
+    let world = world_with(4, 40, without_canary());
+    *world.shards.crossed.borrow_mut() = Some(world.nodes[1].record.name.clone());
+
+    let answer = run(&world, world.search(0)).unwrap();
+
+    assert!(answer.coverage.is_full(), "{:?}", answer.coverage.missing);
+    assert!(answer.hits.iter().all(|hit| !hit.key.starts_with("of-another-request")));
+}
+
+/// What the caller sees: its own answers, each whole.
+/// Order: a slow holder's answer to the first search comes after its hedge has
+/// won, while the second search runs.
+/// Why: a late answer must count neither twice nor for the next search.
+#[test]
+fn a_late_answer_counts_nowhere() {
+    let world = world_with(4, 40, without_canary());
+
+    let answers = run(&world, async {
+        world.search(0).await.unwrap();
+        world.set_way(1, Way::Slow(120));
+        let mut answers = Vec::new();
+        for _ in 0..3 {
+            answers.push(world.search(0).await.unwrap());
+        }
+        answers
+    });
+
+    for answer in answers {
+        assert!(answer.coverage.is_full());
+        assert_eq!(answer.coverage.asked, 40);
+        assert_eq!(answer.hits.len(), 10);
+    }
+}
+
+/// What the callers see: an error each time, whichever node they send it to.
+/// Order: a request that crashes each target that runs it comes to three nodes;
+/// each sends it to the same one shard, through the same holder.
+/// Why: fanned out at once it would crash a replica of every shard.
+#[test]
+fn a_request_that_crashes_targets_meets_one_shard() {
+    let world = world(3, 40);
+    for number in 0..40 {
+        world.shards.change(&shard(number), |state| state.fault = Some(Error::ConnectionLost));
+    }
+
+    let codes = run(&world, async {
+        let mut codes = Vec::new();
+        for node in 0..3 {
+            codes.push(code(world.search_for(node, KEY, "poison").await));
+        }
+        codes
+    });
+
+    assert_eq!(codes, [4002, 4002, 4002]);
+    let asked = world.shards.asked.borrow();
+    assert_eq!(asked.len(), 3);
+    assert!(asked.iter().all(|entry| *entry == asked[0]), "{asked:?}");
+}
+
+/// What the caller sees: the refusal, at once, with the time it lasts.
+/// Order: another node marked the request; the mark came with membership news.
+/// Why: the shared mark stops it on nodes that have not seen a crash.
+#[test]
+fn a_marked_request_is_refused_without_being_sent() {
+    let world = world(2, 8);
+    let fingerprint = search_request("poison").fingerprint(&tenant_name("siam"));
+    let kind = MarkKind::Contained(fingerprint);
+    world.nodes[0].marks.0.borrow_mut().push(Mark { kind, left_ms: 900 });
+
+    let (poison, other) = run(&world, async {
+        (world.search_for(0, KEY, "poison").await, world.search_for(0, KEY, "rooms").await)
+    });
+
+    assert_eq!(poison.unwrap_err(), Error::Contained { retry_ms: 900 });
+    assert!(other.unwrap().coverage.is_full());
+}
+
+/// What the caller sees: its answer, one canary's delay late at most.
+/// Order: the one shard that an unknown request goes to first is a straggler;
+/// after the learned delay the rest is sent.
+/// Why: a slow shard is no sign of a crash, and must not hold up the others.
+#[test]
+fn a_slow_canary_holds_nothing_up() {
+    let world = world(3, 20);
+    for number in 0..20 {
+        world.shards.change(&shard(number), |state| state.delay = ms(30));
+    }
+
+    let answer = run(&world, async {
+        let request = search_request("slow");
+        let first = first_asked(&world, request).await;
+        world.shards.change(&first, |state| state.delay = ms(400));
+        world.search_for(1, KEY, "slow").await.unwrap()
+    });
+
+    assert!(answer.coverage.is_full());
+    assert!(answer.elapsed_us < 420_000, "{} us", answer.elapsed_us);
+}
+
+/// The shard that `request` is sent to first.
+async fn first_asked(world: &World, request: SearchRequest) -> kumquatnotch_core::ids::ShardName {
+    use kumquatnotch_core::front::Front;
+    world.shards.asked.borrow_mut().clear();
+    world.nodes[0].front.search(KEY, request).await.unwrap();
+    world.shards.asked.borrow()[0].1.clone()
+}
+
+/// What the caller sees: the second time the same search is as fast as without.
+/// Order: it succeeded; the node remembers; the next one fans out at once.
+/// Why: the canary costs a round trip, which only unknown requests should pay.
+#[test]
+fn a_request_that_succeeded_needs_no_canary() {
+    let world = world(3, 20);
+    for number in 0..20 {
+        world.shards.change(&shard(number), |state| state.delay = ms(10));
+    }
+
+    let (first, second) = run(&world, async {
+        let first = world.search(0).await.unwrap();
+        (first.elapsed_us, world.search(0).await.unwrap().elapsed_us)
+    });
+
+    assert!(first >= 20_000, "{first} us");
+    assert!(second < 12_000, "{second} us");
+}
+
+#[test]
+fn different_requests_meet_different_first_shards() {
+    let world = world(3, 20);
+
+    let firsts = run(&world, async {
+        let mut firsts = std::collections::BTreeSet::new();
+        for number in 0..8 {
+            firsts.insert(first_asked(&world, search_request(&number.to_string())).await);
+        }
+        firsts
+    });
+
+    assert!(firsts.len() > 2, "{firsts:?}");
+}
--- a/crates/kumquatnotch-query/tests/search.rs
+++ b/crates/kumquatnotch-query/tests/search.rs
@@ -3,7 +3,16 @@
 mod common;
 
 use common::*;
-use kumquatnotch_core::ids::IndexVersion;
+use kumquatnotch_core::{
+    Clock, Error, front::Front, ids::IndexVersion, lifecycle::Stage, query::SearchRequest,
+};
+use kumquatnotch_query::{FrontOptions, QueryOptions};
+use yare::parameterized;
+
+fn without_canary() -> QueryOptions {
+    let front = FrontOptions { canary: false, ..FrontOptions::default() };
+    QueryOptions { front, ..QueryOptions::default() }
+}
 
 #[test]
 fn a_search_covers_every_shard_from_one_version() {
@@ -17,3 +26,231 @@
     assert!(answer.coverage.missing.is_empty());
     assert_eq!(answer.hits.len(), 10);
 }
+
+#[parameterized(
+    unknown_selector = { SearchRequest { selector: "nothing".into(), ..search_request("a") }, 1003 },
+    ticket_needed = { SearchRequest { selector: HOLDS.into(), ..search_request("a") }, 1001 },
+    no_hits_wanted = { SearchRequest { limit: 0, ..search_request("a") }, 1001 },
+    too_many_hits = { SearchRequest { limit: 100_000, ..search_request("a") }, 1001 },
+    no_time = { SearchRequest { deadline_ms: Some(0), ..search_request("a") }, 1001 },
+    large_query = { search_request(&"a".repeat(70_000)), 1002 },
+)]
+fn a_request_at_fault_is_refused_with_its_number(request: SearchRequest, expected: u16) {
+    let world = world(1, 2);
+
+    let result = run(&world, world.nodes[0].front.search(KEY, request));
+
+    assert_eq!(code(result), expected);
+    assert!(world.shards.asked.borrow().is_empty());
+}
+
+#[test]
+fn an_unknown_key_and_a_forbidden_selector_are_refused() {
+    let world = world(1, 2);
+    world.change_document(|document| {
+        let selector = document.rules.selectors.get_mut(SELECTOR).unwrap();
+        selector.tenants = vec![tenant_name("siam")];
+    });
+
+    let (stranger, rival) = run(&world, async {
+        let stranger = world.search_for(0, "no key", "a").await;
+        (stranger, world.search_for(0, RIVAL_KEY, "a").await)
+    });
+
+    assert_eq!(code(stranger), 1004);
+    assert_eq!(code(rival), 1005);
+}
+
+#[parameterized(
+    starting = { Stage::Starting, Some(2004) },
+    serving = { Stage::Serving, None },
+    leaving = { Stage::Leaving, None },
+    closing = { Stage::Closing, Some(2003) },
+)]
+fn a_node_serves_until_the_advice_has_lapsed(stage: Stage, expected: Option<u16>) {
+    let world = world(1, 2);
+    world.nodes[0].lifecycle.advance(stage);
+    if stage == Stage::Starting {
+        world.documents.0.borrow_mut().take();
+    }
+
+    let result = run(&world, world.search(0));
+
+    assert_eq!(result.err().map(|error| error.code()), expected);
+}
+
+/// What the caller sees: no private rate of a rival, its own rates as ever.
+/// Order: the holder is of an older build and strips nothing; the root merges.
+/// Why: one forgotten place would show a rival's rates, so the root strips too.
+#[test]
+fn private_fields_reach_their_owner_only() {
+    let world = world(2, 4);
+
+    let (siam, barid) = run(&world, async {
+        let siam = world.search_for(0, KEY, "vans").await.unwrap();
+        (siam, world.search_for(0, RIVAL_KEY, "vans").await.unwrap())
+    });
+
+    assert!(siam.hits.iter().all(|hit| hit.private.is_none()));
+    assert!(barid.hits.iter().all(|hit| hit.private.is_some()));
+}
+
+/// What the caller sees: an error with a number, never an empty list.
+/// Order: every shard fails; the holders say so; the root covers nothing.
+/// Why: an empty success would read as "no room available".
+#[test]
+fn a_search_that_covers_nothing_is_an_error() {
+    let world = world_with(2, 4, without_canary());
+    for number in 0..4 {
+        world.shards.change(&shard(number), |state| state.fault = Some(Error::ConnectionLost));
+    }
+
+    let result = run(&world, world.search(0));
+
+    assert_eq!(code(result), 3004);
+}
+
+/// What the caller sees: "overloaded", with the time to come back.
+/// Order: every shard is refused by its holder for want of capacity.
+/// Why: "nothing covered" would not say that coming back later helps.
+#[test]
+fn a_search_refused_by_every_holder_tells_when_to_come_back() {
+    let world = world_with(2, 4, without_canary());
+    for number in 0..4 {
+        let error = Error::Overloaded { retry_ms: 100 + number as u64 };
+        world.shards.change(&shard(number), |state| state.fault = Some(error));
+    }
+
+    let result = run(&world, world.search(0));
+
+    assert_eq!(result.unwrap_err(), Error::Overloaded { retry_ms: 103 });
+}
+
+/// What the caller sees: Siam gets its answer at half of the deadline and is told
+/// what is missing; Barid waits, and gets every shard.
+/// Order: one shard of twenty takes 700 of 1,000 ms; holders answer partially at
+/// each tenant's patience. Why: the slowest shard must not set Siam's latency,
+/// and a thin answer strands Barid's load.
+#[parameterized(
+    siam = { KEY, 19, true, 500..=520 },
+    barid = { RIVAL_KEY, 20, false, 700..=720 },
+)]
+fn the_stop_rule_trades_coverage_against_time(
+    key: &str,
+    covered: u32,
+    stopped: bool,
+    span_ms: std::ops::RangeInclusive<u64>,
+) {
+    let world = world(3, 20);
+    world.shards.change(&shard(7), |state| state.delay = ms(700));
+
+    let (answer, span) = run(&world, async {
+        world.search_for(0, key, "warm up").await.unwrap();
+        let start = world.clock.now();
+        let answer = world.search_for(0, key, "warm up").await.unwrap();
+        (answer, world.now_ms(start))
+    });
+
+    assert_eq!((answer.coverage.covered, answer.coverage.asked), (covered, 20));
+    assert_eq!(answer.coverage.stopped_early, stopped);
+    assert!(span_ms.contains(&span), "{span} ms");
+}
+
+/// What the caller sees: all that can be had by the deadline, within it.
+/// Order: a third of the shards take 700 ms; at patience two thirds are there,
+/// which is not enough for Siam; the late ones are asked once more, to the end.
+/// Why: holders cut them off at patience, so waiting alone would bring nothing.
+#[test]
+fn too_thin_an_answer_asks_the_late_shards_once_more() {
+    let world = world_with(3, 9, without_canary());
+    for number in 0..3 {
+        world.shards.change(&shard(number), |state| state.delay = ms(420));
+    }
+    world.change_document(|document| {
+        let siam = document.rules.tenants.get_mut("siam").unwrap();
+        siam.stop.patience = 0.4;
+    });
+
+    let answer = run(&world, world.search(0)).unwrap();
+
+    assert_eq!(answer.coverage.covered, 9);
+    assert!(!answer.coverage.stopped_early);
+    assert!(answer.elapsed_us < 1_000_000);
+}
+
+/// What the caller sees: an answer with the shards that made it, at its deadline.
+/// Order: half of the shards never answer; the deadline passes.
+/// Why: a shard that is open at the end is missing, with its reason.
+#[test]
+fn the_deadline_ends_a_search_with_what_there_is() {
+    let world = world_with(3, 8, without_canary());
+    for number in 0..4 {
+        world.shards.change(&shard(number), |state| state.delay = ms(60_000));
+    }
+
+    let answer = run(&world, world.search(0)).unwrap();
+
+    assert_eq!(answer.coverage.covered, 4);
+    assert_eq!(answer.coverage.missing.len(), 4);
+    assert!(answer.coverage.missing.iter().all(|missing| missing.code == 4005));
+    assert!(answer.elapsed_us <= 1_000_000, "{} us", answer.elapsed_us);
+}
+
+/// What the caller sees: a refusal at once, with the time to come back.
+/// Order: holders report a wait far beyond the patience; the next search comes.
+/// Why: taken in, it would be given up at its deadline after a long wait.
+#[test]
+fn overload_is_refused_at_once() {
+    let world = world(1, 4);
+
+    let (results, span) = run(&world, async {
+        world.search(0).await.unwrap();
+        *world.shards.wait.borrow_mut() = ms(2_000);
+        let mut results = Vec::new();
+        for _ in 0..10 {
+            results.push(world.search(0).await);
+        }
+        let start = world.clock.now();
+        results.push(world.search(0).await);
+        (results, world.now_ms(start))
+    });
+
+    let last = results.last().unwrap().as_ref().unwrap_err();
+    assert_eq!(last.code(), 2001);
+    assert!(last.retry_after().unwrap() >= ms(50));
+    assert!(last.is_not_run());
+    assert_eq!(span, 0);
+}
+
+/// What the caller sees: everything as before, once the pressure is gone.
+/// Order: overload; everything is refused, so no answer brings news of the wait.
+/// Why: the known wait fades by itself, else the class would stay shut for good.
+#[test]
+fn admission_opens_again_by_itself() {
+    let world = world(1, 4);
+
+    let answer = run(&world, async {
+        *world.shards.wait.borrow_mut() = ms(2_000);
+        while world.search(0).await.is_ok() {}
+        *world.shards.wait.borrow_mut() = ms(0);
+        kumquatnotch_core::clock::sleep(&world.clock, ms(2_000)).await;
+        world.search(0).await
+    });
+
+    assert!(answer.unwrap().coverage.is_full());
+}
+
+#[test]
+fn advice_leaves_out_a_node_that_leaves_at_once() {
+    let world = world(3, 2);
+    let front = &world.nodes[1].front;
+
+    let before = front.advice(Some("dc1")).addresses;
+    world.nodes[1].lifecycle.advance(Stage::Leaving);
+    let after = front.advice(Some("dc1")).addresses;
+
+    assert_eq!(before.len(), 3);
+    assert_eq!(before[0], world.nodes[1].record.entry);
+    assert_eq!(after.len(), 2);
+    assert!(!after.contains(&world.nodes[1].record.entry));
+}
