Plan again only on fresh news, and leave refusals for want of slots to stand

Cause: with five groups, the first shard without the version told its own news only, and the plan made from it listed shards as missing that had the new version. A holder that has just taken a group over reports nothing for a moment, which thinned the next plan. An overloaded holder's groups went to the next one, whose slots for the same replicas come on top. Now the declared shards are polled before another plan is made (50 ms at most), an empty report counts after 10 s, and a refusal for want of slots or of a contained request goes to no other holder. Ruled out: planning again on each answer, which needs half of the groups to answer before the new version looks better.

--- a/crates/kumquatnotch-query/src/plan.rs
+++ b/crates/kumquatnotch-query/src/plan.rs
@@ -101,6 +101,16 @@
     gone: BTreeSet<ShardName>,
 }
 
+impl Layout {
+    /// The shard is held by replicas declared for `home`; its own come first.
+    fn add(&mut self, shard: &ShardName, home: &ShardName) {
+        let known = self.shards.entry(shard.clone()).or_insert_with(|| home.clone());
+        if shard == home {
+            known.clone_from(home);
+        }
+    }
+}
+
 /// A declared shard whose replicas hold nothing, as far as is known.
 struct Unknown {
     shard: ShardName,
@@ -122,7 +132,7 @@
                     if is_gone {
                         layout.gone.insert(held.shard.clone());
                     } else {
-                        layout.shards.entry(held.shard.clone()).or_insert_with(|| home.clone());
+                        layout.add(&held.shard, home);
                     }
                 }
             }
@@ -153,8 +163,11 @@
             // What is left of the collection can't be asked. The slots get the
             // names of shards that are known to belong to it, as far as they go.
             let mut lost: BTreeSet<&ShardName> = layout.gone.iter().collect();
-            if !present {
-                lost.extend(layout.shards.keys());
+            for (_, other) in versions.iter().filter(|(_, other)| other.total == layout.total) {
+                lost.extend(other.shards.keys());
+            }
+            if present {
+                lost.retain(|shard| !layout.shards.contains_key(*shard));
             }
             for shard in lost.into_iter().take(open) {
                 plan.absent.push(Missing::new(shard.clone(), &gone));
--- a/crates/kumquatnotch-query/src/planner.rs
+++ b/crates/kumquatnotch-query/src/planner.rs
@@ -139,6 +139,21 @@
         kept.shards.clone()
     }
 
+    /// Asks for what was not heard of for `age`, of one selector.
+    pub async fn refresh_stale(
+        &self,
+        document: &Document,
+        (name, spec): (&SelectorName, &SelectorSpec),
+        age: Duration,
+        deadline: Instant,
+    ) {
+        let shards = self.shards(document, name, spec);
+        let stale = self.view.stale(self.clock.now(), &shards, age);
+        if !stale.is_empty() {
+            self.refresh(document, &stale, deadline).await;
+        }
+    }
+
     /// Asks holders for the versions of `shards`.
     pub async fn refresh(&self, document: &Document, shards: &[ShardName], deadline: Instant) {
         let now = self.clock.now();
--- a/crates/kumquatnotch-query/src/router.rs
+++ b/crates/kumquatnotch-query/src/router.rs
@@ -214,12 +214,15 @@
             let timer = self.clock.sleep_until(hedge_at.min(ends.finish));
             match select(open.next(), timer).await {
                 Either::Left((Some(Ok(answer)), _)) => return Ok(answer),
-                // This holder is dead or refused: the next one, at once.
-                Either::Left((Some(Err(error)), _)) => match waiting.next() {
-                    Some(next) => open.push(self.attempt(next, request, ends, false)),
-                    None if open.is_empty() => return Err(error),
-                    None => {}
-                },
+                Either::Left((Some(Err(error)), _)) => {
+                    // A dead holder, or one that can't serve: the next one, at once.
+                    let next = if is_of_holder(&error) { waiting.next() } else { None };
+                    match next {
+                        Some(next) => open.push(self.attempt(next, request, ends, false)),
+                        None if open.is_empty() => return Err(error),
+                        None => {}
+                    }
+                }
                 Either::Left((None, _)) => return Err(Error::NoTarget),
                 Either::Right(_) if self.clock.now() >= ends.finish => return Err(Error::TimedOut),
                 Either::Right(_) => {
@@ -289,6 +292,22 @@
     }
 }
 
+/// Whether `error` is the holder's own and another one may do better.
+///
+/// A refusal for want of capacity is not: the next holder has slots of its own
+/// for the same replicas, and would overload them. Nor is the refusal of a
+/// request that crashes targets: the next holder may not have heard of it yet.
+fn is_of_holder(error: &Error) -> bool {
+    !matches!(
+        error,
+        Error::Overloaded { .. }
+            | Error::Shed { .. }
+            | Error::Contained { .. }
+            | Error::ExpiredInQueue
+            | Error::VersionGone { .. }
+    )
+}
+
 /// Counts a request to a peer as open until it is dropped.
 struct Open<'a> {
     router: &'a Router,
--- a/crates/kumquatnotch-query/src/search.rs
+++ b/crates/kumquatnotch-query/src/search.rs
@@ -25,6 +25,10 @@
 
 /// The share of the deadline within which versions must have been told.
 const PLAN_SHARE: u32 = 2;
+/// How long holders have to tell versions while a search runs.
+const REFRESH_WAIT: Duration = Duration::from_millis(50);
+/// What was heard within this time is not asked for again.
+const REFRESH_AGE: Duration = Duration::from_millis(50);
 
 /// A search that was taken in, with what it needs to run.
 pub(crate) struct Search<'a> {
@@ -81,9 +85,20 @@
         }
     }
 
+    /// Whether there is time for another round.
+    pub fn may_replan(&self) -> bool {
+        self.clock.now() + self.margin < self.ends.patience
+    }
+
+    /// Asks holders for the versions that were not heard of in the last moments.
+    pub async fn refresh(&self) {
+        let until = self.ends.patience.min(self.clock.now() + REFRESH_WAIT);
+        self.planner.refresh_stale(self.document, self.selector, REFRESH_AGE, until).await;
+    }
+
     /// Another plan for the whole answer, if there is a better one and time for it.
     pub fn replan(&self, old: &Plan, gone: &Gone) -> Option<Rc<Plan>> {
-        if self.clock.now() + self.margin >= self.ends.patience {
+        if !self.may_replan() {
             return None;
         }
         self.planner.replan(self.document, self.selector, old, gone)
--- a/crates/kumquatnotch-query/src/view.rs
+++ b/crates/kumquatnotch-query/src/view.rs
@@ -16,6 +16,9 @@
     answer::ShardVersions, collections::HashMap, ids::ShardName, target::HeldVersion,
 };
 
+/// How long after the last version was heard of an empty report counts.
+const EMPTY_AFTER: Duration = Duration::from_secs(10);
+
 /// The versions that shards have.
 #[derive(Default)]
 pub struct VersionView {
@@ -31,9 +34,23 @@
     /// The collections it was ever seen in, which outlast its replicas.
     pub collections: BTreeSet<String>,
     heard: Option<Instant>,
+    /// When any version was last heard of.
+    filled: Option<Instant>,
     asked: Option<Instant>,
 }
 
+impl Report {
+    /// Whether an empty report is not believed yet.
+    ///
+    /// A holder that has just taken a group over knows nothing for a moment. If
+    /// that counted, the next plan would be thin. If the replicas are lost in
+    /// truth, the shard is asked for in vain and listed with its reason.
+    fn outlasts(&self, now: Instant, shard: &ShardVersions) -> bool {
+        let young = |at: Instant| now.saturating_duration_since(at) < EMPTY_AFTER;
+        shard.versions.is_empty() && self.filled.is_some_and(young)
+    }
+}
+
 impl VersionView {
     /// Takes what a holder says of its shards.
     pub fn learn(&self, now: Instant, held: &[ShardVersions]) {
@@ -41,7 +58,10 @@
         for shard in held {
             let report = reports.entry(shard.shard.clone()).or_default();
             let first = report.heard.replace(now).is_none();
-            if report.versions == shard.versions && !first {
+            if !shard.versions.is_empty() {
+                report.filled = Some(now);
+            }
+            if (report.versions == shard.versions && !first) || report.outlasts(now, shard) {
                 continue;
             }
             self.changes.set(self.changes.get() + 1);
--- a/crates/kumquatnotch-query/tests/common/holder.rs
+++ b/crates/kumquatnotch-query/tests/common/holder.rs
@@ -40,6 +40,8 @@
     pub wait: RefCell<Duration>,
     /// The node whose answers are those to other requests.
     pub crossed: RefCell<Option<NodeName>>,
+    /// The node that refuses every group for want of slots.
+    pub refusing: RefCell<Option<NodeName>>,
 }
 
 impl Shards {
@@ -53,6 +55,7 @@
             run_delay: RefCell::new(Duration::from_millis(2)),
             wait: RefCell::default(),
             crossed: RefCell::default(),
+            refusing: RefCell::default(),
         }
     }
 
@@ -159,6 +162,11 @@
     fn handle(&self, message: PeerMessage) -> LocalFuture<'_, Result<PeerReply>> {
         Box::pin(async move {
             match message {
+                PeerMessage::Group(_)
+                    if self.shards.refusing.borrow().as_ref() == Some(&self.name) =>
+                {
+                    Err(Error::Overloaded { retry_ms: 100 })
+                }
                 PeerMessage::Group(request) => {
                     let answer = self.shards.group(&self.name, &request).await;
                     Ok(PeerReply::Group(Box::new(answer)))
--- a/crates/kumquatnotch-query/tests/holders.rs
+++ b/crates/kumquatnotch-query/tests/holders.rs
@@ -64,6 +64,33 @@
     assert!(spans[5..].iter().filter(|span| **span > 5_000).count() <= 1, "{spans:?}");
 }
 
+/// What the caller sees: an answer without the shards of the overloaded holder.
+/// Order: a holder refuses its groups for want of slots; no other is asked.
+/// Why: the next holder has slots of its own for the same replicas; two holders
+/// together would send them more than they can take.
+#[test]
+fn an_overloaded_holder_is_not_replaced_by_another() {
+    let world = world_with(4, 40, without_canary());
+    world.change_document(|document| {
+        document.rules.tenants.get_mut("siam").unwrap().stop.enough = 0.1;
+    });
+
+    let (before, after) = run(&world, async {
+        world.search(0).await.unwrap();
+        let before = world.shards.asked.borrow().clone();
+        world.shards.asked.borrow_mut().clear();
+        *world.shards.refusing.borrow_mut() = Some(before[0].0.clone());
+        let answer = world.search(0).await.unwrap();
+        assert!(answer.coverage.missing.iter().all(|missing| missing.code == 2001));
+        (before, world.shards.asked.borrow().clone())
+    });
+
+    let refusing = &before[0].0;
+    let expected = before.iter().filter(|(node, _, _)| node != refusing).count();
+    assert_eq!(after.len(), expected);
+    assert!(expected < 40);
+}
+
 /// What the caller sees: full answers from both nodes.
 /// Order: node 0 takes node 2 as gone, node 1 does not; both ask their own holder
 /// of the same group. Why: where views differ a group has two holders for a
