Test the server and the target links, and mend what that showed

Cause: two faults. A target that takes connections only to drop them was tried 47 times in a second, since opening alone counted as success. A straggler whose status says that it runs nothing lost each of its searches to a challenge. Ruled out: a longer memory of the pace; one challenge teaches it too little. Conclusion: only a served request ends the backoff, and a connection that was challenged and answered keeps its target from challenges for 10 s.

--- a/crates/kumquatnotch-net/src/link.rs
+++ b/crates/kumquatnotch-net/src/link.rs
@@ -62,20 +62,36 @@
     Mute(CancelProof),
 }
 
+/// What a job leaves of its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum After {
+    /// It can be used again.
+    Keep,
+    /// It must be closed.
+    Close,
+    /// The other side has closed it.
+    Lost,
+}
+
 /// Runs a connection to its end.
 pub(crate) async fn run(mut ends: Ends, pool: Weak<Pool>, lane: Lane, address: SocketAddr) {
     let mut useful = false;
+    let mut after = After::Lost;
     while let Some(job) = next_job(&mut ends, &pool, lane).await {
         let Some(pool) = pool.upgrade() else {
             return;
         };
-        if !run_job(&mut ends, job, &pool, address).await {
+        after = run_job(&mut ends, job, &pool, address).await;
+        if after != After::Keep {
             break;
         }
         useful = true;
+        pool.note_success();
     }
     if let Some(pool) = pool.upgrade() {
-        pool.closed(lane, useful);
+        // A target that takes connections only to drop them is as good as one
+        // that refuses them.
+        pool.closed(lane, after == After::Lost && !useful);
     }
 }
 
@@ -99,15 +115,15 @@
     }
 }
 
-/// Runs one job; false if the connection must be closed.
-async fn run_job(ends: &mut Ends, job: Job, pool: &Pool, address: SocketAddr) -> bool {
+/// Runs one job.
+async fn run_job(ends: &mut Ends, job: Job, pool: &Pool, address: SocketAddr) -> After {
     let Job { request, number, mut reply, challenge, cancel, check, mute } = job;
     let clock = &*pool.clock;
     if let Some(check) = check
         && !answers(ends, check, pool, address).await
     {
         let _ = reply.send(Err(JobFault::NotSent));
-        return false;
+        return After::Close;
     }
     let mut work = pin!(ends.exchange(request, number, mute, clock).fuse());
     let mut challenge = pin!(
@@ -127,7 +143,7 @@
     // Without a way to cancel, closing the connection is what tells the other side.
     let Some(cancel) = cancel else {
         let _ = reply.send(Err(JobFault::Failed(Error::TimedOut)));
-        return false;
+        return After::Close;
     };
     let mute = pin!(async {
         let proof = cancel().await;
@@ -143,12 +159,12 @@
         Drained::Mute(CancelProof::Answered) => {
             silence::report(address, "a cancelled request was never answered");
             let _ = reply.send(Err(JobFault::Failed(Error::ConnectionSilent)));
-            false
+            After::Close
         }
         // The whole target is quiet, which says nothing about this connection.
         Drained::Mute(CancelProof::Nothing) => {
             let _ = reply.send(Err(JobFault::Failed(Error::TimedOut)));
-            false
+            After::Close
         }
     }
 }
@@ -168,24 +184,25 @@
     }
 }
 
-/// Hands a result to the caller; false if the connection must be closed.
+/// Hands a result to the caller.
 fn finish(
     result: Result<Exchanged>,
     reply: oneshot::Sender<Result<Reply, JobFault>>,
     address: SocketAddr,
-) -> bool {
+) -> After {
     match result {
         Ok(exchanged) => {
             // A caller that has gone away no longer wants it.
             let _ = reply.send(Ok(exchanged.reply));
-            exchanged.keep
+            if exchanged.keep { After::Keep } else { After::Close }
         }
         Err(error) => {
             if error == Error::ConnectionSilent {
                 silence::report(address, "a working node would have sent something");
             }
+            let after = if error == Error::ConnectionLost { After::Lost } else { After::Close };
             let _ = reply.send(Err(JobFault::Failed(error)));
-            false
+            after
         }
     }
 }
--- a/crates/kumquatnotch-net/src/pool.rs
+++ b/crates/kumquatnotch-net/src/pool.rs
@@ -188,9 +188,15 @@
         }
     }
 
-    /// Notes that a connection has ended; `useful` if it ever served a request.
-    pub(crate) fn closed(self: &Rc<Pool>, lane: Lane, useful: bool) {
-        if !useful {
+    /// Notes that a request was served.
+    pub(crate) fn note_success(&self) {
+        self.failures.set(0);
+    }
+
+    /// Notes that a connection has ended; `dropped` if the other side closed it
+    /// before it ever served a request.
+    pub(crate) fn closed(self: &Rc<Pool>, lane: Lane, dropped: bool) {
+        if dropped {
             self.note_failure();
         }
         {
@@ -296,7 +302,6 @@
         metrics::counter!("kumquatnotch_connections_opened_total").increment(1);
         match opened {
             Ok(Ok(stream)) => {
-                pool.failures.set(0);
                 pool.lane(lane).borrow_mut().served = true;
                 let ends = Ends::new(stream, pool.address, pool.options.body);
                 let link = link::run(ends, Rc::downgrade(&pool), lane, pool.address);
--- a/crates/kumquatnotch-net/src/silence.rs
+++ b/crates/kumquatnotch-net/src/silence.rs
@@ -26,8 +26,8 @@
 //!    runs nothing at all. A straggler shows neither: it is slow for all its
 //!    connections, and it does not call itself idle while it runs our request.
 //!    Should it do so by a lagging report, the cancellation is answered on the
-//!    connection, which clears it; one search is lost, and the pace learned
-//!    from it keeps the next ones from being challenged.
+//!    connection, which clears it; one search is lost, and the target's
+//!    connections are not challenged again for a while.
 //! 5. Between our nodes: a node sends an interim response each
 //!    [`INTERIM_PERIOD`] while it works, so that a mute connection is found
 //!    after [`MUTE_TIME`] whatever it works on.
--- a/crates/kumquatnotch-net/src/target_links.rs
+++ b/crates/kumquatnotch-net/src/target_links.rs
@@ -42,6 +42,9 @@
 /// The least and the longest pause between two looks.
 const LOOK_PAUSES: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(400));
 
+/// How long a target's connections are left alone after one was cleared.
+const CLEARED_PAUSE: Duration = Duration::from_secs(10);
+
 /// How many requests of a call may turn out unsent, each on an ended connection.
 const TRY_COUNT: usize = 4;
 
@@ -89,9 +92,23 @@
     paces: [Pace; 3],
     look: Cell<Option<(Instant, u32)>>,
     looking: Cell<bool>,
+    /// Until when connections are not challenged, because one was cleared.
+    cleared: Cell<Option<Instant>>,
 }
 
 impl TargetLink {
+    /// Notes that a challenged connection has answered.
+    ///
+    /// The status of such a target is worth nothing. Without the pause, each
+    /// search on a straggler that calls itself idle would be cancelled.
+    fn clear(&self, now: Instant) {
+        self.cleared.set(Some(now + CLEARED_PAUSE));
+    }
+
+    fn is_cleared(&self, now: Instant) -> bool {
+        self.cleared.get().is_some_and(|end| now < end)
+    }
+
     fn pace(&self, call: &TargetCall) -> &Pace {
         &self.paces[call.class as usize]
     }
@@ -129,6 +146,7 @@
             paces: Default::default(),
             look: Cell::new(None),
             looking: Cell::new(false),
+            cleared: Cell::new(None),
         });
         targets.insert(name.clone(), link.clone());
         link
@@ -186,12 +204,15 @@
                 if result.is_ok() {
                     pace.note(start, clock.now());
                 }
+                if result.is_ok() && challenged {
+                    link.clear(clock.now());
+                }
                 return result;
             }
             if clock.now() >= deadline {
                 return Err(JobFault::Failed(Error::TimedOut));
             }
-            if call.exclusive || challenged {
+            if call.exclusive || challenged || link.is_cleared(clock.now()) {
                 until = deadline;
                 continue;
             }
--- /dev/null
+++ b/crates/kumquatnotch-net/tests/server.rs
@@ -0,0 +1,212 @@
+//! The server against callers that are broken, greedy, impatient, or late.
+
+mod common;
+
+use std::{cell::Cell, rc::Rc, time::Instant};
+
+use common::{exchange, pause, read, run, serve, slowly, write};
+use http::StatusCode;
+use kumquatnotch_net::{
+    message::{Reply, Request},
+    server::{ServerOptions, Work},
+};
+use monoio::net::TcpStream;
+use yare::parameterized;
+
+fn small() -> ServerOptions {
+    ServerOptions { body: 1_000, ..ServerOptions::default() }
+}
+
+fn echo(request: Request) -> Work<'static> {
+    Work::ready(Reply::new(StatusCode::OK, "text/plain", request.body))
+}
+
+fn post(body: &str) -> String {
+    format!("POST /x HTTP/1.1\r\nhost: x\r\ncontent-length: {}\r\n\r\n{body}", body.len())
+}
+
+const GET: &str = "GET /x HTTP/1.1\r\nhost: x\r\n\r\n";
+
+/// What a broken or too large request gets: a truthful refusal with its number,
+/// and the end of the connection, whose further bytes can't be trusted.
+#[parameterized(
+    no_http = { "SEARCH rooms\r\n\r\n", "400", "1001" },
+    bad_length = { "POST /x HTTP/1.1\r\ncontent-length: 1x\r\n\r\n", "400", "1001" },
+    two_lengths = {
+        "POST /x HTTP/1.1\r\ncontent-length: 4\r\ncontent-length: 2\r\n\r\nabcd", "400", "1001"
+    },
+    length_and_chunks = {
+        "POST /x HTTP/1.1\r\ncontent-length: 4\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+        "400", "1001"
+    },
+    bad_chunk = {
+        "POST /x HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n", "400", "1001"
+    },
+    long_body = { "POST /x HTTP/1.1\r\ncontent-length: 1001\r\n\r\n", "413", "1002" },
+    long_chunk = {
+        "POST /x HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n3e9\r\nLONG\r\n0\r\n\r\n",
+        "413", "1002"
+    },
+)]
+fn bad_requests_are_refused(request: &str, status: &str, code: &str) {
+    run(async {
+        let (server, handler) = serve(small(), echo);
+        let request = request.replace("LONG", &"a".repeat(1_001));
+
+        let reply = exchange(server.address(), request).await;
+
+        assert!(reply.starts_with(&format!("HTTP/1.1 {status} ")), "{reply}");
+        assert!(reply.contains(&format!("\"code\":{code}")), "{reply}");
+        assert!(reply.contains("\"not_run\":true"), "{reply}");
+        assert!(handler.asked.borrow().is_empty());
+    });
+}
+
+/// A caller sends a head that never ends. The node must not keep it all.
+#[test]
+fn an_endless_head_is_refused() {
+    run(async {
+        let (server, _) = serve(small(), echo);
+        let head = format!("GET /x HTTP/1.1\r\nlong: {}", "a".repeat(200_000));
+
+        let reply = exchange(server.address(), head).await;
+
+        assert!(reply.starts_with("HTTP/1.1 413 "), "{reply}");
+    });
+}
+
+#[test]
+fn connections_are_kept_and_bodies_echoed() {
+    run(async {
+        let (server, _) = serve(small(), echo);
+        let mut stream = TcpStream::connect_addr(server.address()).await.unwrap();
+
+        for body in ["first", "second"] {
+            write(&mut stream, post(body)).await;
+            let reply = read(&mut stream).await;
+            assert!(reply.ends_with(body), "{reply}");
+        }
+        write(&mut stream, "POST /x HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n").await;
+        write(&mut stream, "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n").await;
+
+        assert!(read(&mut stream).await.ends_with("abcde"));
+        assert_eq!(server.connections(), 1);
+    });
+}
+
+struct OnDrop(Rc<Cell<bool>>);
+
+impl Drop for OnDrop {
+    fn drop(&mut self) {
+        self.0.set(true);
+    }
+}
+
+fn watched(ended: &Rc<Cell<bool>>, dropped: &Rc<Cell<bool>>, lasting: bool) -> Work<'static> {
+    let (ended, dropped) = (ended.clone(), OnDrop(dropped.clone()));
+    let reply = async move {
+        let _dropped = dropped;
+        pause(200).await;
+        ended.set(true);
+        Reply::text(StatusCode::OK, "done")
+    };
+    if lasting { Work::lasting(reply) } else { Work::new(reply) }
+}
+
+/// A caller hangs up while its request runs. A search is dropped at once, so
+/// that it costs the targets no more. A booking goes on: its caller will come
+/// back with the ticket and ask for the outcome.
+#[parameterized(search = { false }, booking = { true })]
+fn a_caller_that_goes_away_ends_searches_only(lasting: bool) {
+    run(async {
+        let (ended, dropped) = (Rc::new(Cell::new(false)), Rc::new(Cell::new(false)));
+        let flags = (ended.clone(), dropped.clone());
+        let work = move |_| watched(&flags.0, &flags.1, lasting);
+        let (server, _) = serve(small(), work);
+        let mut stream = TcpStream::connect_addr(server.address()).await.unwrap();
+        write(&mut stream, GET).await;
+        pause(50).await;
+
+        drop(stream);
+        pause(50).await;
+
+        assert_eq!(dropped.get(), !lasting);
+        pause(200).await;
+        assert_eq!(ended.get(), lasting);
+        assert_eq!(server.requests(), 0);
+    });
+}
+
+/// A node is told to stop while a request runs and another connection is idle.
+/// The request gets its whole reply, with the advice to leave the connection;
+/// the idle connection is closed; later connections are refused.
+#[test]
+fn a_graceful_close_cuts_nothing_in_flight() {
+    run(async {
+        let (server, _) = serve(small(), |_| slowly(600, "whole"));
+        let mut idle = TcpStream::connect_addr(server.address()).await.unwrap();
+        let mut busy = TcpStream::connect_addr(server.address()).await.unwrap();
+        write(&mut busy, GET).await;
+        pause(50).await;
+        let start = Instant::now();
+
+        let closed = server.close(common::after(5_000)).await;
+
+        assert!(closed);
+        assert!(start.elapsed().as_millis() >= 500);
+        let reply = read(&mut busy).await;
+        assert!(reply.ends_with("whole"), "{reply}");
+        assert!(reply.contains("connection: close"), "{reply}");
+        assert_eq!(read(&mut idle).await, "");
+        assert!(TcpStream::connect_addr(server.address()).await.is_err());
+    });
+}
+
+/// A caller sends its next request just as the node closes: the bytes crossed
+/// the shutdown on their way. It is answered, not reset.
+#[test]
+fn a_request_that_crosses_the_close_is_answered() {
+    run(async {
+        let (server, _) = serve(small(), |_| slowly(1, "late but whole"));
+        let mut stream = TcpStream::connect_addr(server.address()).await.unwrap();
+        pause(20).await;
+        let closer = server.clone();
+        let close = monoio::spawn(async move { closer.close(common::after(5_000)).await });
+        pause(50).await;
+
+        write(&mut stream, GET).await;
+        let reply = read(&mut stream).await;
+
+        assert!(reply.ends_with("late but whole"), "{reply}");
+        assert!(close.await);
+    });
+}
+
+#[test]
+fn a_close_gives_up_at_its_deadline() {
+    run(async {
+        let (server, _) = serve(small(), |_| slowly(5_000, "too late"));
+        let mut stream = TcpStream::connect_addr(server.address()).await.unwrap();
+        write(&mut stream, GET).await;
+        pause(50).await;
+
+        assert!(!server.close(common::after(100)).await);
+    });
+}
+
+/// A client sends bodies only when told to go on, as curl does with large ones.
+#[test]
+fn a_client_that_waits_to_be_asked_is_asked() {
+    run(async {
+        let (server, _) = serve(small(), echo);
+        let mut stream = TcpStream::connect_addr(server.address()).await.unwrap();
+
+        let head = "POST /x HTTP/1.1\r\nexpect: 100-continue\r\ncontent-length: 4\r\n\r\n";
+        write(&mut stream, head).await;
+        let interim = read(&mut stream).await;
+        write(&mut stream, "body").await;
+
+        assert!(interim.starts_with("HTTP/1.1 100 "), "{interim}");
+        assert!(read(&mut stream).await.ends_with("body"));
+    });
+}
--- /dev/null
+++ b/crates/kumquatnotch-net/tests/silence.rs
@@ -0,0 +1,179 @@
+//! Connections that go silent for good while new ones work, and targets that
+//! are only slow.
+
+mod common;
+
+use std::{rc::Rc, time::Instant};
+
+use common::{accept, after, booking, links, name, pause, read, run, search, spec};
+use futures_util::future::join_all;
+use kumquatnotch_core::{Error, Targets, document::TargetSpec};
+use kumquatnotch_net::TargetLinks;
+use standins::{faults::FaultChange, plan::Plan, targets::Fleet};
+
+fn fleet(service_ms: f64) -> Fleet {
+    let mut plan = Plan::uniform(0, 1, 1);
+    plan.target[0].service_ms = service_ms;
+    plan.target[0].spread = 0.1;
+    Fleet::start(&plan).expect("free ports are found")
+}
+
+fn silence(fleet: &Fleet) {
+    fleet.apply(&FaultChange { silence: true, ..Default::default() });
+}
+
+/// Lets the links learn the pace of the target.
+async fn warm_up(links: &Rc<TargetLinks>, spec: &TargetSpec) {
+    for id in 0..20 {
+        let reply = links.call(&name(), spec, &search(id), after(2_000)).await;
+        assert!(reply.is_ok(), "{reply:?}");
+    }
+}
+
+/// A search goes out on a connection that has gone silent. The target answers
+/// status requests and says that it runs nothing, and a cancelled request is
+/// never answered on the old connection. The caller hears well before its
+/// deadline that the connection is at fault; the target is asked again at once.
+#[test]
+fn a_search_on_a_silent_connection_fails_early() {
+    run(async {
+        let fleet = fleet(5.0);
+        let (links, spec) = (links(), spec(fleet.address("t0").unwrap()));
+        warm_up(&links, &spec).await;
+        silence(&fleet);
+        let start = Instant::now();
+
+        let lost = links.call(&name(), &spec, &search(100), after(5_000)).await;
+        let took = start.elapsed();
+        let next = links.call(&name(), &spec, &search(101), after(500)).await;
+
+        assert_eq!(lost, Err(Error::ConnectionSilent));
+        assert!(took.as_millis() < 1_000, "{took:?}");
+        println!("found after {took:?}");
+        assert!(next.is_ok(), "{next:?}");
+    });
+}
+
+/// The same while other searches keep the target busy: it never calls itself
+/// idle. Requests sent later are answered first, which a straggler doesn't do.
+#[test]
+fn a_silent_connection_is_found_under_load() {
+    run(async {
+        let fleet = fleet(20.0);
+        let (links, spec) = (links(), spec(fleet.address("t0").unwrap()));
+        warm_up(&links, &spec).await;
+        silence(&fleet);
+        fleet.apply(&FaultChange { load: Some(3), ..Default::default() });
+        let start = Instant::now();
+
+        let (one, other) = (links.clone(), spec.clone());
+        let lost = monoio::spawn(async move {
+            let lost = one.call(&name(), &other, &search(100), after(5_000)).await;
+            (lost, Instant::now())
+        });
+        pause(1).await;
+        for id in 200..260 {
+            let reply = links.call(&name(), &spec, &search(id), after(5_000)).await;
+            assert!(reply.is_ok(), "{reply:?}");
+        }
+        let (lost, end) = lost.await;
+
+        assert_eq!(lost, Err(Error::ConnectionSilent));
+        let took = end.duration_since(start);
+        println!("found after {took:?}");
+        assert!(took.as_millis() < 1_000, "{took:?}");
+    });
+}
+
+/// A target becomes a hundred times slower from one moment to the next. It
+/// answers status requests and tells its load. Its replies are late, but no
+/// connection is taken for silent and no search is lost.
+#[test]
+fn a_straggler_is_not_taken_for_silent() {
+    run(async {
+        let fleet = fleet(7.0);
+        let (links, spec) = (links(), spec(fleet.address("t0").unwrap()));
+        warm_up(&links, &spec).await;
+        fleet.apply(&FaultChange { factor: Some(100.0), ..Default::default() });
+
+        let calls = (100..104).map(|id| {
+            let (links, spec) = (links.clone(), spec.clone());
+            async move { links.call(&name(), &spec, &search(id), after(8_000)).await }
+        });
+        let replies = join_all(calls).await;
+
+        for reply in replies {
+            assert!(reply.is_ok(), "{reply:?}");
+        }
+    });
+}
+
+/// A straggler whose status lies that it runs nothing. The connection is
+/// challenged and answers: it is kept, and one search is the cost.
+#[test]
+fn a_straggler_that_calls_itself_idle_is_cleared() {
+    run(async {
+        let fleet = fleet(7.0);
+        let (links, spec) = (links(), spec(fleet.address("t0").unwrap()));
+        warm_up(&links, &spec).await;
+        fleet.apply(&FaultChange { factor: Some(100.0), load: Some(0), ..Default::default() });
+        let open = links.open_count(&name());
+
+        let first = links.call(&name(), &spec, &search(100), after(3_000)).await;
+        let second = links.call(&name(), &spec, &search(101), after(3_000)).await;
+
+        assert_eq!(first, Err(Error::TimedOut));
+        assert!(second.is_ok(), "{second:?}");
+        assert!(links.open_count(&name()) <= open.max(2));
+    });
+}
+
+/// A connection goes silent while idle, and the next request is a booking, which
+/// could never be sent again. The connection has to answer a check first, and
+/// does not; the booking runs once, over a new connection.
+#[test]
+fn a_booking_never_goes_out_on_a_silent_connection() {
+    run(async {
+        let fleet = fleet(5.0);
+        let (links, spec) = (links(), spec(fleet.address("t0").unwrap()));
+        warm_up(&links, &spec).await;
+        silence(&fleet);
+        pause(50).await;
+
+        let reply = links.call(&name(), &spec, &booking(100), after(1_000)).await;
+
+        assert!(reply.is_ok(), "{reply:?}");
+        let runs = fleet.log().runs;
+        assert_eq!(runs.iter().filter(|run| run.exclusive).count(), 1);
+    });
+}
+
+/// The connection for probes has gone silent. A probe finds the target alive
+/// all the same, within the time that a probe may take.
+#[test]
+fn a_silent_connection_does_not_make_its_target_look_dead() {
+    run(async {
+        let fleet = fleet(5.0);
+        let (links, spec) = (links(), spec(fleet.address("t0").unwrap()));
+        links.probe(&name(), &spec, after(400)).await.unwrap();
+        silence(&fleet);
+
+        let status = links.probe(&name(), &spec, after(400)).await;
+
+        assert!(status.is_ok(), "{status:?}");
+    });
+}
+
+/// Nothing answers at all, on any connection. That is a dead target, not a
+/// silent connection.
+#[test]
+fn a_mute_target_is_not_a_silent_connection() {
+    run(async {
+        let address =
+            accept(|_, mut stream| async move { while !read(&mut stream).await.is_empty() {} });
+
+        let result = links().call(&name(), &spec(address), &search(1), after(1_500)).await;
+
+        assert_eq!(result, Err(Error::TimedOut));
+    });
+}
--- /dev/null
+++ b/crates/kumquatnotch-net/tests/target_links.rs
@@ -0,0 +1,258 @@
+//! The links to targets: what their replies mean, and what they cost a target.
+
+mod common;
+
+use std::{cell::Cell, rc::Rc, time::Instant};
+
+use common::{
+    accept, after, booking, hit_body, links, links_with, name, pause, raw_reply, read, run, search,
+    serve, spec, write,
+};
+use futures_util::future::join_all;
+use http::StatusCode;
+use kumquatnotch_core::{Error, Targets, target::Phase};
+use kumquatnotch_net::{
+    message::{JSON, Reply},
+    server::{ServerOptions, Work},
+    target_links::TargetLinkOptions,
+};
+use standins::{plan::Plan, records::RunEnd, targets::Fleet};
+use yare::parameterized;
+
+fn fleet(change: impl Fn(&mut Plan)) -> Fleet {
+    let mut plan = Plan::uniform(0, 1, 1);
+    change(&mut plan);
+    Fleet::start(&plan).expect("free ports are found")
+}
+
+#[parameterized(
+    shed = { 429, "{\"retry_ms\":9}", Error::Shed { retry_ms: 9 } },
+    draining = { 503, "{}", Error::Draining },
+    gone = { 410, "{\"version\":1}", Error::VersionGone { version: 1 } },
+    cancelled = { 499, "{\"ran\":false}", Error::Cancelled },
+    cancelled_in_run = { 499, "{\"ran\":true}", Error::TimedOut },
+    cancelled_unclear = { 499, "{}", Error::TimedOut },
+    expired = { 504, "{\"ran\":false}", Error::ExpiredInQueue },
+    expired_in_run = { 504, "{\"ran\":true}", Error::TimedOut },
+    failed = { 500, "{\"detail\":\"x\"}", Error::TargetFailed { detail: "x".to_owned() } },
+    other = { 418, "", Error::protocol("status 418") },
+    other_snapshot = {
+        200, "{\"version\":2}", Error::protocol("asked for version 1, answered from 2")
+    },
+)]
+fn replies_have_their_meaning(status: u16, body: &'static str, error: Error) {
+    run(async {
+        let status = StatusCode::from_u16(status).unwrap();
+        let answer = move |_| Work::ready(Reply::new(status, JSON, body));
+        let (server, _) = serve(ServerOptions::default(), answer);
+
+        let spec = spec(server.address());
+        let result = links().call(&name(), &spec, &search(1), after(500)).await;
+
+        assert_eq!(result, Err(error));
+    });
+}
+
+#[test]
+fn a_target_answers_and_tells_its_state() {
+    run(async {
+        let fleet = fleet(|_| {});
+        let (links, spec) = (links(), spec(fleet.address("t0").unwrap()));
+
+        let reply = links.call(&name(), &spec, &search(1), after(1_000)).await.unwrap();
+        let status = links.probe(&name(), &spec, after(1_000)).await.unwrap();
+
+        assert_eq!(reply.hits.len(), 2);
+        assert_eq!(status.phase, Phase::Ready);
+    });
+}
+
+/// Nothing listens there. The error is certain that nothing was sent, and it
+/// comes at once, so that the caller can turn to another replica.
+#[test]
+fn a_refused_connection_is_known_at_once() {
+    run(async {
+        let start = Instant::now();
+        let spec = spec("127.0.0.1:9".parse().unwrap());
+
+        let result = links().call(&name(), &spec, &booking(1), after(5_000)).await;
+
+        assert_eq!(result, Err(Error::ConnectFailed));
+        assert!(start.elapsed().as_millis() < 500);
+    });
+}
+
+/// The target closes the connection after it has read a booking. It may have
+/// run it, and the error must not say otherwise.
+#[test]
+fn a_connection_lost_after_sending_is_not_called_unsent() {
+    run(async {
+        let address = accept(|_, mut stream| async move {
+            read(&mut stream).await;
+        });
+
+        let result = links().call(&name(), &spec(address), &booking(1), after(1_000)).await;
+
+        assert_eq!(result, Err(Error::ConnectionLost));
+        assert!(!result.unwrap_err().is_not_run());
+    });
+}
+
+/// The target has closed an idle connection. The next request finds that out
+/// before anything is sent, and goes over a new connection.
+#[test]
+fn a_connection_closed_while_idle_costs_no_request() {
+    run(async {
+        let address = accept(|_, mut stream| async move {
+            read(&mut stream).await;
+            write(&mut stream, raw_reply(&hit_body("a"))).await;
+        });
+        let (links, spec) = (links(), spec(address));
+
+        for id in 1..4 {
+            let reply = links.call(&name(), &spec, &booking(id), after(1_000)).await;
+            assert_eq!(reply.map(|reply| reply.hits.len()), Ok(1));
+            pause(20).await;
+        }
+    });
+}
+
+/// A target answers the first request twice. The second copy must not be taken
+/// for the reply to the next request on that connection.
+#[test]
+fn a_doubled_reply_reaches_no_other_request() {
+    run(async {
+        let address = accept(|number, mut stream| async move {
+            read(&mut stream).await;
+            let body = hit_body(&format!("connection {number}"));
+            write(&mut stream, raw_reply(&body).repeat(2)).await;
+            pause(1_000).await;
+        });
+        let (links, spec) = (links(), spec(address));
+
+        for number in 0..3 {
+            let reply = links.call(&name(), &spec, &search(number), after(1_000)).await.unwrap();
+            assert_eq!(reply.hits[0].key, format!("connection {number}"));
+        }
+    });
+}
+
+/// A reply carries the number of another request: the two sides are out of
+/// step. The caller gets an error instead of someone else's answer.
+#[test]
+fn a_crossed_reply_is_refused() {
+    run(async {
+        let address = accept(|_, mut stream| async move {
+            read(&mut stream).await;
+            let reply = raw_reply(&hit_body("other"));
+            write(&mut stream, reply.replace("\r\n\r\n", "\r\nx-request-id: 1\r\n\r\n")).await;
+            pause(1_000).await;
+        });
+
+        let result = links().call(&name(), &spec(address), &search(1), after(1_000)).await;
+
+        assert!(matches!(result, Err(Error::Protocol { .. })), "{result:?}");
+    });
+}
+
+/// A hedge has won, and the slower call is dropped. The target is told and
+/// stops; its reply is read, so that the connection stays in step; no new
+/// connection is needed for the next call.
+#[test]
+fn a_dropped_call_is_cancelled_and_its_connection_kept() {
+    run(async {
+        let fleet = fleet(|plan| plan.target[0].service_ms = 2_000.0);
+        let (links, spec) = (links(), spec(fleet.address("t0").unwrap()));
+
+        let (name, slow) = (name(), search(1));
+        let call = links.call(&name, &spec, &slow, after(3_000));
+        let _ = monoio::time::timeout(std::time::Duration::from_millis(100), call).await;
+        pause(100).await;
+
+        assert_eq!(fleet.log().runs[0].end, RunEnd::Cancelled);
+        assert_eq!(links.open_count(&name), 2);
+        let change = standins::faults::FaultChange { factor: Some(0.001), ..Default::default() };
+        fleet.apply(&change);
+        let reply = links.call(&name, &spec, &search(2), after(1_000)).await.unwrap();
+        assert_eq!(reply.hits[0].fields["nonce"], 2);
+        assert_eq!(links.open_count(&name), 2);
+    });
+}
+
+/// A late reply: the call has ended at its deadline, and its reply comes while
+/// the connection is drained. The next call must get its own.
+#[test]
+fn a_late_reply_reaches_no_other_request() {
+    run(async {
+        let address = accept(|_, mut stream| async move {
+            loop {
+                let request = read(&mut stream).await;
+                let id = request.split("\"id\":").nth(1).and_then(|rest| rest.split(',').next());
+                let Some(id) = id else { return };
+                pause(120).await;
+                write(&mut stream, raw_reply(&hit_body(id))).await;
+            }
+        });
+        let (links, spec) = (links(), spec(address));
+
+        for id in 0..4 {
+            let first = links.call(&name(), &spec, &search(id * 2), after(60)).await;
+            let second = links.call(&name(), &spec, &search(id * 2 + 1), after(1_000)).await;
+            assert_eq!(first, Err(Error::TimedOut));
+            assert_eq!(second.unwrap().hits[0].key, (id * 2 + 1).to_string());
+        }
+    });
+}
+
+/// A burst of calls meets a target that takes 6 ms for each new connection. The
+/// calls share the few connections that the setting allows.
+#[parameterized(three = { 3 }, two = { 2 }, one = { 1 })]
+fn a_burst_stays_within_the_connections(connections: usize) {
+    run(async {
+        let fleet = fleet(|plan| plan.target[0].service_ms = 2.0);
+        let options = TargetLinkOptions { connections, ..Default::default() };
+        let (links, spec) = (links_with(options), spec(fleet.address("t0").unwrap()));
+
+        let peak = Rc::new(Cell::new(0));
+        let calls = (0..40).map(|id| {
+            let (links, spec, peak) = (links.clone(), spec.clone(), peak.clone());
+            async move {
+                let reply = links.call(&name(), &spec, &search(id), after(5_000)).await;
+                peak.set(peak.get().max(links.open_count(&name())));
+                reply.map(|reply| reply.hits[0].fields["nonce"].as_u64())
+            }
+        });
+        let replies = join_all(calls).await;
+
+        for (id, reply) in replies.into_iter().enumerate() {
+            assert_eq!(reply, Ok(Some(id as u64)));
+        }
+        assert!(peak.get() <= connections, "{}", peak.get());
+    });
+}
+
+/// A target refuses every connection. Callers that keep coming cause few tries:
+/// opening pauses for longer and longer.
+#[test]
+fn failures_to_connect_back_off() {
+    run(async {
+        let tries = Rc::new(Cell::new(0));
+        let counted = tries.clone();
+        let address = accept(move |_, stream| {
+            counted.set(counted.get() + 1);
+            async move { drop(stream) }
+        });
+        let (links, spec) = (links(), spec(address));
+
+        let mut calls = 0;
+        let start = Instant::now();
+        while start.elapsed().as_millis() < 1_000 {
+            let _ = links.call(&name(), &spec, &search(calls), after(200)).await;
+            calls += 1;
+            pause(2).await;
+        }
+
+        assert!(calls > 50, "{calls} calls");
+        assert!(tries.get() < 20, "{} tries in {calls} calls", tries.get());
+    });
+}
