--- a/crates/kumquatnotch-net/src/caller_client.rs
+++ b/crates/kumquatnotch-net/src/caller_client.rs
@@ -29,7 +29,8 @@
         clock: Rc<dyn Clock>,
         random: Random,
     ) -> CallerClient {
-        let options = PoolOptions { control: 0, work: connections, idle: IDLE, body: BODY };
+        let options =
+            PoolOptions { control: 0, work: connections, idle: IDLE, body: BODY, patient: false };
         CallerClient { pool: Pool::new(address, options, clock, random) }
     }
 
--- a/crates/kumquatnotch-net/src/platform_client.rs
+++ b/crates/kumquatnotch-net/src/platform_client.rs
@@ -72,6 +72,7 @@
             work: options.connections,
             idle: Duration::from_secs(30),
             body: VALUE_LIMIT + 4_096,
+            patient: true,
         };
         let pool = Pool::new(options.address, bounds, clock, random);
         PlatformClient { options, pool }
--- a/crates/kumquatnotch-net/src/pool.rs
+++ b/crates/kumquatnotch-net/src/pool.rs
@@ -50,6 +50,10 @@
     pub(crate) idle: Duration,
     /// The largest body of a reply, in bytes.
     pub(crate) body: usize,
+    /// Whether a caller waits out a pause after failures instead of failing at once.
+    ///
+    /// It is for addresses that have no replica to turn to.
+    pub(crate) patient: bool,
 }
 
 /// The connections to one address.
@@ -146,7 +150,7 @@
             }
             // While opening pauses, an address without connections fails at once,
             // so that the caller can turn to another replica.
-            if state.open == 0 && self.is_pausing() {
+            if state.open == 0 && self.is_refusing() {
                 return Err(Error::ConnectFailed);
             }
             let (sender, receiver) = oneshot::channel();
@@ -244,13 +248,14 @@
         }
     }
 
-    fn is_pausing(&self) -> bool {
-        self.clock.now() < self.pause_end.get()
+    /// Whether no connection may be opened now, and callers are told so.
+    fn is_refusing(&self) -> bool {
+        !self.options.patient && self.clock.now() < self.pause_end.get()
     }
 
     /// Starts to open connections if someone waits for one and the bounds allow it.
     fn open_more(self: &Rc<Pool>) {
-        if self.opening.get() || self.is_pausing() || self.lane_to_open().is_none() {
+        if self.opening.get() || self.is_refusing() || self.lane_to_open().is_none() {
             return;
         }
         self.opening.set(true);
@@ -278,7 +283,7 @@
 
     /// Fails those who wait in a lane that has no connection and may open none now.
     fn fail_waiters(&self) {
-        if !self.is_pausing() {
+        if !self.is_refusing() {
             return;
         }
         for lane in LANES {
@@ -296,6 +301,10 @@
 /// Opens connections, one after the other, while they are wanted.
 async fn open_links(pool: Rc<Pool>) {
     while let Some(lane) = pool.lane_to_open() {
+        let pause = pool.pause_end.get().saturating_duration_since(pool.clock.now());
+        if !pause.is_zero() {
+            clock::sleep(&*pool.clock, pause).await;
+        }
         pool.lane(lane).borrow_mut().open += 1;
         let deadline = pool.clock.now() + CONNECT_TIMEOUT;
         let opened = clock::timeout_at(&*pool.clock, deadline, socket::connect(pool.address)).await;
@@ -312,7 +321,9 @@
             _ => {
                 pool.lane(lane).borrow_mut().open -= 1;
                 pool.note_failure();
-                break;
+                if !pool.options.patient {
+                    break;
+                }
             }
         }
     }
