Test the daemon as a process

What it serves before and after a document is in force, that no io_uring descriptor is open and no process started, that a shutdown cuts neither a search nor a hold in flight, and how a second signal ends it.

--- /dev/null
+++ b/crates/kumquatnotchd/tests/common/mod.rs
@@ -0,0 +1,218 @@
+//! Fixtures: the daemon as a process, among stand-ins that run in the test.
+
+#![allow(dead_code)]
+
+use std::{
+    fs,
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command, ExitStatus, Stdio},
+    rc::Rc,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use kumquatnotch::{
+    config::{
+        files::{self, FileText},
+        store::{Authorship, Store},
+    },
+    core::{Platform, clock::RuntimeClock, front::key_digest, random::Random},
+    net::{PlatformClient, platform_client::PlatformOptions},
+};
+use rustix::process::{Pid, Signal, kill_process};
+use standins::{
+    http::{Answer, Client},
+    plan::Plan,
+    platform::PlatformServer,
+    targets::Fleet,
+};
+
+pub const KEY: &str = "a caller's key";
+
+static FOLDERS: AtomicUsize = AtomicUsize::new(0);
+
+pub fn run<T>(test: impl Future<Output = T>) -> T {
+    standins::block_on(async {
+        let limit = Duration::from_secs(60);
+        monoio::time::timeout(limit, test).await.expect("the test ends in time")
+    })
+}
+
+pub async fn pause(millis: u64) {
+    monoio::time::sleep(Duration::from_millis(millis)).await;
+}
+
+/// Waits until `probe` tells something, for at most ten seconds.
+pub async fn until<T, F: Future<Output = Option<T>>>(what: &str, probe: impl Fn() -> F) -> T {
+    let end = Instant::now() + Duration::from_secs(10);
+    loop {
+        if let Some(value) = probe().await {
+            return value;
+        }
+        assert!(Instant::now() < end, "{what} does not come");
+        pause(20).await;
+    }
+}
+
+/// The stand-ins around a daemon.
+pub struct Around {
+    pub platform: PlatformServer,
+    pub fleet: Fleet,
+}
+
+/// Three targets, each with a shard, and a platform without a document.
+pub fn around(service_ms: f64) -> Around {
+    let mut plan = Plan::uniform(0, 3, 3);
+    plan.target.iter_mut().for_each(|target| {
+        target.service_ms = service_ms;
+        target.spread = 0.0;
+    });
+    let platform = PlatformServer::start(0).expect("a free port is found");
+    Around { platform, fleet: Fleet::start(&plan).expect("free ports are found") }
+}
+
+impl Around {
+    fn document(&self) -> String {
+        let mut text = format!(
+            "[regions]\namman = \"jordan\"\n\
+             [tenants.barid]\nkeys = [\"{}\"]\nstop = {{ patience = 0.9, enough = 1.0 }}\n\
+             [selectors.desk]\ntargets = \"\"\nclass = \"desk\"\ndeadline_ms = 8000\n\
+             [selectors.hold]\ntargets = \"\"\nclass = \"desk\"\nexclusive = true\n\
+             deadline_ms = 8000\n",
+            key_digest(KEY),
+        );
+        for (number, target) in self.fleet.ports.targets.iter().enumerate() {
+            text.push_str(&format!(
+                "[targets.{}]\naddress = \"{}\"\ncentre = \"amman\"\nshard = \"s{number}\"\n",
+                target.name, target.address,
+            ));
+        }
+        text
+    }
+
+    /// Puts the document of the stand-ins in force.
+    pub async fn publish(&self) {
+        let files = [FileText { name: "all.toml".to_owned(), text: self.document() }];
+        let document = files::parse(&files).expect("the document is fine");
+        let options =
+            PlatformOptions { address: self.platform.address, ..PlatformOptions::default() };
+        let clock = Rc::new(RuntimeClock);
+        let random = Random::with_seed(3);
+        let client: Rc<dyn Platform> =
+            Rc::new(PlatformClient::new(options, clock.clone(), random.clone()));
+        let store = Store::new(client, clock, random);
+        let author = Authorship { author: "test", note: "" };
+        let current = store.current().await.expect("the platform answers");
+        store.publish(&current, &document, author).await.expect("it is accepted");
+    }
+
+    pub fn settings(&self) -> String {
+        format!(
+            "[node]\nname = \"n1\"\ncentre = \"amman\"\nregion = \"jordan\"\n\
+             [platform]\naddress = \"{}\"\n[advice]\nvalid = \"1s\"\n",
+            self.platform.address,
+        )
+    }
+}
+
+/// Writes settings to a file of their own.
+pub fn settings_file(text: &str) -> PathBuf {
+    let number = FOLDERS.fetch_add(1, Ordering::Relaxed);
+    let name = format!("kumquatnotchd-{}-{number}.toml", std::process::id());
+    let path = std::env::temp_dir().join(name);
+    fs::write(&path, text).expect("settings can be written");
+    path
+}
+
+pub fn command(settings: &PathBuf) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_kumquatnotchd"));
+    command.arg("--settings").arg(settings);
+    command
+}
+
+/// A running daemon, which ends with the test.
+pub struct Daemon {
+    pub child: Child,
+    pub entry: SocketAddr,
+    pub lines: Arc<Mutex<Vec<String>>>,
+    settings: PathBuf,
+}
+
+impl Daemon {
+    /// Starts a daemon and waits until it listens.
+    pub async fn start(around: &Around, extra: &[&str]) -> Daemon {
+        let settings = settings_file(&around.settings());
+        let mut command = command(&settings);
+        command.args(extra).stderr(Stdio::piped()).stdout(Stdio::null());
+        let mut child = command.spawn().expect("the daemon starts");
+        let lines = Arc::new(Mutex::new(Vec::new()));
+        let (output, shared) = (child.stderr.take().expect("it is piped"), lines.clone());
+        std::thread::spawn(move || {
+            for line in BufReader::new(output).lines().map_while(Result::ok) {
+                shared.lock().expect("no reader panics").push(line);
+            }
+        });
+        let entry = until("its address", async || find_entry(&lines)).await;
+        Daemon { child, entry, lines, settings }
+    }
+
+    pub fn client(&self) -> Client {
+        Client::new(self.entry, Duration::from_secs(10))
+    }
+
+    pub async fn get(&self, path: &str) -> Answer {
+        self.client().get(path).await.expect("the daemon answers")
+    }
+
+    /// Waits until it serves callers.
+    pub async fn ready(&self) {
+        until("readiness", async || {
+            let ready = self.get("/readyz").await.status == 200;
+            ready.then_some(())
+        })
+        .await;
+    }
+
+    pub fn signal(&self) {
+        let pid = Pid::from_child(&self.child);
+        kill_process(pid, Signal::TERM).expect("it runs");
+    }
+
+    pub async fn end(&mut self) -> ExitStatus {
+        for _ in 0..1_000 {
+            if let Some(status) = self.child.try_wait().expect("it can be waited for") {
+                return status;
+            }
+            pause(20).await;
+        }
+        panic!("the daemon does not end");
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.settings);
+    }
+}
+
+fn find_entry(lines: &Arc<Mutex<Vec<String>>>) -> Option<SocketAddr> {
+    let lines = lines.lock().expect("no writer panics");
+    let line = lines.iter().find(|line| line.contains("callers at "))?;
+    let address = line.split("callers at ").nth(1)?.split(',').next()?;
+    address.parse().ok()
+}
+
+/// Sends a search or another request as a caller.
+pub async fn call(client: &Client, path: &str, body: serde_json::Value) -> Answer {
+    let bearer = format!("Bearer {KEY}");
+    let headers = [("authorization", bearer.as_str()), ("content-type", "application/json")];
+    let body = serde_json::to_vec(&body).expect("JSON can be written");
+    client.send("POST", path, &headers, body.into()).await.expect("the daemon answers")
+}
--- /dev/null
+++ b/crates/kumquatnotchd/tests/daemon.rs
@@ -0,0 +1,166 @@
+//! The daemon as a process: what it serves, and how it ends.
+
+mod common;
+
+use std::{fs, time::Instant};
+
+use common::{Daemon, around, call, command, pause, run, settings_file};
+use serde_json::{Value, json};
+
+fn search() -> Value {
+    json!({ "selector": "desk", "query": { "nonce": 7 }, "limit": 3 })
+}
+
+#[test]
+fn settings_are_checked() {
+    let good = "[node]\nname = \"n1\"\ncentre = \"amman\"\nregion = \"jordan\"\n\
+                [platform]\naddress = \"127.0.0.1:9\"\n";
+    let bad = good.replace("n1", "n 1");
+    let (good, bad) = (settings_file(good), settings_file(&bad));
+
+    let fine = command(&good).arg("--check").output().unwrap();
+    let fault = command(&bad).arg("--check").output().unwrap();
+    let help = command(&good).arg("--help").output().unwrap();
+
+    assert!(fine.status.success());
+    assert_eq!(fault.status.code(), Some(1));
+    let told = String::from_utf8_lossy(&fault.stderr).into_owned();
+    assert!(told.contains("6001") && told.contains("node.name"), "{told}");
+    let help = String::from_utf8_lossy(&help.stdout).into_owned();
+    assert!(help.contains("SIGTERM") && help.contains("[platform]"), "{help}");
+    fs::remove_file(good).unwrap();
+    fs::remove_file(bad).unwrap();
+}
+
+/// A daemon starts before any document is in force: it answers, and says that it
+/// is not ready. Once the document is there it serves, and tells its state.
+#[test]
+fn a_daemon_serves_callers_and_operators() {
+    run(async {
+        let around = around(5.0);
+        let daemon = Daemon::start(&around, &[]).await;
+        assert_eq!(daemon.get("/healthz").await.status, 200);
+        assert_eq!(daemon.get("/readyz").await.status, 503);
+
+        around.publish().await;
+        daemon.ready().await;
+        let answer = call(&daemon.client(), "/v1/search", search()).await;
+
+        assert_eq!(answer.status, 200);
+        let answer: Value = answer.json().unwrap();
+        assert_eq!(answer["coverage"]["covered"], 3);
+        assert_eq!(answer["coverage"]["asked"], 3);
+        let config: Value = daemon.get("/v1/config").await.json().unwrap();
+        assert_eq!(config["nodes"][0]["confirmation"]["version"], 1);
+        let status = daemon.get("/status").await.body;
+        assert!(String::from_utf8_lossy(&status).contains("stage: Serving"));
+        let metrics = daemon.get("/metrics").await.body;
+        let metrics = String::from_utf8_lossy(&metrics).into_owned();
+        let bucket = metrics.lines().find(|line| {
+            line.starts_with("kumquatnotch_search_seconds_bucket")
+                && line.contains("tenant=\"barid\"")
+                && line.contains("class=\"desk\"")
+        });
+        assert!(bucket.is_some(), "{metrics}");
+    });
+}
+
+/// A machine allows no io_uring and no processes but the daemon's own. Both are
+/// looked for while it works.
+#[test]
+fn a_daemon_opens_no_io_uring_and_starts_no_process() {
+    run(async {
+        let around = around(5.0);
+        let daemon = Daemon::start(&around, &[]).await;
+        around.publish().await;
+        daemon.ready().await;
+        call(&daemon.client(), "/v1/search", search()).await;
+        let id = daemon.child.id();
+
+        let open = fs::read_dir(format!("/proc/{id}/fd")).unwrap();
+        let open: Vec<String> = open
+            .filter_map(|entry| fs::read_link(entry.ok()?.path()).ok())
+            .map(|link| link.display().to_string())
+            .collect();
+        let children = fs::read_to_string(format!("/proc/{id}/task/{id}/children"));
+
+        assert!(open.iter().any(|link| link.contains("eventpoll")), "{open:?}");
+        assert!(!open.iter().any(|link| link.contains("uring")), "{open:?}");
+        assert_eq!(children.unwrap_or_default(), "");
+    });
+}
+
+/// The daemon is told to stop while a search and a hold run that take longer
+/// than its advice is valid. Callers that come meanwhile with advice they were
+/// given are served. Both requests get their whole answers, and the daemon
+/// exits with 0.
+#[test]
+fn a_graceful_shutdown_cuts_nothing_in_flight() {
+    run(async {
+        let around = around(2_500.0);
+        let mut daemon = Daemon::start(&around, &[]).await;
+        around.publish().await;
+        daemon.ready().await;
+        let client = daemon.client();
+        let grant: Value = call(&client, "/v1/tickets", Value::Null).await.json().unwrap();
+        let hold = json!({
+            "ticket": grant["ticket"], "selector": "hold", "key": "room 4",
+            "request": { "key": "room 4" },
+        });
+        let client = daemon.client();
+        let slow = monoio::spawn(async move { call(&client, "/v1/search", search()).await });
+        let client = daemon.client();
+        let held = monoio::spawn(async move { call(&client, "/v1/exclusive", hold).await });
+        pause(300).await;
+
+        daemon.signal();
+        pause(300).await;
+        let advised = daemon.get("/v1/entry").await;
+        let ready = daemon.get("/readyz").await;
+        let (slow, held) = (slow.await, held.await);
+        let status = daemon.end().await;
+
+        assert_eq!(advised.status, 200);
+        assert_eq!(ready.status, 503);
+        let answer: Value = slow.json().unwrap();
+        assert_eq!((slow.status, &answer["coverage"]["covered"]), (200, &json!(3)), "{answer}");
+        let outcome: Value = held.json().unwrap();
+        assert_eq!(outcome["done"]["key"], "room 4", "{outcome}");
+        assert_eq!(status.code(), Some(0));
+    });
+}
+
+/// An operator is in a hurry and sends the signal twice.
+#[test]
+fn a_second_signal_ends_the_daemon_at_once() {
+    run(async {
+        let around = around(5.0);
+        let mut daemon = Daemon::start(&around, &[]).await;
+        let start = Instant::now();
+
+        daemon.signal();
+        pause(100).await;
+        daemon.signal();
+        let status = daemon.end().await;
+
+        assert_eq!(status.code(), Some(4));
+        assert!(start.elapsed().as_millis() < 800, "{:?}", start.elapsed());
+    });
+}
+
+#[test]
+fn logs_are_json_on_demand_and_name_their_part() {
+    run(async {
+        let around = around(5.0);
+        let daemon = Daemon::start(&around, &["--log-format", "json"]).await;
+
+        let lines = daemon.lines.lock().unwrap().clone();
+
+        for line in lines {
+            let line: Value = serde_json::from_str(&line).unwrap();
+            let message = line["fields"]["message"].as_str().unwrap().to_owned();
+            let (part, _) = message.split_once(": ").unwrap();
+            assert!(["net", "node", "member", "config"].contains(&part), "{message}");
+        }
+    });
+}
