--- /dev/null
+++ b/crates/kumquatnotch-ctl/src/status_command.rs
@@ -0,0 +1,70 @@
+//! Tells whether a configuration is in force everywhere.
+
+use std::time::Duration;
+
+use kumquatnotch::{
+    core::{
+        Error, Result,
+        clock::sleep,
+        ids::ConfigVersion,
+        report::{ConfigReport, NodeReport},
+    },
+    net::message::Request,
+};
+
+use crate::{context::Context, options::StatusArgs};
+
+/// The exit code when some node doesn't have it, or can't be asked.
+const LAGGING: u8 = 4;
+
+/// How long to wait between two looks.
+const PAUSE: Duration = Duration::from_millis(200);
+
+pub async fn status(context: &Context, args: &StatusArgs) -> Result<u8> {
+    let version = match args.version {
+        Some(version) => ConfigVersion(version),
+        None => newest(context).await?,
+    };
+    wait_for(context, version, Duration::from_secs(args.wait)).await
+}
+
+/// Waits until every node has `version` in force, and names those that lag.
+pub async fn wait_for(context: &Context, version: ConfigVersion, wait: Duration) -> Result<u8> {
+    let end = context.clock.now() + wait;
+    loop {
+        let report = ask(context).await?;
+        let lagging: Vec<&NodeReport> =
+            report.nodes.iter().filter(|node| !node.has(version)).collect();
+        if lagging.is_empty() && !report.nodes.is_empty() {
+            println!("version {version} is in force on all {} nodes", report.nodes.len());
+            return Ok(0);
+        }
+        if context.clock.now() >= end {
+            println!("version {version} is not known to be in force everywhere:");
+            lagging.iter().for_each(|node| println!("  {node}"));
+            return Ok(LAGGING);
+        }
+        sleep(&*context.clock, PAUSE).await;
+    }
+}
+
+/// The newest version that the platform's service or, without it, a node knows of.
+async fn newest(context: &Context) -> Result<ConfigVersion> {
+    let head = match context.store() {
+        Ok(store) => store.head().await,
+        Err(_) => Err(Error::PlatformUnavailable),
+    };
+    match head {
+        Ok(Some((head, _))) => return Ok(head.version),
+        Ok(None) => return Ok(ConfigVersion(0)),
+        Err(error) => println!("the platform's service was not asked: {error}"),
+    }
+    let report = ask(context).await?;
+    let versions = report.nodes.iter().filter_map(|node| node.confirmation);
+    Ok(versions.map(|confirmation| confirmation.version).max().unwrap_or_default())
+}
+
+async fn ask(context: &Context) -> Result<ConfigReport> {
+    let reply = context.call(Request::get("/v1/config"), Duration::ZERO).await?;
+    serde_json::from_slice(&reply.body).map_err(Error::protocol)
+}
