Close the gaps that a review of the links and the server showed

A request whose caller gave up during the check of its connection is not sent any more. Idle callers make room for new ones when a node takes no more connections. The first try of a probe lasts longer where replies are usually slow, as a second try costs the target a connection. A connection that was closed because a cancelled request was not answered in time is not called silent for that alone.

--- a/crates/kumquatnotch-net/src/connection.rs
+++ b/crates/kumquatnotch-net/src/connection.rs
@@ -59,9 +59,11 @@
 async fn await_request(reader: &mut RequestReader, context: &Context) -> bool {
     let mut idle = clock::sleep(&*context.clock, context.options.idle).fuse();
     let mut lingered = pin!(context.lingered().fuse());
+    let mut crowded = context.note_idle().fuse();
     let mut peek = pin!(reader.peek().fuse());
     select_biased! {
         peek = peek => peek == Peek::Data,
+        _ = crowded => false,
         () = lingered => false,
         () = idle => false,
     }
--- a/crates/kumquatnotch-net/src/flight.rs
+++ b/crates/kumquatnotch-net/src/flight.rs
@@ -18,7 +18,7 @@
 /// How many connections are tried that turn out to have ended before anything was sent.
 const TRY_COUNT: usize = 8;
 
-/// How long the first try of an idempotent request may take.
+/// How long the first try of an idempotent request may take at least.
 const FIRST_TRY: Duration = Duration::from_millis(150);
 
 /// A request and how it is to be sent.
@@ -138,7 +138,8 @@
     /// is sent again on a new connection.
     ///
     /// Otherwise one silent connection would make a living target or node look
-    /// dead to whoever probes it.
+    /// dead to whoever probes it. The first try lasts longer where replies are
+    /// usually slow, since a second try costs the other side a connection.
     pub(crate) async fn call_again(
         self: &Rc<Pool>,
         lane: Lane,
@@ -147,8 +148,8 @@
     ) -> Result<Reply> {
         let now = self.clock.now();
         let half = deadline.saturating_duration_since(now) / 2;
-        let first = self.call(lane, plan, now + half.min(FIRST_TRY)).await;
-        match first {
+        let first = half.min(self.pace.lateness().max(FIRST_TRY));
+        let result = match self.call(lane, plan, now + first).await {
             Err(Error::TimedOut | Error::ConnectionLost | Error::ConnectionSilent) => {
                 self.purge(lane);
                 metrics::counter!("kumquatnotch_control_retries_total").increment(1);
@@ -157,6 +158,10 @@
             // The whole time was not used yet, and nothing was sent.
             Err(Error::ExpiredInQueue) => self.call(lane, plan, deadline).await,
             other => other,
+        };
+        if result.is_ok() {
+            self.pace.note(now, self.clock.now());
         }
+        result
     }
 }
--- a/crates/kumquatnotch-net/src/link.rs
+++ b/crates/kumquatnotch-net/src/link.rs
@@ -125,6 +125,10 @@
         let _ = reply.send(Err(JobFault::NotSent));
         return After::Close;
     }
+    // Whoever gave up during the check must not have the request run later.
+    if reply.is_canceled() {
+        return After::Keep;
+    }
     let mut work = pin!(ends.exchange(request, number, mute, clock).fuse());
     let mut challenge = pin!(
         async {
@@ -156,6 +160,11 @@
     };
     match drained {
         Drained::Reply(result) => finish(result, reply, address),
+        // Nobody suspected this connection; its target may be slow to cancel.
+        Drained::Mute(_) if reply.is_canceled() => {
+            metrics::counter!("kumquatnotch_undrained_connections_total").increment(1);
+            After::Close
+        }
         Drained::Mute(CancelProof::Answered) => {
             silence::report(address, "a cancelled request was never answered");
             let _ = reply.send(Err(JobFault::Failed(Error::ConnectionSilent)));
--- a/crates/kumquatnotch-net/src/peer_links.rs
+++ b/crates/kumquatnotch-net/src/peer_links.rs
@@ -93,7 +93,8 @@
             let request = Request::post(PEER_PATH, MSGPACK, codec::encode(message)?);
             let plan = Plan {
                 request,
-                timed: true,
+                // Messages that need it carry the time left themselves.
+                timed: false,
                 cancel: None,
                 check: check_of(message),
                 mute: Some(silence::MUTE_TIME),
--- a/crates/kumquatnotch-net/src/pool.rs
+++ b/crates/kumquatnotch-net/src/pool.rs
@@ -17,7 +17,7 @@
 use futures_channel::oneshot;
 use kumquatnotch_core::{Clock, Error, Result, clock, random::Random};
 
-use crate::{exchange::Ends, link, link::Job, socket};
+use crate::{exchange::Ends, link, link::Job, pace::Pace, socket};
 
 /// How long opening a connection may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -61,6 +61,8 @@
     pub(crate) address: SocketAddr,
     pub(crate) options: PoolOptions,
     pub(crate) clock: Rc<dyn Clock>,
+    /// How fast requests that may run twice are answered.
+    pub(crate) pace: Pace,
     random: Random,
     lanes: [RefCell<LaneState>; 2],
     opening: Cell<bool>,
@@ -121,6 +123,7 @@
             address,
             options,
             clock,
+            pace: Pace::default(),
             random,
             lanes: Default::default(),
             opening: Cell::new(false),
--- a/crates/kumquatnotch-net/src/server.rs
+++ b/crates/kumquatnotch-net/src/server.rs
@@ -7,6 +7,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::VecDeque,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -109,6 +110,8 @@
     pub(crate) handler: Rc<dyn Handler>,
     pub(crate) draining: Cell<bool>,
     pub(crate) closing: Shared<oneshot::Receiver<()>>,
+    /// Connections that wait for a request, the longest idle first.
+    pub(crate) idle: RefCell<VecDeque<oneshot::Sender<()>>>,
     pub(crate) open: Cell<usize>,
     pub(crate) busy: Cell<usize>,
 }
@@ -141,6 +144,7 @@
             handler,
             draining: Cell::new(false),
             closing: closing.shared(),
+            idle: RefCell::default(),
             open: Cell::new(0),
             busy: Cell::new(0),
         });
@@ -188,6 +192,30 @@
 }
 
 impl Context {
+    /// Notes a connection that waits for a request; completes if it must make room.
+    pub(crate) fn note_idle(&self) -> oneshot::Receiver<()> {
+        let (sender, receiver) = oneshot::channel();
+        let mut idle = self.idle.borrow_mut();
+        // Those that got their request are left behind; they are dropped now and then.
+        if idle.len() > 2 * self.open.get() {
+            idle.retain(|sender| !sender.is_canceled());
+        }
+        idle.push_back(sender);
+        receiver
+    }
+
+    /// Closes the connection that was idle for longest.
+    ///
+    /// Otherwise callers that keep connections without using them would lock out
+    /// others for as long as idle connections are kept.
+    fn make_room(&self) {
+        while let Some(sender) = self.idle.borrow_mut().pop_front() {
+            if sender.send(()).is_ok() {
+                return;
+            }
+        }
+    }
+
     /// Completes when connections that have been idle since the shutdown must close.
     pub(crate) async fn lingered(&self) {
         let _ = self.closing.clone().await;
@@ -203,6 +231,7 @@
     loop {
         if shared.open.get() >= shared.options.connections {
             // The rest waits in the backlog of the kernel.
+            shared.make_room();
             let pause = clock::sleep(&*shared.clock, ACCEPT_PAUSE);
             if let Either::Left(_) = select(end.as_mut(), pause).await {
                 return;
--- a/crates/kumquatnotch-net/src/silence.rs
+++ b/crates/kumquatnotch-net/src/silence.rs
@@ -17,8 +17,9 @@
 //!    deadline has passed) cancels it over another connection. A living
 //!    connection then delivers a reply at once, `499` or another. If the other
 //!    connection answered the cancellation and this one stays mute for
-//!    [`DRAIN_TIME`], it is silent. So a silent connection costs at most one
-//!    request, never a second one.
+//!    [`DRAIN_TIME`], it is closed. So a silent connection costs at most one
+//!    request, never a second one. It isn't called silent for that alone: the
+//!    target may be slow to cancel.
 //! 4. A challenge while a search still waits: the same proof by cancellation,
 //!    started early if the reply is late for this target and class *and* either
 //!    later requests on other connections were answered before it
--- a/crates/kumquatnotch-net/tests/server.rs
+++ b/crates/kumquatnotch-net/tests/server.rs
@@ -210,3 +210,60 @@
         assert!(read(&mut stream).await.ends_with("body"));
     });
 }
+
+/// Callers keep all the connections that a node takes, and use none of them. A
+/// new caller is served all the same: the connection that was idle for longest
+/// makes room.
+#[test]
+fn idle_callers_lock_nobody_out() {
+    run(async {
+        let options = ServerOptions { connections: 3, ..ServerOptions::default() };
+        let (server, _) = serve(options, echo);
+        let mut idle = Vec::new();
+        for _ in 0..3 {
+            idle.push(TcpStream::connect_addr(server.address()).await.unwrap());
+            pause(10).await;
+        }
+
+        let mut stream = TcpStream::connect_addr(server.address()).await.unwrap();
+        write(&mut stream, post("served")).await;
+
+        assert!(read(&mut stream).await.ends_with("served"));
+        assert_eq!(read(&mut idle[0]).await, "");
+    });
+}
+
+/// Callers send garbage: requests with bytes changed, left out or doubled. Not
+/// one of them may end the node, since the next caller would be sent to another
+/// node and bring the same request there.
+#[test]
+fn garbage_does_not_end_the_server() {
+    run(async {
+        let (server, _) = serve(small(), echo);
+        let mut random = fastrand::Rng::with_seed(11);
+        let seeds = [
+            post("{\"selector\":\"desk\"}"),
+            "POST /x?a=b HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+                .into(),
+            "GET http://x/y HTTP/1.0\r\nconnection: keep-alive\r\nx-request-id: 7\r\n\r\n".into(),
+        ];
+
+        for _ in 0..1_500 {
+            let mut bytes = random.choice(&seeds).unwrap().clone().into_bytes();
+            for _ in 0..random.usize(1..4) {
+                let at = random.usize(..bytes.len());
+                match random.u8(..3) {
+                    0 => bytes[at] = random.u8(..),
+                    1 => drop(bytes.remove(at)),
+                    _ => bytes.insert(at, bytes[at]),
+                }
+            }
+            let mut stream = TcpStream::connect_addr(server.address()).await.unwrap();
+            let _ = monoio::io::AsyncWriteRentExt::write_all(&mut stream, bytes).await;
+            pause(0).await;
+        }
+
+        let reply = exchange(server.address(), "GET /x HTTP/1.0\r\n\r\n").await;
+        assert!(reply.starts_with("HTTP/1.1 200 "), "{reply}");
+    });
+}
--- a/crates/kumquatnotch-net/tests/silence.rs
+++ b/crates/kumquatnotch-net/tests/silence.rs
@@ -3,9 +3,11 @@
 
 mod common;
 
-use std::{rc::Rc, time::Instant};
+use std::{cell::Cell, rc::Rc, time::Instant};
 
-use common::{accept, after, booking, links, name, pause, read, run, search, spec};
+use common::{
+    accept, after, booking, hit_body, links, name, pause, raw_reply, read, run, search, spec, write,
+};
 use futures_util::future::join_all;
 use kumquatnotch_core::{Error, Targets, document::TargetSpec};
 use kumquatnotch_net::TargetLinks;
@@ -177,3 +179,38 @@
         assert_eq!(result, Err(Error::TimedOut));
     });
 }
+
+/// A caller gives up while a connection is still being checked for its booking.
+/// The booking must not go out after that: nobody waits for its outcome.
+#[test]
+fn a_booking_given_up_during_its_check_is_not_sent() {
+    run(async {
+        let bookings = Rc::new(Cell::new(0));
+        let counted = bookings.clone();
+        let address = accept(move |_, mut stream| {
+            let counted = counted.clone();
+            async move {
+                loop {
+                    let request = read(&mut stream).await;
+                    if request.is_empty() {
+                        return;
+                    }
+                    counted.set(counted.get() + usize::from(request.starts_with("POST")));
+                    if request.starts_with("GET") {
+                        pause(100).await;
+                    }
+                    write(&mut stream, raw_reply(&hit_body("a"))).await;
+                }
+            }
+        });
+        let (links, spec) = (links(), spec(address));
+        links.call(&name(), &spec, &booking(1), after(1_000)).await.unwrap();
+        pause(50).await;
+
+        let late = links.call(&name(), &spec, &booking(2), after(50)).await;
+        pause(200).await;
+
+        assert_eq!(late, Err(Error::TimedOut));
+        assert_eq!(bookings.get(), 1);
+    });
+}
