Test the command line against a stand-in for the platform

Cause: races of operators, older files and lost replies are told by exit codes and text, which only the program itself shows.

--- /dev/null
+++ b/crates/kumquatnotch-ctl/tests/ctl.rs
@@ -0,0 +1,160 @@
+//! Runs the command line against a stand-in for the platform.
+
+use std::{
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::{Command, Output},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+        mpsc,
+    },
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use standins::platform::{PlatformChange, PlatformServer};
+
+/// How often the platform's thread looks whether it should end.
+const LOOK_GAP: Duration = Duration::from_millis(20);
+
+/// A platform in a thread, and a folder for documents.
+struct Bench {
+    address: SocketAddr,
+    folder: PathBuf,
+    stop: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Bench {
+    fn start(name: &str, change: PlatformChange) -> Bench {
+        let stop = Arc::new(AtomicBool::new(false));
+        let (sender, receiver) = mpsc::channel();
+        let ends = stop.clone();
+        let thread = thread::spawn(move || {
+            standins::block_on(async move {
+                let platform = PlatformServer::start(0).unwrap();
+                platform.apply(&change);
+                sender.send(platform.address).unwrap();
+                while !ends.load(Ordering::Relaxed) {
+                    monoio::time::sleep(LOOK_GAP).await;
+                }
+            });
+        });
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        fs::create_dir_all(&folder).unwrap();
+        Bench { address: receiver.recv().unwrap(), folder, stop, thread: Some(thread) }
+    }
+
+    fn document(&self, targets: usize) -> String {
+        let path = self.folder.join(format!("{targets}.toml"));
+        let mut text = "[regions]\namman = \"jordan\"\n".to_owned();
+        for index in 0..targets {
+            text += &format!(
+                "[targets.t{index}]\naddress = \"127.0.0.1:{}\"\ncentre = \"amman\"\nshard = \"s\"\n",
+                9_000 + index,
+            );
+        }
+        fs::write(&path, text).unwrap();
+        path.display().to_string()
+    }
+
+    fn run(&self, args: &[&str]) -> Output {
+        Command::new(env!("CARGO_BIN_EXE_kumquatnotch-ctl"))
+            .args(["--platform", &self.address.to_string(), "--author", "huda"])
+            .args(args)
+            .output()
+            .unwrap()
+    }
+}
+
+impl Drop for Bench {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn text(output: &Output) -> String {
+    let Output { stdout, stderr, .. } = output;
+    String::from_utf8_lossy(stdout).into_owned() + &String::from_utf8_lossy(stderr)
+}
+
+#[test]
+fn a_document_is_applied_shown_and_returned_to() {
+    let bench = Bench::start("return", PlatformChange::default());
+    let (one, two) = (bench.document(1), bench.document(2));
+
+    let first = bench.run(&["apply", &one, "--base", "0"]);
+    let second = bench.run(&["apply", &two, "--base", "1"]);
+    let back = bench.run(&["rollback", "1"]);
+    let shown = bench.run(&["show"]);
+
+    assert!(text(&first).contains("accepted as version 1"), "{}", text(&first));
+    assert!(text(&second).contains("+ targets.t1"), "{}", text(&second));
+    assert!(text(&back).contains("accepted as version 3"), "{}", text(&back));
+    assert!(text(&shown).contains("[targets.t0]"), "{}", text(&shown));
+    assert!(!text(&shown).contains("[targets.t1]"), "{}", text(&shown));
+}
+
+#[test]
+fn files_from_an_older_version_are_refused() {
+    // Two operators start from version 1. One applies a target; the other, whose
+    // checkout lacks it, applies next. Taken as it is, the second would remove
+    // the first one's target without anybody having asked for that.
+    let bench = Bench::start("older", PlatformChange::default());
+    let (one, two, three) = (bench.document(1), bench.document(2), bench.document(3));
+    bench.run(&["apply", &one, "--base", "0"]);
+
+    let first = bench.run(&["apply", &three, "--base", "1"]);
+    let second = bench.run(&["apply", &two, "--base", "1"]);
+
+    assert_eq!(first.status.code(), Some(0), "{}", text(&first));
+    assert_eq!(second.status.code(), Some(3), "{}", text(&second));
+    assert!(text(&second).contains("+ targets.t2"), "{}", text(&second));
+}
+
+#[test]
+fn a_lost_reply_is_resolved() {
+    // The platform stores each of the five values, the head last, and every reply
+    // is lost. The operator must be told "accepted", once, and the history must
+    // not show the change twice.
+    let change = PlatformChange { lose_replies: Some(5), ..PlatformChange::default() };
+    let bench = Bench::start("lost", change);
+    let one = bench.document(1);
+
+    let applied = bench.run(&["apply", &one, "--base", "0"]);
+    let history = bench.run(&["history"]);
+
+    assert!(text(&applied).contains("accepted as version 1"), "{}", text(&applied));
+    assert_eq!(text(&history).lines().count(), 1, "{}", text(&history));
+}
+
+#[test]
+fn a_faulty_document_is_refused_with_every_fault() {
+    let bench = Bench::start("faulty", PlatformChange::default());
+    let path = bench.folder.join("faulty.toml");
+    let text_of = "[targets.t0]\naddress = \"here\"\ncentre = \"amman\"\nshard = 7\n";
+    fs::write(&path, text_of).unwrap();
+
+    let output = bench.run(&["check", &path.display().to_string()]);
+
+    assert_eq!(output.status.code(), Some(1));
+    let text = text(&output);
+    assert!(text.contains("faulty.toml:2: targets.t0.address"), "{text}");
+    assert!(text.contains("faulty.toml:4: targets.t0.shard"), "{text}");
+}
+
+#[test]
+fn help_names_every_command() {
+    let bench = Bench::start("help", PlatformChange::default());
+
+    let help = text(&bench.run(&["--help"]));
+
+    for command in ["apply", "diff", "status", "rollback", "drain", "check", "history"] {
+        assert!(help.contains(command), "{help}");
+    }
+}
