Run histories against real daemons with real faults

Cause: the promises have to hold for processes that are killed, stopped, cut off and replaced, not only for parts under test.

A run starts the daemon, the stand-ins and the relay as processes, which a guard kills on drop, and drives callers, racing operators, faults and new versions of the index from one seed.

--- /dev/null
+++ b/crates/history/src/callers.rs
@@ -0,0 +1,295 @@
+//! Concurrent callers. Each asks which address to use, keeps that for as long
+//! as it was told, connects there, and records what it asked and got.
+
+use std::{
+    collections::BTreeMap,
+    io::ErrorKind,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use futures_util::future::join;
+use kumquatnotch_core::{
+    answer::Answer,
+    front::{EntryAdvice, TicketGrant},
+    ids::TenantName,
+    random::Random,
+};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use standins::{data::OWNERS, http::Client, now_us};
+
+use crate::{
+    cluster::Node,
+    layout::{self, CENTRES, DEADLINE_MS, HOLD_SELECTOR, MARKER, SEARCH_SELECTOR},
+    record::{Attempt, Failure, Outcome, Request},
+    recorder::Run,
+};
+
+/// How long a caller waits beyond the deadline of its request.
+const PATIENCE: Duration = Duration::from_millis(DEADLINE_MS + 1_500);
+
+/// How long a caller waits for advice.
+const ADVICE_LIMIT: Duration = Duration::from_millis(500);
+
+/// How often a request is sent at most, and the pause between.
+const TRIES: usize = 6;
+const TRY_PAUSE_MS: u64 = 150;
+
+/// The shares of requests that are not plain searches.
+const EXCLUSIVE_SHARE: f64 = 0.2;
+const POISON_SHARE: f64 = 0.002;
+const TWIN_SHARE: f64 = 0.1;
+
+/// The longest time a caller thinks between requests, in milliseconds.
+const THINK_MS: usize = 40;
+
+/// Numbers of errors after which the same ticket is sent again.
+const STILL_RUNNING: u16 = 3002;
+const ISSUER_UNREACHABLE: u16 = 3003;
+
+/// One caller.
+pub struct Caller {
+    run: Rc<Run>,
+    random: Random,
+    tenant: TenantName,
+    bearer: String,
+    centre: &'static str,
+    advice: Vec<SocketAddr>,
+    valid_until: Instant,
+    clients: BTreeMap<SocketAddr, Rc<Client>>,
+}
+
+/// A request that is ready to be sent, again and again if need be.
+#[derive(Clone)]
+struct Prepared {
+    nonce: u64,
+    path: &'static str,
+    body: Value,
+    request: Request,
+}
+
+#[derive(Deserialize)]
+struct ErrorBody {
+    error: Failure,
+}
+
+#[derive(Deserialize)]
+struct DoneBody {
+    done: Value,
+}
+
+impl Caller {
+    /// The caller of that number.
+    pub fn new(run: &Rc<Run>, number: usize) -> Caller {
+        let tenant = OWNERS[number % OWNERS.len()];
+        Caller {
+            run: run.clone(),
+            random: run.generator(),
+            tenant: TenantName::from(tenant),
+            bearer: format!("Bearer {}", layout::tenant_key(tenant)),
+            centre: CENTRES[number % CENTRES.len()].0,
+            advice: Vec::new(),
+            valid_until: Instant::now(),
+            clients: BTreeMap::new(),
+        }
+    }
+
+    /// Asks until the run is over.
+    pub async fn work(mut self) {
+        while !self.run.over.get() {
+            let share = self.random.fraction();
+            if share < EXCLUSIVE_SHARE {
+                self.hold().await;
+            } else if share < EXCLUSIVE_SHARE + POISON_SHARE {
+                self.poison().await;
+            } else {
+                let search = self.search("rooms");
+                self.send(&search).await;
+            }
+            self.run.sleep_ms(self.random.below(THINK_MS) as u64).await;
+        }
+    }
+
+    fn search(&self, words: &str) -> Prepared {
+        let nonce = self.random.number();
+        let limit = 1 + self.random.below(20) as u32;
+        let query = json!({ "nonce": nonce, "words": words });
+        let body = json!({
+            "selector": SEARCH_SELECTOR,
+            "query": query,
+            "limit": limit,
+            "deadline_ms": DEADLINE_MS,
+        });
+        Prepared { nonce, path: "/v1/search", body, request: Request::Search { limit } }
+    }
+
+    /// A request that crashes the targets, which its caller sends again.
+    async fn poison(&mut self) {
+        self.run.record("poison request", "");
+        let poison = self.search(MARKER);
+        for _ in 0..TRIES {
+            self.send(&poison).await;
+            self.run.sleep_ms(TRY_PAUSE_MS).await;
+        }
+    }
+
+    /// A non-idempotent request, sent again under its ticket until its outcome is known.
+    async fn hold(&mut self) {
+        let Some(ticket) = self.ticket().await else {
+            return;
+        };
+        let nonce = self.random.number();
+        let key = format!("room-{}", self.random.below(50));
+        let body = json!({
+            "ticket": ticket,
+            "selector": HOLD_SELECTOR,
+            "key": key,
+            "request": { "nonce": nonce, "key": key },
+            "deadline_ms": DEADLINE_MS,
+        });
+        let request = Request::Exclusive { ticket, key };
+        let hold = Prepared { nonce, path: "/v1/exclusive", body, request };
+        if self.random.chance(TWIN_SHARE) {
+            self.send_twice(&hold).await;
+        }
+        for _ in 0..TRIES {
+            let outcome = self.send(&hold).await;
+            if is_settled(&outcome) {
+                return;
+            }
+            self.run.sleep_ms(TRY_PAUSE_MS).await;
+        }
+    }
+
+    async fn ticket(&mut self) -> Option<String> {
+        let client = self.client().await?;
+        let headers = [("authorization", self.bearer.as_str())];
+        let answer = client.send("POST", "/v1/tickets", &headers, Default::default()).await;
+        match answer {
+            Ok(answer) if answer.status == 200 => {
+                answer.json::<TicketGrant>().ok().map(|t| t.ticket)
+            }
+            Ok(_) => None,
+            Err(_) => {
+                self.advice.clear();
+                None
+            }
+        }
+    }
+
+    /// Sends the same to two nodes at once, as an impatient caller does.
+    async fn send_twice(&mut self, prepared: &Prepared) {
+        self.run.record("twin request", "");
+        let Some(first) = self.client().await else {
+            return;
+        };
+        let Some(other) = self.random.pick(&self.advice).copied() else {
+            return;
+        };
+        let other = self.client_of(other);
+        join(self.send_by(&first, prepared), self.send_by(&other, prepared)).await;
+    }
+
+    async fn send(&mut self, prepared: &Prepared) -> Outcome {
+        let Some(client) = self.client().await else {
+            return Outcome::NotConnected;
+        };
+        let outcome = self.send_by(&client, prepared).await;
+        if matches!(outcome, Outcome::NotConnected | Outcome::Broken | Outcome::TimedOut) {
+            self.advice.clear();
+        }
+        outcome
+    }
+
+    async fn send_by(&self, client: &Client, prepared: &Prepared) -> Outcome {
+        let Some(node) = self.run.cluster.node_at(client.address()) else {
+            return Outcome::NotConnected;
+        };
+        let (life, kept, sent_us) = (node.life(), client.is_open(), now_us());
+        let headers = [("authorization", self.bearer.as_str())];
+        let body = prepared.body.to_string().into();
+        let answer = client.send("POST", prepared.path, &headers, body).await;
+        let outcome = match answer {
+            Ok(answer) => read(&answer, &prepared.request),
+            Err(error) if error.kind() == ErrorKind::NotConnected => Outcome::NotConnected,
+            Err(error) if error.kind() == ErrorKind::TimedOut => Outcome::TimedOut,
+            Err(_) => Outcome::Broken,
+        };
+        let attempt = Attempt {
+            nonce: prepared.nonce,
+            tenant: self.tenant.clone(),
+            life,
+            kept,
+            sent_us,
+            ended_us: now_us(),
+            request: prepared.request.clone(),
+            outcome: outcome.clone(),
+        };
+        self.run.history.borrow_mut().attempts.push(attempt);
+        outcome
+    }
+
+    /// The client of the address that this caller was told to use.
+    async fn client(&mut self) -> Option<Rc<Client>> {
+        if self.advice.is_empty() || Instant::now() >= self.valid_until {
+            self.ask().await;
+        }
+        let address = self.advice.first().copied()?;
+        Some(self.client_of(address))
+    }
+
+    fn client_of(&mut self, address: SocketAddr) -> Rc<Client> {
+        let new = || Rc::new(Client::new(address, PATIENCE));
+        self.clients.entry(address).or_insert_with(new).clone()
+    }
+
+    /// Asks the nodes in random order which address to use.
+    async fn ask(&mut self) {
+        self.advice.clear();
+        let mut entries: Vec<SocketAddr> =
+            self.run.cluster.nodes.iter().map(|node: &Node| node.entry).collect();
+        self.random.shuffle(&mut entries);
+        for entry in entries {
+            let path = format!("/v1/entry?near={}", self.centre);
+            let answer = Client::new(entry, ADVICE_LIMIT).get(&path).await;
+            let Ok(advice) = answer.and_then(|answer| answer.json::<EntryAdvice>()) else {
+                continue;
+            };
+            if !advice.addresses.is_empty() {
+                self.advice = advice.addresses;
+                self.valid_until = Instant::now() + Duration::from_millis(advice.valid_ms);
+                return;
+            }
+        }
+        self.run.sleep_ms(TRY_PAUSE_MS).await;
+    }
+}
+
+/// Whether nothing is gained by sending the same ticket again.
+fn is_settled(outcome: &Outcome) -> bool {
+    match outcome {
+        Outcome::Answer(_) | Outcome::Done(_) | Outcome::Unreadable(_) => true,
+        Outcome::NotConnected | Outcome::Broken | Outcome::TimedOut => false,
+        Outcome::Failed(failure) => {
+            !failure.not_run && !matches!(failure.code, STILL_RUNNING | ISSUER_UNREACHABLE)
+        }
+    }
+}
+
+fn read(answer: &standins::http::Answer, request: &Request) -> Outcome {
+    if answer.status != 200 {
+        return match answer.json::<ErrorBody>() {
+            Ok(body) => Outcome::Failed(body.error),
+            Err(error) => Outcome::Unreadable(format!("status {}: {error}", answer.status)),
+        };
+    }
+    let outcome = match request {
+        Request::Search { .. } => {
+            answer.json::<Answer>().map(|answer| Outcome::Answer(Box::new(answer)))
+        }
+        Request::Exclusive { .. } => answer.json::<DoneBody>().map(|body| Outcome::Done(body.done)),
+    };
+    outcome.unwrap_or_else(|error| Outcome::Unreadable(error.to_string()))
+}
--- /dev/null
+++ b/crates/history/src/cluster.rs
@@ -0,0 +1,216 @@
+//! The processes of a run: nodes, targets, the platform, and the links between.
+
+use std::{
+    cell::{Cell, RefCell},
+    fs, io,
+    net::{Ipv4Addr, SocketAddr},
+    path::{Path, PathBuf},
+    time::Duration,
+};
+
+use kumquatnotch_config::settings::{
+    AdvertiseSettings, AdviceSettings, JoinSettings, ListenSettings, NodeSettings,
+    PlatformSettings, Settings,
+};
+use kumquatnotch_core::{
+    ids::{DataCentre, NodeName},
+    platform::Vm,
+};
+use serde::{Deserialize, Serialize};
+use standins::{
+    faults::FaultChange,
+    http::Client,
+    platform::PlatformChange,
+    relay::{LinkChange, RelayPorts},
+    targets::FleetPorts,
+};
+
+use crate::{
+    layout::{self, CENTRES},
+    process::{Process, free_ports},
+    record::Life,
+};
+
+/// How long callers may keep the addresses they were given.
+pub const ADVICE_VALID: Duration = Duration::from_secs(2);
+
+/// How long a stand-in may take for a change of faults.
+const CONTROL_LIMIT: Duration = Duration::from_secs(5);
+
+/// Links for each node: from its peers, and to the platform.
+const LINKS_PER_NODE: usize = 2;
+
+/// A node of a run.
+pub struct Node {
+    /// Its name.
+    pub name: NodeName,
+    /// Where callers reach it.
+    pub entry: SocketAddr,
+    /// The link by which peers reach it.
+    pub peer_link: usize,
+    /// The link by which it reaches the platform.
+    pub platform_link: usize,
+    /// The number of its start.
+    pub start: Cell<u32>,
+    /// Whether a fault has it in its hands.
+    pub busy: Cell<bool>,
+    /// Its process; `None` while it is down.
+    pub process: RefCell<Option<Process>>,
+    settings: PathBuf,
+    peer: SocketAddr,
+}
+
+impl Node {
+    /// The life it is in.
+    pub fn life(&self) -> Life {
+        Life { node: self.name.clone(), start: self.start.get() }
+    }
+}
+
+/// The processes of a run.
+pub struct Cluster {
+    /// The nodes.
+    pub nodes: Vec<Node>,
+    /// Where the platform listens.
+    pub platform: SocketAddr,
+    /// Where the targets listen.
+    pub fleet: FleetPorts,
+    folder: PathBuf,
+    relay: RelayPorts,
+    _standins: Vec<Process>,
+}
+
+#[derive(Deserialize)]
+struct PlatformPort {
+    address: SocketAddr,
+}
+
+impl Cluster {
+    /// Starts the stand-ins and `count` nodes; their files go into `folder`.
+    pub fn start(count: usize, seed: u64, folder: &Path) -> io::Result<Cluster> {
+        fs::create_dir_all(folder)?;
+        let log = folder.join("standins.log");
+        let mut platform = Process::start("standin-platform", &[], &log)?;
+        let PlatformPort { address } = platform.ports()?;
+
+        let plan = folder.join("targets.toml");
+        let text = toml::to_string(&layout::plan(seed)).map_err(io::Error::other)?;
+        fs::write(&plan, text)?;
+        let args = ["--plan".to_owned(), plan.display().to_string()];
+        let mut targets = Process::start("standin-targets", &args, &log)?;
+        let fleet: FleetPorts = targets.ports()?;
+
+        let ports = free_ports(count * 2)?;
+        let local = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        let peers: Vec<SocketAddr> = ports[count..].iter().copied().map(local).collect();
+        let links = peers.iter().flat_map(|peer| [*peer, address]);
+        let args: Vec<String> =
+            links.flat_map(|link| ["--link".to_owned(), format!("0={link}")]).collect();
+        let mut process = Process::start("standin-relay", &args, &log)?;
+        let relay: RelayPorts = process.ports()?;
+
+        let node = |number: usize| Node {
+            name: NodeName::from(format!("n{number}")),
+            entry: local(ports[number]),
+            peer_link: number * LINKS_PER_NODE,
+            platform_link: number * LINKS_PER_NODE + 1,
+            start: Cell::new(0),
+            busy: Cell::new(false),
+            process: RefCell::new(None),
+            settings: folder.join(format!("n{number}.toml")),
+            peer: peers[number],
+        };
+        let nodes = (0..count).map(node).collect();
+        let standins = vec![platform, targets, process];
+        let folder = folder.to_owned();
+        let cluster =
+            Cluster { nodes, platform: address, fleet, folder, relay, _standins: standins };
+        for number in 0..count {
+            cluster.write_settings(number)?;
+            cluster.launch(number)?;
+        }
+        Ok(cluster)
+    }
+
+    /// The node that callers reach at `entry`.
+    pub fn node_at(&self, entry: SocketAddr) -> Option<&Node> {
+        self.nodes.iter().find(|node| node.entry == entry)
+    }
+
+    /// Starts the process of a node.
+    pub fn launch(&self, number: usize) -> io::Result<()> {
+        let node = &self.nodes[number];
+        let args = ["--settings".to_owned(), node.settings.display().to_string()];
+        let log = self.folder.join(format!("{}.log", node.name));
+        let process = Process::start("kumquatnotchd", &args, &log)?;
+        node.process.replace(Some(process));
+        Ok(())
+    }
+
+    /// Starts a node that was down, in another life.
+    pub fn relaunch(&self, number: usize) -> io::Result<()> {
+        let start = &self.nodes[number].start;
+        start.set(start.get() + 1);
+        self.launch(number)
+    }
+
+    /// Tells the platform which VMs there are.
+    pub async fn list_vms(&self, leaving: Option<usize>) -> io::Result<()> {
+        let vm = |(number, node): (usize, &Node)| Vm {
+            peer: self.relay.links[node.peer_link],
+            centre: DataCentre::from(CENTRES[number % CENTRES.len()].0),
+            leaving: leaving == Some(number),
+        };
+        let vms: Vec<Vm> = self.nodes.iter().enumerate().map(vm).collect();
+        control(self.platform, "/standin/vms", &vms).await
+    }
+
+    /// Changes faults of the platform.
+    pub async fn change_platform(&self, change: &PlatformChange) -> io::Result<()> {
+        control(self.platform, "/standin/faults", change).await
+    }
+
+    /// Changes faults of targets.
+    pub async fn change_targets(&self, change: &FaultChange) -> io::Result<()> {
+        control(self.fleet.control, "/standin/faults", change).await
+    }
+
+    /// Changes links.
+    pub async fn change_links(&self, change: &LinkChange) -> io::Result<()> {
+        control(self.relay.control, "/standin/faults", change).await
+    }
+
+    fn write_settings(&self, number: usize) -> io::Result<()> {
+        let node = &self.nodes[number];
+        let (centre, region) = CENTRES[number % CENTRES.len()];
+        let settings = Settings {
+            node: NodeSettings {
+                name: node.name.to_string(),
+                centre: centre.to_owned(),
+                region: region.to_owned(),
+            },
+            listen: ListenSettings { entry: node.entry, peer: node.peer },
+            advertise: AdvertiseSettings {
+                entry: None,
+                peer: Some(self.relay.links[node.peer_link]),
+            },
+            platform: PlatformSettings {
+                address: self.relay.links[node.platform_link],
+                ..PlatformSettings::default()
+            },
+            join: JoinSettings::default(),
+            advice: AdviceSettings { valid: ADVICE_VALID },
+            ..Settings::default()
+        };
+        let text = toml::to_string(&settings).map_err(io::Error::other)?;
+        fs::write(&node.settings, text)
+    }
+}
+
+async fn control(address: SocketAddr, path: &str, body: &impl Serialize) -> io::Result<()> {
+    let answer = Client::new(address, CONTROL_LIMIT).post(path, body).await?;
+    match answer.status {
+        204 => Ok(()),
+        status => Err(io::Error::other(format!("{path} gave {status}"))),
+    }
+}
--- a/crates/history/src/lib.rs
+++ b/crates/history/src/lib.rs
@@ -9,12 +9,22 @@
 #![forbid(unsafe_code)]
 
 pub mod answers;
+pub mod callers;
 pub mod checker;
+pub mod cluster;
 pub mod configuration;
 pub mod coverage;
 pub mod exclusives;
+pub mod layout;
 pub mod leaving;
+pub mod node_faults;
+pub mod operators;
+pub mod process;
 pub mod record;
+pub mod recorder;
 pub mod refusals;
+pub mod report;
+pub mod runner;
 pub mod shutdown;
 pub mod snapshot;
+pub mod world_faults;
--- /dev/null
+++ b/crates/history/src/main.rs
@@ -0,0 +1,59 @@
+//! Makes a run against real daemons and prints what was found.
+
+#![forbid(unsafe_code)]
+
+use std::{
+    process::ExitCode,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use argh::FromArgs;
+use history::{
+    report::report,
+    runner::{self, RunOptions},
+};
+
+/// Checks a history of concurrent callers, operators and faults.
+#[derive(FromArgs)]
+struct Options {
+    /// how long callers ask, in seconds
+    #[argh(option, default = "60")]
+    seconds: u64,
+    /// from which all choices are drawn; from the time if left out
+    #[argh(option)]
+    seed: Option<u64>,
+    /// how many nodes there are
+    #[argh(option, default = "5")]
+    nodes: usize,
+    /// how many callers there are
+    #[argh(option, default = "8")]
+    callers: usize,
+    /// make no faults
+    #[argh(switch)]
+    calm: bool,
+    /// where the history goes as JSON
+    #[argh(option)]
+    record: Option<std::path::PathBuf>,
+}
+
+fn main() -> Result<ExitCode, Box<dyn std::error::Error>> {
+    let options: Options = argh::from_env();
+    let seed = options.seed.unwrap_or_else(seed_from_time);
+    let mut run = RunOptions::new(seed, Duration::from_secs(options.seconds));
+    (run.nodes, run.callers, run.faults) = (options.nodes, options.callers, !options.calm);
+    println!("seed: {seed}");
+    println!("logs: {}", run.folder.display());
+    let verdict = standins::block_on(runner::run(&run))?;
+    print!("{}", report(&verdict));
+    if let Some(path) = options.record {
+        std::fs::write(path, serde_json::to_vec(&verdict.history)?)?;
+    }
+    match verdict.findings.violations.is_empty() {
+        true => Ok(ExitCode::SUCCESS),
+        false => Ok(ExitCode::FAILURE),
+    }
+}
+
+fn seed_from_time() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |span| span.as_secs())
+}
--- /dev/null
+++ b/crates/history/src/node_faults.rs
@@ -0,0 +1,113 @@
+//! Faults of nodes: killed, stopped and woken, shut down, and cut off.
+
+use std::{rc::Rc, time::Duration};
+
+use kumquatnotch_core::random::Random;
+use rustix::process::Signal;
+use standins::{now_us, relay::LinkChange};
+
+use crate::{record::Shutdown, recorder::Run};
+
+/// How long a graceful shutdown may take.
+const SHUTDOWN_LIMIT: Duration = Duration::from_secs(30);
+
+/// Makes one fault after the other until the run is over.
+pub async fn disturb(run: Rc<Run>) {
+    let random = run.generator();
+    while !run.over.get() {
+        run.sleep_ms(300 + random.below(1_500) as u64).await;
+        let number = random.below(run.cluster.nodes.len());
+        let node = &run.cluster.nodes[number];
+        if run.over.get() || node.busy.replace(true) {
+            continue;
+        }
+        match random.below(5) {
+            0 => kill(&run, number, &random).await,
+            1 => pause(&run, number, &random).await,
+            2 => shut_down(&run, number).await,
+            3 => cut(&run, number, &random).await,
+            _ => silence(&run, number).await,
+        }
+        node.busy.set(false);
+    }
+}
+
+async fn kill(run: &Run, number: usize, random: &Random) {
+    run.record("node killed", &run.cluster.nodes[number].name);
+    if let Some(mut process) = run.cluster.nodes[number].process.take() {
+        process.kill();
+    }
+    run.sleep_ms(random.below(2_000) as u64).await;
+    relaunch(run, number);
+}
+
+async fn pause(run: &Run, number: usize, random: &Random) {
+    run.record("node paused", &run.cluster.nodes[number].name);
+    let from_us = now_us();
+    signal(run, number, Signal::STOP);
+    run.sleep_ms(500 + random.below(5_000) as u64).await;
+    signal(run, number, Signal::CONT);
+    run.disturb(Some(number), from_us);
+}
+
+async fn shut_down(run: &Run, number: usize) {
+    run.record("node shut down", &run.cluster.nodes[number].name);
+    // The platform says so first, as it does when it takes a VM away; a fault
+    // of the platform may hide that.
+    let _ = run.cluster.list_vms(Some(number)).await;
+    let life = run.cluster.nodes[number].life();
+    let asked_us = now_us();
+    signal(run, number, Signal::TERM);
+    let process = run.cluster.nodes[number].process.take();
+    let Some(mut process) = process else {
+        return;
+    };
+    let status = process.wait(SHUTDOWN_LIMIT).await.ok().flatten();
+    let exited_us = status.map(|_| now_us());
+    let success = status.is_some_and(|status| status.success());
+    let shutdown = Shutdown { life, asked_us, exited_us, success };
+    run.history.borrow_mut().shutdowns.push(shutdown);
+    let _ = run.cluster.list_vms(None).await;
+    relaunch(run, number);
+}
+
+/// Cuts what comes from peers, what goes back to them, or the platform.
+async fn cut(run: &Run, number: usize, random: &Random) {
+    let node = &run.cluster.nodes[number];
+    let (name, link) = match random.below(2) {
+        0 => ("link from peers cut", node.peer_link),
+        _ => ("link to the platform cut", node.platform_link),
+    };
+    run.record(name, &run.cluster.nodes[number].name);
+    let up = random.chance(0.7);
+    let cut = |up, down| LinkChange {
+        link: Some(link),
+        cut_up: Some(up),
+        cut_down: Some(down),
+        ..LinkChange::default()
+    };
+    let _ = run.cluster.change_links(&cut(up, !up || random.chance(0.5))).await;
+    run.sleep_ms(500 + random.below(4_000) as u64).await;
+    let _ = run.cluster.change_links(&cut(false, false)).await;
+}
+
+async fn silence(run: &Run, number: usize) {
+    run.record("links of a node silent", &run.cluster.nodes[number].name);
+    let node = &run.cluster.nodes[number];
+    for link in [node.peer_link, node.platform_link] {
+        let silence = LinkChange { link: Some(link), silence: true, ..LinkChange::default() };
+        let _ = run.cluster.change_links(&silence).await;
+    }
+}
+
+fn signal(run: &Run, number: usize, signal: Signal) {
+    if let Some(process) = run.cluster.nodes[number].process.borrow().as_ref() {
+        let _ = process.signal(signal);
+    }
+}
+
+fn relaunch(run: &Run, number: usize) {
+    if let Err(error) = run.cluster.relaunch(number) {
+        eprintln!("history: a node could not be started: {error}");
+    }
+}
--- /dev/null
+++ b/crates/history/src/operators.rs
@@ -0,0 +1,166 @@
+//! Operators who race each other, and watchers of what is in force.
+
+use std::{rc::Rc, time::Duration};
+
+use futures_util::future::join_all;
+use kumquatnotch_config::store::{Authorship, Store, set_drain};
+use kumquatnotch_core::{
+    Error, Platform, Result,
+    clock::RuntimeClock,
+    document::Document,
+    ids::{ConfigVersion, TargetName, TenantName},
+    member::Confirmation,
+    random::Random,
+};
+use kumquatnotch_net::{PlatformClient, platform_client::PlatformOptions};
+use serde::Deserialize;
+use standins::{data::OWNERS, http::Client, now_us};
+
+use crate::{
+    cluster::Node,
+    layout,
+    record::{Accepted, Drain, Reading},
+    recorder::Run,
+};
+
+/// How long a drain lasts: past the time after which no new work may come.
+const DRAIN_MS: u64 = 8_000;
+
+/// How often each node is asked what is in force, in milliseconds.
+const WATCH_MS: u64 = 200;
+
+/// How long a node may take to tell.
+const WATCH_LIMIT: Duration = Duration::from_millis(500);
+
+/// One operator.
+pub struct Operator {
+    run: Rc<Run>,
+    random: Random,
+    store: Store,
+    name: String,
+}
+
+#[derive(Deserialize)]
+struct TierConfig {
+    nodes: Vec<NodeConfig>,
+}
+
+#[derive(Deserialize)]
+struct NodeConfig {
+    name: String,
+    confirmation: Option<Confirmation>,
+}
+
+impl Operator {
+    /// The operator of that number, who reaches the platform directly.
+    pub fn new(run: &Rc<Run>, number: usize) -> Operator {
+        let address = run.cluster.platform;
+        let options = PlatformOptions { address, ..PlatformOptions::default() };
+        let random = run.generator();
+        let clock = Rc::new(RuntimeClock);
+        let client = PlatformClient::new(options, clock.clone(), random.clone());
+        let platform: Rc<dyn Platform> = Rc::new(client);
+        let store = Store::new(platform, clock, random.clone());
+        Operator { run: run.clone(), random, store, name: format!("operator-{number}") }
+    }
+
+    /// Puts the first document in force.
+    pub async fn found(&self, document: &Document) -> Result<()> {
+        let base = self.store.current().await?;
+        let result = self.store.publish(&base, document, self.authorship("found")).await;
+        self.record(&result);
+        result.map(|_| ())
+    }
+
+    /// Changes the weights of tenants, on what may be an old base, until the run is over.
+    pub async fn change_weights(self) {
+        while !self.run.over.get() {
+            let tenant = TenantName::from(OWNERS[self.random.below(OWNERS.len())]);
+            let weight = 1 + self.random.below(8) as u32;
+            let Ok(base) = self.store.current().await else {
+                continue;
+            };
+            self.run.sleep_ms(self.random.below(300) as u64).await;
+            let mut document = base.document.clone();
+            if let Some(spec) = document.rules.tenants.get_mut(&tenant) {
+                spec.weight = weight;
+            }
+            let result = self.store.publish(&base, &document, self.authorship("weigh")).await;
+            if matches!(result, Err(Error::Conflict { .. })) {
+                self.run.record("conflict of operators", "");
+            }
+            self.record(&result);
+            self.run.sleep_ms(200 + self.random.below(1_000) as u64).await;
+        }
+    }
+
+    /// Drains one target after the other until the run is over.
+    pub async fn drain_targets(self) {
+        while !self.run.over.get() {
+            // Only first replicas: a shard keeps a target, whatever befalls others.
+            let shard = self.random.below(layout::SEARCH_SHARDS);
+            let target = layout::target_name("s", shard, layout::REPLICAS[0]);
+            if let Some(from_us) = self.drain(&target, true).await {
+                self.run.record("drain by an operator", &target);
+                self.run.sleep_ms(DRAIN_MS).await;
+                let until_us = now_us();
+                let drain = Drain { target: target.clone(), from_us, until_us };
+                self.run.history.borrow_mut().drains.push(drain);
+            }
+            self.drain(&target, false).await;
+            self.run.sleep_ms(self.random.below(1_000) as u64).await;
+        }
+    }
+
+    /// The version in the platform's service.
+    pub async fn stored(&self) -> Result<ConfigVersion> {
+        Ok(self.store.current().await?.document.version)
+    }
+
+    async fn drain(&self, target: &TargetName, drain: bool) -> Option<u64> {
+        let change = |document: &mut Document| set_drain(document, target, drain);
+        let result = self.store.amend(change, self.authorship("drain")).await;
+        self.record(&result);
+        result.ok().map(|_| now_us())
+    }
+
+    fn authorship(&self, note: &'static str) -> Authorship<'_> {
+        Authorship { author: &self.name, note }
+    }
+
+    fn record(&self, result: &Result<ConfigVersion>) {
+        if let Ok(version) = result {
+            let accepted = Accepted { version: *version, at_us: now_us() };
+            self.run.history.borrow_mut().accepted.push(accepted);
+        }
+    }
+}
+
+/// Reads what is in force on each node until the run is over.
+pub async fn watch(run: Rc<Run>) {
+    while !run.over.get() {
+        join_all(run.cluster.nodes.iter().map(|node| read(&run, node))).await;
+        run.sleep_ms(WATCH_MS).await;
+    }
+}
+
+async fn read(run: &Run, node: &Node) {
+    let client = Client::new(node.entry, WATCH_LIMIT);
+    let (life, sent_us) = (node.life(), now_us());
+    let ready = client.get("/readyz").await.is_ok_and(|answer| answer.status == 200);
+    if !ready {
+        return;
+    }
+    let Ok(answer) = client.get("/v1/config").await else {
+        return;
+    };
+    let Ok(config) = answer.json::<TierConfig>() else {
+        return;
+    };
+    let own = config.nodes.iter().find(|config| config.name.as_str() == node.name.as_str());
+    if let Some(confirmation) = own.and_then(|own| own.confirmation) {
+        let version = confirmation.version;
+        let reading = Reading { life, sent_us, ended_us: now_us(), version };
+        run.history.borrow_mut().readings.push(reading);
+    }
+}
--- /dev/null
+++ b/crates/history/src/recorder.rs
@@ -0,0 +1,67 @@
+//! What the tasks of a run share: the cluster, the history and the end.
+
+use std::{
+    cell::{Cell, RefCell},
+    time::Duration,
+};
+
+use kumquatnotch_core::random::Random;
+use standins::now_us;
+
+use crate::{
+    cluster::Cluster,
+    record::{Disturbance, FaultMade, History},
+};
+
+/// What the tasks of a run share.
+pub struct Run {
+    /// The processes.
+    pub cluster: Cluster,
+    /// What has happened so far.
+    pub history: RefCell<History>,
+    /// Whether the tasks shall end.
+    pub over: Cell<bool>,
+    random: Random,
+}
+
+impl Run {
+    /// A run on `cluster` after `seed`.
+    pub fn new(cluster: Cluster, seed: u64) -> Run {
+        Run {
+            cluster,
+            history: RefCell::default(),
+            over: Cell::new(false),
+            random: Random::with_seed(seed),
+        }
+    }
+
+    /// A generator for one task.
+    pub fn generator(&self) -> Random {
+        Random::with_seed(self.random.number())
+    }
+
+    /// Records a fault that is made now.
+    pub fn record(&self, fault: &str, whom: &str) {
+        let made = FaultMade { at_us: now_us(), fault: fault.to_owned(), whom: whom.to_owned() };
+        self.history.borrow_mut().faults.push(made);
+    }
+
+    /// Sleeps; less if the run ends.
+    pub async fn sleep_ms(&self, span: u64) {
+        let until = now_us() + span * 1_000;
+        while !self.over.get() && now_us() < until {
+            let left = Duration::from_micros(until.saturating_sub(now_us()));
+            monoio::time::sleep(left.min(STEP)).await;
+        }
+    }
+
+    /// Records that news could not spread from `from_us` until now.
+    pub fn disturb(&self, node: Option<usize>, from_us: u64) {
+        let node = node.map(|number| self.cluster.nodes[number].name.clone());
+        let disturbance = Disturbance { node, from_us, until_us: now_us() };
+        self.history.borrow_mut().disturbances.push(disturbance);
+    }
+}
+
+/// How long a sleeping task takes at most to see that the run is over.
+const STEP: Duration = Duration::from_millis(50);
--- a/crates/history/src/refusals.rs
+++ b/crates/history/src/refusals.rs
@@ -1,21 +1,22 @@
 //! A refusal that says "not run" is true.
 //!
-//! It speaks of the request, not of one try: no target may have run it before,
-//! and none may run it later unless its caller sends it again.
+//! Of a non-idempotent request it speaks of the request, not of one try: no
+//! target may have run it before, and none may run it later unless its caller
+//! sends it again. Of a search it speaks of that try alone.
 
 use standins::records::RunRecord;
 
 use crate::{
     checker::{Findings, Promise},
-    record::{Attempt, History},
+    record::{Attempt, History, Request},
 };
 
 /// Looks for refused requests that ran.
 pub fn check(history: &History, findings: &mut Findings) {
     let runs = history.runs_by_nonce();
-    let exclusives = history.exclusives();
+    let tries = history.tries();
     for (attempt, failure) in history.failures().filter(|(_, failure)| failure.not_run) {
-        let siblings = exclusives.get(&attempt.nonce).map(Vec::as_slice).unwrap_or_default();
+        let siblings = tries.get(&attempt.nonce).map(Vec::as_slice).unwrap_or_default();
         let runs = runs.get(&attempt.nonce).map(Vec::as_slice).unwrap_or_default();
         if let Some(run) = runs.iter().find(|run| belies(run, attempt, siblings)) {
             let detail = format!(
@@ -31,6 +32,10 @@
 }
 
 fn belies(run: &RunRecord, refused: &Attempt, siblings: &[&Attempt]) -> bool {
+    let is_search = matches!(refused.request, Request::Search { .. });
+    if is_search && run.start_us < refused.sent_us {
+        return false;
+    }
     let sent_again = siblings
         .iter()
         .any(|attempt| attempt.sent_us >= refused.ended_us && attempt.sent_us <= run.start_us);
--- /dev/null
+++ b/crates/history/src/runner.rs
@@ -0,0 +1,162 @@
+//! One run from the first process to the verdict.
+
+use std::{io, path::PathBuf, rc::Rc, time::Duration};
+
+use futures_util::future::{LocalBoxFuture, join_all};
+use kumquatnotch_core::ids::{IndexVersion, ShardName};
+use monoio::time::Instant;
+use standins::{
+    http::Client,
+    platform::{Calls, PlatformChange},
+    records::RunLog,
+    relay::LinkChange,
+};
+
+use crate::{
+    callers::Caller,
+    checker::{Bounds, Findings, check},
+    cluster::Cluster,
+    layout, node_faults,
+    operators::{self, Operator},
+    record::History,
+    recorder::Run,
+    world_faults,
+};
+
+/// How long the nodes may take until all of them serve.
+const START_LIMIT: Duration = Duration::from_secs(30);
+
+/// How long reading the records of a run may take.
+const READ_LIMIT: Duration = Duration::from_secs(60);
+
+/// How long the nodes are left alone before the records are read, in milliseconds.
+const SETTLE_MS: u64 = 2_500;
+
+/// Options of a run.
+#[derive(Clone, Debug)]
+pub struct RunOptions {
+    /// From which all choices are drawn.
+    pub seed: u64,
+    /// How long callers ask.
+    pub span: Duration,
+    /// How many nodes there are.
+    pub nodes: usize,
+    /// How many callers there are.
+    pub callers: usize,
+    /// Whether faults are made.
+    pub faults: bool,
+    /// Where files of the run go.
+    pub folder: PathBuf,
+}
+
+impl RunOptions {
+    /// A run of `span` after `seed`, with faults.
+    pub fn new(seed: u64, span: Duration) -> RunOptions {
+        let name = format!("kumquatnotch-history-{}-{seed}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        RunOptions { seed, span, nodes: 5, callers: 8, faults: true, folder }
+    }
+}
+
+/// What came of a run.
+pub struct Verdict {
+    /// All that was recorded.
+    pub history: History,
+    /// The violations.
+    pub findings: Findings,
+    /// The calls to the platform.
+    pub calls: Calls,
+    /// Connections over the limits of targets.
+    pub over_limit: u64,
+    /// Requests that targets shed.
+    pub shed: u64,
+}
+
+/// Makes a run; this must be called inside a runtime.
+pub async fn run(options: &RunOptions) -> io::Result<Verdict> {
+    let cluster = Cluster::start(options.nodes, options.seed, &options.folder)?;
+    let run = Rc::new(Run::new(cluster, options.seed));
+    let founder = Operator::new(&run, 0);
+    start(&run, &founder).await?;
+
+    let tasks = tasks(&run, options);
+    let clock = async {
+        monoio::time::sleep(options.span).await;
+        run.over.set(true);
+    };
+    futures_util::future::join(join_all(tasks), clock).await;
+
+    finish(&run, &founder).await
+}
+
+/// Puts the first document in force and waits until every node serves.
+async fn start(run: &Rc<Run>, founder: &Operator) -> io::Result<()> {
+    let shards = (0..layout::SEARCH_SHARDS).map(|number| ShardName::from(format!("s{number}")));
+    run.history.borrow_mut().layouts.insert(IndexVersion(1), shards.collect());
+    run.cluster.list_vms(None).await?;
+    founder.found(&layout::document(&run.cluster.fleet)).await.map_err(io::Error::other)?;
+    let until = Instant::now() + START_LIMIT;
+    for node in &run.cluster.nodes {
+        let client = Client::new(node.entry, Duration::from_secs(1));
+        while !client.get("/readyz").await.is_ok_and(|answer| answer.status == 200) {
+            if Instant::now() >= until {
+                return Err(io::Error::other(format!("{} does not serve", node.name)));
+            }
+            monoio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+    Ok(())
+}
+
+fn tasks(run: &Rc<Run>, options: &RunOptions) -> Vec<LocalBoxFuture<'static, ()>> {
+    let mut tasks: Vec<LocalBoxFuture<'static, ()>> = Vec::new();
+    for number in 0..options.callers {
+        tasks.push(Box::pin(Caller::new(run, number).work()));
+    }
+    tasks.push(Box::pin(operators::watch(run.clone())));
+    tasks.push(Box::pin(Operator::new(run, 1).change_weights()));
+    tasks.push(Box::pin(Operator::new(run, 2).change_weights()));
+    tasks.push(Box::pin(Operator::new(run, 3).drain_targets()));
+    tasks.push(Box::pin(world_faults::publish_index(run.clone())));
+    if options.faults {
+        tasks.push(Box::pin(node_faults::disturb(run.clone())));
+        tasks.push(Box::pin(node_faults::disturb(run.clone())));
+        tasks.push(Box::pin(world_faults::disturb_targets(run.clone())));
+        tasks.push(Box::pin(world_faults::disturb_targets(run.clone())));
+        tasks.push(Box::pin(world_faults::disturb_platform(run.clone())));
+    }
+    tasks
+}
+
+/// Mends what is broken, collects the records, and judges them.
+async fn finish(run: &Rc<Run>, founder: &Operator) -> io::Result<Verdict> {
+    let whole = LinkChange {
+        cut_up: Some(false),
+        cut_down: Some(false),
+        delay_ms: Some(0),
+        ..LinkChange::default()
+    };
+    run.cluster.change_links(&whole).await?;
+    let mend = PlatformChange {
+        outage: Some(false),
+        hang: Some(false),
+        lose_replies: Some(0),
+        delay_ms: Some(2),
+        ..PlatformChange::default()
+    };
+    run.cluster.change_platform(&mend).await?;
+    monoio::time::sleep(Duration::from_millis(SETTLE_MS)).await;
+
+    let control = Client::new(run.cluster.fleet.control, READ_LIMIT);
+    let log: RunLog = control.get("/standin/log").await?.json()?;
+    let platform = Client::new(run.cluster.platform, READ_LIMIT);
+    let calls: Calls = platform.get("/standin/calls").await?.json()?;
+    let last = founder.stored().await.map_err(io::Error::other)?;
+
+    let mut history = run.history.take();
+    history.last = last;
+    history.runs = log.runs;
+    history.drained = log.drained;
+    let findings = check(&history, &Bounds::default());
+    Ok(Verdict { history, findings, calls, over_limit: log.over_limit, shed: log.shed })
+}
--- a/crates/history/src/shutdown.rs
+++ b/crates/history/src/shutdown.rs
@@ -1,8 +1,8 @@
 //! A graceful shutdown cuts no request in flight.
 //!
-//! Callers that find a kept connection closed before they send are not cut: a
-//! request on a kept connection counts only if it was sent before the node was
-//! asked to leave. One on a fresh connection always counts.
+//! The callers of a run keep an address no longer than they were told, so none
+//! sends to a node that has closed: whatever they sent before it was gone and
+//! was not answered counts, on connections new and kept.
 
 use crate::{
     checker::{Findings, Promise},
@@ -29,9 +29,9 @@
 }
 
 fn is_cut(attempt: &Attempt, shutdown: &Shutdown) -> bool {
-    let in_flight = !attempt.kept || attempt.sent_us < shutdown.asked_us;
+    let unanswered = matches!(attempt.outcome, Outcome::Broken | Outcome::TimedOut);
     attempt.life == shutdown.life
-        && attempt.outcome == Outcome::Broken
+        && unanswered
         && attempt.ended_us >= shutdown.asked_us
-        && in_flight
+        && shutdown.exited_us.is_none_or(|exited| attempt.sent_us <= exited)
 }
--- /dev/null
+++ b/crates/history/src/world_faults.rs
@@ -0,0 +1,187 @@
+//! Faults of targets and of the platform, and new versions of the index.
+
+use std::rc::Rc;
+
+use kumquatnotch_core::{
+    ids::{IndexVersion, ShardName, TargetName},
+    random::Random,
+    target::Phase,
+};
+use standins::{faults::FaultChange, now_us, platform::PlatformChange};
+
+use crate::{
+    layout::{
+        HOLD_SHARDS, MARKER, NEW_SHARDS, REPLICAS, SEARCH_SHARDS, first_held, new_held, target_name,
+    },
+    record::Drain,
+    recorder::Run,
+};
+
+/// How long a target that drains by itself does so: past the time after which
+/// no new work may come.
+const DRAIN_MS: u64 = 8_000;
+
+/// How long an earlier version of the index is kept, in milliseconds.
+const KEEP_MS: u64 = 2_000;
+
+/// Makes one fault of a target after the other until the run is over.
+pub async fn disturb_targets(run: Rc<Run>) {
+    let random = run.generator();
+    let marker = Some(MARKER.to_owned());
+    change(&run, FaultChange { marker, ..FaultChange::default() }).await;
+    while !run.over.get() {
+        run.sleep_ms(200 + random.below(800) as u64).await;
+        let target = second_replica(&random);
+        let fault = || FaultChange { target: Some(target.clone()), ..FaultChange::default() };
+        let span = 500 + random.below(2_000) as u64;
+        match random.below(7) {
+            0 => {
+                run.record("target crashed", &target);
+                let restart_ms = Some(span);
+                change(&run, FaultChange { crash: true, restart_ms, ..fault() }).await;
+            }
+            1 => {
+                run.record("target silent", &target);
+                change(&run, FaultChange { silence: true, ..fault() }).await;
+            }
+            2 => {
+                run.record("straggler", &target);
+                change(&run, FaultChange { factor: Some(20.0), ..fault() }).await;
+                run.sleep_ms(span).await;
+                change(&run, FaultChange { factor: Some(1.0), ..fault() }).await;
+            }
+            3 => {
+                run.record("target cold", &target);
+                change(&run, FaultChange { cold_ms: Some(span), ..fault() }).await;
+            }
+            4 => {
+                run.record("target sheds", &target);
+                change(&run, FaultChange { shed: Some(true), ..fault() }).await;
+                run.sleep_ms(span).await;
+                change(&run, FaultChange { shed: Some(false), ..fault() }).await;
+            }
+            5 => {
+                run.record("target lies", &target);
+                let (load, lie) = (Some(random.below(100) as i64), Some(Phase::Ready));
+                change(&run, FaultChange { load, lie, ..fault() }).await;
+                run.sleep_ms(span).await;
+                change(&run, FaultChange { load: Some(-1), ..fault() }).await;
+            }
+            _ => drain(&run, &target).await,
+        }
+    }
+}
+
+async fn drain(run: &Run, target: &TargetName) {
+    run.record("target drains", target);
+    let fault = || FaultChange { target: Some(target.clone()), ..FaultChange::default() };
+    let from_us = now_us();
+    change(run, FaultChange { drain: Some(true), lie: Some(Phase::Draining), ..fault() }).await;
+    run.sleep_ms(DRAIN_MS).await;
+    let until_us = now_us();
+    change(run, FaultChange { drain: Some(false), lie: Some(Phase::Ready), ..fault() }).await;
+    let drain = Drain { target: target.clone(), from_us, until_us };
+    run.history.borrow_mut().drains.push(drain);
+}
+
+/// Makes one fault of the platform after the other until the run is over.
+pub async fn disturb_platform(run: Rc<Run>) {
+    let random = run.generator();
+    while !run.over.get() {
+        run.sleep_ms(1_000 + random.below(3_000) as u64).await;
+        let span = 500 + random.below(4_000) as u64;
+        match random.below(4) {
+            0 => {
+                run.record("platform out", "");
+                let out = |outage| PlatformChange { outage: Some(outage), ..Default::default() };
+                disturb_for(&run, span, out(true), out(false)).await;
+            }
+            1 => {
+                run.record("platform hangs", "");
+                let hang = |hang| PlatformChange { hang: Some(hang), ..Default::default() };
+                disturb_for(&run, span, hang(true), hang(false)).await;
+            }
+            2 => {
+                run.record("platform slow", "");
+                let slow = |delay| PlatformChange { delay_ms: Some(delay), ..Default::default() };
+                change_platform(&run, slow(200)).await;
+                run.sleep_ms(span).await;
+                change_platform(&run, slow(2)).await;
+            }
+            _ => {
+                run.record("reply to a write lost", "");
+                let lose_replies = Some(1 + random.below(4) as u32);
+                change_platform(&run, PlatformChange { lose_replies, ..Default::default() }).await;
+            }
+        }
+    }
+}
+
+async fn disturb_for(run: &Run, span: u64, make: PlatformChange, mend: PlatformChange) {
+    let from_us = now_us();
+    change_platform(run, make).await;
+    run.sleep_ms(span).await;
+    change_platform(run, mend).await;
+    run.disturb(None, from_us);
+}
+
+/// Publishes new versions of the index, the third one with another layout.
+pub async fn publish_index(run: Rc<Run>) {
+    let random = run.generator();
+    let mut version = 1;
+    while !run.over.get() {
+        run.sleep_ms(3_000 + random.below(3_000) as u64).await;
+        version += 1;
+        let is_new = version % 2 == 1;
+        let fault = if is_new { "repartitioned" } else { "index published" };
+        run.record(fault, &version.to_string());
+        let count = if is_new { NEW_SHARDS } else { SEARCH_SHARDS };
+        let held = |number: usize| match is_new {
+            true => new_held(version, number),
+            false => first_held(version, number),
+        };
+        let shards: Vec<ShardName> = (0..count).map(|number| held(number).shard).collect();
+        run.history.borrow_mut().layouts.insert(IndexVersion(version), shards);
+        for target in 0..SEARCH_SHARDS * REPLICAS.len() {
+            // In the first layout each shard stays with the targets named for it.
+            let shard = if is_new { target % NEW_SHARDS } else { target / REPLICAS.len() };
+            let publish = Some(held(shard));
+            let target = Some(search_target(target));
+            change(&run, FaultChange { target, publish, ..FaultChange::default() }).await;
+            run.sleep_ms(random.below(40) as u64).await;
+        }
+        run.sleep_ms(KEEP_MS).await;
+        run.record("earlier index dropped", &(version - 1).to_string());
+        for target in 0..SEARCH_SHARDS * REPLICAS.len() {
+            let unpublish = Some(IndexVersion(version - 1));
+            let target = Some(search_target(target));
+            change(&run, FaultChange { target, unpublish, ..FaultChange::default() }).await;
+            run.sleep_ms(random.below(40) as u64).await;
+        }
+    }
+}
+
+fn search_target(number: usize) -> TargetName {
+    target_name("s", number / REPLICAS.len(), REPLICAS[number % REPLICAS.len()])
+}
+
+fn second_replica(random: &Random) -> TargetName {
+    let number = random.below(SEARCH_SHARDS + HOLD_SHARDS);
+    match number < SEARCH_SHARDS {
+        true => target_name("s", number, REPLICAS[1]),
+        false => target_name("h", number - SEARCH_SHARDS, REPLICAS[1]),
+    }
+}
+
+/// A stand-in that does not take a change is reported; the run goes on.
+async fn change(run: &Run, change: FaultChange) {
+    if let Err(error) = run.cluster.change_targets(&change).await {
+        eprintln!("history: a fault could not be made: {error}");
+    }
+}
+
+async fn change_platform(run: &Run, change: PlatformChange) {
+    if let Err(error) = run.cluster.change_platform(&change).await {
+        eprintln!("history: a fault could not be made: {error}");
+    }
+}
--- a/crates/history/tests/answers_checker.rs
+++ b/crates/history/tests/answers_checker.rs
@@ -96,6 +96,17 @@
     });
 }
 
+fn stranger_is_missing(history: &mut History) {
+    with_answer(history, |answer| answer.coverage.missing[0].shard = ShardName::from("s7"));
+}
+
+fn unseen_shard_hides_a_lost_one(history: &mut History) {
+    with_answer(history, |answer| {
+        answer.coverage.missing[0].shard = ShardName::from("rooms/unseen-0");
+        answer.hits.retain(|hit| hit.key.starts_with("s0"));
+    });
+}
+
 fn doubled_hit(history: &mut History) {
     with_answer(history, |answer| answer.hits[1] = answer.hits[0].clone());
 }
@@ -119,6 +130,8 @@
     sum = { sum_is_wrong },
     lost = { lost_hit },
     doubled = { doubled_hit },
+    stranger = { stranger_is_missing },
+    unseen = { unseen_shard_hides_a_lost_one },
     never_ran = { covered_shard_never_ran },
     other_version = { covered_shard_ran_another_version },
     cancelled = { covered_shard_was_cancelled },
@@ -131,6 +144,17 @@
     assert!(promises(&history).contains(&Promise::Coverage));
 }
 
+#[test]
+fn a_missing_shard_whose_name_was_never_seen_is_no_fault() {
+    let mut history = clean();
+
+    with_answer(&mut history, |answer| {
+        answer.coverage.missing[0].shard = ShardName::from("rooms/unseen-0");
+    });
+
+    assert_eq!(promises(&history), []);
+}
+
 fn crossed_answer(history: &mut History) {
     with_answer(history, |answer| *answer = fixture::answer(77));
 }
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -186,6 +186,16 @@
         Client { address, timeout, open: RefCell::new(None) }
     }
 
+    /// The address it sends to.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Whether a connection is kept open.
+    pub fn is_open(&self) -> bool {
+        self.open.borrow().is_some()
+    }
+
     /// Sends a request with a JSON body.
     pub async fn post(&self, path: &str, body: &impl Serialize) -> io::Result<Answer> {
         let body = serde_json::to_vec(body)?;
@@ -198,6 +208,9 @@
     }
 
     /// Sends a request; a connection whose answer is not read is closed.
+    ///
+    /// The error is `NotConnected` if no connection could be opened and `TimedOut`
+    /// after the timeout; any other means that the connection broke.
     pub async fn send(
         &self,
         method: &str,
@@ -231,7 +244,8 @@
         let mut codec = match kept {
             Some(codec) => codec,
             None => {
-                let stream = TcpStream::connect_addr(self.address).await?;
+                let refused = |_| io::ErrorKind::NotConnected;
+                let stream = TcpStream::connect_addr(self.address).await.map_err(refused)?;
                 stream.set_nodelay(true)?;
                 ClientCodec::new(stream)
             }
@@ -249,7 +263,10 @@
                 content.extend_from_slice(&chunk.map_err(io::Error::other)?);
             }
         }
-        self.open.replace(Some(codec));
+        let closes = parts.headers.get("connection").is_some_and(|value| value == "close");
+        if !closes {
+            self.open.replace(Some(codec));
+        }
         let status = parts.status.as_u16();
         Ok(Answer { status, headers: parts.headers, body: content.into() })
     }
