--- a/crates/kumquatnotch-net/tests/target_links.rs
+++ b/crates/kumquatnotch-net/tests/target_links.rs
@@ -256,3 +256,39 @@
         assert!(tries.get() < 20, "{} tries in {calls} calls", tries.get());
     });
 }
+
+/// A target answers with garbage. The call fails or is answered, and the node
+/// goes on.
+#[test]
+fn garbage_from_a_target_ends_no_node() {
+    run(async {
+        let random = Rc::new(std::cell::RefCell::new(fastrand::Rng::with_seed(5)));
+        let address = accept(move |_, mut stream| {
+            let random = random.clone();
+            async move {
+                read(&mut stream).await;
+                let reply = garbage(&mut random.borrow_mut());
+                let _ = monoio::io::AsyncWriteRentExt::write_all(&mut stream, reply).await;
+            }
+        });
+
+        for id in 0..800 {
+            let _ = links().call(&name(), &spec(address), &search(id), after(100)).await;
+        }
+    });
+}
+
+fn garbage(random: &mut fastrand::Rng) -> Vec<u8> {
+    let chunked = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n";
+    let seeds = [raw_reply(&hit_body("a")), chunked.to_owned()];
+    let mut bytes = random.choice(&seeds).map(|seed| seed.clone().into_bytes()).unwrap_or_default();
+    for _ in 0..random.usize(1..4) {
+        let at = random.usize(..bytes.len());
+        match random.u8(..3) {
+            0 => bytes[at] = random.u8(..),
+            1 => drop(bytes.remove(at)),
+            _ => bytes.insert(at, bytes[at]),
+        }
+    }
+    bytes
+}
--- /dev/null
+++ b/crates/kumquatnotch/tests/node.rs
@@ -0,0 +1,181 @@
+//! Nodes put together in one process, among stand-ins.
+
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use kumquatnotch::{
+    Node, NodeOptions, Shutdown,
+    config::{
+        files::{self, FileText},
+        settings::Settings,
+        store::{Authorship, Store},
+    },
+    core::{
+        Platform,
+        clock::RuntimeClock,
+        front::{EntryAdvice, key_digest},
+        peer,
+        random::Random,
+        services,
+    },
+    net::entry::OPERATOR,
+};
+use serde_json::{Value, json};
+use standins::{http::Client, plan::Plan, platform::PlatformServer, targets::Fleet};
+
+const KEY: &str = "a caller's key";
+
+fn run<T>(test: impl Future<Output = T>) -> T {
+    standins::block_on(async {
+        let limit = Duration::from_secs(60);
+        monoio::time::timeout(limit, test).await.expect("the test ends in time")
+    })
+}
+
+async fn pause(millis: u64) {
+    monoio::time::sleep(Duration::from_millis(millis)).await;
+}
+
+fn settings(name: &str, platform: SocketAddr, seeds: &[SocketAddr]) -> Settings {
+    let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
+    let text = format!(
+        "seed = 9\n[node]\nname = \"{name}\"\ncentre = \"amman\"\nregion = \"jordan\"\n\
+         [platform]\naddress = \"{platform}\"\n[join]\nseeds = {seeds:?}\n\
+         [advice]\nvalid = \"1s\"\n",
+    );
+    Settings::parse("settings", &text).expect("the settings are fine")
+}
+
+fn node(name: &str, platform: SocketAddr, seeds: &[SocketAddr]) -> Rc<Node> {
+    let options = NodeOptions::new(settings(name, platform, seeds));
+    let node = Rc::new(Node::try_new(options).expect("the node is put together"));
+    node.start();
+    node
+}
+
+fn document(fleet: &Fleet) -> String {
+    let mut text = format!(
+        "[regions]\namman = \"jordan\"\n[tenants.barid]\nkeys = [\"{}\"]\n\
+         stop = {{ patience = 0.9, enough = 1.0 }}\n\
+         [selectors.desk]\ntargets = \"\"\nclass = \"desk\"\n",
+        key_digest(KEY),
+    );
+    for (number, target) in fleet.ports.targets.iter().enumerate() {
+        text.push_str(&format!(
+            "[targets.{}]\naddress = \"{}\"\ncentre = \"amman\"\nshard = \"s{}\"\n",
+            target.name,
+            target.address,
+            number % 4,
+        ));
+    }
+    text
+}
+
+async fn publish(node: &Node, text: String) {
+    let files = [FileText { name: "all.toml".to_owned(), text }];
+    let document = files::parse(&files).expect("the document is fine");
+    let platform: Rc<dyn Platform> = node.registry.find(services::PLATFORM).unwrap();
+    let store = Store::new(platform, Rc::new(RuntimeClock), Random::with_seed(2));
+    let base = store.current().await.expect("the platform answers");
+    let author = Authorship { author: "test", note: "" };
+    store.publish(&base, &document, author).await.expect("it is accepted");
+}
+
+fn client(node: &Node) -> Client {
+    Client::new(node.servers().0.address(), Duration::from_secs(5))
+}
+
+async fn advised(node: &Node) -> Vec<SocketAddr> {
+    let answer = client(node).get("/v1/entry").await.expect("the node answers");
+    answer.json::<EntryAdvice>().expect("it is advice").addresses
+}
+
+async fn coverage(client: &Client) -> Value {
+    let body = json!({ "selector": "desk", "query": { "nonce": 1 } });
+    let body = serde_json::to_vec(&body).expect("JSON can be written");
+    let bearer = format!("Bearer {KEY}");
+    let headers = [("authorization", bearer.as_str())];
+    let answer = client.send("POST", "/v1/search", &headers, body.into()).await;
+    answer.expect("the node answers").json::<Value>().expect("it is JSON")["coverage"].clone()
+}
+
+async fn until(what: &str, holds: impl AsyncFn() -> bool) {
+    let end = Instant::now() + Duration::from_secs(20);
+    while !holds().await {
+        assert!(Instant::now() < end, "{what} does not come");
+        pause(20).await;
+    }
+}
+
+#[test]
+fn every_service_is_registered_by_its_name() {
+    run(async {
+        let platform = PlatformServer::start(0).expect("a free port is found");
+        let node = node("n1", platform.address, &[]);
+
+        let names = node.registry.names();
+
+        let wanted = [
+            services::CLOCK,
+            services::RANDOM,
+            services::TARGETS,
+            services::PEERS,
+            services::PLATFORM,
+            services::MEMBERS,
+            services::MARKS,
+            services::DOCUMENTS,
+            services::FRONT,
+            services::LIFECYCLE,
+            peer::MEMBER_SERVICE,
+            peer::CONFIG_SERVICE,
+            peer::HOLDER_SERVICE,
+            peer::TICKET_SERVICE,
+            OPERATOR,
+        ];
+        for name in wanted {
+            assert!(names.contains(&name), "{name} is not among {names:?}");
+        }
+    });
+}
+
+/// One of three nodes is told to stop while callers search at the others. It is
+/// advised to nobody soon, takes its time until its own advice has lapsed, and
+/// the shards that it held are answered by others: no search lacks a shard.
+#[test]
+fn a_node_that_leaves_costs_no_coverage() {
+    run(async {
+        let platform = PlatformServer::start(0).expect("a free port is found");
+        let fleet = Fleet::start(&Plan::uniform(0, 8, 4)).expect("free ports are found");
+        let first = node("n1", platform.address, &[]);
+        let seeds = [first.servers().1.address()];
+        let (second, third) =
+            (node("n2", platform.address, &seeds), node("n3", platform.address, &seeds));
+        publish(&first, document(&fleet)).await;
+        for node in [&first, &second, &third] {
+            until("advice with three nodes", async || advised(node).await.len() == 3).await;
+        }
+        let caller = client(&second);
+        until("full coverage", async || coverage(&caller).await["covered"] == 4).await;
+
+        let leaving = third.clone();
+        let left = monoio::spawn(async move { leaving.leave().await });
+        let start = Instant::now();
+        let gone = third.servers().0.address();
+        let mut advised_until = Duration::ZERO;
+        while start.elapsed() < Duration::from_millis(3_000) {
+            let found = coverage(&caller).await;
+            assert_eq!(found["covered"], 4, "after {:?}: {found}", start.elapsed());
+            if advised(&second).await.contains(&gone) {
+                advised_until = start.elapsed();
+            }
+            pause(5).await;
+        }
+
+        assert_eq!(left.await, Shutdown::Clean);
+        assert!(advised_until < Duration::from_millis(1_000), "{advised_until:?}");
+        println!("advised for {advised_until:?} more");
+    });
+}
