Measure the decisions of the holder with fakes at its borders

Cause: nothing said what the decisions are worth. The paused clock of the core polls a fixed number of rounds for each step, too slow for millions of sleeps, so the measurement brings a clock with a heap and an executor of its own.

--- /dev/null
+++ b/crates/measure/src/fakes.rs
@@ -0,0 +1,430 @@
+//! Fake targets behind the `Targets` trait.
+//!
+//! A target has slots, a queue before them, a cost for each new connection, and
+//! faults that a scenario switches on and off. It counts what the tier does to
+//! it: calls that ran, and the time that more calls were there than slots.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{HashMap, HashSet, VecDeque},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use futures_channel::oneshot;
+use futures_util::future::{Either, select};
+use kumquatnotch::core::{
+    Clock, Error, LocalFuture, Result, Targets,
+    document::TargetSpec,
+    ids::{IndexVersion, ShardName, TargetName},
+    query::Hit,
+    random::Random,
+    target::{HeldVersion, Phase, TargetCall, TargetReply, TargetStatus},
+};
+
+use crate::virtual_time::VirtualTime;
+
+/// The version of the index that every fake target holds.
+pub const VERSION: IndexVersion = IndexVersion(7);
+/// The mean service time.
+pub const SERVICE: Duration = Duration::from_millis(6);
+/// The spread of service times: the standard deviation of their logarithm.
+const SPREAD: f64 = 0.3;
+/// The cost of a new connection.
+const CONNECT: Duration = Duration::from_millis(6);
+/// The waiting calls beyond which a target sheds.
+const QUEUE: usize = 16;
+/// The time after which a silent connection is found by the net layer.
+const SILENT: Duration = Duration::from_millis(300);
+/// The time a crashed target needs to come back.
+const RESTART: Duration = Duration::from_secs(2);
+/// How much slower a cold target is, and for how many calls.
+const COLD: (f64, u32) = (8.0, 60);
+/// The text of a request that crashes targets.
+pub const POISON: &str = "poison";
+
+/// The state of one target.
+pub struct Fake {
+    shard: ShardName,
+    /// The one-way delay to it.
+    pub delay: Cell<Duration>,
+    pub slots: Cell<u32>,
+    /// How much slower it is than the others.
+    pub factor: Cell<f64>,
+    pub up: Cell<bool>,
+    /// Whether nothing gets through to it.
+    pub cut: Cell<bool>,
+    pub phase: Cell<Phase>,
+    /// Whether it reports no load whatever it does.
+    pub lies: Cell<bool>,
+    /// The calls that it serves slowly until it is warm.
+    pub cold: Cell<u32>,
+    /// The open connections that have gone silent.
+    pub silent: Cell<u32>,
+    incarnation: Cell<u64>,
+    idle: Cell<u32>,
+    inner: RefCell<Inner>,
+}
+
+#[derive(Default)]
+struct Inner {
+    running: u32,
+    waiting: VecDeque<oneshot::Sender<()>>,
+    kills: HashMap<u64, oneshot::Sender<()>>,
+    changed: Option<Instant>,
+    over: f64,
+    span: f64,
+}
+
+/// What the targets saw.
+#[derive(Clone, Debug, Default)]
+pub struct Seen {
+    pub runs: u64,
+    pub distinct: u64,
+    pub crashes: u64,
+    pub connects: u64,
+}
+
+/// All targets.
+pub struct FakeTargets {
+    time: VirtualTime,
+    random: Random,
+    pub targets: HashMap<TargetName, Rc<Fake>>,
+    pub seen: RefCell<Seen>,
+    known: RefCell<HashSet<(String, ShardName)>>,
+    /// Whether runs are counted now.
+    pub counts: Cell<bool>,
+    serial: Cell<u64>,
+}
+
+impl Fake {
+    pub fn new(shard: ShardName, delay: Duration, slots: u32) -> Fake {
+        Fake {
+            shard,
+            delay: Cell::new(delay),
+            slots: Cell::new(slots),
+            factor: Cell::new(1.0),
+            up: Cell::new(true),
+            cut: Cell::new(false),
+            phase: Cell::new(Phase::Ready),
+            lies: Cell::new(false),
+            cold: Cell::new(0),
+            silent: Cell::new(0),
+            incarnation: Cell::new(1),
+            idle: Cell::new(0),
+            inner: RefCell::default(),
+        }
+    }
+
+    /// Ends the process; every call to it is cut off.
+    pub fn stop(&self) {
+        self.up.set(false);
+        self.idle.set(0);
+        let mut inner = self.inner.borrow_mut();
+        inner.waiting.clear();
+        for (_, kill) in inner.kills.drain() {
+            let _ = kill.send(());
+        }
+    }
+
+    /// Starts a new process, with cold caches.
+    pub fn start(&self) {
+        self.incarnation.set(self.incarnation.get() + 1);
+        self.cold.set(COLD.1);
+        self.phase.set(Phase::Ready);
+        self.up.set(true);
+    }
+
+    /// Every connection that is open now goes silent.
+    pub fn silence(&self) {
+        self.silent.set(self.idle.get());
+    }
+
+    /// The mean share of calls beyond its slots.
+    pub fn oversubscription(&self) -> f64 {
+        let inner = self.inner.borrow();
+        if inner.span == 0.0 { 0.0 } else { inner.over / inner.span }
+    }
+
+    /// Forgets the oversubscription counted so far.
+    pub fn reset_over(&self) {
+        let mut inner = self.inner.borrow_mut();
+        (inner.over, inner.span) = (0.0, 0.0);
+    }
+
+    fn load(&self) -> u32 {
+        let inner = self.inner.borrow();
+        if self.lies.get() { 0 } else { inner.running + inner.waiting.len() as u32 }
+    }
+
+    fn account(&self, now: Instant) {
+        let mut inner = self.inner.borrow_mut();
+        let since = inner.changed.replace(now).unwrap_or(now);
+        let span = (now - since).as_secs_f64();
+        let inside = inner.running + inner.waiting.len() as u32;
+        let slots = self.slots.get();
+        inner.over += span * f64::from(inside.saturating_sub(slots)) / f64::from(slots);
+        inner.span += span;
+    }
+
+    fn enter(&self, now: Instant) -> Option<oneshot::Receiver<()>> {
+        self.account(now);
+        let mut inner = self.inner.borrow_mut();
+        if inner.running < self.slots.get() {
+            inner.running += 1;
+            return None;
+        }
+        let (sender, receiver) = oneshot::channel();
+        inner.waiting.push_back(sender);
+        Some(receiver)
+    }
+
+    fn leave(&self, now: Instant) {
+        self.account(now);
+        let mut inner = self.inner.borrow_mut();
+        inner.running -= 1;
+        while inner.running < self.slots.get() {
+            let Some(next) = inner.waiting.pop_front() else {
+                return;
+            };
+            if next.send(()).is_ok() {
+                inner.running += 1;
+            }
+        }
+    }
+}
+
+/// A call inside a target; dropping it leaves the slot.
+struct Inside<'a> {
+    fake: &'a Fake,
+    time: &'a VirtualTime,
+    serial: u64,
+    runs: bool,
+    turn: Option<oneshot::Receiver<()>>,
+}
+
+impl Drop for Inside<'_> {
+    fn drop(&mut self) {
+        let now = self.time.now();
+        // A call may be given up just as its turn has come.
+        if let Some(turn) = &mut self.turn {
+            self.runs |= matches!(turn.try_recv(), Ok(Some(())));
+            turn.close();
+        }
+        self.fake.account(now);
+        self.fake.inner.borrow_mut().kills.remove(&self.serial);
+        if self.runs {
+            self.fake.leave(now);
+        } else {
+            self.fake.inner.borrow_mut().waiting.retain(|waiting| !waiting.is_canceled());
+        }
+    }
+}
+
+/// A connection in use; dropping it keeps it open for the next call.
+struct Connection<'a> {
+    fake: &'a Fake,
+    incarnation: u64,
+    broken: bool,
+}
+
+impl Drop for Connection<'_> {
+    fn drop(&mut self) {
+        let fake = self.fake;
+        if !self.broken && fake.up.get() && fake.incarnation.get() == self.incarnation {
+            fake.idle.set(fake.idle.get() + 1);
+        }
+    }
+}
+
+impl FakeTargets {
+    pub fn new(time: &VirtualTime, random: &Random) -> FakeTargets {
+        FakeTargets {
+            time: time.clone(),
+            random: random.clone(),
+            targets: HashMap::new(),
+            seen: RefCell::default(),
+            known: RefCell::default(),
+            counts: Cell::new(false),
+            serial: Cell::new(0),
+        }
+    }
+
+    async fn run(&self, fake: &Fake, call: &TargetCall) -> Result<TargetReply> {
+        let mut connection = self.connect(fake).await?;
+        let incarnation = connection.incarnation;
+        self.time.sleep(fake.delay.get()).await;
+        if fake.cut.get() {
+            connection.broken = true;
+            self.time.sleep(SILENT).await;
+            return Err(Error::ConnectionSilent);
+        }
+        if !fake.up.get() || fake.incarnation.get() != incarnation {
+            return Err(Error::ConnectionLost);
+        }
+        if fake.phase.get() == Phase::Draining {
+            return Err(Error::Draining);
+        }
+        if fake.inner.borrow().waiting.len() >= QUEUE {
+            return Err(Error::Shed { retry_ms: 20 });
+        }
+        let (kill, killed) = oneshot::channel();
+        let serial = self.serial.get();
+        self.serial.set(serial + 1);
+        fake.inner.borrow_mut().kills.insert(serial, kill);
+        let served = Box::pin(self.serve(fake, call, serial));
+        match select(served, killed).await {
+            Either::Left((result, _)) => result?,
+            Either::Right(_) => return Err(Error::ConnectionLost),
+        }
+        self.time.sleep(fake.delay.get()).await;
+        if fake.cut.get() {
+            connection.broken = true;
+            self.time.sleep(SILENT).await;
+            return Err(Error::ConnectionSilent);
+        }
+        let hit = Hit {
+            key: call.shard.to_string(),
+            score: self.random.fraction(),
+            owner: None,
+            fields: serde_json::Value::Null,
+            private: None,
+        };
+        Ok(TargetReply {
+            hits: vec![hit],
+            version: VERSION,
+            load: fake.load(),
+            ..TargetReply::default()
+        })
+    }
+
+    async fn serve(&self, fake: &Fake, call: &TargetCall, serial: u64) -> Result<()> {
+        let turn = fake.enter(self.time.now());
+        let runs = turn.is_none();
+        let mut inside = Inside { fake, time: &self.time, serial, runs, turn };
+        if let Some(turn) = &mut inside.turn {
+            turn.await.map_err(|_| Error::ConnectionLost)?;
+            inside.turn = None;
+            inside.runs = true;
+        }
+        self.count(call);
+        self.time.sleep(self.service(fake)).await;
+        if call.body.starts_with(POISON) {
+            self.seen.borrow_mut().crashes += 1;
+            // The slot is left before its owner is gone.
+            drop(inside);
+            self.crash(fake);
+            return Err(Error::ConnectionLost);
+        }
+        Ok(())
+    }
+
+    fn crash(&self, fake: &Fake) {
+        fake.stop();
+        let name = self.targets.values().find(|other| std::ptr::eq(&***other, fake)).cloned();
+        let (time, fake) = (self.time.clone(), name.expect("the target is in the table"));
+        self.time.spawn(async move {
+            time.sleep(RESTART).await;
+            fake.start();
+        });
+    }
+
+    fn service(&self, fake: &Fake) -> Duration {
+        let mut factor = fake.factor.get();
+        if fake.cold.get() > 0 {
+            fake.cold.set(fake.cold.get() - 1);
+            factor *= COLD.0;
+        }
+        // Box and Muller's way to a normal number, and from there a lognormal one.
+        let (u, v) = (1.0 - self.random.fraction(), self.random.fraction());
+        let normal = (-2.0 * u.ln()).sqrt() * (std::f64::consts::TAU * v).cos();
+        SERVICE.mul_f64(factor * (SPREAD * normal - SPREAD * SPREAD / 2.0).exp())
+    }
+
+    fn count(&self, call: &TargetCall) {
+        if !self.counts.get() {
+            return;
+        }
+        let mut seen = self.seen.borrow_mut();
+        seen.runs += 1;
+        if self.known.borrow_mut().insert((call.body.clone(), call.shard.clone())) {
+            seen.distinct += 1;
+        }
+    }
+
+    async fn connect<'a>(&self, fake: &'a Fake) -> Result<Connection<'a>> {
+        if fake.idle.get() > 0 {
+            fake.idle.set(fake.idle.get() - 1);
+            if fake.silent.get() > 0 {
+                fake.silent.set(fake.silent.get() - 1);
+                self.time.sleep(SILENT).await;
+                return Err(Error::ConnectionSilent);
+            }
+            return Ok(Connection { fake, incarnation: fake.incarnation.get(), broken: false });
+        }
+        if fake.cut.get() {
+            self.time.sleep(SILENT).await;
+            return Err(Error::ConnectFailed);
+        }
+        self.time.sleep(2 * fake.delay.get()).await;
+        if !fake.up.get() {
+            return Err(Error::ConnectFailed);
+        }
+        self.seen.borrow_mut().connects += 1;
+        self.time.sleep(CONNECT).await;
+        Ok(Connection { fake, incarnation: fake.incarnation.get(), broken: false })
+    }
+
+    fn find(&self, name: &TargetName) -> Result<&Rc<Fake>> {
+        self.targets.get(name).ok_or(Error::ConnectFailed)
+    }
+}
+
+impl Targets for FakeTargets {
+    fn call<'a>(
+        &'a self,
+        name: &'a TargetName,
+        _spec: &'a TargetSpec,
+        call: &'a TargetCall,
+        _deadline: Instant,
+    ) -> LocalFuture<'a, Result<TargetReply>> {
+        Box::pin(async move { self.run(self.find(name)?, call).await })
+    }
+
+    fn probe<'a>(
+        &'a self,
+        name: &'a TargetName,
+        _spec: &'a TargetSpec,
+        deadline: Instant,
+    ) -> LocalFuture<'a, Result<TargetStatus>> {
+        Box::pin(async move {
+            let fake = self.find(name)?;
+            if fake.cut.get() {
+                self.time.sleep_until(deadline).await;
+                return Err(Error::TimedOut);
+            }
+            self.time.sleep(2 * fake.delay.get()).await;
+            if !fake.up.get() {
+                return Err(Error::ConnectFailed);
+            }
+            let held = HeldVersion {
+                version: VERSION,
+                shard: fake.shard.clone(),
+                collection: "rooms".to_owned(),
+                total: 50,
+            };
+            Ok(TargetStatus {
+                phase: fake.phase.get(),
+                load: fake.load(),
+                held: vec![held],
+                incarnation: fake.incarnation.get(),
+            })
+        })
+    }
+
+    fn forget(&self, name: &TargetName) {
+        if let Ok(fake) = self.find(name) {
+            fake.idle.set(0);
+        }
+    }
+}
--- /dev/null
+++ b/crates/measure/src/virtual_time.rs
@@ -0,0 +1,200 @@
+//! Time that moves only when every task waits for it.
+//!
+//! The paused clock of the core keeps its sleepers in a list and settles tasks
+//! by polling them a fixed number of times, which is simple and right for tests.
+//! A measurement has millions of sleeps, so this clock keeps a heap, and its
+//! executor knows when every task is at rest.
+
+use std::{
+    cell::RefCell,
+    cmp::Reverse,
+    collections::BinaryHeap,
+    future::Future,
+    pin::Pin,
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    task::{Context, Poll, Wake, Waker},
+    time::{Duration, Instant},
+};
+
+use futures_util::{StreamExt, stream::FuturesUnordered};
+use kumquatnotch::core::{Clock, LocalFuture};
+
+/// A clock with an executor that moves it.
+#[derive(Clone)]
+pub struct VirtualTime {
+    state: Rc<RefCell<State>>,
+    spawned: Rc<RefCell<Vec<Task>>>,
+    tasks: Rc<RefCell<FuturesUnordered<Task>>>,
+    start: Instant,
+}
+
+type Task = LocalFuture<'static, ()>;
+
+struct State {
+    now: Instant,
+    serial: u64,
+    sleepers: BinaryHeap<Reverse<Sleeper>>,
+}
+
+type Bell = Rc<RefCell<Option<Waker>>>;
+
+struct Sleeper {
+    at: (Instant, u64),
+    bell: Bell,
+}
+
+impl PartialEq for Sleeper {
+    fn eq(&self, other: &Sleeper) -> bool {
+        self.at == other.at
+    }
+}
+
+impl Eq for Sleeper {}
+
+impl PartialOrd for Sleeper {
+    fn partial_cmp(&self, other: &Sleeper) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Sleeper {
+    fn cmp(&self, other: &Sleeper) -> std::cmp::Ordering {
+        self.at.cmp(&other.at)
+    }
+}
+
+impl Default for VirtualTime {
+    fn default() -> VirtualTime {
+        let start = Instant::now();
+        let state = State { now: start, serial: 0, sleepers: BinaryHeap::new() };
+        VirtualTime {
+            state: Rc::new(RefCell::new(state)),
+            spawned: Rc::default(),
+            tasks: Rc::default(),
+            start,
+        }
+    }
+}
+
+impl VirtualTime {
+    /// The time since this clock was made.
+    pub fn elapsed(&self) -> Duration {
+        self.now() - self.start
+    }
+
+    /// Sleeps for `span`.
+    pub fn sleep(&self, span: Duration) -> LocalFuture<'static, ()> {
+        self.sleep_until(self.now() + span)
+    }
+
+    /// Adds a task.
+    pub fn spawn(&self, task: impl Future<Output = ()> + 'static) {
+        self.spawned.borrow_mut().push(Box::pin(task));
+    }
+
+    /// Runs all tasks until `end` on this clock.
+    pub fn run_for(&self, span: Duration) {
+        let end = self.now() + span;
+        let flag = Arc::new(Flag(AtomicBool::new(false)));
+        let waker = Waker::from(flag.clone());
+        let mut context = Context::from_waker(&waker);
+        let mut tasks = self.tasks.borrow_mut();
+        loop {
+            tasks.extend(self.spawned.borrow_mut().drain(..));
+            if let Poll::Ready(Some(())) = tasks.poll_next_unpin(&mut context) {
+                continue;
+            }
+            let woken = flag.0.swap(false, Ordering::Relaxed);
+            if woken || !self.spawned.borrow().is_empty() {
+                continue;
+            }
+            if !self.advance(end) {
+                return;
+            }
+        }
+    }
+
+    /// Moves on to the next sleeper that is due before `end`.
+    fn advance(&self, end: Instant) -> bool {
+        let mut state = self.state.borrow_mut();
+        loop {
+            let Some(Reverse(sleeper)) = state.sleepers.peek() else {
+                return false;
+            };
+            let at = sleeper.at.0;
+            let waker = sleeper.bell.borrow_mut().take();
+            if at > end {
+                *sleeper.bell.borrow_mut() = waker;
+                state.now = end;
+                return false;
+            }
+            state.sleepers.pop();
+            let Some(waker) = waker else {
+                continue;
+            };
+            state.now = state.now.max(at);
+            drop(state);
+            waker.wake();
+            return true;
+        }
+    }
+}
+
+impl Clock for VirtualTime {
+    fn now(&self) -> Instant {
+        self.state.borrow().now
+    }
+
+    fn sleep_until(&self, deadline: Instant) -> LocalFuture<'static, ()> {
+        Box::pin(Sleep { time: self.clone(), deadline, bell: None })
+    }
+}
+
+struct Sleep {
+    time: VirtualTime,
+    deadline: Instant,
+    bell: Option<Bell>,
+}
+
+impl Future for Sleep {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
+        let mut state = self.time.state.borrow_mut();
+        if state.now >= self.deadline {
+            return Poll::Ready(());
+        }
+        if let Some(bell) = &self.bell {
+            *bell.borrow_mut() = Some(context.waker().clone());
+            return Poll::Pending;
+        }
+        let bell: Bell = Rc::new(RefCell::new(Some(context.waker().clone())));
+        state.serial += 1;
+        let at = (self.deadline, state.serial);
+        state.sleepers.push(Reverse(Sleeper { at, bell: bell.clone() }));
+        drop(state);
+        self.bell = Some(bell);
+        Poll::Pending
+    }
+}
+
+impl Drop for Sleep {
+    fn drop(&mut self) {
+        // A sleeper that is gone must not move the time.
+        if let Some(bell) = &self.bell {
+            bell.borrow_mut().take();
+        }
+    }
+}
+
+struct Flag(AtomicBool);
+
+impl Wake for Flag {
+    fn wake(self: Arc<Self>) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
