Give every setting in an example, and peers a second after the farewell

The example is tested against the defaults, so that it can't go out of date. Cause of the second: a peer that had not heard of the farewell yet could send a message on an idle connection just as it was closed, with an unknown outcome.

--- a/crates/kumquatnotch/src/node.rs
+++ b/crates/kumquatnotch/src/node.rs
@@ -38,6 +38,9 @@
 /// of at most 20 ms later than when it was given.
 const ADVICE_SLACK: Duration = Duration::from_millis(500);
 
+/// How long the news that a node has gone takes to reach the others.
+const FAREWELL_TIME: Duration = Duration::from_secs(1);
+
 /// The largest message between nodes, in bytes.
 const PEER_BODY: usize = 16 << 20;
 
@@ -167,7 +170,12 @@
         let entry = self.entry.close(deadline).await;
 
         // Peers are told last: until here they may have asked for work of theirs.
+        // Those that have not heard of it yet are served a little longer, and none
+        // keeps an idle connection: a message sent on one just as it is closed
+        // would have an unknown outcome.
+        self.peer.drain();
         self.members.farewell().await;
+        clock::sleep(&*self.clock, FAREWELL_TIME).await;
         let peer = self.close_peer(deadline).await;
         match entry && peer {
             true => Shutdown::Clean,
--- a/crates/kumquatnotch/tests/node.rs
+++ b/crates/kumquatnotch/tests/node.rs
@@ -110,6 +110,29 @@
     }
 }
 
+/// The example lists every setting with its default, so that a newcomer sees what
+/// there is. It must not go out of date.
+#[test]
+fn the_example_settings_are_the_defaults() {
+    let text = include_str!("../../../examples/kumquatnotchd.toml");
+    let bare = "[node]\nname = \"n1\"\ncentre = \"amman\"\nregion = \"jordan\"\n\
+                [platform]\naddress = \"127.0.0.1:2379\"\n";
+    let table: toml::Table = text.parse().expect("it is TOML");
+
+    let given = Settings::parse("example", text).expect("the example is fine");
+    let default = Settings::parse("bare", bare).expect("the rest has defaults");
+
+    assert_eq!(given, default);
+    let all = toml::Table::try_from(&default).expect("settings can be written");
+    for (name, section) in &all {
+        let section = section.as_table().into_iter().flat_map(|section| section.keys());
+        for key in section {
+            let found = table.get(name).and_then(|section| section.get(key));
+            assert!(found.is_some(), "{name}.{key} is not in the example");
+        }
+    }
+}
+
 #[test]
 fn every_service_is_registered_by_its_name() {
     run(async {
