--- a/crates/history/src/callers.rs
+++ b/crates/history/src/callers.rs
@@ -49,6 +49,10 @@
 const STILL_RUNNING: u16 = 3002;
 const ISSUER_UNREACHABLE: u16 = 3003;
 
+/// Numbers of refusals after which another address is used.
+const LEAVING: u16 = 2003;
+const NOT_READY: u16 = 2004;
+
 /// One caller.
 pub struct Caller {
     run: Rc<Run>,
@@ -197,8 +201,13 @@
             return Outcome::NotConnected;
         };
         let outcome = self.send_by(&client, prepared).await;
-        if matches!(outcome, Outcome::NotConnected | Outcome::Broken | Outcome::TimedOut) {
-            self.advice.clear();
+        match &outcome {
+            Outcome::NotConnected | Outcome::Broken | Outcome::TimedOut => self.advice.clear(),
+            // The node that was named doesn't serve; the next one named may.
+            Outcome::Failed(failure) if matches!(failure.code, LEAVING | NOT_READY) => {
+                self.advice.remove(0);
+            }
+            _ => {}
         }
         outcome
     }
--- a/crates/history/src/configuration.rs
+++ b/crates/history/src/configuration.rs
@@ -101,11 +101,17 @@
     due
 }
 
-/// How long each accepted version took to be read on every node, in microseconds.
+/// How long each accepted version took to be read on every node, in microseconds;
+/// only of those that no disturbance put off.
 ///
 /// Readings are taken at intervals, so this is too long by up to one of them.
-pub fn spread_times(history: &History) -> Vec<u64> {
+pub fn spread_times(history: &History, bounds: &Bounds) -> Vec<u64> {
     let readings = readings(history);
+    let is_calm = |accepted: &&Accepted| {
+        let until = accepted.at_us + bounds.config_us;
+        let mut disturbances = history.disturbances.iter();
+        !disturbances.any(|found| found.from_us <= until && found.until_us >= accepted.at_us)
+    };
     let spread = |accepted: &Accepted| {
         let behind = readings.iter().filter(|reading| {
             reading.version < accepted.version && reading.sent_us > accepted.at_us
@@ -113,5 +119,5 @@
         let last = behind.map(|reading| reading.sent_us).max();
         last.map_or(0, |last| last - accepted.at_us)
     };
-    history.accepted.iter().map(spread).collect()
+    history.accepted.iter().filter(is_calm).map(spread).collect()
 }
--- a/crates/history/src/main.rs
+++ b/crates/history/src/main.rs
@@ -31,6 +31,9 @@
     /// make no faults
     #[argh(switch)]
     calm: bool,
+    /// keep the logs of the daemons
+    #[argh(switch)]
+    keep: bool,
     /// where the history goes as JSON
     #[argh(option)]
     record: Option<std::path::PathBuf>,
@@ -48,10 +51,14 @@
     if let Some(path) = options.record {
         std::fs::write(path, serde_json::to_vec(&verdict.history)?)?;
     }
-    match verdict.findings.violations.is_empty() {
-        true => Ok(ExitCode::SUCCESS),
-        false => Ok(ExitCode::FAILURE),
+    if !verdict.findings.violations.is_empty() {
+        return Ok(ExitCode::FAILURE);
+    }
+    // The logs are kept where something was found, or where it was asked for.
+    if !options.keep {
+        std::fs::remove_dir_all(&run.folder)?;
     }
+    Ok(ExitCode::SUCCESS)
 }
 
 fn seed_from_time() -> u64 {
--- a/crates/history/src/report.rs
+++ b/crates/history/src/report.rs
@@ -5,6 +5,7 @@
 use standins::records::RunEnd;
 
 use crate::{
+    checker::Bounds,
     configuration::spread_times,
     record::{History, Outcome, Request},
     runner::Verdict,
@@ -47,7 +48,7 @@
     let history = &verdict.history;
     let mut spans: Vec<u64> =
         history.answers().map(|(attempt, ..)| attempt.ended_us - attempt.sent_us).collect();
-    let mut spreads = spread_times(history);
+    let mut spreads = spread_times(history, &Bounds::default());
     let asked: u64 = history.answers().map(|(.., answer)| answer.coverage.asked as u64).sum();
     let covered: u64 = history.answers().map(|(.., answer)| answer.coverage.covered as u64).sum();
     let full = history.answers().filter(|(.., answer)| answer.coverage.is_full()).count();
@@ -59,9 +60,10 @@
     writeln!(text, "runs on targets: {runs} of searches, {done} of all to their end")?;
     writeln!(text, "shed: {}, connections over limits: {}", verdict.shed, verdict.over_limit)?;
     let (half, most) = (quantile(&mut spreads, 0.5), quantile(&mut spreads, 1.0));
+    writeln!(text, "configurations: {} accepted", history.accepted.len())?;
     writeln!(
         text,
-        "configurations: {}, everywhere after {half} us, {most} us at most",
+        "  undisturbed: {}, everywhere after {half} us, {most} us at most",
         spreads.len()
     )?;
     writeln!(text, "readings of nodes: {}", history.readings.len())?;
--- a/crates/history/tests/promises_checker.rs
+++ b/crates/history/tests/promises_checker.rs
@@ -6,7 +6,7 @@
 mod fixture;
 
 use history::{
-    checker::Promise,
+    checker::{Bounds, Promise},
     configuration::spread_times,
     record::{Accepted, Disturbance, History, Outcome, Reading, Request},
 };
@@ -236,8 +236,11 @@
 }
 
 #[test]
-fn the_spread_of_a_change_is_measured() {
-    let times = spread_times(&clean());
+fn the_spread_of_an_undisturbed_change_is_measured() {
+    let mut history = clean();
+    history.disturbances.push(outage(None, 1, 2));
+
+    let times = spread_times(&history, &Bounds::default());
 
-    assert_eq!(times, [0, SECOND]);
+    assert_eq!(times, [SECOND]);
 }
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -3,7 +3,7 @@
 use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use futures_util::future::{Either, select};
+use futures_util::future::{Either, FutureExt, select};
 use kumquatnotch_core::LocalFuture;
 use monoio::{
     io::{Splitable, sink::SinkExt, stream::Stream},
@@ -240,15 +240,9 @@
     }
 
     async fn exchange(&self, request: http::Request<Payload>) -> io::Result<Answer> {
-        let kept = self.open.borrow_mut().take();
-        let mut codec = match kept {
+        let mut codec = match self.kept() {
             Some(codec) => codec,
-            None => {
-                let refused = |_| io::ErrorKind::NotConnected;
-                let stream = TcpStream::connect_addr(self.address).await.map_err(refused)?;
-                stream.set_nodelay(true)?;
-                ClientCodec::new(stream)
-            }
+            None => self.connect().await?,
         };
         codec.send_and_flush(request).await.map_err(io::Error::other)?;
         let response = match codec.next().await {
@@ -270,4 +264,21 @@
         let status = parts.status.as_u16();
         Ok(Answer { status, headers: parts.headers, body: content.into() })
     }
+
+    /// The connection that was kept, unless the other side has closed it since.
+    ///
+    /// A client that sent on a connection closed long ago would take that for a
+    /// request cut in flight.
+    fn kept(&self) -> Option<ClientCodec<TcpStream>> {
+        let mut codec = self.open.borrow_mut().take()?;
+        let is_open = codec.next().now_or_never().is_none();
+        is_open.then_some(codec)
+    }
+
+    async fn connect(&self) -> io::Result<ClientCodec<TcpStream>> {
+        let refused = |_| io::ErrorKind::NotConnected;
+        let stream = TcpStream::connect_addr(self.address).await.map_err(refused)?;
+        stream.set_nodelay(true)?;
+        Ok(ClientCodec::new(stream))
+    }
 }
--- a/crates/standins/tests/targets.rs
+++ b/crates/standins/tests/targets.rs
@@ -214,6 +214,25 @@
     });
 }
 
+#[test]
+fn a_client_opens_another_connection_once_its_idle_one_was_closed() {
+    // The target crashes and comes back while the client's connection is idle.
+    // Sending on it would look like a request cut in flight.
+    block_on(async {
+        let (fleet, address) = fleet(|_| {});
+        let client = client(address);
+        client.get("/v1/status").await.unwrap();
+
+        fleet.apply(&faults(|change| {
+            change.crash = true;
+            change.restart_ms = Some(20);
+        }));
+        sleep(Duration::from_millis(100)).await;
+
+        assert_eq!(client.get("/v1/status").await.unwrap().status, 200);
+    });
+}
+
 #[test]
 fn connections_over_the_limit_are_shed_and_closed() {
     block_on(async {
