Mend what the first measurement of the holder showed

Causes found: (1) trials at one level less held every query up, now only where that level was not met for two seconds; (2) calls given up were counted with their elapsed time alone, so a straggler kept a name six times too good; (3) a late call got one chance for a copy only, and none while anyone waited; (4) probes of a target that was down backed off to 3 s; (5) the slot kept free for the desk kept batches out too; (6) each shard refused for itself, which left nearly every query with gaps: groups are refused as a whole by the mean wait.

--- a/crates/kumquatnotch-holder/src/calls.rs
+++ b/crates/kumquatnotch-holder/src/calls.rs
@@ -23,6 +23,12 @@
 /// back is used again soon after.
 pub const DRAINING_SPAN: Duration = Duration::from_secs(10);
 
+/// The delays after which a second copy goes before those who wait for a slot.
+///
+/// A call on a connection that has gone silent would else wait as long as there
+/// is a queue, though it has waited longer than anyone in it.
+const PRESSING: u32 = 3;
+
 impl Core {
     /// Runs `work` on a replica of its shard, again on another if that is safe.
     pub async fn run(self: &Rc<Self>, work: &Rc<Work>) -> Result<TargetReply> {
@@ -102,21 +108,30 @@
         let Some(delay) = delay.filter(|_| work.hedged && !alone) else {
             return first.await;
         };
-        let first = Box::pin(first);
-        let first = match select(first, sleep(&*self.clock, delay)).await {
-            Either::Left((result, _)) => return result,
-            Either::Right(((), first)) => first,
-        };
-        let Some(slot) = self.hedge_slot(work, tried) else {
-            return first.await;
+        let mut first = Box::pin(first);
+        let mut late = 0;
+        let slot = loop {
+            first = match select(first, sleep(&*self.clock, delay)).await {
+                Either::Left((result, _)) => return result,
+                Either::Right(((), first)) => first,
+            };
+            late += 1;
+            if let Some(slot) = self.hedge_slot(work, tried, late >= PRESSING) {
+                break slot;
+            }
         };
         tried.push(slot.target.clone());
         first_success(first, Box::pin(self.call(work, slot))).await
     }
 
     /// A slot for a second copy, if one is free and the budget pays for it.
-    fn hedge_slot(self: &Rc<Self>, work: &Work, tried: &[TargetName]) -> Option<Slot> {
-        let slot = self.spare_slot(work, tried)?;
+    fn hedge_slot(
+        self: &Rc<Self>,
+        work: &Work,
+        tried: &[TargetName],
+        pressing: bool,
+    ) -> Option<Slot> {
+        let slot = self.spare_slot(work, tried, pressing)?;
         if !self.hedge.borrow_mut().spend() {
             // It was never used, so it tells nothing of the replica.
             let mut slot = slot;
@@ -168,7 +183,7 @@
         if let Some(entry) = table.entries.get_mut(&slot.target) {
             entry.replica.on_answer(latency, reply.load, now);
             entry.limit.on_answer(slot.level, latency, now);
-            entry.stuck = 0;
+            entry.given_up = 0;
         }
         if let Some(shard) = table.shards.get_mut(&work.shard) {
             shard.add_service(latency);
--- a/crates/kumquatnotch-holder/src/group.rs
+++ b/crates/kumquatnotch-holder/src/group.rs
@@ -19,7 +19,7 @@
     query::GroupRequest,
     target::HeldVersion,
 };
-use kumquatnotch_policy::{containment::Verdict, queue::Waiter};
+use kumquatnotch_policy::containment::Verdict;
 
 use crate::{
     calls::contained,
@@ -29,11 +29,15 @@
     table::Reach,
 };
 
-/// A group is refused as a whole once one in this many of its shards would refuse.
+/// The share of its time that a group may be expected to wait, in the mean of its shards.
 ///
 /// Each shard refusing for itself would leave almost every query with gaps,
-/// and the part of it that ran would be wasted.
-const REFUSING_SHARDS: usize = 2;
+/// and the part of it that ran would be wasted. So the group is refused as a
+/// whole well before its shards refuse; the mean over them doesn't mind one
+/// shard that is far behind the rest.
+const GROUP_WAIT_SHARE: f64 = 0.2;
+/// The shortest time that a refused root is told to stay away.
+const LEAST_RETRY: Duration = Duration::from_millis(20);
 
 impl Core {
     /// Answers `request` with what its shards return in time.
@@ -87,35 +91,16 @@
         tenants.and_then(|tenants| tenants.get(tenant)).map_or(1, |tenant| tenant.weight)
     }
 
-    /// Refuses the group if too many of its shards would refuse it.
+    /// Refuses the group if its shards are too busy.
     fn admit_group(&self, request: &GroupRequest, deadline: Instant) -> Result<()> {
-        let now = self.now();
-        let waiter = Waiter {
-            id: 0,
-            class: request.class,
-            tenant: request.tenant.clone(),
-            weight: self.weight(&request.tenant),
-            since: now,
-            deadline,
-        };
-        let table = self.table.borrow();
-        let mut refusing = 0;
-        let mut longest = Duration::ZERO;
-        for name in &request.shards {
-            let Some(shard) = table.shards.get(name).filter(|shard| !shard.queue.is_empty()) else {
-                continue;
-            };
-            let pace = table.pace(name, self.options.holders, now);
-            if let Err(error) = shard.queue.admit(&waiter, pace, now) {
-                refusing += 1;
-                longest = longest.max(error.retry_after().unwrap_or_default());
-            }
-        }
-        if refusing == 0 || refusing * REFUSING_SHARDS < request.shards.len() {
+        let wait = self.class_wait(&request.shards, request.class, &request.tenant);
+        let left = deadline.saturating_duration_since(self.now());
+        let bound = left.mul_f64(GROUP_WAIT_SHARE);
+        if wait <= bound {
             return Ok(());
         }
         self.meters.refusals.increment(1);
-        Err(Error::overloaded(longest))
+        Err(Error::overloaded((wait - bound).max(LEAST_RETRY)))
     }
 
     /// Runs every work until `patience`, or longer while nothing is there.
--- a/crates/kumquatnotch-holder/src/offers.rs
+++ b/crates/kumquatnotch-holder/src/offers.rs
@@ -46,12 +46,12 @@
 }
 
 impl Core {
-    /// Whether a lesser class has to leave the last free slots to the desk.
+    /// Whether an audit has to leave the last free slots to the desk.
     ///
     /// A slot can't be taken back, so without a reserve every desk call that
     /// meets full slots waits for the end of an audit's call.
     pub fn keeps_reserve(&self, table: &Table, request: &Request<'_>, now: Instant) -> bool {
-        if request.work.class == Class::Desk {
+        if request.work.class != Class::Audit {
             return false;
         }
         let names = table.index.get(&request.work.shard).map(Vec::as_slice).unwrap_or_default();
@@ -157,6 +157,11 @@
     if request.strict || usable.iter().any(fresh) {
         usable.retain(fresh);
     }
+    // One that has gone quiet is passed over until it was heard of again.
+    let heard = |name: &TargetName| !entries[name].is_quiet();
+    if usable.iter().any(heard) {
+        usable.retain(heard);
+    }
     if usable.is_empty() { Err(Error::NoTarget) } else { Ok(usable) }
 }
 
--- a/crates/kumquatnotch-holder/src/probes.rs
+++ b/crates/kumquatnotch-holder/src/probes.rs
@@ -115,6 +115,7 @@
             }
         };
         entry.unheard = 0;
+        entry.given_up = 0;
         let drained = entry.replica.phase() == Phase::Draining;
         let held = entry.replica.held() != status.held;
         if entry.replica.on_probe(&status, now) {
--- a/crates/kumquatnotch-holder/src/slots.rs
+++ b/crates/kumquatnotch-holder/src/slots.rs
@@ -105,11 +105,16 @@
         slot
     }
 
-    /// A second slot for `work` if one is free and nobody waits for it.
-    pub fn spare_slot(self: &Rc<Self>, work: &Work, tried: &[TargetName]) -> Option<Slot> {
+    /// A second slot for `work` if one is free; unless `pressing`, others go first.
+    pub fn spare_slot(
+        self: &Rc<Self>,
+        work: &Work,
+        tried: &[TargetName],
+        pressing: bool,
+    ) -> Option<Slot> {
         let now = self.now();
         let mut table = self.table.borrow_mut();
-        if !table.shards.get(&work.shard)?.queue.is_empty() {
+        if !pressing && !table.shards.get(&work.shard)?.queue.is_empty() {
             return None;
         }
         let request = Request { work, tried, alone: false, id: 0, strict: true };
@@ -279,8 +284,7 @@
             let (_, running) = entry.running.swap_remove(at);
             entry.replica.on_end();
             if let Some(elapsed) = given_up {
-                entry.replica.on_given_up(elapsed);
-                entry.on_stuck(now);
+                entry.on_given_up(elapsed, now);
                 self.hedge.borrow_mut().on_latency(elapsed);
             }
             if entry.alone == Some(slot.id) {
--- a/crates/kumquatnotch-holder/src/table.rs
+++ b/crates/kumquatnotch-holder/src/table.rs
@@ -30,8 +30,8 @@
 /// The weight of a new service time in the moving mean.
 const SERVICE_WEIGHT: f64 = 0.05;
 
-/// The calls given up without an answer in between that call for a probe.
-const MOST_STUCK: u32 = 3;
+/// The calls given up without an answer in between that make a target quiet.
+const MOST_GIVEN_UP: u32 = 3;
 
 /// The state of a holder.
 pub struct Table {
@@ -66,8 +66,8 @@
     pub next_probe: Option<Instant>,
     /// The probes that failed in a row.
     pub unheard: u32,
-    /// The calls given up since the last answer.
-    pub stuck: u32,
+    /// The calls given up since it was last heard of.
+    pub given_up: u32,
 }
 
 /// A shard that was asked for.
@@ -224,7 +224,7 @@
             probing: false,
             next_probe: None,
             unheard: 0,
-            stuck: 0,
+            given_up: 0,
         }
     }
 
@@ -245,16 +245,21 @@
     }
 
     /// A call to it was given up.
-    pub fn on_stuck(&mut self, now: Instant) {
-        self.stuck += 1;
-        if self.stuck >= MOST_STUCK {
+    pub fn on_given_up(&mut self, elapsed: Duration, now: Instant) {
+        self.replica.on_given_up(elapsed);
+        self.given_up += 1;
+        if self.is_quiet() {
             // A target that was cut off answers nothing and refuses nothing; a
             // probe at once tells it from one that is slow.
-            self.stuck = 0;
-            self.next_probe = Some(now);
+            self.next_probe = self.next_probe.map(|at| at.min(now));
         }
     }
 
+    /// Whether calls to it were given up and nothing was heard of it since.
+    pub fn is_quiet(&self) -> bool {
+        self.given_up >= MOST_GIVEN_UP
+    }
+
     /// The most calls that may be in flight to it from here.
     pub fn allowed(&self, holders: u32) -> u32 {
         kumquatnotch_policy::limit::share(self.limit.allowed(), holders)
--- a/crates/kumquatnotch-policy/src/hedge.rs
+++ b/crates/kumquatnotch-policy/src/hedge.rs
@@ -81,7 +81,9 @@
 /// The answers before the first copy, and between two readings of the quantile.
 const READ_EVERY: u64 = 64;
 /// The most copies saved up.
-const MOST_TOKENS: f64 = 20.0;
+///
+/// It pays for the calls that a whole data centre holds when it is cut off.
+const MOST_TOKENS: f64 = 100.0;
 /// The longest delay, as a multiple of the median.
 ///
 /// If more replicas are slow than the quantile leaves out, the quantile is
--- a/crates/kumquatnotch-policy/src/limit.rs
+++ b/crates/kumquatnotch-policy/src/limit.rs
@@ -83,6 +83,8 @@
 const JUMP: f64 = 1.35;
 /// The time after which a level's mean counts for half.
 const HALF_LIFE: Duration = Duration::from_secs(10);
+/// The time after which a level that was not met is tried on purpose.
+const STALE: Duration = Duration::from_secs(2);
 /// The time without trials after the replica refused a call.
 const SHED_PAUSE: Duration = Duration::from_secs(5);
 /// The time between two cuts for refusals, as several come at once.
@@ -272,12 +274,21 @@
         self.next_down = !self.next_down;
         let shed = self.shed_at.is_some_and(|at| now.saturating_duration_since(at) < SHED_PAUSE);
         self.trial = match self.next_down {
-            true if self.limit > 1 => Trial::Down,
+            true if self.limit > 1 && self.is_stale(self.limit - 1, now) => Trial::Down,
             _ if shed => Trial::None,
             _ => Trial::Up,
         };
     }
 
+    /// Whether `level` was not met lately.
+    ///
+    /// Holding calls back to meet it costs them time, so that is left to loads
+    /// under which it never comes about by itself.
+    fn is_stale(&self, level: u32, now: Instant) -> bool {
+        let at = self.levels.get(level as usize).and_then(|level| level.at);
+        at.is_none_or(|at| now.saturating_duration_since(at) > STALE)
+    }
+
     /// Whether calls at `level` wait for a slot; `None` if that can't be told yet.
     ///
     /// `bound` is the part of the growth by waiting that counts as waiting.
--- a/crates/kumquatnotch-policy/src/queue.rs
+++ b/crates/kumquatnotch-policy/src/queue.rs
@@ -94,9 +94,9 @@
         _class: Class,
         _tenant: &TenantName,
         _weight: u32,
-        pace: Pace,
+        _pace: Pace,
     ) -> Duration {
-        pace.service * self.waiters.len() as u32 / pace.slots.max(1)
+        Duration::ZERO
     }
 
     fn admit(&self, _waiter: &Waiter, _pace: Pace, _now: Instant) -> Result<()> {
@@ -144,7 +144,7 @@
 /// Without them a desk that never pauses would keep the audits from ever ending.
 const ASSURED: [f64; 3] = [1.0, 0.10, 0.03];
 /// The share of its time that a request may be expected to wait.
-const WAIT_SHARE: f64 = 0.25;
+const WAIT_SHARE: f64 = 0.5;
 /// The most waiters of one shard.
 const MOST_WAITERS: usize = 4096;
 /// The weight of a new interval in the moving mean.
--- a/crates/kumquatnotch-policy/src/replica.rs
+++ b/crates/kumquatnotch-policy/src/replica.rs
@@ -15,10 +15,16 @@
 
 /// The weight of a new latency in the moving mean.
 const LATENCY_WEIGHT: f64 = 0.1;
+/// The same after a pause, when the mean tells of other times.
+const STALE_WEIGHT: f64 = 0.5;
+/// The pause after which the mean is stale.
+const STALE: Duration = Duration::from_secs(1);
+/// The longest latency that is believed, in seconds.
+const LONGEST_LATENCY: f64 = 2.0;
 /// The time after the first failure to connect until the next trial.
-const FIRST_BACKOFF: Duration = Duration::from_millis(100);
+const FIRST_BACKOFF: Duration = Duration::from_millis(50);
 /// The longest time between two trials.
-const LONGEST_BACKOFF: Duration = Duration::from_secs(3);
+const LONGEST_BACKOFF: Duration = Duration::from_millis(500);
 /// The answers after which a replica that restarted counts as warm.
 pub const WARM_ANSWERS: u32 = 32;
 
@@ -164,19 +170,23 @@
 
     /// A call was answered.
     pub fn on_answer(&mut self, latency: Duration, reported: u32, now: Instant) {
+        let stale = self.last_answer.is_none_or(|at| now.saturating_duration_since(at) > STALE);
         self.on_heard(now);
         self.reported = reported;
         self.answers = self.answers.saturating_add(1);
-        self.add_latency(latency.as_secs_f64());
+        let weight = if stale { STALE_WEIGHT } else { LATENCY_WEIGHT };
+        self.add_latency(latency.as_secs_f64(), weight);
     }
 
     /// A call was given up after `elapsed` because another replica answered first.
     pub fn on_given_up(&mut self, elapsed: Duration) {
-        // Its latency would have been longer. Left out, a straggler whose calls
-        // are always won by their copies would keep its good name.
+        // Its latency would have been longer, nobody knows by how much; the mean
+        // it had is the guess. Left out, a straggler whose calls are always won
+        // by their copies would keep its good name.
         let elapsed = elapsed.as_secs_f64();
-        if self.latency.is_none_or(|latency| elapsed > latency) {
-            self.add_latency(elapsed);
+        let mean = self.latency.unwrap_or(elapsed);
+        if elapsed >= mean {
+            self.add_latency((elapsed + mean).min(LONGEST_LATENCY), LATENCY_WEIGHT);
         }
     }
 
@@ -199,7 +209,7 @@
 
     /// It could not be reached, or crashed.
     pub fn on_unreachable(&mut self, now: Instant, random: &Random) {
-        let backoff = FIRST_BACKOFF * 2u32.pow(self.failures.min(5));
+        let backoff = FIRST_BACKOFF * 2u32.pow(self.failures.min(8));
         self.failures = self.failures.saturating_add(1);
         // All nodes see a mass restart at once; without chance they would come
         // back in step, and each connection costs the target milliseconds.
@@ -230,9 +240,9 @@
         self.failures = 0;
     }
 
-    fn add_latency(&mut self, sample: f64) {
+    fn add_latency(&mut self, sample: f64, weight: f64) {
         match &mut self.latency {
-            Some(latency) => *latency += (sample - *latency) * LATENCY_WEIGHT,
+            Some(latency) => *latency += (sample - *latency) * weight,
             None => self.latency = Some(sample),
         }
     }
