Judge shards counted out of caution by how long that lasts

The check now takes declared shards only, wants the count to include them, and allows it for 5 s at most; longer is a violation, because targets that are up tell within that time. The report tells how many targets each request that crashes them ran on.

--- a/crates/history/src/record.rs
+++ b/crates/history/src/record.rs
@@ -1,6 +1,6 @@
 //! What is recorded of a run. All times are microseconds on one scale.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use kumquatnotch_core::{
     answer::Answer,
@@ -173,6 +173,8 @@
     pub drained: Vec<Refusal>,
     /// The shards that make up each version of the index.
     pub layouts: BTreeMap<IndexVersion, Vec<ShardName>>,
+    /// The shards that the document declares for the targets of searches.
+    pub declared: BTreeSet<ShardName>,
     /// Targets that had to get no new work.
     pub drains: Vec<Drain>,
     /// Graceful shutdowns.
--- a/crates/history/src/report.rs
+++ b/crates/history/src/report.rs
@@ -2,11 +2,12 @@
 
 use std::{collections::BTreeMap, fmt::Write};
 
-use standins::records::RunEnd;
+use standins::{data, records::RunEnd};
 
 use crate::{
     checker::Bounds,
     configuration::spread_times,
+    layout::MARKER,
     record::{History, Outcome, Request},
     runner::Verdict,
 };
@@ -68,9 +69,23 @@
     )?;
     writeln!(text, "readings of nodes: {}", history.readings.len())?;
     writeln!(text, "drains: {}, shutdowns: {}", history.drains.len(), history.shutdowns.len())?;
+    let crashed = crashed(history);
+    let most = crashed.values().max().copied().unwrap_or_default();
+    let all: usize = crashed.values().sum();
+    writeln!(text, "requests that crash: {}, {all} crashes, {most} at most by one", crashed.len())?;
     writeln!(text, "platform: {:?}", verdict.calls)
 }
 
+/// How many targets each request with the marker ran on.
+fn crashed(history: &History) -> BTreeMap<u64, usize> {
+    let mut crashed = BTreeMap::new();
+    for run in history.runs.iter().filter(|run| run.body.contains(MARKER)) {
+        let nonce = data::field(&run.body, "nonce").as_u64().unwrap_or_default();
+        *crashed.entry(nonce).or_default() += 1;
+    }
+    crashed
+}
+
 fn quantile(values: &mut [u64], share: f64) -> u64 {
     values.sort_unstable();
     let at = ((values.len() as f64 * share) as usize).min(values.len().saturating_sub(1));
--- a/crates/history/src/runner.rs
+++ b/crates/history/src/runner.rs
@@ -92,7 +92,9 @@
 /// Puts the first document in force and waits until every node serves.
 async fn start(run: &Rc<Run>, founder: &Operator) -> io::Result<()> {
     let shards = (0..layout::SEARCH_SHARDS).map(|number| ShardName::from(format!("s{number}")));
-    run.history.borrow_mut().layouts.insert(IndexVersion(1), shards.collect());
+    let shards: Vec<ShardName> = shards.collect();
+    run.history.borrow_mut().declared.extend(shards.iter().cloned());
+    run.history.borrow_mut().layouts.insert(IndexVersion(1), shards);
     run.cluster.list_vms(None).await?;
     founder.found(&layout::document(&run.cluster.fleet)).await.map_err(io::Error::other)?;
     let until = Instant::now() + START_LIMIT;
--- a/crates/history/tests/answers_checker.rs
+++ b/crates/history/tests/answers_checker.rs
@@ -17,7 +17,7 @@
 use standins::{data, records::RunEnd};
 use yare::parameterized;
 
-use fixture::{HOLD, SEARCH, clean, promises, shards, with_answer};
+use fixture::{HOLD, SEARCH, SECOND, clean, promises, shards, with_answer};
 
 #[test]
 fn a_clean_history_passes() {
@@ -155,6 +155,34 @@
     assert_eq!(promises(&history), []);
 }
 
+/// A node takes `s3`, declared but not of the snapshot, for missing again and again.
+fn plant_caution(history: &mut History, times: &[u64]) {
+    with_answer(history, |answer| {
+        answer.coverage.asked += 1;
+        let shard = ShardName::from("s3");
+        answer.coverage.missing.push(Missing { shard, code: 2006, reason: String::new() });
+    });
+    for second in times {
+        let mut later = history.attempts[SEARCH].clone();
+        later.sent_us += second * SECOND;
+        later.ended_us += second * SECOND;
+        history.attempts.push(later);
+    }
+}
+
+#[parameterized(
+    for_a_moment = { &[1, 2, 4], false },
+    for_long = { &[1, 2, 4, 6], true },
+    now_and_then = { &[4, 8, 12], false },
+)]
+fn a_shard_counted_out_of_caution_must_not_last(times: &[u64], caught: bool) {
+    let mut history = clean();
+
+    plant_caution(&mut history, times);
+
+    assert_eq!(promises(&history).contains(&Promise::Coverage), caught);
+}
+
 fn crossed_answer(history: &mut History) {
     with_answer(history, |answer| *answer = fixture::answer(77));
 }
