Close an undrained connection sooner if others wait for one

Cause: a connection whose abandoned request is not answered held its place for 250 ms, and with two for work a target's callers queued behind silent ones. Ruled out: always waiting less; a target that is slow to cancel would cost a new connection for each lost hedge though nobody wants the place.

--- a/crates/kumquatnotch-net/src/link.rs
+++ b/crates/kumquatnotch-net/src/link.rs
@@ -81,7 +81,7 @@
         let Some(pool) = pool.upgrade() else {
             return;
         };
-        after = run_job(&mut ends, job, &pool, address).await;
+        after = run_job(&mut ends, job, &pool, lane, address).await;
         if after != After::Keep {
             break;
         }
@@ -116,7 +116,7 @@
 }
 
 /// Runs one job.
-async fn run_job(ends: &mut Ends, job: Job, pool: &Pool, address: SocketAddr) -> After {
+async fn run_job(ends: &mut Ends, job: Job, pool: &Pool, lane: Lane, address: SocketAddr) -> After {
     let Job { request, number, mut reply, challenge, cancel, check, mute } = job;
     let clock = &*pool.clock;
     if let Some(check) = check
@@ -144,6 +144,7 @@
         () = reply.cancellation().fuse() => {}
         () = challenge => {}
     }
+    let abandoned = reply.is_canceled();
     // Without a way to cancel, closing the connection is what tells the other side.
     let Some(cancel) = cancel else {
         let _ = reply.send(Err(JobFault::Failed(Error::TimedOut)));
@@ -151,7 +152,11 @@
     };
     let mute = pin!(async {
         let proof = cancel().await;
-        clock::sleep(clock, silence::DRAIN_TIME).await;
+        clock::sleep(clock, silence::HASTY_DRAIN_TIME).await;
+        // A new connection costs less than callers that wait behind this one.
+        if !abandoned || !pool.is_wanted(lane) {
+            clock::sleep(clock, silence::DRAIN_TIME - silence::HASTY_DRAIN_TIME).await;
+        }
         proof
     });
     let drained = select_biased! {
--- a/crates/kumquatnotch-net/src/pool.rs
+++ b/crates/kumquatnotch-net/src/pool.rs
@@ -225,6 +225,11 @@
         self.open_more();
     }
 
+    /// Whether someone waits for a connection.
+    pub(crate) fn is_wanted(&self, lane: Lane) -> bool {
+        self.lane(lane).borrow().waiters.iter().any(|waiter| !waiter.is_canceled())
+    }
+
     /// Closes the idle connections of a lane.
     pub(crate) fn purge(&self, lane: Lane) {
         let idle = std::mem::take(&mut self.lane(lane).borrow_mut().idle);
--- a/crates/kumquatnotch-net/src/silence.rs
+++ b/crates/kumquatnotch-net/src/silence.rs
@@ -44,6 +44,9 @@
 /// The time in which a living connection delivers the reply to a cancelled request.
 pub const DRAIN_TIME: Duration = Duration::from_millis(250);
 
+/// The same if others wait for a connection and nobody for this reply.
+pub const HASTY_DRAIN_TIME: Duration = Duration::from_millis(60);
+
 /// The time in which an idle connection has to answer a check before its use.
 pub const CHECK_TIME: Duration = Duration::from_millis(150);
 
