--- a/crates/kumquatnotch-holder/src/decisions.rs
+++ b/crates/kumquatnotch-holder/src/decisions.rs
@@ -3,9 +3,10 @@
 use kumquatnotch_policy::{
     choice::{Choice, LeastTime},
     containment::{Containment, StrikeContainment},
+    fair::FairQueue,
     hedge::{Hedge, QuantileHedge},
     limit::{LearnedLimit, Limit},
-    queue::{FairQueue, WaitQueue},
+    queue::WaitQueue,
     replica::{GentleWarmup, Warmup},
     retry::{BudgetRetry, Retry},
 };
--- a/crates/kumquatnotch-policy/src/lib.rs
+++ b/crates/kumquatnotch-policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod advice;
 pub mod choice;
 pub mod containment;
+pub mod fair;
 pub mod hedge;
 pub mod limit;
 pub mod queue;
--- a/crates/kumquatnotch-policy/src/replica.rs
+++ b/crates/kumquatnotch-policy/src/replica.rs
@@ -181,13 +181,12 @@
     /// A call was given up after `elapsed` because another replica answered first.
     pub fn on_given_up(&mut self, elapsed: Duration) {
         // Its latency would have been longer, nobody knows by how much; the mean
-        // it had is the guess. Left out, a straggler whose calls are always won
-        // by their copies would keep its good name.
+        // it had is the guess, as for a service time without memory. Left out, a
+        // straggler whose calls are always won by their copies would keep its
+        // good name.
         let elapsed = elapsed.as_secs_f64();
         let mean = self.latency.unwrap_or(elapsed);
-        if elapsed >= mean {
-            self.add_latency((elapsed + mean).min(LONGEST_LATENCY), LATENCY_WEIGHT);
-        }
+        self.add_latency((elapsed + mean).min(LONGEST_LATENCY), LATENCY_WEIGHT);
     }
 
     /// It refused a call for this time.
