Test the holder over scripted targets, and start no call at its last moment

Cause: the tests showed that a slot which comes free at the deadline of a waiter started its call, which was then listed as timed out instead of not run; a hold would have run for a caller already told that it expired. Waiters with less than the least call time left are sent away before a slot is given out. Conclusion: the naive decisions behind the same traits fail where each safeguard is tested (hedge, queue, containment).

--- a/crates/kumquatnotch-holder/src/probes.rs
+++ b/crates/kumquatnotch-holder/src/probes.rs
@@ -20,7 +20,7 @@
     target::{Phase, TargetStatus},
 };
 
-use crate::{calls::DRAINING_SPAN, core::Core, table::Table};
+use crate::{calls::DRAINING_SPAN, core::Core, slots::expire};
 
 /// The time between two rounds of the background work.
 const TICK: Duration = Duration::from_millis(25);
@@ -177,14 +177,10 @@
         let mut waiting = Vec::new();
         {
             let mut table = self.table.borrow_mut();
-            let Table { shards, .. } = &mut *table;
-            for (name, shard) in shards.iter_mut().filter(|(_, shard)| !shard.queue.is_empty()) {
+            let shards = table.shards.iter_mut();
+            for (name, shard) in shards.filter(|(_, shard)| !shard.queue.is_empty()) {
                 waiting.push(name.clone());
-                for gone in shard.queue.expire(now) {
-                    if let Some(gone) = shard.pending.remove(&gone.id) {
-                        let _ = gone.sender.send(Err(Error::ExpiredInQueue));
-                    }
-                }
+                expire(shard, now);
             }
         }
         waiting.sort_unstable();
--- a/crates/kumquatnotch-holder/src/slots.rs
+++ b/crates/kumquatnotch-holder/src/slots.rs
@@ -11,6 +11,7 @@
     Error, Result,
     document::{Class, TargetSpec},
     ids::{Fingerprint, IndexVersion, ShardName, TargetName, TenantName},
+    target::LEAST_CALL_TIME,
 };
 use kumquatnotch_policy::{containment::Running, queue::Waiter};
 
@@ -131,6 +132,9 @@
         alone: bool,
     ) -> Result<Entered> {
         let now = self.now();
+        if work.deadline <= now + LEAST_CALL_TIME {
+            return Err(Error::ExpiredInQueue);
+        }
         let id = self.next_serial();
         let mut table = self.table.borrow_mut();
         let shard = table.ask(&work.shard, now, self.new_queue);
@@ -199,6 +203,7 @@
         let now = self.now();
         let mut chosen = None;
         let mut doomed = Vec::new();
+        expire(shard, now);
         let Shard { queue, pending, urgent, .. } = shard;
         let busy = urgent.is_some_and(|at| now.saturating_duration_since(at) < URGENT_SPAN);
         let taken = queue.take(now, &mut |waiter, turn| {
@@ -320,6 +325,19 @@
     }
 }
 
+/// Sends those away whose time is over.
+///
+/// A slot that comes free at a waiter's last moment would start a call that
+/// nobody wants any more, and a hold would then run for a caller who was told
+/// that it expired.
+pub fn expire(shard: &mut Shard, now: Instant) {
+    for gone in shard.queue.expire(now + LEAST_CALL_TIME) {
+        if let Some(gone) = shard.pending.remove(&gone.id) {
+            let _ = gone.sender.send(Err(Error::ExpiredInQueue));
+        }
+    }
+}
+
 enum Entered {
     Started(Slot),
     Waiting(u64, oneshot::Receiver<Result<Slot>>),
--- /dev/null
+++ b/crates/kumquatnotch-holder/tests/common/mod.rs
@@ -0,0 +1,330 @@
+//! A holder over scripted targets on a paused clock.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use futures_util::future::{Either, select};
+use kumquatnotch_core::{
+    Clock, Error, LocalFuture, Result, Targets,
+    answer::GroupAnswer,
+    clock::{PausedClock, sleep},
+    document::{Class, Document, Documents, SelectorSpec, TargetSpec, TenantSpec},
+    ids::{
+        ConfigVersion, Fingerprint, IndexVersion, QueryId, SelectorName, ShardName, TargetName,
+        TenantName,
+    },
+    labels::Expression,
+    marks::{Mark, MarkKind, Marks},
+    peer::{PeerHandler, PeerMessage, PeerReply, RelayCall},
+    query::{GroupRequest, Hit},
+    random::Random,
+    registry::Registry,
+    services,
+    target::{HeldVersion, Phase, TargetCall, TargetReply, TargetStatus},
+};
+use kumquatnotch_holder::{Decisions, HolderOptions, HolderService};
+
+pub const VERSION: IndexVersion = IndexVersion(7);
+
+/// What a scripted target does with a call.
+#[derive(Clone, Debug)]
+pub enum Act {
+    /// Answers with these hits after a time.
+    Answer(Duration, Vec<Hit>),
+    /// Fails at once.
+    Fail(Error),
+    /// Never answers.
+    Hang,
+}
+
+/// A scripted target.
+pub struct Script {
+    pub act: RefCell<Act>,
+    pub phase: Cell<Phase>,
+    pub up: Cell<bool>,
+    pub incarnation: Cell<u64>,
+    pub version: Cell<IndexVersion>,
+    /// The bodies of the calls it was sent.
+    pub calls: RefCell<Vec<String>>,
+    pub inside: Cell<u32>,
+    pub most_inside: Cell<u32>,
+    pub crashes: Cell<u32>,
+    pub probes: Cell<u32>,
+}
+
+/// Scripted targets by name.
+pub struct Scripts {
+    pub clock: PausedClock,
+    pub targets: HashMap<TargetName, Script>,
+    pub probing: Cell<u32>,
+    pub most_probing: Cell<u32>,
+}
+
+/// Everything of one test.
+pub struct World {
+    pub clock: PausedClock,
+    pub scripts: Rc<Scripts>,
+    pub documents: Rc<FakeDocuments>,
+    pub marks: Rc<FakeMarks>,
+    pub holder: Rc<HolderService>,
+}
+
+/// A document that a test can replace.
+pub struct FakeDocuments(pub RefCell<Rc<Document>>);
+
+impl Documents for FakeDocuments {
+    fn current(&self) -> Option<Rc<Document>> {
+        Some(self.0.borrow().clone())
+    }
+}
+
+/// Marks that stay.
+#[derive(Default)]
+pub struct FakeMarks(pub RefCell<Vec<Mark>>);
+
+impl Marks for FakeMarks {
+    fn set(&self, mark: Mark) {
+        self.0.borrow_mut().push(mark);
+    }
+
+    fn left_ms(&self, kind: &MarkKind) -> Option<u64> {
+        self.0.borrow().iter().find(|mark| mark.kind == *kind).map(|mark| mark.left_ms)
+    }
+
+    fn all(&self) -> Vec<Mark> {
+        self.0.borrow().clone()
+    }
+}
+
+struct Inside<'a>(&'a Script);
+
+impl Drop for Inside<'_> {
+    fn drop(&mut self) {
+        self.0.inside.set(self.0.inside.get() - 1);
+    }
+}
+
+impl Targets for Scripts {
+    fn call<'a>(
+        &'a self,
+        name: &'a TargetName,
+        _spec: &'a TargetSpec,
+        call: &'a TargetCall,
+        _deadline: Instant,
+    ) -> LocalFuture<'a, Result<TargetReply>> {
+        Box::pin(async move {
+            let script = &self.targets[name];
+            script.calls.borrow_mut().push(call.body.clone());
+            if !script.up.get() {
+                return Err(Error::ConnectFailed);
+            }
+            script.inside.set(script.inside.get() + 1);
+            script.most_inside.set(script.most_inside.get().max(script.inside.get()));
+            let _inside = Inside(script);
+            if call.body == "poison" {
+                sleep(&self.clock, Duration::from_millis(3)).await;
+                script.up.set(false);
+                script.crashes.set(script.crashes.get() + 1);
+                return Err(Error::ConnectionLost);
+            }
+            let act = script.act.borrow().clone();
+            match act {
+                Act::Answer(span, hits) => {
+                    let end = self.clock.now() + span;
+                    while self.clock.now() < end {
+                        sleep(&self.clock, Duration::from_millis(1)).await;
+                        if !script.up.get() {
+                            return Err(Error::ConnectionLost);
+                        }
+                    }
+                    let version = script.version.get();
+                    Ok(TargetReply { hits, version, ..TargetReply::default() })
+                }
+                Act::Fail(error) => Err(error),
+                Act::Hang => std::future::pending().await,
+            }
+        })
+    }
+
+    fn probe<'a>(
+        &'a self,
+        name: &'a TargetName,
+        spec: &'a TargetSpec,
+        _deadline: Instant,
+    ) -> LocalFuture<'a, Result<TargetStatus>> {
+        Box::pin(async move {
+            let script = &self.targets[name];
+            script.probes.set(script.probes.get() + 1);
+            self.probing.set(self.probing.get() + 1);
+            self.most_probing.set(self.most_probing.get().max(self.probing.get()));
+            sleep(&self.clock, Duration::from_millis(1)).await;
+            self.probing.set(self.probing.get() - 1);
+            if !script.up.get() {
+                return Err(Error::ConnectFailed);
+            }
+            let held = HeldVersion {
+                version: script.version.get(),
+                shard: spec.shard.clone(),
+                collection: "rooms".to_owned(),
+                total: 1,
+            };
+            let (phase, incarnation) = (script.phase.get(), script.incarnation.get());
+            Ok(TargetStatus { phase, load: 0, held: vec![held], incarnation })
+        })
+    }
+
+    fn forget(&self, _name: &TargetName) {}
+}
+
+impl World {
+    /// A holder of targets that are given as name and shard.
+    pub fn new(targets: &[(&str, &str)]) -> World {
+        World::with(targets, Decisions::default())
+    }
+
+    /// The same with decisions of the test's own.
+    pub fn with(targets: &[(&str, &str)], decisions: Decisions) -> World {
+        let clock = PausedClock::default();
+        let scripts = Rc::new(Scripts {
+            clock: clock.clone(),
+            targets: targets.iter().map(|(name, _)| (TargetName::from(*name), script())).collect(),
+            probing: Cell::new(0),
+            most_probing: Cell::new(0),
+        });
+        let documents = Rc::new(FakeDocuments(RefCell::new(Rc::new(document(targets)))));
+        let marks = Rc::new(FakeMarks::default());
+        let registry = Registry::default();
+        registry.register::<Rc<dyn Clock>>(services::CLOCK, Rc::new(clock.clone()));
+        registry.register::<Rc<dyn Targets>>(services::TARGETS, scripts.clone());
+        registry.register::<Rc<dyn Documents>>(services::DOCUMENTS, documents.clone());
+        registry.register::<Rc<dyn Marks>>(services::MARKS, marks.clone());
+        registry.register(services::RANDOM, Random::with_seed(1));
+        let holder =
+            HolderService::with_decisions(HolderOptions::default(), decisions, &registry).unwrap();
+        World { clock, scripts, documents, marks, holder }
+    }
+
+    pub fn script(&self, name: &str) -> &Script {
+        &self.scripts.targets[name]
+    }
+
+    /// Makes `name` answer after `ms` milliseconds.
+    pub fn answers(&self, name: &str, ms: u64) {
+        *self.script(name).act.borrow_mut() = Act::Answer(Duration::from_millis(ms), Vec::new());
+    }
+
+    pub fn acts(&self, name: &str, act: Act) {
+        *self.script(name).act.borrow_mut() = act;
+    }
+
+    /// Runs `work` beside the holder's background work.
+    pub fn run<T>(&self, work: impl Future<Output = T>) -> T {
+        let both = async {
+            let watch = std::pin::pin!(self.holder.watch());
+            match select(std::pin::pin!(work), watch).await {
+                Either::Left((value, _)) => value,
+                Either::Right(((), _)) => unreachable!("the background work never ends"),
+            }
+        };
+        let mut runtime =
+            monoio::RuntimeBuilder::<monoio::LegacyDriver>::new().enable_timer().build().unwrap();
+        runtime.block_on(self.clock.drive(both))
+    }
+
+    pub async fn group(&self, request: GroupRequest) -> Result<GroupAnswer> {
+        match self.holder.handle(PeerMessage::Group(Box::new(request))).await? {
+            PeerReply::Group(answer) => Ok(*answer),
+            other => panic!("not an answer of a group: {other:?}"),
+        }
+    }
+
+    pub async fn relay(&self, body: &str, deadline_ms: u64) -> Result<TargetReply> {
+        let call = TargetCall {
+            id: 1,
+            shard: ShardName::from("s0"),
+            version: None,
+            tenant: TenantName::from("siam"),
+            class: Class::Desk,
+            body: body.to_owned(),
+            limit: 0,
+            exclusive: true,
+        };
+        let relay = RelayCall { selector: SelectorName::from("all"), call, deadline_ms };
+        match self.holder.handle(PeerMessage::Relay(Box::new(relay))).await? {
+            PeerReply::Relay(reply) => Ok(*reply),
+            other => panic!("not the reply of a target: {other:?}"),
+        }
+    }
+
+    /// Sends `count` queries, one after another.
+    pub async fn warm(&self, count: usize) {
+        for index in 0..count {
+            self.group(request(&["s0"], &format!("warm {index}"))).await.unwrap();
+        }
+    }
+
+    pub async fn pause(&self, ms: u64) {
+        sleep(&self.clock, Duration::from_millis(ms)).await;
+    }
+}
+
+pub fn request(shards: &[&str], body: &str) -> GroupRequest {
+    GroupRequest {
+        query: QueryId(1),
+        tenant: TenantName::from("siam"),
+        class: Class::Desk,
+        selector: SelectorName::from("all"),
+        version: VERSION,
+        shards: shards.iter().map(|shard| ShardName::from(*shard)).collect(),
+        body: body.to_owned(),
+        limit: 10,
+        fingerprint: Fingerprint(kumquatnotch_core::ids::stable_hash(&[body.as_bytes()])),
+        patience_ms: 1_000,
+        deadline_ms: 1_000,
+        hedge: false,
+    }
+}
+
+pub fn document(targets: &[(&str, &str)]) -> Document {
+    let mut document = Document { version: ConfigVersion(1), ..Document::default() };
+    for (name, shard) in targets {
+        let spec = TargetSpec {
+            address: ([127, 0, 0, 1], 9).into(),
+            centre: "local".into(),
+            shard: ShardName::from(*shard),
+            labels: Default::default(),
+            drain: false,
+        };
+        document.targets.insert(TargetName::from(*name), spec);
+    }
+    let selector = SelectorSpec {
+        targets: Expression::parse("").unwrap(),
+        class: Class::Desk,
+        exclusive: false,
+        tenants: Vec::new(),
+        deadline_ms: 1_000,
+    };
+    document.rules.selectors.insert(SelectorName::from("all"), selector);
+    let tenant = TenantSpec { keys: Vec::new(), weight: 1, stop: Default::default() };
+    document.rules.tenants.insert(TenantName::from("siam"), tenant);
+    document
+}
+
+fn script() -> Script {
+    Script {
+        act: RefCell::new(Act::Answer(Duration::from_millis(6), Vec::new())),
+        phase: Cell::new(Phase::Ready),
+        up: Cell::new(true),
+        incarnation: Cell::new(1),
+        version: Cell::new(VERSION),
+        calls: RefCell::default(),
+        inside: Cell::new(0),
+        most_inside: Cell::new(0),
+        crashes: Cell::new(0),
+        probes: Cell::new(0),
+    }
+}
--- /dev/null
+++ b/crates/kumquatnotch-holder/tests/holder.rs
@@ -0,0 +1,434 @@
+//! Tests of the holder over scripted targets.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Act, VERSION, World, document, request};
+use futures_util::future::{join, join_all};
+use kumquatnotch_core::{
+    Clock, Error,
+    clock::{sleep, timeout_at},
+    document::Class,
+    ids::{IndexVersion, ShardName, TargetName, TenantName},
+    marks::{Mark, MarkKind},
+    peer::{PeerHandler, PeerMessage, PeerReply},
+    query::{GroupRequest, Hit},
+    target::Phase,
+};
+use kumquatnotch_holder::Decisions;
+use kumquatnotch_policy::{
+    containment::NoContainment, hedge::NoHedge, limit::NoLimit, queue::FifoQueue,
+    replica::NoWarmup, retry::NaiveRetry,
+};
+use yare::parameterized;
+
+const PAIR: [(&str, &str); 2] = [("a", "s0"), ("b", "s0")];
+
+fn naive() -> Decisions {
+    Decisions {
+        limit: || Box::new(NoLimit),
+        queue: || Box::new(FifoQueue::default()),
+        hedge: Box::new(NoHedge),
+        retry: Box::new(NaiveRetry),
+        containment: Box::new(NoContainment),
+        warmup: Box::new(NoWarmup),
+        ..Decisions::default()
+    }
+}
+
+fn hit(key: &str, score: f64, owner: &str) -> Hit {
+    let private = Some(serde_json::json!({"rate": 40}));
+    let owner = Some(TenantName::from(owner));
+    Hit { key: key.to_owned(), score, owner, fields: serde_json::Value::Null, private }
+}
+
+#[test]
+fn hits_of_all_shards_are_merged() {
+    let world = World::new(&[("a", "s0"), ("b", "s1")]);
+    let now = Duration::from_millis(1);
+    world.acts("a", Act::Answer(now, vec![hit("k2", 0.5, "siam"), hit("k1", 0.9, "siam")]));
+    world.acts("b", Act::Answer(now, vec![hit("k1", 0.9, "siam"), hit("k0", 0.5, "siam")]));
+
+    let answer = world.run(world.group(request(&["s0", "s1"], "q"))).unwrap();
+
+    let keys: Vec<&str> = answer.hits.iter().map(|hit| hit.key.as_str()).collect();
+    assert_eq!(keys, ["k1", "k0", "k2"]);
+    assert_eq!(answer.covered.len(), 2);
+}
+
+// A rival's rates lie in the hits and in the words of the target's errors. A
+// caller must see its own and nothing of the others, whatever goes wrong.
+#[test]
+fn private_parts_reach_their_owner_only() {
+    let world = World::new(&[("a", "s0"), ("b", "s1")]);
+    let hits = vec![hit("own", 0.9, "siam"), hit("rival", 0.8, "barid")];
+    world.acts("a", Act::Answer(Duration::from_millis(1), hits));
+    let secret = Error::TargetFailed { detail: "rate 40 of barid".to_owned() };
+    world.acts("b", Act::Fail(secret));
+
+    let answer = world.run(world.group(request(&["s0", "s1"], "q"))).unwrap();
+
+    assert!(answer.hits[0].private.is_some());
+    assert!(answer.hits[1].private.is_none());
+    assert_eq!(answer.missing[0].error.code(), 4007);
+    assert!(!answer.missing[0].error.to_string().contains("40"));
+}
+
+#[test]
+fn versions_are_asked_of_the_targets() {
+    let world = World::new(&PAIR);
+
+    let shards = vec![ShardName::from("s0")];
+    let reply = world.run(world.holder.handle(PeerMessage::Versions(shards))).unwrap();
+
+    let PeerReply::Versions(versions) = reply else { panic!("not versions") };
+    assert_eq!(versions[0].versions.len(), 1);
+    assert_eq!(versions[0].versions[0].version, VERSION);
+}
+
+#[test]
+fn version_that_nobody_holds_is_gone() {
+    let world = World::new(&PAIR);
+    let gone = GroupRequest { version: IndexVersion(6), ..request(&["s0"], "q") };
+
+    let answer = world.run(async {
+        world.warm(1).await;
+        world.pause(50).await;
+        world.group(gone).await.unwrap()
+    });
+
+    assert_eq!(answer.missing[0].error, Error::VersionGone { version: 6 });
+    assert_eq!(answer.held[0].versions[0].version, VERSION);
+}
+
+// A replica answers from a newer snapshot than the one asked for, because its
+// index moved on in between. Its hits must not be mixed with the others.
+#[test]
+fn answer_of_another_version_is_not_used() {
+    let world = World::new(&[("a", "s0")]);
+
+    let answer = world.run(async {
+        world.script("a").version.set(IndexVersion(8));
+        world.group(request(&["s0"], "q")).await.unwrap()
+    });
+
+    assert!(answer.covered.is_empty());
+}
+
+// A target is to be left alone: its own refusal says so, a probe, another node,
+// or its operators. From then on it gets nothing new, and no query fails.
+#[parameterized(
+    refusal = { |world| world.acts("a", Act::Fail(Error::Draining)) },
+    probe = { |world| world.script("a").phase.set(Phase::Draining) },
+    mark = { |world| {
+        let kind = MarkKind::Draining(TargetName::from("a"));
+        world.marks.0.borrow_mut().push(Mark { kind, left_ms: 10_000 });
+    } },
+    order = { |world| {
+        let mut document = document(&PAIR);
+        document.targets.get_mut("a").unwrap().drain = true;
+        *world.documents.0.borrow_mut() = std::rc::Rc::new(document);
+    } },
+)]
+fn draining_target_gets_no_new_work(drain: fn(&World)) {
+    let world = World::new(&PAIR);
+
+    let before = world.run(async {
+        world.warm(10).await;
+        drain(&world);
+        world.pause(2_000).await;
+        world.warm(10).await;
+        let before = world.script("a").calls.borrow().len();
+        world.warm(20).await;
+        before
+    });
+
+    assert_eq!(world.script("a").calls.borrow().len(), before);
+}
+
+#[test]
+fn lost_replica_costs_no_coverage() {
+    let world = World::new(&PAIR);
+
+    world.run(async {
+        world.warm(10).await;
+        world.script("a").up.set(false);
+        world.warm(10).await;
+    });
+
+    assert!(world.script("b").calls.borrow().len() >= 10);
+}
+
+// A hold is sent and the connection breaks. Nobody knows whether it ran, so
+// sending it again could block a room twice.
+#[parameterized(
+    lost = { Error::ConnectionLost, false },
+    silent = { Error::ConnectionSilent, false },
+    failed = { Error::TargetFailed { detail: String::new() }, false },
+    shed = { Error::Shed { retry_ms: 5 }, true },
+    draining = { Error::Draining, true },
+    refused = { Error::ConnectFailed, true },
+)]
+fn exclusive_call_is_sent_again_only_if_it_has_not_run(error: Error, again: bool) {
+    let world = World::new(&PAIR);
+    world.acts("a", Act::Fail(error.clone()));
+    world.acts("b", Act::Fail(error));
+
+    let result = world.run(world.relay("hold", 1_000));
+
+    assert!(result.is_err());
+    let sent = world.script("a").calls.borrow().len() + world.script("b").calls.borrow().len();
+    assert_eq!(sent > 1, again, "sent {sent} times");
+}
+
+// A hold that is late looks like a straggler's call, but a copy of it would run
+// it twice. At its deadline it may have run, so it isn't called "not run".
+#[test]
+fn late_exclusive_call_is_not_copied() {
+    let world = World::new(&PAIR);
+
+    let result = world.run(async {
+        world.warm(200).await;
+        world.acts("a", Act::Hang);
+        world.acts("b", Act::Hang);
+        world.relay("hold", 500).await
+    });
+
+    assert_eq!(result, Err(Error::TimedOut));
+    let calls =
+        |name| world.script(name).calls.borrow().iter().filter(|body| *body == "hold").count();
+    assert_eq!(calls("a") + calls("b"), 1);
+}
+
+// Some calls to a good replica hang, as on a connection that went silent. A
+// copy goes to the other replica, and the call that lost is cancelled.
+#[test]
+fn late_call_is_copied_and_the_loser_cancelled() {
+    let late = |decisions| {
+        let world = World::with(&PAIR, decisions);
+        let elapsed = world.run(async {
+            world.warm(200).await;
+            world.acts("a", Act::Hang);
+            let start = world.clock.now();
+            let _ =
+                join(world.group(request(&["s0"], "x")), world.group(request(&["s0"], "y"))).await;
+            world.clock.now() - start
+        });
+        (elapsed, world.script("a").inside.get())
+    };
+
+    let (elapsed, inside) = late(Decisions::default());
+    let (naive, _) = late(Decisions { hedge: Box::new(NoHedge), ..Decisions::default() });
+
+    assert!(elapsed < Duration::from_millis(60), "{elapsed:?}");
+    assert_eq!(inside, 0);
+    assert_eq!(naive, Duration::from_millis(1_000));
+}
+
+/// Sends `count` queries at once; how many were inside the target at most.
+fn most_inside(decisions: Decisions, count: usize) -> u32 {
+    let world = World::with(&[("a", "s0")], decisions);
+    world.run(async {
+        let bodies: Vec<String> = (0..count).map(|index| format!("q{index}")).collect();
+        join_all(bodies.iter().map(|body| world.group(request(&["s0"], body)))).await
+    });
+    world.script("a").most_inside.get()
+}
+
+#[test]
+fn queue_is_kept_on_our_side() {
+    assert!(most_inside(Decisions::default(), 20) <= 3);
+    assert_eq!(most_inside(naive(), 20), 20);
+}
+
+// Demand is far over capacity. Those who can't be served in time learn it at
+// once with the time to come back; what is served still is.
+#[test]
+fn overload_is_refused_at_once() {
+    let world = World::new(&[("a", "s0")]);
+
+    let (refused, served) = world.run(async {
+        world.warm(50).await;
+        let bodies: Vec<String> = (0..600).map(|index| format!("q{index}")).collect();
+        let start = world.clock.now();
+        let results = join_all(bodies.iter().map(|body| async {
+            let result = world.group(request(&["s0"], body)).await;
+            (result, world.clock.now() - start)
+        }))
+        .await;
+        let refused: Vec<_> = results
+            .iter()
+            .filter(|(result, _)| matches!(result, Err(Error::Overloaded { .. })))
+            .map(|(_, elapsed)| *elapsed)
+            .collect();
+        let served = results
+            .iter()
+            .filter(|(result, _)| result.as_ref().is_ok_and(|answer| !answer.covered.is_empty()));
+        (refused, served.count())
+    });
+
+    assert!(refused.len() > 300, "{} refused", refused.len());
+    assert!(refused.iter().all(|elapsed| elapsed.is_zero()));
+    assert_eq!(served + refused.len(), 600);
+}
+
+// A request crashes the targets that run it, and its caller sends it again and
+// again, beside other callers. Two targets may fall; the others are answered.
+#[test]
+fn poisoned_request_is_contained() {
+    let targets = [("a", "s0"), ("b", "s0"), ("c", "s0"), ("d", "s0"), ("e", "s0")];
+    let crashes = |decisions| {
+        let world = World::with(&targets, decisions);
+        let last = world.run(async {
+            world.warm(20).await;
+            world.pause(200).await;
+            let mut last = None;
+            for index in 0..6 {
+                let body = format!("innocent {index}");
+                let (poison, innocent) = join(
+                    world.group(request(&["s0"], "poison")),
+                    world.group(request(&["s0"], &body)),
+                )
+                .await;
+                last = Some((poison, innocent));
+            }
+            last.unwrap()
+        });
+        (targets.iter().map(|(name, _)| world.script(name).crashes.get()).sum::<u32>(), last)
+    };
+
+    let (chosen, (poison, innocent)) = crashes(Decisions::default());
+    let (naive, _) = crashes(naive());
+
+    assert_eq!(chosen, 2);
+    assert!(matches!(poison, Err(Error::Contained { .. })));
+    assert_eq!(innocent.unwrap().covered.len(), 1);
+    assert!(naive > 2, "{naive} without containment");
+}
+
+// One connection goes silent while new ones work. The call is made elsewhere,
+// and the target isn't taken for dead.
+#[test]
+fn silent_connection_is_not_a_dead_target() {
+    let world = World::new(&PAIR);
+
+    let covered = world.run(async {
+        world.warm(10).await;
+        world.acts("a", Act::Fail(Error::ConnectionSilent));
+        world.acts("b", Act::Fail(Error::ConnectionSilent));
+        let lost = world.group(request(&["s0"], "x")).await.unwrap();
+        assert!(lost.covered.is_empty());
+        world.answers("a", 6);
+        world.answers("b", 6);
+        world.group(request(&["s0"], "y")).await.unwrap().covered
+    });
+
+    assert_eq!(covered.len(), 1);
+}
+
+#[test]
+fn patience_ends_with_what_is_there() {
+    let world = World::new(&[("a", "s0"), ("b", "s1")]);
+    world.acts("b", Act::Hang);
+    let mut request = request(&["s0", "s1"], "q");
+    request.patience_ms = 100;
+
+    let (answer, elapsed) = world.run(async {
+        let start = world.clock.now();
+        let answer = world.group(request).await.unwrap();
+        (answer, world.clock.now() - start)
+    });
+
+    assert_eq!(elapsed, Duration::from_millis(100));
+    assert_eq!(answer.covered, [ShardName::from("s0")]);
+    assert_eq!(answer.missing[0].error, Error::TimedOut);
+}
+
+// Two calls hang in the only slots, and a third waits behind them until its
+// deadline. It was never sent, and it says so; the other two don't.
+#[test]
+fn waiting_call_expires_as_not_run() {
+    let world = World::new(&[("a", "s0")]);
+    world.acts("a", Act::Hang);
+
+    let answers =
+        world.run(join_all(["x", "y", "z"].map(|body| world.group(request(&["s0"], body)))));
+
+    let errors: Vec<u16> =
+        answers.into_iter().map(|answer| answer.unwrap().missing[0].error.code()).collect();
+    assert_eq!(errors, [4005, 4005, 2005]);
+}
+
+// The caller goes away while its calls run and wait. Its slots must come back,
+// or the replica would be lost to everyone.
+#[test]
+fn caller_that_goes_away_frees_its_slots() {
+    let world = World::new(&[("a", "s0")]);
+
+    let answer = world.run(async {
+        world.acts("a", Act::Hang);
+        let calls = join_all(["x", "y", "z"].map(|body| world.group(request(&["s0"], body))));
+        let deadline = world.clock.now() + Duration::from_millis(50);
+        assert!(timeout_at(&world.clock, deadline, calls).await.is_err());
+        world.answers("a", 6);
+        world.group(request(&["s0"], "w")).await.unwrap()
+    });
+
+    assert_eq!(answer.covered.len(), 1);
+    assert_eq!(world.script("a").inside.get(), 0);
+}
+
+#[test]
+fn audit_waits_for_the_desk() {
+    let world = World::new(&[("a", "s0")]);
+    let audit = GroupRequest { class: Class::Audit, ..request(&["s0"], "audit") };
+
+    world.run(async {
+        let desk = async {
+            let bodies: Vec<String> = (0..6).map(|index| format!("d{index}")).collect();
+            join_all(bodies.iter().map(|body| world.group(request(&["s0"], body)))).await;
+        };
+        let busy = async {
+            join_all(["x", "y"].map(|body| world.group(request(&["s0"], body)))).await;
+        };
+        let later = async {
+            sleep(&world.clock, Duration::from_millis(1)).await;
+            let _ = join(world.group(audit), desk).await;
+        };
+        join(busy, later).await;
+    });
+
+    assert_eq!(world.script("a").calls.borrow().last().map(String::as_str), Some("audit"));
+}
+
+// Forty targets restart at once. Nothing but probes goes to them, a few at a
+// time, and queries are answered again soon after they are back.
+#[test]
+fn mass_restart_meets_no_storm() {
+    let names: Vec<(String, String)> =
+        (0..40).map(|index| (format!("t{index}"), format!("s{}", index / 2))).collect();
+    let targets: Vec<(&str, &str)> = names.iter().map(|(t, s)| (t.as_str(), s.as_str())).collect();
+    let shards: Vec<&str> = targets.iter().step_by(2).map(|(_, shard)| *shard).collect();
+    let world = World::new(&targets);
+
+    let (refused, calls, back) = world.run(async {
+        world.group(request(&shards, "q")).await.unwrap();
+        targets.iter().for_each(|(name, _)| world.script(name).up.set(false));
+        world.group(request(&shards, "x")).await.unwrap();
+        let calls = || -> usize {
+            targets.iter().map(|(name, _)| world.script(name).calls.borrow().len()).sum()
+        };
+        let before = calls();
+        let refused = world.group(request(&shards, "y")).await.unwrap().missing.len();
+        world.pause(2_000).await;
+        let during = calls() - before;
+        targets.iter().for_each(|(name, _)| world.script(name).up.set(true));
+        world.pause(1_000).await;
+        let back = world.group(request(&shards, "z")).await.unwrap().covered.len();
+        (refused, during, back)
+    });
+
+    assert_eq!((refused, calls, back), (20, 0, 20));
+    assert!(world.scripts.most_probing.get() <= 16);
+}
