Serve clients that stay on a connection they were asked to leave

Cause: a run of the history checks counted requests as cut that were sent on connections which the leaving node had closed after its reply. Ruled out: leaving it to the clients alone; those that don't look at a kept connection would see their next request reset and could not know its outcome. Conclusion: the reply asks them to leave, and the connection is kept until the close, where idle ones linger for 1 s instead of 0.3 s.

--- a/crates/kumquatnotch-net/src/connection.rs
+++ b/crates/kumquatnotch-net/src/connection.rs
@@ -77,7 +77,7 @@
 ) -> bool {
     let deadline = context.clock.now() + context.options.transfer;
     let read = read_request(reader, encoder);
-    let (request, mut keep) = match clock::timeout_at(&*context.clock, deadline, read).await {
+    let (request, keep) = match clock::timeout_at(&*context.clock, deadline, read).await {
         Ok(Ok(request)) => request,
         Ok(Err(ReadFault::Closed)) => return false,
         Ok(Err(ReadFault::Broken(detail))) => {
@@ -97,8 +97,10 @@
     let Some(reply) = run(work, reader, encoder, context).await else {
         return false;
     };
-    keep &= !context.draining.get();
-    send(encoder, reply, number, keep, context).await && keep
+    // A client that is asked to leave its connection but sends once more is served:
+    // closing at once would look to it like a request that was cut.
+    let stay = keep && !context.draining.get();
+    send(encoder, reply, number, stay, context).await && keep
 }
 
 /// Refuses a request that could not be read, and ends the connection.
@@ -207,19 +209,19 @@
     }
 }
 
-/// Sends a reply; false if the connection broke.
+/// Sends a reply, which may ask the client to leave; false if the connection broke.
 async fn send(
     encoder: &mut Encoder,
     reply: Reply,
     number: Option<HeaderValue>,
-    keep: bool,
+    stay: bool,
     context: &Context,
 ) -> bool {
     let Reply { status, mut headers, body } = reply;
     if let Some(number) = number {
         headers.insert(REQUEST_HEADER, number);
     }
-    if !keep {
+    if !stay {
         headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     let body = if body.is_empty() { None } else { Some(body) };
--- a/crates/kumquatnotch-net/src/server.rs
+++ b/crates/kumquatnotch-net/src/server.rs
@@ -28,7 +28,10 @@
 };
 
 /// The time for requests that were sent before their client saw the shutdown.
-const LINGER: Duration = Duration::from_millis(300);
+///
+/// It is longer than any way, for clients that do not look whether a connection
+/// they kept was closed: within it they get a refusal that says "not run".
+const LINGER: Duration = Duration::from_secs(1);
 
 /// How often the end of the last request is looked for.
 const END_CHECK: Duration = Duration::from_millis(5);
--- a/crates/kumquatnotch-net/tests/server.rs
+++ b/crates/kumquatnotch-net/tests/server.rs
@@ -182,6 +182,25 @@
     });
 }
 
+/// A node that drains asks its clients with each reply to leave. One that does
+/// not listen sends again on the same connection, and is served: closed at once,
+/// its next request would look to it as if it had been cut.
+#[test]
+fn a_client_that_is_asked_to_leave_may_send_once_more() {
+    run(async {
+        let (server, _) = serve(small(), echo);
+        let mut stream = TcpStream::connect_addr(server.address()).await.unwrap();
+        server.drain();
+
+        for body in ["first", "second"] {
+            write(&mut stream, post(body)).await;
+            let reply = read(&mut stream).await;
+            assert!(reply.contains("connection: close") && reply.ends_with(body), "{reply}");
+            pause(20).await;
+        }
+    });
+}
+
 #[test]
 fn a_close_gives_up_at_its_deadline() {
     run(async {
