Put requests in flight before a shutdown, and count crashes alone

A burst of twelve searches is now sent to the node 8 ms before it is asked to leave. Raising the load of the whole run was ruled out, as it would hide other causes of late answers.

The report counted runs of marked requests in runs where the marker crashes nothing; it counts lost runs now.

--- a/crates/history/src/callers.rs
+++ b/crates/history/src/callers.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-use futures_util::future::join;
+use futures_util::future::{join, join_all};
 use kumquatnotch_core::{
     answer::Answer,
     front::{EntryAdvice, TicketGrant},
@@ -42,6 +42,9 @@
 const POISON_SHARE: f64 = 0.002;
 const TWIN_SHARE: f64 = 0.1;
 
+/// How many searches a burst has.
+const BURST: usize = 12;
+
 /// The longest time a caller thinks between requests, in milliseconds.
 const THINK_MS: usize = 40;
 
@@ -116,6 +119,14 @@
         }
     }
 
+    /// Sends many searches at once to one node, each on a connection of its own.
+    pub async fn burst(self, entry: SocketAddr) {
+        let clients = (0..BURST).map(|_| Client::new(entry, PATIENCE));
+        let clients: Vec<(Client, Prepared)> =
+            clients.map(|client| (client, self.search("burst"))).collect();
+        join_all(clients.iter().map(|(client, search)| self.send_by(client, search))).await;
+    }
+
     fn search(&self, words: &str) -> Prepared {
         let nonce = self.random.number();
         let limit = 1 + self.random.below(20) as u32;
--- a/crates/history/src/node_faults.rs
+++ b/crates/history/src/node_faults.rs
@@ -2,15 +2,19 @@
 
 use std::{rc::Rc, time::Duration};
 
+use futures_util::future::join;
 use kumquatnotch_core::random::Random;
 use rustix::process::Signal;
 use standins::{now_us, relay::LinkChange};
 
-use crate::{record::Shutdown, recorder::Run};
+use crate::{callers::Caller, record::Shutdown, recorder::Run};
 
 /// How long a graceful shutdown may take.
 const SHUTDOWN_LIMIT: Duration = Duration::from_secs(30);
 
+/// How long before a shutdown a burst of requests is sent.
+const BURST_LEAD: Duration = Duration::from_millis(8);
+
 /// Makes one fault after the other until the run is over.
 pub async fn disturb(run: Rc<Run>) {
     let random = run.generator();
@@ -50,14 +54,22 @@
     run.disturb(Some(number), from_us);
 }
 
-async fn shut_down(run: &Run, number: usize) {
+async fn shut_down(run: &Rc<Run>, number: usize) {
     run.record("node shut down", &run.cluster.nodes[number].name);
     // The platform says so first, as it does when it takes a VM away; a fault
     // of the platform may hide that.
     let _ = run.cluster.list_vms(Some(number)).await;
-    let life = run.cluster.nodes[number].life();
-    let asked_us = now_us();
-    signal(run, number, Signal::TERM);
+    let node = &run.cluster.nodes[number];
+    let life = node.life();
+    let terminate = async {
+        monoio::time::sleep(BURST_LEAD).await;
+        let asked_us = now_us();
+        signal(run, number, Signal::TERM);
+        asked_us
+    };
+    // A shutdown at a quiet moment cuts nothing, so requests are put in flight.
+    let burst = Caller::new(run, number).burst(node.entry);
+    let ((), asked_us) = join(burst, terminate).await;
     let process = run.cluster.nodes[number].process.take();
     let Some(mut process) = process else {
         return;
--- a/crates/history/src/report.rs
+++ b/crates/history/src/report.rs
@@ -76,10 +76,12 @@
     writeln!(text, "platform: {:?}", verdict.calls)
 }
 
-/// How many targets each request with the marker ran on.
+/// How many targets each request with the marker crashed.
 fn crashed(history: &History) -> BTreeMap<u64, usize> {
     let mut crashed = BTreeMap::new();
-    for run in history.runs.iter().filter(|run| run.body.contains(MARKER)) {
+    for run in
+        history.runs.iter().filter(|run| run.end == RunEnd::Lost && run.body.contains(MARKER))
+    {
         let nonce = data::field(&run.body, "nonce").as_u64().unwrap_or_default();
         *crashed.entry(nonce).or_default() += 1;
     }
