Let a leaving node stay for the spread of the news as well as its advice

Cause: a leaving node waited for its advice to lapse and half a second more; other nodes go on advising it until they hear of the leaving. The specification of leaving refutes that wait (mutation IgnoreSpread: a caller with valid advice is refused). Ruled out: a longer fixed constant, as the spread grows with the fleet: it is the setting advice.spread, 2 s by default. After: spread + validity + 100 ms, as the specification has it; tests of node and daemon pass.

--- a/crates/history/src/cluster.rs
+++ b/crates/history/src/cluster.rs
@@ -199,7 +199,7 @@
                 ..PlatformSettings::default()
             },
             join: JoinSettings::default(),
-            advice: AdviceSettings { valid: ADVICE_VALID },
+            advice: AdviceSettings { valid: ADVICE_VALID, ..AdviceSettings::default() },
             ..Settings::default()
         };
         let text = toml::to_string(&settings).map_err(io::Error::other)?;
--- a/crates/kumquatnotch-config/src/settings.rs
+++ b/crates/kumquatnotch-config/src/settings.rs
@@ -180,11 +180,15 @@
     #[serde(with = "humantime_serde")]
     #[garde(custom(short_span))]
     pub valid: Duration,
+    /// How long the news that a node leaves may take to reach every other node.
+    #[serde(with = "humantime_serde")]
+    #[garde(custom(short_span))]
+    pub spread: Duration,
 }
 
 impl Default for AdviceSettings {
     fn default() -> AdviceSettings {
-        AdviceSettings { valid: Duration::from_secs(10) }
+        AdviceSettings { valid: Duration::from_secs(10), spread: Duration::from_secs(2) }
     }
 }
 
--- a/crates/kumquatnotch/src/node.rs
+++ b/crates/kumquatnotch/src/node.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use kumquatnotch_config::settings::Settings;
+use kumquatnotch_config::settings::{AdviceSettings, Settings};
 use kumquatnotch_core::{
     Clock, LocalFuture, Result,
     clock::{self, RuntimeClock},
@@ -32,11 +32,11 @@
 
 use crate::operator::NodeOperator;
 
-/// How long the advice given out may still be in use after it has lapsed.
+/// How long a reply with advice is on its way to its caller, at most.
 ///
 /// A caller takes its advice to lapse from when the reply came, which is a way
 /// of at most 20 ms later than when it was given.
-const ADVICE_SLACK: Duration = Duration::from_millis(500);
+const REPLY_TIME: Duration = Duration::from_millis(100);
 
 /// How long the news that a node has gone takes to reach the others.
 const FAREWELL_TIME: Duration = Duration::from_secs(1);
@@ -155,13 +155,16 @@
 
     /// Leaves gracefully: no request in flight is cut while time is left.
     pub async fn leave(&self) -> Shutdown {
-        // Callers keep the address of this node for as long as its advice said, so
-        // it serves them for that long; it is advised to nobody from now on.
+        // Callers keep the address of this node for as long as their advice said,
+        // and other nodes go on giving it out until they hear that this one leaves.
+        // A node that waited for its own advice only would refuse callers that
+        // were advised in between: the specification of leaving shows it.
         tracing::info!("node: leaving, and serving until the advice given out has lapsed");
         self.lifecycle.advance(Stage::Leaving);
         self.members.leave();
         self.entry.drain();
-        clock::sleep(&*self.clock, self.settings.advice.valid + ADVICE_SLACK).await;
+        let AdviceSettings { valid, spread } = self.settings.advice;
+        clock::sleep(&*self.clock, spread + valid + REPLY_TIME).await;
 
         // Whoever still comes is refused, truthfully and by name.
         tracing::info!("node: closing with {} requests in flight", self.entry.requests());
