Tell the age of a confirmation never too low, and test the configuration

In an outage of 120 s the age of the confirmation on a node came out as 114.5 s: each hop counted it from the arrival of a message, which cut off the time on the way, and as the age goes round on every message, it lost 20 ms again and again. It now counts only in replies, from the time of the request, rounded up.

--- a/crates/kumquatnotch-member/src/config_service.rs
+++ b/crates/kumquatnotch-member/src/config_service.rs
@@ -9,6 +9,7 @@
     cell::{Cell, RefCell},
     net::SocketAddr,
     rc::{Rc, Weak},
+    time::Instant,
 };
 
 use kumquatnotch_core::{
@@ -196,8 +197,8 @@
 }
 
 impl HeadListener for ConfigService {
-    fn heard(&self, head: HeadNews, teller: SocketAddr) {
-        self.wanted.borrow_mut().add(head, teller, self.clock.now());
+    fn heard(&self, head: HeadNews, teller: SocketAddr, confirmed: Instant) {
+        self.wanted.borrow_mut().add(head, teller, confirmed);
         if self.born.get() {
             self.start_fetching();
         }
--- a/crates/kumquatnotch-member/src/exchange.rs
+++ b/crates/kumquatnotch-member/src/exchange.rs
@@ -138,7 +138,7 @@
     }
 
     pub(crate) fn answer_exchange(&self, exchange: Exchange) -> Exchange {
-        self.absorb(&exchange.gossip);
+        self.absorb(&exchange.gossip, None);
         let buckets = self.table.borrow().buckets();
         let hash = whole(&buckets);
         let mut gossip = self.gossip(Some(&exchange.gossip.from), false);
--- a/crates/kumquatnotch-member/src/fetch.rs
+++ b/crates/kumquatnotch-member/src/fetch.rs
@@ -10,6 +10,7 @@
     time::{Duration, Instant},
 };
 
+use futures_util::future::join;
 use kumquatnotch_core::{
     Error, Result, clock, codec,
     ids::{ConfigVersion, Digest},
@@ -18,11 +19,7 @@
 };
 use tracing::warn;
 
-use crate::{
-    config_service::ConfigService,
-    head_board::{InForce, moment},
-    traffic,
-};
+use crate::{config_service::ConfigService, head_board::InForce, traffic};
 
 /// How many tellers of a version are remembered.
 const TELLER_LIMIT: usize = 8;
@@ -54,8 +51,7 @@
 
 impl Wanted {
     /// Adds what a peer told.
-    pub(crate) fn add(&mut self, head: HeadNews, teller: SocketAddr, now: Instant) {
-        let confirmed = moment(now, head.age_ms);
+    pub(crate) fn add(&mut self, head: HeadNews, teller: SocketAddr, confirmed: Instant) {
         self.raise(head, confirmed);
         let wanted = self.version();
         if head.version == wanted && !self.tellers.contains(&teller) {
@@ -125,7 +121,9 @@
 
     /// Gets every value of a version and puts it in force.
     async fn obtain(&self, head: InForce) -> Result<()> {
-        self.complete(&[head.manifest]).await?;
+        // The reply of a teller also tells how old its confirmation is.
+        let (complete, ()) = join(self.complete(&[head.manifest]), self.ask_teller()).await;
+        complete?;
         let manifest: Manifest = codec::decode(&self.value(head.manifest)?.value)?;
         let digests: Vec<Digest> = manifest.digests().collect();
         self.complete(&digests).await?;
@@ -140,6 +138,14 @@
         Ok(())
     }
 
+    /// Asks the last teller for the version that it has.
+    async fn ask_teller(&self) {
+        let teller = self.wanted.borrow().tellers.front().copied();
+        if let Some(teller) = teller {
+            self.members.ask_head(teller, None).await;
+        }
+    }
+
     /// Gets those of `digests` that are not here.
     async fn complete(&self, digests: &[Digest]) -> Result<()> {
         if self.lacking(digests).is_empty() {
--- a/crates/kumquatnotch-member/src/head_board.rs
+++ b/crates/kumquatnotch-member/src/head_board.rs
@@ -2,7 +2,7 @@
 //!
 //! Membership messages carry the version that is in force here, so a peer that
 //! is told of a higher one can fetch it from the teller. The age of the last
-//! reading of the platform travels as a span; the time on the way is not in it.
+//! reading of the platform travels as a span, and is never told younger than it is.
 
 use std::{
     cell::{Cell, RefCell},
@@ -23,8 +23,8 @@
 
 /// Told of versions that are above the one in force.
 pub(crate) trait HeadListener {
-    /// A peer at `teller` has `head` in force.
-    fn heard(&self, head: HeadNews, teller: SocketAddr);
+    /// A peer at `teller` has `head` in force, which was the newest at `confirmed`.
+    fn heard(&self, head: HeadNews, teller: SocketAddr, confirmed: Instant);
 
     /// Whether a version is known that is not in force here.
     fn is_wanting(&self) -> bool;
@@ -47,13 +47,11 @@
     clock: Rc<dyn Clock>,
     state: Cell<Option<InForce>>,
     listener: RefCell<Option<Weak<dyn HeadListener>>>,
-    muted: Cell<Instant>,
 }
 
 impl HeadBoard {
     pub(crate) fn new(clock: Rc<dyn Clock>) -> HeadBoard {
-        let muted = Cell::new(clock.now());
-        HeadBoard { clock, state: Cell::new(None), listener: RefCell::new(None), muted }
+        HeadBoard { clock, state: Cell::new(None), listener: RefCell::new(None) }
     }
 
     pub(crate) fn listen(&self, listener: Weak<dyn HeadListener>) {
@@ -89,27 +87,25 @@
         }
     }
 
-    /// Takes the head of a peer's message.
-    pub(crate) fn heard(&self, head: HeadNews, teller: Option<SocketAddr>) {
+    /// Takes the head of a peer's message; `asked` is when the request for it was sent.
+    ///
+    /// An age counts only in a reply, and from the request on: the time on the way
+    /// is then in it. Counted from the arrival, each hop would make the
+    /// confirmation younger by its delay, and as it goes round and round, by far
+    /// more: in an outage of 120 s the age came out 5.5 s too low.
+    pub(crate) fn heard(&self, head: HeadNews, teller: Option<SocketAddr>, asked: Option<Instant>) {
         let version = self.state.get().map(|state| state.version).unwrap_or_default();
+        let confirmed = asked.map(|asked| moment(asked, head.age_ms));
         if head.version > version {
             if let (Some(listener), Some(teller)) = (self.listener(), teller) {
-                listener.heard(head, teller);
+                let oldest = moment(self.clock.now(), u64::MAX);
+                listener.heard(head, teller, confirmed.unwrap_or(oldest));
             }
             return;
         }
-        let now = self.clock.now();
-        // Messages that waited while this process was frozen tell an age that is
-        // too low by the time they waited; asked again, peers tell the right one.
-        if now < self.muted.get() {
-            return;
+        if let Some(confirmed) = confirmed {
+            self.confirm(head.version, confirmed);
         }
-        self.confirm(head.version, moment(now, head.age_ms));
-    }
-
-    /// Takes no age from messages for `span`.
-    pub(crate) fn mute(&self, span: Duration) {
-        self.muted.set(self.clock.now() + span);
     }
 
     /// Passes on that others took this node as gone.
@@ -139,7 +135,9 @@
     }
 
     fn age_ms(&self, state: InForce) -> u64 {
-        self.clock.now().saturating_duration_since(state.confirmed).as_millis() as u64
+        let age = self.clock.now().saturating_duration_since(state.confirmed);
+        // Rounded up, as what each hop cuts off would add up.
+        age.as_nanos().div_ceil(1_000_000) as u64
     }
 
     fn listener(&self) -> Option<Rc<dyn HeadListener>> {
--- a/crates/kumquatnotch-member/src/membership_service.rs
+++ b/crates/kumquatnotch-member/src/membership_service.rs
@@ -165,7 +165,6 @@
         table.extend_suspicions(lost);
         table.raise_local(None);
         drop(table);
-        self.board.mute(self.options.freeze_limit);
         self.spread_local();
     }
 
--- a/crates/kumquatnotch-member/src/probe.rs
+++ b/crates/kumquatnotch-member/src/probe.rs
@@ -98,7 +98,7 @@
 
     /// Asks the subject in the place of another node.
     pub(crate) async fn answer_ping_for(&self, request: PingFor) -> PeerReply {
-        self.absorb(&request.gossip);
+        self.absorb(&request.gossip, None);
         let subject = &request.subject;
         match self.ping(subject, Some(subject)).await {
             true => PeerReply::Ack(self.gossip(Some(&request.gossip.from), true)),
--- a/crates/kumquatnotch-member/src/recheck.rs
+++ b/crates/kumquatnotch-member/src/recheck.rs
@@ -18,6 +18,7 @@
 
 use std::{
     cell::Cell,
+    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -25,12 +26,12 @@
 use futures_util::future::join_all;
 use kumquatnotch_core::{
     clock,
-    ids::ConfigVersion,
-    peer::{PeerMessage, PeerReply},
+    ids::{ConfigVersion, NodeName},
+    peer::{HeadNews, PeerMessage, PeerReply},
 };
 use tracing::info;
 
-use crate::config_service::ConfigService;
+use crate::{config_service::ConfigService, membership_service::MembershipService};
 
 /// How often a waiting node looks whether it has what it waits for.
 const LOOK_GAP: Duration = Duration::from_millis(20);
@@ -142,7 +143,7 @@
     /// Asks several peers which version they have; what they say is taken in.
     async fn ask_peers(&self) -> Evidence {
         let peers = self.members.pick_peers(self.options.witnesses, |_| true);
-        let asks = peers.iter().map(|peer| self.members.ask_head(peer));
+        let asks = peers.iter().map(|peer| self.members.ask_head(peer.peer, Some(&peer.name)));
         let mut evidence = Evidence { asked: peers.len(), ..Evidence::default() };
         for head in join_all(asks).await.into_iter().flatten() {
             evidence.answers += 1;
@@ -165,15 +166,16 @@
     }
 }
 
-impl crate::MembershipService {
-    /// The configuration that a peer has in force.
+impl MembershipService {
+    /// The configuration that the peer at `address` has in force.
     pub(crate) async fn ask_head(
         &self,
-        peer: &kumquatnotch_core::member::NodeRecord,
-    ) -> Option<kumquatnotch_core::peer::HeadNews> {
-        let message = PeerMessage::Ping(self.gossip(Some(&peer.name), false));
+        address: SocketAddr,
+        name: Option<&NodeName>,
+    ) -> Option<HeadNews> {
+        let message = PeerMessage::Ping(self.gossip(name.map(|name| name.as_str()), false));
         let deadline = self.clock.now() + self.options.probe_timeout;
-        match self.send(peer.peer, &message, deadline).await {
+        match self.send(address, &message, deadline).await {
             Ok(PeerReply::Ack(gossip)) => Some(gossip.head),
             _ => None,
         }
--- a/crates/kumquatnotch-member/src/spread.rs
+++ b/crates/kumquatnotch-member/src/spread.rs
@@ -53,15 +53,15 @@
         }
     }
 
-    /// Takes in the news of a peer.
-    pub(crate) fn absorb(&self, gossip: &Gossip) {
+    /// Takes in the news of a peer; `asked` is when the request for it was sent.
+    pub(crate) fn absorb(&self, gossip: &Gossip, asked: Option<Instant>) {
         let now = self.clock.now();
         for record in &gossip.nodes {
             self.absorb_record(record);
         }
         self.absorb_marks(&gossip.marks, now);
         let teller = self.table.borrow().get(&gossip.from).map(|entry| entry.record.peer);
-        self.board.heard(gossip.head, teller);
+        self.board.heard(gossip.head, teller, asked);
     }
 
     pub(crate) fn absorb_record(&self, record: &NodeRecord) {
@@ -74,12 +74,12 @@
     }
 
     pub(crate) fn answer_ping(&self, gossip: Gossip) -> Gossip {
-        self.absorb(&gossip);
+        self.absorb(&gossip, None);
         self.gossip(Some(&gossip.from), true)
     }
 
     pub(crate) fn answer_news(&self, gossip: Gossip) -> Gossip {
-        self.absorb(&gossip);
+        self.absorb(&gossip, None);
         let mut reply = self.bare_gossip();
         reply.nodes.clear();
         self.add_accusation(Some(&gossip.from), &mut reply.nodes);
@@ -94,6 +94,7 @@
         deadline: Instant,
     ) -> Result<PeerReply> {
         traffic::count_message(message);
+        let asked = self.clock.now();
         let sent = clock::timeout_at(&*self.clock, deadline, async {
             self.peers.send(address, message, deadline).await
         });
@@ -101,8 +102,8 @@
         // After a freeze the reply may be old; this is noticed before it counts.
         self.notice_freeze();
         match &reply {
-            PeerReply::Ack(gossip) => self.absorb(gossip),
-            PeerReply::Exchange(exchange) => self.absorb(&exchange.gossip),
+            PeerReply::Ack(gossip) => self.absorb(gossip, Some(asked)),
+            PeerReply::Exchange(exchange) => self.absorb(&exchange.gossip, Some(asked)),
             PeerReply::Failed(error) => return Err(error.clone()),
             _ => {}
         }
--- /dev/null
+++ b/crates/kumquatnotch-member/tests/config.rs
@@ -0,0 +1,243 @@
+//! Tests of the document in force under failures.
+
+mod fixture;
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use fixture::{Node, State, World, address, run};
+use kumquatnotch_core::{
+    ids::Digest,
+    lifecycle::{Lifecycle, Stage},
+    member::Members,
+    peer::{CONFIG_SERVICE, PeerHandler, PeerMessage, PeerReply},
+    services, stored,
+};
+use yare::parameterized;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Starts `count` nodes with version 1 and waits until all have it.
+async fn settled(world: &World, count: usize) -> Vec<Rc<Node>> {
+    world.platform.publish(1, 200);
+    let nodes = (0..count).map(|number| world.add_configured(number)).collect();
+    let ready = world.wait(30 * SECOND, || world.has_converged() && world.all_have(1)).await;
+    assert!(ready.is_some());
+    world.pass(10 * SECOND).await;
+    nodes
+}
+
+#[test]
+fn a_change_reaches_a_hundred_nodes() {
+    let (took, part_calls) = run(1, async |world| {
+        let nodes = settled(&world, 100).await;
+        let before = world.platform.calls.get();
+        world.platform.publish(2, 200);
+        let took = world.wait(30 * SECOND, || world.all_have(2)).await;
+        assert_eq!(nodes[50].served(), Some(2));
+        (took, world.platform.calls.get() - before)
+    });
+
+    assert!(took.unwrap() < 4 * SECOND, "took {took:?}");
+    // Five readings of head, manifest and one part, and the readings meanwhile.
+    assert!(part_calls < 40, "{part_calls} calls");
+}
+
+/// Messages are lost, late and repeated, and nodes are paused for up to 20 s
+/// while ten versions follow each other. An old message that arrives last, or a
+/// node that wakes with an old view, must not bring an earlier version back.
+#[parameterized(
+    one = { 2 },
+    two = { 3 },
+    three = { 4 },
+)]
+fn a_version_never_goes_back(seed: u64) {
+    let (backward, last) = run(seed, async |world| {
+        let nodes = settled(&world, 20).await;
+        world.network.loss.set(0.1);
+        world.network.repeats.set(0.2);
+        world.network.extra.set(Duration::from_millis(400));
+        let seen = RefCell::new(vec![0; nodes.len()]);
+        let backward = RefCell::new(0);
+        let watch = || {
+            for (node, seen) in nodes.iter().zip(seen.borrow_mut().iter_mut()) {
+                let version = node.version();
+                *backward.borrow_mut() += usize::from(version < *seen);
+                *seen = version;
+            }
+            false
+        };
+        for version in 2..=11 {
+            world.platform.publish(version, 200);
+            let frozen = world.random.pick(&nodes).unwrap();
+            frozen.life.set(State::Frozen);
+            let span = SECOND.mul_f64(20.0 * world.random.fraction());
+            world.wait(span, watch).await;
+            frozen.life.set(State::Running);
+        }
+        let last = world.wait(30 * SECOND, || watch() || world.all_have(11)).await;
+        (backward.into_inner(), last)
+    });
+
+    assert_eq!(backward, 0);
+    assert!(last.is_some());
+}
+
+/// The platform is down for two minutes. What is in force stays, its age says so,
+/// and a node that is born meanwhile gets it from peers and serves. The age goes
+/// round on messages and must not lose the time that they travel: the truth is
+/// that it is never lower than it says. When the platform is back, nobody has
+/// queued up calls for it.
+#[test]
+fn an_outage_of_the_platform_is_survived() {
+    let (age, born, calls, peak, after) = run(5, async |world| {
+        let nodes = settled(&world, 50).await;
+        world.platform.down.set(true);
+        let before = world.platform.calls.get();
+        world.pass(90 * SECOND).await;
+        let newborn = world.add_configured(50);
+        let born = world.wait(30 * SECOND, || newborn.served() == Some(1)).await;
+        world.pass(30 * SECOND).await;
+        let age = nodes[30].members.confirmed().age_ms;
+        let calls = world.platform.calls.get() - before;
+        assert_eq!(nodes[30].served(), Some(1));
+        world.platform.peak.set(0);
+        world.platform.publish(2, 200);
+        world.platform.down.set(false);
+        let after = world.wait(30 * SECOND, || world.all_have(2)).await;
+        (age, born, calls, world.platform.peak.get(), after)
+    });
+
+    assert!(age >= 120_000, "age {age} ms");
+    assert!(born.unwrap() < 5 * SECOND, "took {born:?}");
+    assert!(calls < 400, "{calls} calls in 120 s");
+    assert!(peak < 60, "{peak} calls in one second");
+    assert!(after.unwrap() < 15 * SECOND, "took {after:?}");
+}
+
+#[parameterized(
+    today = { 9 },
+    many = { 200 },
+)]
+fn about_five_nodes_read_the_head(count: usize) {
+    let (rate, age) = run(6, async move |world| {
+        let nodes = settled(&world, count).await;
+        let before = world.platform.calls.get();
+        world.pass(30 * SECOND).await;
+        let calls = world.platform.calls.get() - before;
+        let ages = nodes.iter().map(|node| node.members.confirmed().age_ms);
+        (calls as f64 / 30.0, ages.max().unwrap())
+    });
+
+    assert!((4.0..8.0).contains(&rate), "{rate} calls/s");
+    assert!(age < 10_000, "a confirmation is {age} ms old");
+}
+
+/// A host pauses a node for 30 s; a change is accepted meanwhile. On waking it
+/// would answer callers by the old version, before any message tells it better.
+/// It must hold back until it has asked, and then serve the new one.
+#[test]
+fn a_node_that_wakes_asks_before_it_serves() {
+    let (at_once, first, took) = run(7, async |world| {
+        let nodes = settled(&world, 20).await;
+        nodes[4].life.set(State::Frozen);
+        world.pass(20 * SECOND).await;
+        world.platform.publish(2, 200);
+        world.pass(10 * SECOND).await;
+        nodes[4].life.set(State::Running);
+        // A caller's request may be handled before any task of the node runs.
+        let at_once = nodes[4].served();
+        let took = world.wait(10 * SECOND, || nodes[4].served().is_some()).await;
+        (at_once, nodes[4].served(), took)
+    });
+
+    assert_eq!(at_once, None);
+    assert_eq!(first, Some(2));
+    assert!(took.unwrap() < SECOND, "took {took:?}");
+}
+
+/// A node wakes from a freeze and reaches neither peers nor the platform. It has
+/// no way to learn of a newer version; as in an outage it serves what it has,
+/// after a short time, and says how old that is.
+#[test]
+fn a_node_that_wakes_alone_serves_after_a_while() {
+    let (took, served, age) = run(8, async |world| {
+        let nodes = settled(&world, 9).await;
+        nodes[4].life.set(State::Frozen);
+        world.pass(20 * SECOND).await;
+        world.platform.down.set(true);
+        world.network.cut(|from, to| from == address(4) || to == address(4));
+        nodes[4].life.set(State::Running);
+        let took = world.wait(10 * SECOND, || nodes[4].served().is_some()).await;
+        (took, nodes[4].served(), nodes[4].members.confirmed().age_ms)
+    });
+
+    assert!(took.unwrap() < 3 * SECOND, "took {took:?}");
+    assert_eq!(served, Some(1));
+    assert!(age >= 20_000, "age {age} ms");
+}
+
+/// A node is born where neither peers nor the platform answer. It has no document
+/// that anybody confirmed, so it must not serve, however long it waits.
+#[test]
+fn a_newborn_without_evidence_does_not_serve() {
+    let (stage, served) = run(9, async |world| {
+        world.platform.publish(1, 200);
+        world.platform.down.set(true);
+        let node = world.add_configured(7);
+        world.pass(60 * SECOND).await;
+        let lifecycle: Lifecycle = node.registry.find(services::LIFECYCLE).unwrap();
+        (lifecycle.stage(), node.served())
+    });
+
+    assert_eq!(stage, Stage::Starting);
+    assert_eq!(served, None);
+}
+
+/// The platform is set back to an earlier version, as from an old backup. An
+/// accepted change must not be undone by that.
+#[test]
+fn a_platform_that_is_set_back_changes_nothing() {
+    let versions = run(10, async |world| {
+        let nodes = settled(&world, 9).await;
+        world.platform.publish(2, 200);
+        world.wait(10 * SECOND, || world.all_have(2)).await;
+        world.platform.publish(1, 200);
+        world.pass(30 * SECOND).await;
+        nodes.iter().map(|node| node.version()).collect::<Vec<_>>()
+    });
+
+    assert_eq!(versions, vec![2; 9]);
+}
+
+/// Each version leaves parts behind that no version has any more. A node that
+/// kept them would grow with 1,100 changes a day; it keeps two versions.
+#[test]
+fn parts_of_old_versions_are_dropped() {
+    let kept = run(11, async |world| {
+        let nodes = settled(&world, 9).await;
+        let old = world.platform.digests();
+        for version in 2..=4 {
+            world.platform.publish(version, 200);
+            assert!(world.wait(10 * SECOND, || world.all_have(version)).await.is_some());
+        }
+        let newest = world.platform.head_digests();
+        (held(&nodes[3], &old).await, held(&nodes[3], &newest).await, newest.len())
+    });
+
+    let (old, newest, all) = kept;
+    assert_eq!(newest, all);
+    // The manifest and the parts of two changed targets are of no use any more.
+    assert!(old <= all - 2, "{old} of the first version are held");
+}
+
+/// How many of `digests` a node holds.
+async fn held(node: &Node, digests: &[Digest]) -> usize {
+    let handler: Rc<dyn PeerHandler> = node.registry.find(CONFIG_SERVICE).unwrap();
+    match handler.handle(PeerMessage::Fetch(digests.to_vec())).await.unwrap() {
+        PeerReply::Values(values) => {
+            values.iter().for_each(|value| stored::check_value(value).unwrap());
+            values.len()
+        }
+        other => panic!("{other:?}"),
+    }
+}
