Keep the evidence of a silent holder, and measure the root

Cause: each hedge that won wiped out what was known of the silent holder, as a request given up early counted as no evidence. Now the evidence stays, a peer without a word for 250 ms is passed over whatever the budget, and the link's own proof counts at once.

--- /dev/null
+++ b/crates/kumquatnotch-query/examples/root.rs
@@ -0,0 +1,123 @@
+//! What the root of a query costs, and what its canary costs callers.
+//!
+//! The nodes are real roots over fakes of the network and of the holders, on a
+//! paused clock: latencies are of that clock and repeat with the seed; processor
+//! time is that of this process, with the fakes in it.
+//!
+//! `cargo run --release -p kumquatnotch-query --example root`
+
+#[path = "../tests/common/mod.rs"]
+mod common;
+
+use std::{collections::BTreeMap, time::Instant};
+
+use common::*;
+use kumquatnotch_core::{
+    ids::{ShardName, rendezvous},
+    random::Random,
+};
+use kumquatnotch_query::{FrontOptions, QueryOptions, group_count, group_of};
+
+const SEARCHES: usize = 300;
+const SEEDS: u64 = 5;
+
+fn main() {
+    print_balance();
+    print_cost();
+    print_canary();
+}
+
+/// How evenly rendezvous hashing lays the groups on the nodes.
+fn print_balance() {
+    println!("groups on nodes: shards, to a group, groups, nodes: least, mean, most to a node");
+    for (shards, size, nodes) in
+        [(50, 8, 9), (50, 4, 9), (50, 2, 9), (50, 1, 9), (4_700, 20, 1_900)]
+    {
+        let count = group_count(shards, size);
+        let names: Vec<String> = (0..nodes).map(|number| format!("n{number}")).collect();
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        let mut held: BTreeMap<&str, usize> = names.iter().map(|name| (*name, 0)).collect();
+        let mut met: Vec<usize> = (0..shards).map(|n| group_of(&shard(n), count)).collect();
+        for group in 0..count {
+            let first = rendezvous(&(group as u64).to_be_bytes(), &names)[0];
+            *held.get_mut(first).unwrap() += 1;
+        }
+        met.truncate(1_600);
+        met.sort_unstable();
+        met.dedup();
+        let (least, most) = (held.values().min().unwrap(), held.values().max().unwrap());
+        let mean = count as f64 / nodes as f64;
+        println!(
+            "  {shards:5} {size:3} {count:4} {nodes:5}: {least} {mean:.2} {most}; \
+             a query of {} shards meets {} groups",
+            shards.min(1_600),
+            met.len(),
+        );
+    }
+}
+
+/// Processor time of a search, fakes included.
+fn print_cost() {
+    println!("processor time of a search: shards, microseconds, microseconds a shard");
+    for shards in [1, 10, 50, 1_600] {
+        // One node, whose own holder answers at once: nothing waits for the clock.
+        let world = world_with(1, shards, options(false));
+        let searches = 200_000 / shards.max(10);
+        let span = run(&world, async {
+            world.search(0).await.unwrap();
+            let start = Instant::now();
+            for _ in 0..searches {
+                world.search(0).await.unwrap();
+            }
+            start.elapsed()
+        });
+        let each = span.as_secs_f64() * 1e6 / searches as f64;
+        println!("  {shards:5}: {each:9.1} {:7.2}", each / shards as f64);
+    }
+}
+
+/// Latency of searches over 50 shards, of which one is a straggler, with and
+/// without a canary, by the share of searches that were seen before.
+fn print_canary() {
+    println!("canary: share seen before, seed: p50 and p99 in ms without, with");
+    for seen in [0.0, 0.5, 0.9] {
+        for seed in 1..=SEEDS {
+            let without = latencies(false, seen, seed);
+            let with = latencies(true, seen, seed);
+            println!("  {seen:.1} {seed}: {without:?} {with:?}");
+        }
+    }
+}
+
+fn options(canary: bool) -> QueryOptions {
+    let front = FrontOptions { canary, admission: false, ..FrontOptions::default() };
+    QueryOptions { front, ..QueryOptions::default() }
+}
+
+fn latencies(canary: bool, seen: f64, seed: u64) -> (f64, f64) {
+    let world = world_with(9, 50, options(canary));
+    let random = Random::with_seed(seed);
+    let mut spans: Vec<u64> = run(&world, async {
+        let mut spans = Vec::new();
+        for number in 0..SEARCHES {
+            set_delays(&world, &random);
+            let repeat = random.chance(seen);
+            let query = if repeat { "common".to_owned() } else { number.to_string() };
+            spans.push(world.search_for(number % 9, KEY, &query).await.unwrap().elapsed_us);
+        }
+        spans
+    });
+    spans.sort_unstable();
+    let at = |share: f64| spans[(spans.len() as f64 * share) as usize] as f64 / 1e3;
+    (at(0.5), at(0.99))
+}
+
+/// 2 to 8 ms for each shard, and 10 to 40 ms for the straggler.
+fn set_delays(world: &World, random: &Random) {
+    for number in 0..50 {
+        let shard: ShardName = shard(number);
+        let span = 2.0 + 6.0 * random.fraction();
+        let span = if number == 17 { span * 5.0 } else { span };
+        world.shards.change(&shard, |state| state.delay = ms(1).mul_f64(span));
+    }
+}
--- a/crates/kumquatnotch-query/src/health.rs
+++ b/crates/kumquatnotch-query/src/health.rs
@@ -15,6 +15,9 @@
 /// The weight of a new wait in the smoothed one.
 const WAIT_WEIGHT: f64 = 0.2;
 
+/// After this time without a request what was known of a peer counts no more.
+const IDLE: Duration = Duration::from_secs(2);
+
 /// What is known of each peer.
 #[derive(Default)]
 pub(crate) struct Health {
@@ -24,6 +27,7 @@
 #[derive(Default)]
 struct Peer {
     open: usize,
+    sent: Option<Instant>,
     silent_since: Option<Instant>,
     tried: Option<Instant>,
     wait_us: f64,
@@ -34,6 +38,11 @@
     pub fn sent(&self, name: &NodeName, now: Instant) {
         let mut peers = self.peers.borrow_mut();
         let peer = peers.entry(name.clone()).or_default();
+        // What was not answered long ago says nothing about the peer of today.
+        let last = peer.sent.replace(now);
+        if peer.open == 0 && last.is_none_or(|last| now - last > IDLE) {
+            peer.silent_since = None;
+        }
         peer.open += 1;
         peer.silent_since.get_or_insert(now);
     }
@@ -45,21 +54,35 @@
         }
     }
 
-    /// A request to `name` is over; one given up before `silence` is no evidence.
-    pub fn closed(&self, name: &NodeName, now: Instant, silence: Duration) {
+    /// A request to `name` is over.
+    ///
+    /// One that was given up keeps its evidence: hedges win long before a silence
+    /// can be told from a slow answer, and each would wipe out what the last left.
+    pub fn closed(&self, name: &NodeName, now: Instant) {
         let mut peers = self.peers.borrow_mut();
         let Some(peer) = peers.get_mut(name) else {
             return;
         };
         peer.open = peer.open.saturating_sub(1);
-        let young = |since: Instant| now.saturating_duration_since(since) < silence;
-        if peer.open == 0 && peer.silent_since.is_some_and(young) {
-            peer.silent_since = None;
-        } else if peer.open > 0 && peer.silent_since.is_none() {
-            peer.silent_since = Some(now);
+        if peer.open > 0 {
+            peer.silent_since.get_or_insert(now);
         }
     }
 
+    /// The way to `name` is known to be mute: no need to wait for more evidence.
+    pub fn muted(&self, name: &NodeName, now: Instant, silence: Duration) {
+        if let Some(peer) = self.peers.borrow_mut().get_mut(name) {
+            peer.silent_since = now.checked_sub(silence).or(peer.silent_since);
+        }
+    }
+
+    /// How long `name` has left requests without a word.
+    pub fn silence(&self, name: &NodeName, now: Instant) -> Duration {
+        let peers = self.peers.borrow();
+        let since = peers.get(name).and_then(|peer| peer.silent_since);
+        since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
+    }
+
     /// Whether `name` has been silent for `silence`; once per `retrial` it gets
     /// another chance.
     pub fn is_silent(
--- a/crates/kumquatnotch-query/src/options.rs
+++ b/crates/kumquatnotch-query/src/options.rs
@@ -43,7 +43,7 @@
             hedge_start: Duration::from_millis(60),
             hedge_least: Duration::from_millis(5),
             hedge_share: 0.02,
-            silence: Duration::from_millis(150),
+            silence: Duration::from_millis(250),
             retrial: Duration::from_millis(500),
         }
     }
--- a/crates/kumquatnotch-query/src/router.rs
+++ b/crates/kumquatnotch-query/src/router.rs
@@ -185,6 +185,7 @@
         let waited = self.clock.now().saturating_duration_since(sent);
         match error {
             Error::ConnectFailed | Error::ConnectionLost | Error::ConnectionSilent => {
+                self.health.muted(name, self.clock.now(), self.options.silence);
                 self.members.report_silent(name);
             }
             // A deadline of few milliseconds that passes is no evidence.
@@ -209,6 +210,7 @@
         self.earn_token();
         let mut open = FuturesUnordered::new();
         open.push(self.attempt(first, request, ends, false));
+        let silent_at = self.clock.now() + self.options.silence;
         let mut hedge_at = self.clock.now() + self.hedge_delay(request.class);
         loop {
             let timer = self.clock.sleep_until(hedge_at.min(ends.finish));
@@ -226,26 +228,34 @@
                 Either::Left((None, _)) => return Err(Error::NoTarget),
                 Either::Right(_) if self.clock.now() >= ends.finish => return Err(Error::TimedOut),
                 Either::Right(_) => {
-                    if let Some(next) = self.hedge_holder(&mut waiting) {
-                        open.push(self.attempt(next, request, ends, true));
+                    let is_silent = self.has_gone_silent(&first.name);
+                    if is_silent || self.spend_token() {
+                        let next = waiting.next();
+                        open.extend(next.map(|next| self.attempt(next, request, ends, true)));
+                        hedge_at = ends.finish;
+                    } else {
+                        hedge_at = silent_at.max(self.clock.now() + self.options.hedge_least);
                     }
-                    hedge_at = ends.finish;
                 }
             }
         }
     }
 
-    fn hedge_holder<'a>(
-        &self,
-        waiting: &mut impl Iterator<Item = &'a NodeRecord>,
-    ) -> Option<&'a NodeRecord> {
+    /// Whether a peer that has requests open has said nothing for too long.
+    ///
+    /// Then the next holder is asked whatever the budget: a frozen holder of many
+    /// groups uses it up at once, and its groups would wait for their deadline.
+    fn has_gone_silent(&self, name: &NodeName) -> bool {
+        self.health.silence(name, self.clock.now()) >= self.options.silence
+    }
+
+    fn spend_token(&self) -> bool {
         if self.tokens.get() < 1.0 {
-            return None;
+            return false;
         }
-        let next = waiting.next()?;
         self.tokens.set(self.tokens.get() - 1.0);
         meters::hedge();
-        Some(next)
+        true
     }
 
     fn earn_token(&self) {
@@ -324,6 +334,6 @@
 impl Drop for Open<'_> {
     fn drop(&mut self) {
         let router = self.router;
-        router.health.closed(self.name, router.clock.now(), router.options.silence);
+        router.health.closed(self.name, router.clock.now());
     }
 }
