Let a paused sleeper that is polled again leave one entry, not many

The driver of a paused clock polls its work in every round, and each poll of a sleeper added an entry until it was due.

--- a/crates/kumquatnotch-core/src/clock.rs
+++ b/crates/kumquatnotch-core/src/clock.rs
@@ -143,26 +143,32 @@
     }
 
     fn sleep_until(&self, deadline: Instant) -> LocalFuture<'static, ()> {
-        Box::pin(PausedSleep { clock: self.clone(), deadline })
+        Box::pin(PausedSleep { clock: self.clone(), deadline, waker: None })
     }
 }
 
 struct PausedSleep {
     clock: PausedClock,
     deadline: Instant,
+    waker: Option<Waker>,
 }
 
 impl Future for PausedSleep {
     type Output = ();
 
-    fn poll(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
-        let mut state = self.clock.state.borrow_mut();
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
+        let clock = self.clock.clone();
+        let mut state = clock.state.borrow_mut();
         if state.now >= self.deadline {
             return Poll::Ready(());
         }
-        // A sleeper that is polled again leaves an entry behind, which costs one
-        // spurious wake-up and no more.
-        state.sleepers.push((self.deadline, context.waker().clone()));
+        // Its entry stays until it is due, so polling it again adds none, unless
+        // another task polls it now.
+        if !self.waker.as_ref().is_some_and(|waker| waker.will_wake(context.waker())) {
+            state.sleepers.push((self.deadline, context.waker().clone()));
+            drop(state);
+            self.waker = Some(context.waker().clone());
+        }
         Poll::Pending
     }
 }
