--- a/crates/measure/src/bench.rs
+++ b/crates/measure/src/bench.rs
@@ -1,41 +1,42 @@
-//! A small tier for measurements: holders over fake targets, and a root that
-//! asks them.
+//! A small tier for measurements, and the callers that load it.
 //!
-//! This is no simulator of a cluster: the holders are the real ones, and what
-//! surrounds them stands in at their interfaces.
+//! This is no simulator of a cluster: holders and roots are the real ones, and
+//! what surrounds them stands in at their interfaces. With [`Root::Small`] the
+//! holders are measured for themselves, behind a root that only fans out.
 
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
     rc::Rc,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use hdrhistogram::Histogram;
 use kumquatnotch::{
     core::{
-        Clock, Error, Result, Targets,
+        Clock, Error, Result,
         answer::GroupAnswer,
         clock::timeout_at,
-        document::{Class, Document, Documents, Rules, SelectorSpec, TargetSpec, TenantSpec},
+        document::{Class, Document, Rules, SelectorSpec, StopSpec, TargetSpec, TenantSpec},
+        front::{Front, key_digest},
         ids::{
             ConfigVersion, DataCentre, Fingerprint, QueryId, Region, SelectorName, ShardName,
-            TargetName, TenantName, rendezvous, stable_hash,
+            TargetName, TenantName, stable_hash,
         },
         labels::Expression,
-        marks::{Mark, MarkKind, Marks},
         peer::{PeerHandler, PeerMessage, PeerReply},
-        query::GroupRequest,
+        query::{GroupRequest, SearchRequest},
         random::Random,
-        registry::Registry,
-        services,
     },
-    holder::{Decisions, HolderOptions, HolderService},
+    holder::Decisions,
+    query::QueryOptions,
 };
 
 use crate::{
-    fakes::{Fake, FakeTargets, POISON, SERVICE, VERSION},
+    fake::Fake,
+    fakes::{FakeTargets, POISON, SERVICE, VERSION},
+    nodes::{BenchNode, FakeMarks, HOP, Shared, start_nodes},
     virtual_time::VirtualTime,
 };
 
@@ -43,18 +44,35 @@
 pub const SHARDS: usize = 50;
 /// The slots of a replica.
 pub const SLOTS: u32 = 2;
-/// The holders of the shards, one for a group.
-const HOLDERS: usize = 3;
-/// The one-way delay between root and holder.
-const HOP: Duration = Duration::from_micros(500);
+/// The groups into which the small root parts the shards.
+const GROUPS: usize = 3;
 /// The time before anything is counted.
 pub const WARM_UP: Duration = Duration::from_secs(4);
 /// The coverage that is enough for an answer to count as good.
 const ENOUGH: f64 = 0.9;
+/// The queries that many callers send, and the share of all that these are.
+const POPULAR: (usize, f64) = (500, 0.9);
+
+/// Which root the queries go through.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Root {
+    /// One that fans out and no more.
+    Small,
+    /// The one of the query crate.
+    Front,
+}
+
+/// How a tier is put together.
+#[derive(Clone, Copy)]
+pub struct Setup {
+    pub root: Root,
+    pub decisions: fn() -> Decisions,
+    pub options: fn() -> QueryOptions,
+}
 
 /// The queries that all slots together can answer in a second.
 pub fn capacity() -> f64 {
-    SHARDS as f64 * 2.0 * f64::from(SLOTS) / SERVICE.as_secs_f64() / SHARDS as f64
+    2.0 * f64::from(SLOTS) / SERVICE.as_secs_f64()
 }
 
 /// What came of the queries of one class.
@@ -76,56 +94,29 @@
 /// The small tier.
 pub struct Bench {
     pub time: VirtualTime,
-    pub random: Random,
     pub targets: Rc<FakeTargets>,
-
-    holders: Vec<Rc<HolderService>>,
-    groups: Vec<Vec<ShardName>>,
     pub tallies: RefCell<HashMap<Class, Tally>>,
     /// The good answers in each tenth of a second.
     pub good_at: RefCell<HashMap<u64, u64>>,
+    /// The shards that answered.
+    pub covered: Cell<u64>,
     pub counts: Cell<bool>,
+    root: Root,
+    random: Random,
+    nodes: Vec<BenchNode>,
+    groups: Vec<Vec<ShardName>>,
     serial: Cell<u64>,
 }
 
-/// Marks that every holder sees at once.
-pub struct FakeMarks {
-    time: VirtualTime,
-    marks: RefCell<HashMap<MarkKind, Instant>>,
-}
-
-impl Marks for FakeMarks {
-    fn set(&self, mark: Mark) {
-        let until = self.time.now() + Duration::from_millis(mark.left_ms);
-        self.marks.borrow_mut().insert(mark.kind, until);
-    }
-
-    fn left_ms(&self, kind: &MarkKind) -> Option<u64> {
-        let until = *self.marks.borrow().get(kind)?;
-        let now = self.time.now();
-        (until > now).then(|| (until - now).as_millis() as u64)
-    }
-
-    fn all(&self) -> Vec<Mark> {
-        let marks = self.marks.borrow();
-        let kinds = marks.keys();
-        let left =
-            |kind: &MarkKind| Some(Mark { kind: kind.clone(), left_ms: self.left_ms(kind)? });
-        kinds.filter_map(left).collect()
-    }
-}
-
-struct FixedDocument(Rc<Document>);
-
-impl Documents for FixedDocument {
-    fn current(&self) -> Option<Rc<Document>> {
-        Some(self.0.clone())
-    }
+/// What a query came to.
+struct Outcome {
+    covered: usize,
+    refused: bool,
 }
 
 impl Bench {
-    /// A tier whose holders decide by `decisions`.
-    pub fn new(seed: u64, decisions: fn() -> Decisions) -> Rc<Bench> {
+    /// A tier that is put together by `setup`.
+    pub fn new(seed: u64, setup: &Setup) -> Rc<Bench> {
         let time = VirtualTime::default();
         let random = Random::with_seed(seed);
         let mut targets = FakeTargets::new(&time, &random);
@@ -140,32 +131,27 @@
             }
         }
         let targets = Rc::new(targets);
-        let marks = Rc::new(FakeMarks { time: time.clone(), marks: RefCell::default() });
-        let document = Rc::new(document);
-        let holders: Vec<Rc<HolderService>> = (0..HOLDERS)
-            .map(|index| {
-                let registry = registry(&time, &targets, &marks, &document, seed + index as u64);
-                let options =
-                    HolderOptions { centre: DataCentre::from("c0"), ..HolderOptions::default() };
-                HolderService::with_decisions(options, decisions(), &registry)
-                    .expect("every service is registered")
-            })
-            .collect();
-        for holder in &holders {
-            time.spawn(holder.watch());
-        }
+        let marks = Rc::new(FakeMarks::new(&time));
+        let shared = Shared {
+            time: time.clone(),
+            targets: targets.clone(),
+            document: Rc::new(document),
+            marks,
+        };
+        let nodes = start_nodes(&shared, seed, setup.decisions, &(setup.options)());
         let shards: Vec<ShardName> = (0..SHARDS).map(shard_name).collect();
-        let groups = shards.chunks(SHARDS.div_ceil(HOLDERS)).map(<[_]>::to_vec).collect();
+        let groups = shards.chunks(SHARDS.div_ceil(GROUPS)).map(<[_]>::to_vec).collect();
         Rc::new(Bench {
             time,
-            random,
             targets,
-
-            holders,
-            groups,
             tallies: RefCell::default(),
             good_at: RefCell::default(),
+            covered: Cell::new(0),
             counts: Cell::new(false),
+            root: setup.root,
+            random,
+            nodes,
+            groups,
             serial: Cell::new(0),
         })
     }
@@ -197,27 +183,44 @@
         let serial = self.serial.get() + 1;
         self.serial.set(serial);
         let tenant = if serial.is_multiple_of(2) { "siam" } else { "barid" };
-        let body = format!("query {serial}");
-        self.ask_body(class, tenant, body, false).await;
+        let number = match self.random.chance(POPULAR.1) {
+            true => self.random.below(POPULAR.0) as u64,
+            false => POPULAR.0 as u64 + serial,
+        };
+        let start = self.time.now();
+        let outcome = self.search(class, tenant, &format!("query {number}")).await;
+        self.count(class, self.time.now() - start, &outcome);
     }
 
-    /// Sends the poisoned request as its caller does; whether it was refused as contained.
-    pub async fn ask_poison(self: &Rc<Self>) -> bool {
-        let body = POISON.to_owned();
-        let answers = self.ask_body(Class::Desk, "siam", body, true).await;
-        answers.iter().any(|answer| matches!(answer, Err(Error::Contained { .. })))
+    /// Sends the poisoned request as its caller does.
+    pub async fn ask_poison(&self) {
+        self.search(Class::Desk, "siam", POISON).await;
     }
 
-    async fn ask_body(
-        self: &Rc<Self>,
-        class: Class,
-        tenant: &str,
-        body: String,
-        canary: bool,
-    ) -> Vec<Result<GroupAnswer>> {
-        let start = self.time.now();
-        let (patience, deadline) = patience(class);
-        let print = Fingerprint(stable_hash(&[body.as_bytes()]));
+    async fn search(&self, class: Class, tenant: &str, text: &str) -> Outcome {
+        match self.root {
+            Root::Small => self.search_small(class, tenant, text).await,
+            Root::Front => self.search_front(class, tenant, text).await,
+        }
+    }
+
+    async fn search_front(&self, class: Class, tenant: &str, text: &str) -> Outcome {
+        let request = SearchRequest {
+            selector: SelectorName::from(class.as_str()),
+            query: serde_json::Value::from(text),
+            limit: 10,
+            deadline_ms: None,
+        };
+        let node = &self.nodes[self.random.below(self.nodes.len())];
+        match node.front.search(tenant, request).await {
+            Ok(answer) => Outcome { covered: answer.coverage.covered as usize, refused: false },
+            Err(error) => Outcome { covered: 0, refused: error.code() / 1_000 == 2 },
+        }
+    }
+
+    async fn search_small(&self, class: Class, tenant: &str, text: &str) -> Outcome {
+        let deadline = deadline_ms(class);
+        let body = text.to_owned();
         let request = GroupRequest {
             query: QueryId(self.random.number()),
             tenant: TenantName::from(tenant),
@@ -225,62 +228,50 @@
             selector: SelectorName::from(class.as_str()),
             version: VERSION,
             shards: Vec::new(),
+            fingerprint: Fingerprint(stable_hash(&[body.as_bytes()])),
             body,
             limit: 10,
-            fingerprint: print,
-            patience_ms: patience,
+            patience_ms: deadline / 2,
             deadline_ms: deadline,
             hedge: false,
         };
-        let mut answers = Vec::new();
-        if canary {
-            let answer = self.ask_first(&request).await;
-            let full = answer.as_ref().is_ok_and(|answer| answer.missing.is_empty());
-            answers.push(answer);
-            if !full {
-                return answers;
+        if text == POISON {
+            // The root's first try of an unknown request, on one shard alone.
+            let mut first = request.clone();
+            first.shards = vec![shard_name(17)];
+            let first = self.send(1, first).await;
+            if first.map_or(true, |answer| answer.covered.is_empty()) {
+                return Outcome { covered: 0, refused: false };
             }
         }
-        let mut open: FuturesUnordered<_> =
-            (0..self.groups.len()).map(|group| self.ask_group(group, &request)).collect();
+        let groups = self.groups.iter().enumerate();
+        let mut open: FuturesUnordered<_> = groups
+            .map(|(group, shards)| {
+                let request = GroupRequest { shards: shards.clone(), ..request.clone() };
+                self.send(group, request)
+            })
+            .collect();
+        let mut outcome = Outcome { covered: 0, refused: false };
         while let Some(answer) = open.next().await {
-            let refused = matches!(answer, Err(Error::Overloaded { .. }));
-            answers.push(answer);
-            // One group refused means that the answer can't be whole; the work
-            // of the others is saved by dropping them.
-            if refused {
-                break;
+            match answer {
+                Ok(answer) => outcome.covered += answer.covered.len(),
+                // One group refused means that the answer can't be whole; the
+                // work of the others is saved by dropping them.
+                Err(Error::Overloaded { .. }) => {
+                    outcome.refused = true;
+                    break;
+                }
+                Err(_) => {}
             }
         }
-        drop(open);
-        if !canary {
-            self.count(class, start, Duration::from_millis(deadline), &answers);
-        }
-        answers
-    }
-
-    /// Asks the one shard that an unknown request is tried on.
-    async fn ask_first(&self, request: &GroupRequest) -> Result<GroupAnswer> {
-        let names: Vec<&str> = self.groups.iter().flatten().map(|shard| shard.as_str()).collect();
-        let first = rendezvous(&request.fingerprint.0.to_be_bytes(), &names)[0];
-        let shard = ShardName::from(first);
-        let group = self.groups.iter().position(|group| group.contains(&shard));
-        let mut request = request.clone();
-        request.shards = vec![shard];
-        self.send(group.unwrap_or(0), request).await
-    }
-
-    async fn ask_group(&self, group: usize, request: &GroupRequest) -> Result<GroupAnswer> {
-        let mut request = request.clone();
-        request.shards = self.groups[group].clone();
-        self.send(group, request).await
+        outcome
     }
 
     async fn send(&self, group: usize, request: GroupRequest) -> Result<GroupAnswer> {
         let deadline = self.time.now() + Duration::from_millis(request.deadline_ms);
         self.time.sleep(HOP).await;
         let message = PeerMessage::Group(Box::new(request));
-        let reply = self.holders[group].handle(message);
+        let reply = self.nodes[group].holder.handle(message);
         let reply = timeout_at(&self.time, deadline, reply).await??;
         self.time.sleep(HOP).await;
         match reply {
@@ -289,18 +280,10 @@
         }
     }
 
-    fn count(
-        &self,
-        class: Class,
-        start: Instant,
-        deadline: Duration,
-        answers: &[Result<GroupAnswer>],
-    ) {
-        let covered: usize = answers.iter().flatten().map(|answer| answer.covered.len()).sum();
-        let share = covered as f64 / SHARDS as f64;
-        let span = self.time.now() - start;
-        let refused = answers.iter().any(|answer| matches!(answer, Err(Error::Overloaded { .. })));
-        let good = !refused && share >= ENOUGH && span <= deadline;
+    fn count(&self, class: Class, span: Duration, outcome: &Outcome) {
+        let share = outcome.covered as f64 / SHARDS as f64;
+        let deadline = Duration::from_millis(deadline_ms(class));
+        let good = !outcome.refused && share >= ENOUGH && span <= deadline;
         if good {
             let tenth = self.time.elapsed().as_millis() as u64 / 100;
             *self.good_at.borrow_mut().entry(tenth).or_default() += 1;
@@ -311,9 +294,10 @@
         let mut tallies = self.tallies.borrow_mut();
         let tally = tallies.entry(class).or_default();
         tally.offered += 1;
-        if refused {
+        if outcome.refused {
             return;
         }
+        self.covered.set(self.covered.get() + outcome.covered as u64);
         tally.answered += 1;
         tally.good += u64::from(good);
         tally.coverage += share;
@@ -321,35 +305,15 @@
     }
 }
 
-/// When partial answers are wanted, and the deadline, in milliseconds.
-fn patience(class: Class) -> (u64, u64) {
+/// The deadline of a class, in milliseconds.
+fn deadline_ms(class: Class) -> u64 {
     match class {
-        Class::Desk => (150, 300),
-        Class::Batch => (700, 1_000),
-        Class::Audit => (4_500, 5_000),
+        Class::Desk => 300,
+        Class::Batch => 1_000,
+        Class::Audit => 5_000,
     }
 }
 
-fn registry(
-    time: &VirtualTime,
-    targets: &Rc<FakeTargets>,
-    marks: &Rc<FakeMarks>,
-    document: &Rc<Document>,
-    seed: u64,
-) -> Registry {
-    let registry = Registry::default();
-    let clock: Rc<dyn Clock> = Rc::new(time.clone());
-    let targets: Rc<dyn Targets> = targets.clone();
-    let marks: Rc<dyn Marks> = marks.clone();
-    let documents: Rc<dyn Documents> = Rc::new(FixedDocument(document.clone()));
-    registry.register(services::CLOCK, clock);
-    registry.register(services::TARGETS, targets);
-    registry.register(services::MARKS, marks);
-    registry.register(services::DOCUMENTS, documents);
-    registry.register(services::RANDOM, Random::with_seed(seed));
-    registry
-}
-
 fn document() -> Document {
     let mut rules = Rules::default();
     for centre in ["c0", "c1"] {
@@ -357,16 +321,17 @@
     }
     for class in Class::ALL {
         let spec = SelectorSpec {
-            targets: Expression::parse("").expect("no term is an expression"),
+            targets: Expression::default(),
             class,
             exclusive: false,
             tenants: Vec::new(),
-            deadline_ms: 5_000,
+            deadline_ms: deadline_ms(class),
         };
         rules.selectors.insert(SelectorName::from(class.as_str()), spec);
     }
     for tenant in ["siam", "barid"] {
-        let spec = TenantSpec { keys: Vec::new(), weight: 1, stop: Default::default() };
+        let stop = StopSpec { patience: 0.5, enough: ENOUGH };
+        let spec = TenantSpec { keys: vec![key_digest(tenant)], weight: 1, stop };
         rules.tenants.insert(TenantName::from(tenant), spec);
     }
     Document { version: ConfigVersion(1), targets: Default::default(), rules }
--- a/crates/measure/src/decisions.rs
+++ b/crates/measure/src/decisions.rs
@@ -15,9 +15,10 @@
         replica::NoWarmup,
         retry::NaiveRetry,
     },
+    query::QueryOptions,
 };
 
-use crate::bench::{Bench, SHARDS, Tally, WARM_UP, capacity};
+use crate::bench::{Bench, Root, SHARDS, Setup, Tally, WARM_UP, capacity};
 
 /// Measure the decisions of the holder under load and faults.
 #[derive(FromArgs)]
@@ -32,6 +33,12 @@
     /// the threads that run at a time
     #[argh(option, default = "4")]
     threads: usize,
+    /// the root: small, which fans out and no more, or front, the real one
+    #[argh(option, default = "\"small\".to_owned()")]
+    root: String,
+    /// leave out the naive forms
+    #[argh(switch)]
+    chosen: bool,
     /// only scenarios whose name contains this
     #[argh(option, default = "String::new()")]
     only: String,
@@ -135,6 +142,15 @@
     }
 }
 
+/// A root without admission, canary and copies to a second holder.
+fn naive_options() -> QueryOptions {
+    let mut options = QueryOptions::default();
+    options.front.admission = false;
+    options.front.canary = false;
+    options.router.hedge_share = 0.0;
+    options
+}
+
 fn at(bench: &Rc<Bench>, span: Duration, action: fn(&Rc<Bench>)) {
     let bench = bench.clone();
     let time = bench.time.clone();
@@ -160,7 +176,7 @@
         cases().into_iter().filter(|case| case.name.contains(&args.only)).collect();
     let mut jobs = VecDeque::new();
     for (index, _) in cases.iter().enumerate() {
-        for naive in [false, true] {
+        for naive in [false, true].into_iter().filter(|naive| !(*naive && args.chosen)) {
             jobs.extend((1..=args.seeds).map(|seed| (index, naive, seed)));
         }
     }
@@ -174,7 +190,7 @@
                     else {
                         return;
                     };
-                    let figures = measure(&cases[index], naive, seed, args.seconds);
+                    let figures = measure(&cases[index], naive, seed, args);
                     done.lock().expect("no panic").push((index, naive, figures));
                 }
             });
@@ -183,9 +199,13 @@
     print(&cases, &done.into_inner().expect("no panic"), args);
 }
 
-fn measure(case: &Case, naive: bool, seed: u64, seconds: u64) -> Figures {
-    let decisions = if naive { case.naive } else { Decisions::default };
-    let bench = Bench::new(seed, decisions);
+fn measure(case: &Case, naive: bool, seed: u64, args: &Args) -> Figures {
+    let root = if args.root == "front" { Root::Front } else { Root::Small };
+    let setup = match naive {
+        true => Setup { root, decisions: case.naive, options: naive_options },
+        false => Setup { root, decisions: Decisions::default, options: QueryOptions::default },
+    };
+    let bench = Bench::new(seed, &setup);
     for (class, share) in Class::ALL.into_iter().zip(case.mix) {
         if share > 0.0 {
             bench.offer(class, capacity() * case.load * share);
@@ -196,7 +216,7 @@
     bench.targets.counts.set(true);
     bench.fakes().iter().for_each(|fake| fake.reset_over());
     bench.targets.seen.borrow_mut().connects = 0;
-    let span = Duration::from_secs(seconds);
+    let span = Duration::from_secs(args.seconds);
     (case.faults)(&bench, span);
     bench.time.run_for(span);
     figures(&bench, span)
@@ -223,7 +243,7 @@
     let over = fakes.iter().map(|fake| fake.oversubscription()).sum::<f64>() / fakes.len() as f64;
     Figures {
         classes,
-        extra: seen.runs as f64 / seen.distinct.max(1) as f64 - 1.0,
+        extra: seen.runs as f64 / bench.covered.get().max(1) as f64 - 1.0,
         over,
         crashes: seen.crashes,
         connects: seen.connects,
@@ -247,8 +267,8 @@
 
 fn print(cases: &[Case], done: &[(usize, bool, Figures)], args: &Args) {
     println!(
-        "{} seeds, {} s each, {SHARDS} shards of 2 replicas; median [least-most] over the seeds",
-        args.seeds, args.seconds
+        "root {}, {} seeds, {} s each, {SHARDS} shards of 2 replicas; median [least-most] over the seeds",
+        args.root, args.seeds, args.seconds
     );
     println!(
         "| case | form | class | p50 ms | p99 ms | p99.9 ms | coverage | in time | goodput | extra | over | crashes | connects | back s |"
--- a/crates/measure/src/fakes.rs
+++ b/crates/measure/src/fakes.rs
@@ -6,7 +6,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{HashMap, HashSet, VecDeque},
+    collections::HashMap,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -16,13 +16,16 @@
 use kumquatnotch::core::{
     Clock, Error, LocalFuture, Result, Targets,
     document::TargetSpec,
-    ids::{IndexVersion, ShardName, TargetName},
+    ids::{IndexVersion, TargetName},
     query::Hit,
     random::Random,
     target::{HeldVersion, Phase, TargetCall, TargetReply, TargetStatus},
 };
 
-use crate::virtual_time::VirtualTime;
+use crate::{
+    fake::{COLD, Connection, Fake, Inside, QUEUE},
+    virtual_time::VirtualTime,
+};
 
 /// The version of the index that every fake target holds.
 pub const VERSION: IndexVersion = IndexVersion(7);
@@ -32,55 +35,17 @@
 const SPREAD: f64 = 0.3;
 /// The cost of a new connection.
 const CONNECT: Duration = Duration::from_millis(6);
-/// The waiting calls beyond which a target sheds.
-const QUEUE: usize = 16;
 /// The time after which a silent connection is found by the net layer.
 const SILENT: Duration = Duration::from_millis(300);
 /// The time a crashed target needs to come back.
 const RESTART: Duration = Duration::from_secs(2);
-/// How much slower a cold target is, and for how many calls.
-const COLD: (f64, u32) = (8.0, 60);
 /// The text of a request that crashes targets.
 pub const POISON: &str = "poison";
 
-/// The state of one target.
-pub struct Fake {
-    shard: ShardName,
-    /// The one-way delay to it.
-    pub delay: Cell<Duration>,
-    pub slots: Cell<u32>,
-    /// How much slower it is than the others.
-    pub factor: Cell<f64>,
-    pub up: Cell<bool>,
-    /// Whether nothing gets through to it.
-    pub cut: Cell<bool>,
-    pub phase: Cell<Phase>,
-    /// Whether it reports no load whatever it does.
-    pub lies: Cell<bool>,
-    /// The calls that it serves slowly until it is warm.
-    pub cold: Cell<u32>,
-    /// The open connections that have gone silent.
-    pub silent: Cell<u32>,
-    incarnation: Cell<u64>,
-    idle: Cell<u32>,
-    inner: RefCell<Inner>,
-}
-
-#[derive(Default)]
-struct Inner {
-    running: u32,
-    waiting: VecDeque<oneshot::Sender<()>>,
-    kills: HashMap<u64, oneshot::Sender<()>>,
-    changed: Option<Instant>,
-    over: f64,
-    span: f64,
-}
-
 /// What the targets saw.
 #[derive(Clone, Debug, Default)]
 pub struct Seen {
     pub runs: u64,
-    pub distinct: u64,
     pub crashes: u64,
     pub connects: u64,
 }
@@ -91,152 +56,11 @@
     random: Random,
     pub targets: HashMap<TargetName, Rc<Fake>>,
     pub seen: RefCell<Seen>,
-    known: RefCell<HashSet<(String, ShardName)>>,
     /// Whether runs are counted now.
     pub counts: Cell<bool>,
     serial: Cell<u64>,
 }
 
-impl Fake {
-    pub fn new(shard: ShardName, delay: Duration, slots: u32) -> Fake {
-        Fake {
-            shard,
-            delay: Cell::new(delay),
-            slots: Cell::new(slots),
-            factor: Cell::new(1.0),
-            up: Cell::new(true),
-            cut: Cell::new(false),
-            phase: Cell::new(Phase::Ready),
-            lies: Cell::new(false),
-            cold: Cell::new(0),
-            silent: Cell::new(0),
-            incarnation: Cell::new(1),
-            idle: Cell::new(0),
-            inner: RefCell::default(),
-        }
-    }
-
-    /// Ends the process; every call to it is cut off.
-    pub fn stop(&self) {
-        self.up.set(false);
-        self.idle.set(0);
-        let mut inner = self.inner.borrow_mut();
-        inner.waiting.clear();
-        for (_, kill) in inner.kills.drain() {
-            let _ = kill.send(());
-        }
-    }
-
-    /// Starts a new process, with cold caches.
-    pub fn start(&self) {
-        self.incarnation.set(self.incarnation.get() + 1);
-        self.cold.set(COLD.1);
-        self.phase.set(Phase::Ready);
-        self.up.set(true);
-    }
-
-    /// Every connection that is open now goes silent.
-    pub fn silence(&self) {
-        self.silent.set(self.idle.get());
-    }
-
-    /// The mean share of calls beyond its slots.
-    pub fn oversubscription(&self) -> f64 {
-        let inner = self.inner.borrow();
-        if inner.span == 0.0 { 0.0 } else { inner.over / inner.span }
-    }
-
-    /// Forgets the oversubscription counted so far.
-    pub fn reset_over(&self) {
-        let mut inner = self.inner.borrow_mut();
-        (inner.over, inner.span) = (0.0, 0.0);
-    }
-
-    fn load(&self) -> u32 {
-        let inner = self.inner.borrow();
-        if self.lies.get() { 0 } else { inner.running + inner.waiting.len() as u32 }
-    }
-
-    fn account(&self, now: Instant) {
-        let mut inner = self.inner.borrow_mut();
-        let since = inner.changed.replace(now).unwrap_or(now);
-        let span = (now - since).as_secs_f64();
-        let inside = inner.running + inner.waiting.len() as u32;
-        let slots = self.slots.get();
-        inner.over += span * f64::from(inside.saturating_sub(slots)) / f64::from(slots);
-        inner.span += span;
-    }
-
-    fn enter(&self, now: Instant) -> Option<oneshot::Receiver<()>> {
-        self.account(now);
-        let mut inner = self.inner.borrow_mut();
-        if inner.running < self.slots.get() {
-            inner.running += 1;
-            return None;
-        }
-        let (sender, receiver) = oneshot::channel();
-        inner.waiting.push_back(sender);
-        Some(receiver)
-    }
-
-    fn leave(&self, now: Instant) {
-        self.account(now);
-        let mut inner = self.inner.borrow_mut();
-        inner.running -= 1;
-        while inner.running < self.slots.get() {
-            let Some(next) = inner.waiting.pop_front() else {
-                return;
-            };
-            if next.send(()).is_ok() {
-                inner.running += 1;
-            }
-        }
-    }
-}
-
-/// A call inside a target; dropping it leaves the slot.
-struct Inside<'a> {
-    fake: &'a Fake,
-    time: &'a VirtualTime,
-    serial: u64,
-    runs: bool,
-    turn: Option<oneshot::Receiver<()>>,
-}
-
-impl Drop for Inside<'_> {
-    fn drop(&mut self) {
-        let now = self.time.now();
-        // A call may be given up just as its turn has come.
-        if let Some(turn) = &mut self.turn {
-            self.runs |= matches!(turn.try_recv(), Ok(Some(())));
-            turn.close();
-        }
-        self.fake.account(now);
-        self.fake.inner.borrow_mut().kills.remove(&self.serial);
-        if self.runs {
-            self.fake.leave(now);
-        } else {
-            self.fake.inner.borrow_mut().waiting.retain(|waiting| !waiting.is_canceled());
-        }
-    }
-}
-
-/// A connection in use; dropping it keeps it open for the next call.
-struct Connection<'a> {
-    fake: &'a Fake,
-    incarnation: u64,
-    broken: bool,
-}
-
-impl Drop for Connection<'_> {
-    fn drop(&mut self) {
-        let fake = self.fake;
-        if !self.broken && fake.up.get() && fake.incarnation.get() == self.incarnation {
-            fake.idle.set(fake.idle.get() + 1);
-        }
-    }
-}
-
 impl FakeTargets {
     pub fn new(time: &VirtualTime, random: &Random) -> FakeTargets {
         FakeTargets {
@@ -244,7 +68,6 @@
             random: random.clone(),
             targets: HashMap::new(),
             seen: RefCell::default(),
-            known: RefCell::default(),
             counts: Cell::new(false),
             serial: Cell::new(0),
         }
@@ -307,9 +130,9 @@
             inside.turn = None;
             inside.runs = true;
         }
-        self.count(call);
+        self.count();
         self.time.sleep(self.service(fake)).await;
-        if call.body.starts_with(POISON) {
+        if call.body.contains(POISON) {
             self.seen.borrow_mut().crashes += 1;
             // The slot is left before its owner is gone.
             drop(inside);
@@ -341,14 +164,9 @@
         SERVICE.mul_f64(factor * (SPREAD * normal - SPREAD * SPREAD / 2.0).exp())
     }
 
-    fn count(&self, call: &TargetCall) {
-        if !self.counts.get() {
-            return;
-        }
-        let mut seen = self.seen.borrow_mut();
-        seen.runs += 1;
-        if self.known.borrow_mut().insert((call.body.clone(), call.shard.clone())) {
-            seen.distinct += 1;
+    fn count(&self) {
+        if self.counts.get() {
+            self.seen.borrow_mut().runs += 1;
         }
     }
 
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -4,7 +4,9 @@
 
 mod bench;
 mod decisions;
+mod fake;
 mod fakes;
+mod nodes;
 mod virtual_time;
 
 use argh::FromArgs;
