--- a/crates/kumquatnotch-query/src/plan.rs
+++ b/crates/kumquatnotch-query/src/plan.rs
@@ -143,9 +143,24 @@
                 layouts.unknown.push(Unknown { shard: home.clone(), collections: BTreeSet::new() })
             }
         });
+        layouts.drop_moved();
         layouts
     }
 
+    /// Drops declared shards that replicas of another one hold by now.
+    ///
+    /// They are in a layout already. Listed as unknown as well, such a shard would
+    /// take the place of one that nobody has seen, and the plan would be thin.
+    fn drop_moved(&mut self) {
+        let unknown = std::mem::take(&mut self.unknown);
+        let layouts = || self.collections.values().flat_map(BTreeMap::values);
+        let is_seen = |shard: &ShardName| {
+            layouts().any(|layout| layout.shards.contains_key(shard) || layout.gone.contains(shard))
+        };
+        let unknown = unknown.into_iter().filter(|unknown| !is_seen(&unknown.shard)).collect();
+        self.unknown = unknown;
+    }
+
     fn plan(&self, version: IndexVersion) -> Plan {
         let mut plan = Plan { version, ..Plan::default() };
         let mut names = Names::new(&self.unknown);
--- a/crates/kumquatnotch-query/tests/versions.rs
+++ b/crates/kumquatnotch-query/tests/versions.rs
@@ -317,6 +317,9 @@
         &[("a", &[at(1, "a", "c", 2), at(2, "ab", "c", 1)]), ("b", &[at(1, "b", "c", 2)])],
         &["a", "b"], (2, 1, 1)
     },
+    moved_shard_takes_no_other_place = {
+        &[("a", &[at(1, "a", "c", 3), at(1, "b", "c", 3)]), ("b", &[])], &["a", "b"], (1, 2, 3)
+    },
     other_collection_counts = {
         &[("a", &[at(2, "a", "c", 1)]), ("x", &[at(1, "x", "d", 2)])], &["a", "x"], (2, 1, 3)
     },
