--- a/crates/kumquatnotch-holder/tests/common/mod.rs
+++ b/crates/kumquatnotch-holder/tests/common/mod.rs
@@ -1,4 +1,7 @@
 //! A holder over scripted targets on a paused clock.
+//!
+//! Each test file uses a part of this.
+#![allow(dead_code)]
 
 use std::{
     cell::{Cell, RefCell},
--- /dev/null
+++ b/crates/kumquatnotch-holder/tests/load.rs
@@ -0,0 +1,188 @@
+//! Tests of the holder under load and crashes, beside the naive decisions.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Act, World, request};
+use futures_util::future::{join, join_all};
+use kumquatnotch_core::{Clock, Error, clock::sleep, document::Class, query::GroupRequest};
+use kumquatnotch_holder::Decisions;
+use kumquatnotch_policy::{
+    containment::NoContainment, hedge::NoHedge, limit::NoLimit, queue::FifoQueue,
+    replica::NoWarmup, retry::NaiveRetry,
+};
+
+const PAIR: [(&str, &str); 2] = [("a", "s0"), ("b", "s0")];
+
+fn naive() -> Decisions {
+    Decisions {
+        limit: || Box::new(NoLimit),
+        queue: || Box::new(FifoQueue::default()),
+        hedge: Box::new(NoHedge),
+        retry: Box::new(NaiveRetry),
+        containment: Box::new(NoContainment),
+        warmup: Box::new(NoWarmup),
+        ..Decisions::default()
+    }
+}
+
+// Some calls to a good replica hang, as on a connection that went silent. A
+// copy goes to the other replica, and the call that lost is cancelled.
+#[test]
+fn late_call_is_copied_and_the_loser_cancelled() {
+    let late = |decisions| {
+        let world = World::with(&PAIR, decisions);
+        let elapsed = world.run(async {
+            world.warm(200).await;
+            world.acts("a", Act::Hang);
+            let start = world.clock.now();
+            let _ =
+                join(world.group(request(&["s0"], "x")), world.group(request(&["s0"], "y"))).await;
+            world.clock.now() - start
+        });
+        (elapsed, world.script("a").inside.get())
+    };
+
+    let (elapsed, inside) = late(Decisions::default());
+    let (naive, _) = late(Decisions { hedge: Box::new(NoHedge), ..Decisions::default() });
+
+    assert!(elapsed < Duration::from_millis(60), "{elapsed:?}");
+    assert_eq!(inside, 0);
+    assert_eq!(naive, Duration::from_millis(1_000));
+}
+
+/// Sends `count` queries at once; how many were inside the target at most.
+fn most_inside(decisions: Decisions, count: usize) -> u32 {
+    let world = World::with(&[("a", "s0")], decisions);
+    world.run(async {
+        let bodies: Vec<String> = (0..count).map(|index| format!("q{index}")).collect();
+        join_all(bodies.iter().map(|body| world.group(request(&["s0"], body)))).await
+    });
+    world.script("a").most_inside.get()
+}
+
+#[test]
+fn queue_is_kept_on_our_side() {
+    assert!(most_inside(Decisions::default(), 20) <= 3);
+    assert_eq!(most_inside(naive(), 20), 20);
+}
+
+// Demand is far over capacity. Those who can't be served in time learn it at
+// once with the time to come back; what is served still is.
+#[test]
+fn overload_is_refused_at_once() {
+    let world = World::new(&[("a", "s0")]);
+
+    let (refused, served) = world.run(async {
+        world.warm(50).await;
+        let bodies: Vec<String> = (0..600).map(|index| format!("q{index}")).collect();
+        let start = world.clock.now();
+        let results = join_all(bodies.iter().map(|body| async {
+            let result = world.group(request(&["s0"], body)).await;
+            (result, world.clock.now() - start)
+        }))
+        .await;
+        let refused: Vec<_> = results
+            .iter()
+            .filter(|(result, _)| matches!(result, Err(Error::Overloaded { .. })))
+            .map(|(_, elapsed)| *elapsed)
+            .collect();
+        let served = results
+            .iter()
+            .filter(|(result, _)| result.as_ref().is_ok_and(|answer| !answer.covered.is_empty()));
+        (refused, served.count())
+    });
+
+    assert!(refused.len() > 300, "{} refused", refused.len());
+    assert!(refused.iter().all(|elapsed| elapsed.is_zero()));
+    assert_eq!(served + refused.len(), 600);
+}
+
+// A request crashes the targets that run it, and its caller sends it again and
+// again, beside other callers. Two targets may fall; the others are answered.
+#[test]
+fn poisoned_request_is_contained() {
+    let targets = [("a", "s0"), ("b", "s0"), ("c", "s0"), ("d", "s0"), ("e", "s0")];
+    let crashes = |decisions| {
+        let world = World::with(&targets, decisions);
+        let last = world.run(async {
+            world.warm(20).await;
+            world.pause(200).await;
+            let mut last = None;
+            for index in 0..6 {
+                let body = format!("innocent {index}");
+                let (poison, innocent) = join(
+                    world.group(request(&["s0"], "poison")),
+                    world.group(request(&["s0"], &body)),
+                )
+                .await;
+                last = Some((poison, innocent));
+            }
+            last.unwrap()
+        });
+        (targets.iter().map(|(name, _)| world.script(name).crashes.get()).sum::<u32>(), last)
+    };
+
+    let (chosen, (poison, innocent)) = crashes(Decisions::default());
+    let (naive, _) = crashes(naive());
+
+    assert_eq!(chosen, 2);
+    assert!(matches!(poison, Err(Error::Contained { .. })));
+    assert_eq!(innocent.unwrap().covered.len(), 1);
+    assert!(naive > 2, "{naive} without containment");
+}
+
+#[test]
+fn audit_waits_for_the_desk() {
+    let world = World::new(&[("a", "s0")]);
+    let audit = GroupRequest { class: Class::Audit, ..request(&["s0"], "audit") };
+
+    world.run(async {
+        let desk = async {
+            let bodies: Vec<String> = (0..6).map(|index| format!("d{index}")).collect();
+            join_all(bodies.iter().map(|body| world.group(request(&["s0"], body)))).await;
+        };
+        let busy = async {
+            join_all(["x", "y"].map(|body| world.group(request(&["s0"], body)))).await;
+        };
+        let later = async {
+            sleep(&world.clock, Duration::from_millis(1)).await;
+            let _ = join(world.group(audit), desk).await;
+        };
+        join(busy, later).await;
+    });
+
+    assert_eq!(world.script("a").calls.borrow().last().map(String::as_str), Some("audit"));
+}
+
+// Forty targets restart at once. Nothing but probes goes to them, a few at a
+// time, and queries are answered again soon after they are back.
+#[test]
+fn mass_restart_meets_no_storm() {
+    let names: Vec<(String, String)> =
+        (0..40).map(|index| (format!("t{index}"), format!("s{}", index / 2))).collect();
+    let targets: Vec<(&str, &str)> = names.iter().map(|(t, s)| (t.as_str(), s.as_str())).collect();
+    let shards: Vec<&str> = targets.iter().step_by(2).map(|(_, shard)| *shard).collect();
+    let world = World::new(&targets);
+
+    let (refused, calls, back) = world.run(async {
+        world.group(request(&shards, "q")).await.unwrap();
+        targets.iter().for_each(|(name, _)| world.script(name).up.set(false));
+        world.group(request(&shards, "x")).await.unwrap();
+        let calls = || -> usize {
+            targets.iter().map(|(name, _)| world.script(name).calls.borrow().len()).sum()
+        };
+        let before = calls();
+        let refused = world.group(request(&shards, "y")).await.unwrap().missing.len();
+        world.pause(2_000).await;
+        let during = calls() - before;
+        targets.iter().for_each(|(name, _)| world.script(name).up.set(true));
+        world.pause(1_000).await;
+        let back = world.group(request(&shards, "z")).await.unwrap().covered.len();
+        (refused, during, back)
+    });
+
+    assert_eq!((refused, calls, back), (20, 0, 20));
+    assert!(world.scripts.most_probing.get() <= 16);
+}
