Give nodes ports that the system gives to no other

Drawing again after a failure was ruled out, as callers and peers keep the address of a node over its restarts.

--- a/crates/history/src/process.rs
+++ b/crates/history/src/process.rs
@@ -4,11 +4,13 @@
     fs::File,
     io::{self, BufRead, BufReader},
     net::{Ipv4Addr, SocketAddr, TcpListener},
+    ops::Range,
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
     time::{Duration, Instant},
 };
 
+use kumquatnotch_core::random::Random;
 use rustix::process::{Pid, Signal, kill_process};
 use serde::de::DeserializeOwned;
 
@@ -93,9 +95,29 @@
     })
 }
 
+/// The ports that nodes may get: below those that the system gives to others.
+///
+/// A port that the system chose, and that a node gave up while it was down, could
+/// be given to any connection in between; the node could then not start again.
+const NODE_PORTS: Range<u16> = 12_000..32_000;
+
+/// How often a port is drawn before the search is given up.
+const PORT_TRIES: usize = 1_000;
+
 /// Ports of the loopback address that are free now.
 pub fn free_ports(count: usize) -> io::Result<Vec<u16>> {
-    let bind = |_| TcpListener::bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)));
-    let listeners = (0..count).map(bind).collect::<io::Result<Vec<TcpListener>>>()?;
+    // Runs side by side must not draw the same, so this has no seed.
+    let random = Random::from_entropy();
+    let mut listeners = Vec::new();
+    for _ in 0..PORT_TRIES {
+        if listeners.len() == count {
+            break;
+        }
+        let port = NODE_PORTS.start + random.below(NODE_PORTS.len()) as u16;
+        listeners.extend(TcpListener::bind(SocketAddr::from((Ipv4Addr::LOCALHOST, port))));
+    }
+    if listeners.len() < count {
+        return Err(io::Error::other("there are not enough free ports"));
+    }
     listeners.iter().map(|listener| Ok(listener.local_addr()?.port())).collect()
 }
