--- /dev/null
+++ b/crates/kumquatnotch-member/examples/members.rs
@@ -0,0 +1,182 @@
+//! Measures membership and configuration with many nodes in one process.
+//!
+//! The nodes run over the network in memory of the tests, with paused time: the
+//! times are those of the protocol, not of this machine. The processor time is
+//! that of the whole process, the network and the clock of the tests included,
+//! and so an upper bound. Bytes are those of bodies, without HTTP.
+
+#[path = "../tests/fixture/mod.rs"]
+mod fixture;
+
+use std::{rc::Rc, time::Duration};
+
+use argh::FromArgs;
+use fixture::{World, run};
+use kumquatnotch_core::member::Members;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// How long the steady state is watched.
+const STEADY: Duration = Duration::from_secs(60);
+
+/// How long the messages of one change are counted.
+const SETTLING: Duration = Duration::from_secs(30);
+
+/// How many changes of the document are timed.
+const CHANGES: u64 = 5;
+
+/// Measure membership and configuration with many nodes in one process.
+#[derive(FromArgs)]
+struct Args {
+    /// the numbers of nodes, separated by commas
+    #[argh(option, default = "String::from(\"9,50,100,200\")")]
+    nodes: String,
+    /// the seed
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// the targets in the document
+    #[argh(option, default = "1000")]
+    targets: usize,
+}
+
+/// Messages, bytes and processor time so far.
+#[derive(Clone, Copy)]
+struct Usage {
+    messages: u64,
+    bytes: u64,
+    cpu: Duration,
+}
+
+/// What was found for one number of nodes.
+struct Row {
+    count: usize,
+    start: Option<Duration>,
+    steady: Usage,
+    age: u64,
+    calls: f64,
+    changes: Vec<Duration>,
+    change: Usage,
+    gone: Option<Duration>,
+    death: Usage,
+}
+
+fn main() {
+    let args: Args = argh::from_env();
+    println!(
+        "seed {}, {} targets; bodies without HTTP; times in paused time",
+        args.seed, args.targets
+    );
+    println!(
+        "nodes | start s | msg/node/s | B/node/s | cpu us/node/s | cpu us/msg | age s | calls/s \
+         | change s, worst of {CHANGES} | change msg/node | change B/node | gone s \
+         | death msg/node | death B/node"
+    );
+    for count in args.nodes.split(',') {
+        let count: usize = count.trim().parse().expect("a number of nodes");
+        let targets = args.targets;
+        let row = run(args.seed, async move |world| measure(world, count, targets).await);
+        print(&row);
+    }
+}
+
+async fn measure(world: Rc<World>, count: usize, targets: usize) -> Row {
+    world.platform.publish(1, targets);
+    (0..count).for_each(|number| drop(world.add_configured(number)));
+    let ready = || world.has_converged() && world.all_have(1);
+    let start = world.wait(60 * SECOND, ready).await;
+    // The changes of the start have been sent as often as they are.
+    world.pass(60 * SECOND).await;
+
+    let calls = world.platform.calls.get();
+    let steady = watch(&world, STEADY).await;
+    let calls = (world.platform.calls.get() - calls) as f64 / STEADY.as_secs_f64();
+    let ages = world.nodes.borrow().iter().map(|node| node.members.confirmed().age_ms).max();
+
+    let before = usage(&world);
+    let mut changes = Vec::new();
+    for version in 2..2 + CHANGES {
+        world.platform.publish(version, targets);
+        changes.extend(world.wait(60 * SECOND, || world.all_have(version)).await);
+        world.pass(SETTLING).await;
+    }
+    let change = usage(&world).since(&before);
+    let span = SETTLING * CHANGES as u32 + changes.iter().sum::<Duration>();
+    let change = change.beyond(&steady, span);
+
+    let victim = world.nodes.borrow()[count / 2].clone();
+    let before = usage(&world);
+    world.kill(&victim);
+    let gone = world.wait(60 * SECOND, || world.is_gone_everywhere(&victim.name)).await;
+    world.pass(SETTLING).await;
+    let death = usage(&world).since(&before);
+    let death = death.beyond(&steady, SETTLING + gone.unwrap_or_default());
+
+    let age = ages.unwrap_or_default();
+    Row { count, start, steady, age, calls, changes, change, gone, death }
+}
+
+async fn watch(world: &World, span: Duration) -> Usage {
+    let before = usage(world);
+    world.pass(span).await;
+    usage(world).since(&before)
+}
+
+fn usage(world: &World) -> Usage {
+    let (messages, bytes) = world.network.total();
+    Usage { messages, bytes, cpu: cpu_time() }
+}
+
+/// The processor time of this thread.
+fn cpu_time() -> Duration {
+    let text = std::fs::read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
+    let nanos = text.split(' ').next().and_then(|nanos| nanos.parse().ok());
+    Duration::from_nanos(nanos.unwrap_or_default())
+}
+
+impl Usage {
+    fn since(&self, before: &Usage) -> Usage {
+        Usage {
+            messages: self.messages - before.messages,
+            bytes: self.bytes - before.bytes,
+            cpu: self.cpu - before.cpu,
+        }
+    }
+
+    /// What goes beyond the steady state for `span`.
+    fn beyond(&self, steady: &Usage, span: Duration) -> Usage {
+        let share = span.as_secs_f64() / STEADY.as_secs_f64();
+        let beyond = |all: u64, steady: u64| all.saturating_sub((steady as f64 * share) as u64);
+        Usage {
+            messages: beyond(self.messages, steady.messages),
+            bytes: beyond(self.bytes, steady.bytes),
+            cpu: self.cpu.saturating_sub(steady.cpu.mul_f64(share)),
+        }
+    }
+}
+
+fn print(row: &Row) {
+    let nodes = row.count as f64;
+    let each = nodes * STEADY.as_secs_f64();
+    let seconds = |span: Option<Duration>| match span {
+        Some(span) => format!("{:.1}", span.as_secs_f64()),
+        None => "never".to_owned(),
+    };
+    let changes = CHANGES as f64 * nodes;
+    println!(
+        "{} | {} | {:.2} | {:.0} | {:.0} | {:.1} | {:.1} | {:.1} | {} | {:.1} | {:.0} | {} | {:.1} | {:.0}",
+        row.count,
+        seconds(row.start),
+        row.steady.messages as f64 / each,
+        row.steady.bytes as f64 / each,
+        row.steady.cpu.as_micros() as f64 / each,
+        row.steady.cpu.as_micros() as f64 / row.steady.messages as f64,
+        row.age as f64 / 1e3,
+        row.calls,
+        seconds(row.changes.iter().max().copied()),
+        row.change.messages as f64 / changes,
+        row.change.bytes as f64 / changes,
+        seconds(row.gone),
+        row.death.messages as f64 / nodes,
+        row.death.bytes as f64 / nodes,
+    );
+}
--- a/crates/kumquatnotch-member/src/config_service.rs
+++ b/crates/kumquatnotch-member/src/config_service.rs
@@ -49,6 +49,8 @@
     pub(crate) backoff: RefCell<Backoff>,
     pub(crate) pulse: Pulse,
     pub(crate) gate: Gate,
+    /// The view by which the readers were ranked, and whether this node is one.
+    pub(crate) rank: Cell<(u64, bool)>,
     /// Rumours are only collected until the node has decided on its first document.
     pub(crate) born: Cell<bool>,
     pub(crate) me: Weak<ConfigService>,
@@ -81,6 +83,7 @@
             backoff: RefCell::default(),
             pulse: Pulse::new(now, options.freeze_limit),
             gate: Gate::default(),
+            rank: Cell::default(),
             born: Cell::new(false),
             me: me.clone(),
             document: RefCell::default(),
--- a/crates/kumquatnotch-member/src/exchange.rs
+++ b/crates/kumquatnotch-member/src/exchange.rs
@@ -98,12 +98,12 @@
         let mut listed = Vec::new();
         let mut list_due = self.clock.now() + self.random.jitter(LIST_GAP);
         loop {
-            let alone = self.table.borrow().live().next().is_none();
+            let alone = self.table.borrow().live_count() == 0;
             let period = if alone { JOIN_GAPS.1 } else { self.options.reach_period };
             clock::sleep(&*self.clock, self.random.jitter(period)).await;
             if self.clock.now() >= list_due {
                 listed = self.listed().await;
-                let count = self.table.borrow().live().count() as u32;
+                let count = self.table.borrow().live_count() as u32;
                 let gap = LIST_GAP.max(Duration::from_secs(1) * count);
                 list_due = self.clock.now() + self.random.jitter(gap);
             }
@@ -115,7 +115,7 @@
 
     /// Exchanges with the node at `address`.
     pub(crate) async fn exchange_with(&self, address: SocketAddr) -> Result<Difference> {
-        let known = self.table.borrow().live().next().is_some();
+        let known = self.table.borrow().live_count() > 0;
         let buckets = self.table.borrow().buckets();
         let hash = if known { whole(&buckets) } else { EMPTY_HASH };
         let to = self.table.borrow().at(address).map(|entry| entry.record.name.clone());
--- a/crates/kumquatnotch-member/src/membership_service.rs
+++ b/crates/kumquatnotch-member/src/membership_service.rs
@@ -213,7 +213,7 @@
 
     /// log10 of the nodes, at least one.
     pub(crate) fn scale(&self) -> f64 {
-        let count = self.table.borrow().live().count() + 2;
+        let count = self.table.borrow().live_count() + 2;
         (count as f64).log10().max(1.0)
     }
 
--- a/crates/kumquatnotch-member/src/probe.rs
+++ b/crates/kumquatnotch-member/src/probe.rs
@@ -146,7 +146,7 @@
         let helpers = self.pick_helpers(subject);
         if helpers.is_empty() {
             // With two nodes there is nobody to ask.
-            let alone = self.table.borrow().live().count() <= 1;
+            let alone = self.table.borrow().live_count() <= 1;
             return if alone { Witness::Silent } else { Witness::None };
         }
         // A helper waits for the subject; its own reply needs time too.
--- a/crates/kumquatnotch-member/src/readers.rs
+++ b/crates/kumquatnotch-member/src/readers.rs
@@ -86,7 +86,21 @@
     }
 
     /// Whether this node is one of the readers.
+    ///
+    /// Ranking 1,900 names each second would be most of the processor time that
+    /// control takes, so it is done once for each change of the view.
     pub(crate) fn is_reader(&self) -> bool {
+        let generation = self.members.generation();
+        let (ranked, reader) = self.rank.get();
+        if ranked == generation {
+            return reader;
+        }
+        let reader = self.ranks_first();
+        self.rank.set((generation, reader));
+        reader
+    }
+
+    fn ranks_first(&self) -> bool {
         let known = self.members.known();
         let names: Vec<&str> = known
             .iter()
@@ -94,13 +108,13 @@
             .map(|record| record.name.as_str())
             .collect();
         let local = self.members.local().name;
-        let first = rendezvous(READERS_KEY, &names).into_iter().take(self.options.readers);
-        first.into_iter().any(|name| name == local.as_str())
+        let mut first = rendezvous(READERS_KEY, &names).into_iter().take(self.options.readers);
+        first.any(|name| name == local.as_str())
     }
 
     /// How many nodes are known, this one too.
     pub(crate) fn node_count(&self) -> usize {
-        self.members.known().len()
+        self.members.table.borrow().live_count() + 1
     }
 
     pub(crate) fn may_read(&self) -> bool {
--- a/crates/kumquatnotch-member/src/table.rs
+++ b/crates/kumquatnotch-member/src/table.rs
@@ -54,6 +54,12 @@
     pub(crate) asked: bool,
 }
 
+impl Entry {
+    fn is_live(&self) -> bool {
+        self.record.state != NodeState::Gone
+    }
+}
+
 /// The records of all nodes.
 #[derive(Debug)]
 pub(crate) struct Table {
@@ -62,6 +68,8 @@
     addresses: HashMap<SocketAddr, NodeName>,
     generation: u64,
     check_gone: bool,
+    /// How many other nodes are not gone.
+    live_count: usize,
 }
 
 impl Table {
@@ -72,6 +80,7 @@
             addresses: HashMap::default(),
             generation: 1,
             check_gone,
+            live_count: 0,
         }
     }
 
@@ -97,6 +106,11 @@
         self.others().map(|entry| &entry.record).filter(|record| record.state != NodeState::Gone)
     }
 
+    /// How many other nodes are not gone.
+    pub(crate) fn live_count(&self) -> usize {
+        self.live_count
+    }
+
     /// The node that is known at `address`.
     pub(crate) fn at(&self, address: SocketAddr) -> Option<&Entry> {
         self.nodes.get(self.addresses.get(&address)?)
@@ -169,8 +183,10 @@
             NodeState::Up | NodeState::Leaving => None,
         };
         self.addresses.insert(record.peer, record.name.clone());
+        self.live_count += usize::from(record.state != NodeState::Gone);
         let entry = Entry { record: record.clone(), until, asked: false };
-        self.nodes.insert(record.name, entry);
+        let earlier = self.nodes.insert(record.name, entry);
+        self.live_count -= usize::from(earlier.is_some_and(|entry| entry.is_live()));
     }
 
     /// The records whose time is over: suspects and nodes to forget.
@@ -206,6 +222,7 @@
         let Some(entry) = self.nodes.remove(name) else {
             return;
         };
+        self.live_count -= usize::from(entry.is_live());
         if self.addresses.get(&entry.record.peer) == Some(&entry.record.name) {
             self.addresses.remove(&entry.record.peer);
         }
