--- /dev/null
+++ b/crates/measure/src/capacity_rows.rs
@@ -0,0 +1,401 @@
+//! The table of docs/CAPACITY.md, row by row.
+
+use crate::capacity::{Derived, Inputs};
+
+/// A line of the table.
+#[derive(Clone, Debug)]
+pub struct Row {
+    /// The role of a node, or the storm.
+    pub role: &'static str,
+    /// What is counted.
+    pub what: &'static str,
+    /// How much there is at the size, if what it takes was measured.
+    pub amount: Option<f64>,
+    /// Its unit.
+    pub unit: &'static str,
+    /// How much is allowed, where something is.
+    pub allowed: Option<f64>,
+    /// What carries it, and the file where that stands.
+    pub carrier: &'static str,
+    /// The names in capacity.toml that it was worked out from.
+    pub from: &'static str,
+}
+
+const DAY: f64 = 86_400.0;
+const MIB: f64 = 1_048_576.0;
+
+/// Every line of the table.
+pub fn rows(inputs: &Inputs) -> Vec<Row> {
+    let derived = Derived::new(inputs);
+    let mut rows = root(inputs, &derived);
+    rows.extend(holder(inputs, &derived));
+    rows.extend(member(inputs, &derived));
+    rows.extend(reader(inputs));
+    rows.extend(status(inputs));
+    rows.extend(storms(inputs));
+    rows
+}
+
+/// The table in Markdown.
+pub fn table(inputs: &Inputs) -> String {
+    let mut text = String::from(
+        "| role | what | at the size | allowed | factor | carried by | from |\n\
+         | --- | --- | --- | --- | --- | --- | --- |\n",
+    );
+    for row in rows(inputs) {
+        text.push_str(&row.to_line());
+    }
+    text
+}
+
+impl Row {
+    fn to_line(&self) -> String {
+        let Row { role, what, unit, carrier, from, .. } = self;
+        let amount = match self.amount {
+            Some(amount) => format!("{} {unit}", number(amount)),
+            None => "not measured".to_owned(),
+        };
+        let allowed = match self.allowed {
+            Some(allowed) => format!("{} {unit}", number(allowed)),
+            None => "-".to_owned(),
+        };
+        let factor = match (self.amount, self.allowed) {
+            (Some(amount), Some(allowed)) if amount > allowed => {
+                format!("**{} over**", number(amount / allowed))
+            }
+            (Some(amount), Some(allowed)) => number(amount / allowed),
+            _ => "-".to_owned(),
+        };
+        format!("| {role} | {what} | {amount} | {allowed} | {factor} | {carrier} | {from} |\n")
+    }
+}
+
+/// Three significant digits, with commas in thousands.
+fn number(value: f64) -> String {
+    if value == 0.0 {
+        return "0".to_owned();
+    }
+    let digits = 2 - value.abs().log10().floor() as i32;
+    if digits > 0 {
+        return format!("{value:.*}", digits.min(6) as usize);
+    }
+    let unit = 10f64.powi(-digits);
+    let whole = format!("{:.0}", (value / unit).round() * unit);
+    let mut text = String::new();
+    for (place, digit) in whole.chars().enumerate() {
+        if place > 0 && (whole.len() - place).is_multiple_of(3) {
+            text.push(',');
+        }
+        text.push(digit);
+    }
+    text
+}
+
+fn root(inputs: &Inputs, derived: &Derived) -> Vec<Row> {
+    let Inputs { size, budget, design, .. } = inputs;
+    let role = "root";
+    let by_selector = derived.queries * design.groups_by_selector;
+    let message = inputs.value("peer_message_us");
+    let copy = inputs.value("rank_entry_ns");
+    let entry = inputs.value("node_record_bytes");
+    vec![
+        Row {
+            role,
+            what: "state: queries in flight, 300 ms each",
+            amount: Some(derived.queries * 0.3),
+            unit: "queries",
+            allowed: None,
+            carrier: "a task a query, query/src/search.rs",
+            from: "size",
+        },
+        Row {
+            role,
+            what: "messages to holders, a second; as many answers",
+            amount: Some(derived.messages),
+            unit: "/s",
+            allowed: Some(by_selector),
+            carrier: "groups by hash of the shard, query/src/groups.rs",
+            from: "size, design",
+        },
+        Row {
+            role,
+            what: "processor: messages to holders and their answers, both ends",
+            amount: message.map(|us| derived.messages * us / 1e6),
+            unit: "cores",
+            allowed: Some(budget.cores),
+            carrier: "net/src/peer_links.rs, query/src/router.rs",
+            from: "peer_message_us",
+        },
+        Row {
+            role,
+            what: "processor: copying and sorting the rank of each group asked",
+            amount: copy.map(|ns| derived.messages * size.nodes * ns / 1e9),
+            unit: "cores",
+            allowed: Some(budget.cores),
+            carrier: "`Router::holders`, query/src/router.rs",
+            from: "rank_entry_ns",
+        },
+        Row {
+            role,
+            what: "memory: the ranks of all groups",
+            amount: entry.map(|bytes| derived.groups * size.nodes * bytes / MIB),
+            unit: "MiB",
+            allowed: Some(budget.memory_mib),
+            carrier: "`Ranks`, query/src/groups.rs",
+            from: "node_record_bytes",
+        },
+    ]
+}
+
+fn holder(inputs: &Inputs, derived: &Derived) -> Vec<Row> {
+    let Inputs { size, budget, design, .. } = inputs;
+    let role = "holder";
+    let slots = budget.connections / design.service_seconds;
+    vec![
+        Row {
+            role,
+            what: "state: replicas held",
+            amount: Some(derived.held),
+            unit: "replicas",
+            allowed: None,
+            carrier: "holder/src/table.rs",
+            from: "size, design",
+        },
+        Row {
+            role,
+            what: "connections to a replica",
+            amount: Some(derived.holders * design.connections),
+            unit: "connections",
+            allowed: Some(budget.connections),
+            carrier: "holders of each region, query/src/groups.rs; net/src/target_links.rs",
+            from: "design",
+        },
+        Row {
+            role,
+            what: "messages: sub-requests to targets, a second",
+            amount: Some(derived.sub_requests),
+            unit: "/s",
+            allowed: None,
+            carrier: "one call at a time on a connection, net/src/pool.rs",
+            from: "size",
+        },
+        Row {
+            role,
+            what: "sub-requests at a replica, a second, against its connections",
+            amount: Some(derived.at_replica),
+            unit: "/s",
+            allowed: Some(slots),
+            carrier: "net/src/pool.rs",
+            from: "size, design",
+        },
+        Row {
+            role,
+            what: "processor: sub-requests to targets",
+            amount: inputs.value("sub_request_us").map(|us| derived.sub_requests * us / 1e6),
+            unit: "cores",
+            allowed: Some(budget.cores),
+            carrier: "holder/src/calls.rs, net/src/target_links.rs",
+            from: "sub_request_us",
+        },
+        Row {
+            role,
+            what: "processor: the tick over all declared targets",
+            amount: inputs.value("target_idle_percent").map(|each| each * size.replicas),
+            unit: "% of a core",
+            allowed: Some(budget.cpu_percent),
+            carrier: "`Core::read_marks`, holder/src/probes.rs",
+            from: "target_idle_percent",
+        },
+        Row {
+            role,
+            what: "processor: probes of held targets, one a second",
+            amount: inputs.value("probe_percent").map(|each| each * derived.held),
+            unit: "% of a core",
+            allowed: Some(budget.cpu_percent),
+            carrier: "holder/src/probes.rs",
+            from: "probe_percent",
+        },
+        Row {
+            role,
+            what: "memory: all declared targets",
+            amount: inputs.value("target_kib").map(|each| each * size.replicas / 1_024.0),
+            unit: "MiB",
+            allowed: Some(budget.memory_mib),
+            carrier: "holder/src/table.rs, config documents",
+            from: "target_kib",
+        },
+    ]
+}
+
+fn member(inputs: &Inputs, derived: &Derived) -> Vec<Row> {
+    let Inputs { size, budget, .. } = inputs;
+    let role = "member";
+    let memory = inputs.at("idle_mib", size.nodes);
+    let ranks = inputs.value("node_record_bytes");
+    let all = memory.zip(inputs.value("target_kib")).zip(ranks).map(|((memory, target), rank)| {
+        let targets = target * size.replicas / 1_024.0;
+        memory + targets + derived.groups * size.nodes * rank / MIB
+    });
+    vec![
+        Row {
+            role,
+            what: "state: records of all nodes, with the process itself",
+            amount: memory,
+            unit: "MiB",
+            allowed: Some(budget.memory_mib),
+            carrier: "member/src/table.rs",
+            from: "idle_mib",
+        },
+        Row {
+            role,
+            what: "messages, bodies of control sent, a second",
+            amount: inputs.at("control_bytes", size.nodes),
+            unit: "bytes/s",
+            allowed: Some(budget.bytes),
+            carrier: "probes and deltas, member/src/probe.rs, member/src/deltas.rs",
+            from: "control_bytes",
+        },
+        Row {
+            role,
+            what: "processor",
+            amount: inputs.at("idle_percent", size.nodes),
+            unit: "% of a core",
+            allowed: Some(budget.cpu_percent),
+            carrier: "member/src/probe.rs, member/src/exchange.rs",
+            from: "idle_percent",
+        },
+        Row {
+            role,
+            what: "news of replaced VMs a day, a second",
+            amount: Some(size.churn / DAY),
+            unit: "/s",
+            allowed: None,
+            carrier: "member/src/deltas.rs",
+            from: "size",
+        },
+        Row {
+            role: "all of control",
+            what: "memory: process, records, targets, ranks",
+            amount: all,
+            unit: "MiB",
+            allowed: Some(budget.memory_mib),
+            carrier: "as above",
+            from: "idle_mib, target_kib, node_record_bytes",
+        },
+    ]
+}
+
+fn reader(inputs: &Inputs) -> Vec<Row> {
+    let Inputs { size, budget, .. } = inputs;
+    let role = "configuration reader";
+    let everywhere = inputs.at("change_ms", size.nodes);
+    vec![
+        Row {
+            role,
+            what: "state: the stored values of the document",
+            amount: inputs.value("document_bytes").map(|bytes| bytes / MIB),
+            unit: "MiB",
+            allowed: None,
+            carrier: "member/src/config_service.rs",
+            from: "document_bytes",
+        },
+        Row {
+            role,
+            what: "calls of the platform without changes",
+            amount: inputs.at("platform_idle", size.nodes),
+            unit: "calls/s",
+            allowed: Some(budget.reads),
+            carrier: "five readers, member/src/readers.rs",
+            from: "platform_idle",
+        },
+        Row {
+            role,
+            what: "calls of the platform for a change, the operator's too",
+            amount: inputs.at("change_calls", size.nodes),
+            unit: "calls",
+            allowed: Some(budget.reads),
+            carrier: "member/src/fetch.rs, config/src/store.rs",
+            from: "change_calls",
+        },
+        Row {
+            role,
+            what: "messages: new values of the changes, a second",
+            amount: inputs.value("change_bytes").map(|bytes| bytes * size.changes / DAY),
+            unit: "bytes/s",
+            allowed: Some(budget.bytes),
+            carrier: "values by digest from peers, member/src/fetch.rs",
+            from: "change_bytes",
+        },
+        Row {
+            role,
+            what: "a change in force everywhere, the slowest",
+            amount: everywhere.map(|ms| ms / 1_000.0),
+            unit: "s",
+            allowed: Some(budget.change_seconds),
+            carrier: "pushed on by each node, member/src/spread.rs",
+            from: "change_ms",
+        },
+    ]
+}
+
+fn status(inputs: &Inputs) -> Vec<Row> {
+    let Inputs { size, design, .. } = inputs;
+    let role = "operator's status";
+    let lost = size.nodes / size.centres;
+    vec![
+        Row {
+            role,
+            what: "messages: nodes asked",
+            amount: Some(size.nodes),
+            unit: "messages",
+            allowed: None,
+            carrier: "`NodeOperator::config`, kumquatnotch/src/operator.rs",
+            from: "size",
+        },
+        Row {
+            role,
+            what: "time with all nodes up",
+            amount: inputs.at("status_ms", size.nodes).map(|ms| ms / 1_000.0),
+            unit: "s",
+            allowed: Some(inputs.budget.change_seconds),
+            carrier: "kumquatnotch/src/operator.rs",
+            from: "status_ms",
+        },
+        Row {
+            role,
+            what: "time more while the nodes of a data centre don't answer",
+            amount: Some((lost / design.asked_at_once).ceil() * design.ask_seconds),
+            unit: "s",
+            allowed: Some(inputs.budget.change_seconds),
+            carrier: "kumquatnotch/src/operator.rs",
+            from: "design",
+        },
+    ]
+}
+
+fn storms(inputs: &Inputs) -> Vec<Row> {
+    let Inputs { size, budget, .. } = inputs;
+    let storm = |role, what, name, unit, allowed, carrier| Row {
+        role,
+        what,
+        amount: inputs.at(name, size.nodes),
+        unit,
+        allowed,
+        carrier,
+        from: name,
+    };
+    let join = "member/src/exchange.rs, member/src/fetch.rs";
+    let probe = "member/src/probe.rs";
+    let reads = Some(budget.reads);
+    vec![
+        storm("a data centre lost", "until all agree", "lost_seconds", "s", None, probe),
+        storm("a data centre lost", "calls in a second", "lost_calls", "calls/s", reads, probe),
+        storm("a data centre lost", "control of a node", "lost_bytes", "bytes/s", None, probe),
+        storm("its return", "until all agree", "return_seconds", "s", None, join),
+        storm("its return", "calls in a second", "return_calls", "calls/s", reads, join),
+        storm("its return", "control of a node", "return_bytes", "bytes/s", None, join),
+        storm("all restarted", "until all agree", "restart_seconds", "s", None, join),
+        storm("all restarted", "calls in a second", "restart_calls", "calls/s", reads, join),
+        storm("regions apart and back", "until all agree", "parted_seconds", "s", None, probe),
+    ]
+}
--- /dev/null
+++ b/crates/measure/src/latency.rs
@@ -0,0 +1,277 @@
+//! The latency and processor time that the tier adds to direct calls.
+//!
+//! Direct calls, a node that holds all groups itself, and one of three nodes
+//! take turns in one run, one query at a time. The targets take a constant time,
+//! so what differs is the tier's.
+
+use std::{io, rc::Rc, time::Duration};
+
+use argh::FromArgs;
+use futures_util::future::join_all;
+use hdrhistogram::Histogram;
+use kumquatnotch::core::{
+    document::Class,
+    ids::{IndexVersion, ShardName, TenantName},
+    query::Hit,
+    target::{TargetCall, TargetReply},
+};
+use serde_json::json;
+use standins::{block_on, http::Client, plan::TargetPlan};
+
+use crate::{
+    processes::{Spec, World, load_average},
+    processes_layout::{Callers, LIMIT, Shards, TENANT, start},
+};
+
+/// Different queries; each is known to the node when it is measured.
+const TEXTS: usize = 10;
+
+/// How long processes may take to come up.
+const START_LIMIT: Duration = Duration::from_secs(90);
+
+/// Measure what the tier adds to direct calls, with real processes.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "latency")]
+pub struct Args {
+    /// how many times the ways take turns
+    #[argh(option, default = "5")]
+    repeats: usize,
+    /// queries of a way in a turn at fan-out 1; fewer at higher ones
+    #[argh(option, default = "2000")]
+    queries: usize,
+    /// the service time of targets, in milliseconds
+    #[argh(option, default = "3.0")]
+    service_ms: f64,
+    /// how many nodes there are besides the one that holds all groups itself
+    #[argh(option, default = "3")]
+    nodes: usize,
+    /// leave out the fan-out of 1,600
+    #[argh(switch)]
+    small: bool,
+}
+
+/// A collection that is measured.
+struct Case {
+    role: &'static str,
+    fanout: usize,
+    /// At fan-out 1, so many times more queries are sent.
+    fewer: usize,
+}
+
+const SMALL: [Case; 3] = [
+    Case { role: "f1", fanout: 1, fewer: 1 },
+    Case { role: "f10", fanout: 10, fewer: 2 },
+    Case { role: "f50", fanout: 50, fewer: 4 },
+];
+const LARGE: [Case; 1] = [Case { role: "f1600", fanout: 1_600, fewer: 50 }];
+
+/// Runs the measurement.
+pub fn run(args: &Args) -> io::Result<()> {
+    println!("load average at the start: {}", load_average());
+    println!(
+        "{} turns; targets take {} ms; times in ms; the spread is that of p50 over turns\n",
+        args.repeats, args.service_ms
+    );
+    println!(
+        "| fan-out | way | queries | p50 | p50 by turn | p99 | p99.9 | added p50 | added p99 \
+         | added p99.9 | us of processor a sub-request | not in full |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    block_on(async {
+        measure(args, &SMALL, 2, 8).await?;
+        if !args.small {
+            measure(args, &LARGE, 8, 40).await?;
+        }
+        io::Result::Ok(())
+    })?;
+    println!("\nload average at the end: {}", load_average());
+    Ok(())
+}
+
+async fn measure(args: &Args, cases: &[Case], processes: usize, group: usize) -> io::Result<()> {
+    let spec = |nodes: usize| Spec {
+        name: format!("latency-{}-{nodes}", cases[0].role),
+        nodes,
+        centres: 3,
+        shards: cases.iter().map(|case| shards(case, args.service_ms)).collect(),
+        processes,
+        connections: 3,
+        group,
+    };
+    let one = start(spec(1), START_LIMIT).await?;
+    let several = start(spec(args.nodes), START_LIMIT).await?;
+    let several_name = format!("{} nodes", args.nodes);
+    let ways = [
+        Way::Direct(Direct::new(&one)),
+        Way::Tier("one node".to_owned(), Callers::new(&one, 4), &one),
+        Way::Tier(several_name, Callers::new(&several, 4), &several),
+    ];
+    for case in cases {
+        let mut results: Vec<Tally> = ways.iter().map(|_| Tally::new()).collect();
+        // Connections are opened and queries become known.
+        for way in &ways {
+            turn(way, case, TEXTS * 6, &mut Tally::new()).await?;
+        }
+        let queries = (args.queries / case.fewer).max(1);
+        for _ in 0..args.repeats {
+            for (way, tally) in ways.iter().zip(&mut results) {
+                turn(way, case, queries, tally).await?;
+            }
+        }
+        for (way, tally) in ways.iter().zip(&results) {
+            print(case, way, tally, &results[0]);
+        }
+    }
+    Ok(())
+}
+
+fn shards(case: &Case, service_ms: f64) -> Shards {
+    let like = TargetPlan {
+        slots: 16,
+        queue: 64,
+        connect_ms: 0,
+        service_ms,
+        spread: 0.0,
+        ..TargetPlan::default()
+    };
+    Shards { role: case.role, count: case.fanout, replicas: 1, like }
+}
+
+/// What one way measured.
+struct Tally {
+    all: Histogram<u64>,
+    medians: Vec<f64>,
+    cpu: f64,
+    queries: usize,
+    thin: usize,
+}
+
+impl Tally {
+    fn new() -> Tally {
+        Tally { all: histogram(), medians: Vec::new(), cpu: 0.0, queries: 0, thin: 0 }
+    }
+}
+
+/// A histogram of times in microseconds.
+pub fn histogram() -> Histogram<u64> {
+    Histogram::new(3).expect("three digits are allowed")
+}
+
+/// A quantile of a histogram of microseconds, in milliseconds.
+pub fn quantile(histogram: &Histogram<u64>, quantile: f64) -> f64 {
+    histogram.value_at_quantile(quantile) as f64 / 1_000.0
+}
+
+/// A way to the targets.
+enum Way<'a> {
+    Direct(Direct),
+    Tier(String, Callers, &'a World),
+}
+
+impl Way<'_> {
+    fn name(&self) -> &str {
+        match self {
+            Way::Direct(_) => "direct",
+            Way::Tier(name, ..) => name,
+        }
+    }
+
+    fn cpu(&self) -> io::Result<f64> {
+        match self {
+            Way::Direct(_) => Ok(0.0),
+            Way::Tier(_, _, world) => Ok(world.usage()?.iter().map(|usage| usage.cpu).sum()),
+        }
+    }
+
+    /// Sends a query; whether every shard answered.
+    async fn query(&self, number: usize, case: &Case) -> io::Result<bool> {
+        let text = format!("room {}", number % TEXTS);
+        match self {
+            Way::Direct(direct) => direct.query(number, case, &text).await,
+            Way::Tier(_, callers, _) => {
+                // The known queries meet each node, not always the same one.
+                let node = number / TEXTS;
+                Ok(callers.search(node, case.role, &text).await?.coverage.is_full())
+            }
+        }
+    }
+}
+
+async fn turn(way: &Way<'_>, case: &Case, queries: usize, tally: &mut Tally) -> io::Result<()> {
+    let cpu = way.cpu()?;
+    let mut times = histogram();
+    for number in 0..queries {
+        let start = std::time::Instant::now();
+        let full = way.query(number, case).await?;
+        times.record(start.elapsed().as_micros() as u64).map_err(io::Error::other)?;
+        tally.thin += usize::from(!full);
+    }
+    tally.cpu += way.cpu()? - cpu;
+    tally.queries += queries;
+    tally.medians.push(quantile(&times, 0.5));
+    tally.all.add(&times).map_err(io::Error::other)
+}
+
+fn print(case: &Case, way: &Way<'_>, tally: &Tally, direct: &Tally) {
+    let at = |share| quantile(&tally.all, share);
+    let added = |share| at(share) - quantile(&direct.all, share);
+    let least = tally.medians.iter().copied().fold(f64::INFINITY, f64::min);
+    let most = tally.medians.iter().copied().fold(0.0, f64::max);
+    let cost = tally.cpu * 1e6 / (tally.queries * case.fanout) as f64;
+    let cost = if tally.cpu > 0.0 { format!("{cost:.1}") } else { "-".to_owned() };
+    println!(
+        "| {} | {} | {} | {:.2} | {least:.2}-{most:.2} | {:.2} | {:.2} | {:.2} | {:.2} | {:.2} \
+         | {cost} | {} |",
+        case.fanout,
+        way.name(),
+        tally.queries,
+        at(0.5),
+        at(0.99),
+        at(0.999),
+        added(0.5),
+        added(0.99),
+        added(0.999),
+        tally.thin,
+    );
+}
+
+/// A caller that calls the targets itself.
+struct Direct {
+    targets: Vec<(ShardName, Rc<Client>)>,
+}
+
+impl Direct {
+    fn new(world: &World) -> Direct {
+        let targets = world.targets.iter().map(|target| {
+            let shard = target.name.as_str().rsplit_once('.').map_or("", |(shard, _)| shard);
+            let client = Client::new(target.address, Duration::from_secs(5));
+            (ShardName::from(shard), Rc::new(client))
+        });
+        Direct { targets: targets.collect() }
+    }
+
+    async fn query(&self, number: usize, case: &Case, text: &str) -> io::Result<bool> {
+        let body = json!({ "text": text }).to_string();
+        let prefix = format!("{}-", case.role);
+        let asked = self.targets.iter().filter(|(shard, _)| shard.as_str().starts_with(&prefix));
+        let calls = asked.map(|(shard, client)| async {
+            let call = TargetCall {
+                id: number as u64,
+                shard: shard.clone(),
+                version: Some(IndexVersion(1)),
+                tenant: TenantName::from(TENANT),
+                class: Class::Desk,
+                body: body.clone(),
+                limit: LIMIT,
+                exclusive: false,
+            };
+            client.post("/v1/run", &call).await?.json::<TargetReply>()
+        });
+        let replies = join_all(calls).await.into_iter().collect::<io::Result<Vec<_>>>()?;
+        let full = replies.len() == case.fanout;
+        let mut hits: Vec<Hit> = replies.into_iter().flat_map(|reply| reply.hits).collect();
+        hits.sort_by(|a, b| b.score.total_cmp(&a.score));
+        hits.truncate(LIMIT as usize);
+        Ok(full && !hits.is_empty())
+    }
+}
--- /dev/null
+++ b/crates/measure/src/lib.rs
@@ -0,0 +1,6 @@
+//! The arithmetic of docs/CAPACITY.md, apart from the program that measures.
+
+#![forbid(unsafe_code)]
+
+pub mod capacity;
+pub mod capacity_rows;
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -3,12 +3,21 @@
 #![forbid(unsafe_code)]
 
 mod bench;
+mod capacity_command;
 mod decisions;
 mod fake;
 mod fakes;
+mod latency;
 mod nodes;
+mod processes;
+mod processes_layout;
+mod spread;
+mod spread_storm;
+mod today;
 mod virtual_time;
 
+use std::process::ExitCode;
+
 use argh::FromArgs;
 
 /// Measure the query tier with small stand-ins.
@@ -21,12 +30,32 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Capacity(capacity_command::Args),
     Decisions(decisions::Args),
+    Latency(latency::Args),
+    Spread(spread::Args),
+    Storm(spread_storm::Args),
+    Today(today::Args),
 }
 
-fn main() {
+fn main() -> ExitCode {
     let args: Args = argh::from_env();
-    match args.command {
-        Command::Decisions(args) => decisions::run(&args),
+    let result = match args.command {
+        Command::Decisions(args) => {
+            decisions::run(&args);
+            Ok(())
+        }
+        Command::Capacity(args) => capacity_command::run(&args),
+        Command::Latency(args) => latency::run(&args),
+        Command::Spread(args) => spread::run(&args),
+        Command::Storm(args) => spread_storm::run(&args),
+        Command::Today(args) => today::run(&args),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("measure: {error}");
+            ExitCode::FAILURE
+        }
     }
 }
--- /dev/null
+++ b/crates/measure/src/processes.rs
@@ -0,0 +1,370 @@
+//! The processes of a measurement: the platform, targets and nodes, which are
+//! killed whatever happens to it.
+
+use std::{
+    fs::{self, File},
+    io::{self, BufRead, BufReader},
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    time::Duration,
+};
+
+use kumquatnotch::{
+    config::settings::{
+        GroupSettings, JoinSettings, LimitSettings, ListenSettings, NodeSettings, PlatformSettings,
+        Settings,
+    },
+    core::{ids::DataCentre, platform::Vm},
+};
+use serde::de::DeserializeOwned;
+use standins::{
+    http::Client,
+    platform::Calls,
+    records::RunLog,
+    targets::{FleetPorts, TargetPort},
+};
+
+use crate::processes_layout::{CENTRES, Shards, plans};
+
+/// How long a stand-in or a node may take to answer about itself.
+const CONTROL_LIMIT: Duration = Duration::from_secs(30);
+
+/// How many nodes stand in the settings of each as those to join.
+const SEEDS: usize = 3;
+
+/// Ticks of processor time in a second, as Linux reports them to programs.
+const TICKS: f64 = 100.0;
+
+/// What a world is made of.
+pub struct Spec {
+    /// Its name, by which its folder is told from others.
+    pub name: String,
+    /// How many nodes, laid on the data centres in turn.
+    pub nodes: usize,
+    /// How many data centres.
+    pub centres: usize,
+    /// Its targets.
+    pub shards: Vec<Shards>,
+    /// The processes over which the targets are laid.
+    pub processes: usize,
+    /// The most connections of a node to a target.
+    pub connections: usize,
+    /// How many shards make up a group.
+    pub group: usize,
+}
+
+/// A process that is killed when this is dropped.
+pub struct Process {
+    child: Child,
+}
+
+/// A node and its process.
+pub struct NodeProcess {
+    /// Where it listens for callers.
+    pub entry: SocketAddr,
+    /// `None` while it is down.
+    process: Option<Process>,
+    settings: PathBuf,
+    log: PathBuf,
+}
+
+/// What a process has used.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Usage {
+    /// Processor time, in seconds.
+    pub cpu: f64,
+    /// Memory that is resident, in MiB.
+    pub memory: f64,
+}
+
+/// The processes of a measurement.
+pub struct World {
+    /// The nodes.
+    pub nodes: Vec<NodeProcess>,
+    /// The targets.
+    pub targets: Vec<TargetPort>,
+    /// Where the platform listens.
+    pub platform: SocketAddr,
+    /// What it is made of.
+    pub spec: Spec,
+    controls: Vec<SocketAddr>,
+    _standins: Vec<Process>,
+    _folder: Folder,
+}
+
+#[derive(serde::Deserialize)]
+struct PlatformPort {
+    address: SocketAddr,
+}
+
+impl World {
+    /// Starts all processes; the nodes have no document yet.
+    pub async fn start(spec: Spec) -> io::Result<World> {
+        let folder = Folder::create(&spec.name)?;
+        let log = folder.0.join("standins.log");
+        let mut platform = Process::start("standin-platform", &[], &log)?;
+        let PlatformPort { address } = platform.ports()?;
+        let mut standins = vec![platform];
+        let mut controls = Vec::new();
+        let mut targets = Vec::new();
+        for (number, plan) in plans(&spec.shards, spec.processes).iter().enumerate() {
+            let file = folder.0.join(format!("targets{number}.toml"));
+            fs::write(&file, toml::to_string(plan).map_err(io::Error::other)?)?;
+            let args = ["--plan".to_owned(), file.display().to_string()];
+            let mut process = Process::start("standin-targets", &args, &log)?;
+            let ports: FleetPorts = process.ports()?;
+            standins.push(process);
+            controls.push(ports.control);
+            targets.extend(ports.targets);
+        }
+        let (nodes, peers) = start_nodes(&spec, address, &folder.0)?;
+        let world = World {
+            nodes,
+            targets,
+            platform: address,
+            spec,
+            controls,
+            _standins: standins,
+            _folder: folder,
+        };
+        world.list_vms(&peers).await?;
+        Ok(world)
+    }
+
+    /// Waits until every node that runs serves and sees just those as up.
+    pub async fn settle(&self, limit: Duration) -> io::Result<()> {
+        let until = std::time::Instant::now() + limit;
+        let up = self.running().count();
+        for node in self.running() {
+            let client = Client::new(node.entry, CONTROL_LIMIT);
+            while !is_settled(&client, up).await {
+                if std::time::Instant::now() > until {
+                    return Err(io::Error::other(format!("{} did not settle", node.entry)));
+                }
+                monoio::time::sleep(Duration::from_millis(100)).await;
+            }
+        }
+        Ok(())
+    }
+
+    fn running(&self) -> impl Iterator<Item = &NodeProcess> {
+        self.nodes.iter().filter(|node| node.process.is_some())
+    }
+
+    fn processes(&self) -> impl Iterator<Item = &Process> {
+        self.nodes.iter().filter_map(|node| node.process.as_ref())
+    }
+
+    /// What the nodes that run have used, in their order.
+    pub fn usage(&self) -> io::Result<Vec<Usage>> {
+        self.processes().map(Process::usage).collect()
+    }
+
+    /// The calls that the platform has counted.
+    pub async fn calls(&self) -> io::Result<Calls> {
+        Client::new(self.platform, CONTROL_LIMIT).get("/standin/calls").await?.json()
+    }
+
+    /// What the targets ran, except for the first `after` of each process.
+    pub async fn logs(&self, after: &[usize]) -> io::Result<Vec<RunLog>> {
+        let mut logs = Vec::new();
+        for (number, control) in self.controls.iter().enumerate() {
+            let after = after.get(number).copied().unwrap_or_default();
+            let client = Client::new(*control, CONTROL_LIMIT);
+            logs.push(client.get(&format!("/standin/log?after={after}")).await?.json()?);
+        }
+        Ok(logs)
+    }
+
+    /// The sum of a metric over its labels, for each node that runs.
+    pub async fn metric(&self, name: &str) -> io::Result<Vec<f64>> {
+        let mut sums = Vec::new();
+        for node in self.running() {
+            let reply = Client::new(node.entry, CONTROL_LIMIT).get("/metrics").await?;
+            let text = String::from_utf8_lossy(&reply.body).into_owned();
+            let lines = text.lines().filter(|line| line.starts_with(name));
+            let values = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
+            sums.push(values.sum());
+        }
+        Ok(sums)
+    }
+
+    /// As [`World::metric`], with zero for nodes that don't answer yet.
+    pub async fn metric_or_zero(&self, name: &str) -> Vec<f64> {
+        let nodes = self.running().count();
+        self.metric(name).await.unwrap_or_else(|_| vec![0.0; nodes])
+    }
+
+    /// The log of a node.
+    pub fn node_log(&self, number: usize) -> io::Result<String> {
+        fs::read_to_string(&self.nodes[number].log)
+    }
+
+    /// How many io_uring descriptors the nodes have open.
+    pub fn io_urings(&self) -> io::Result<usize> {
+        let mut count = 0;
+        for process in self.processes() {
+            for entry in fs::read_dir(format!("/proc/{}/fd", process.child.id()))? {
+                // A descriptor may be closed between the two calls.
+                let Ok(link) = fs::read_link(entry?.path()) else {
+                    continue;
+                };
+                count += usize::from(link.to_string_lossy().contains("io_uring"));
+            }
+        }
+        Ok(count)
+    }
+
+    async fn list_vms(&self, peers: &[SocketAddr]) -> io::Result<()> {
+        let vm = |(number, peer): (usize, &SocketAddr)| Vm {
+            peer: *peer,
+            centre: DataCentre::from(CENTRES[number % self.spec.centres]),
+            leaving: false,
+        };
+        let vms: Vec<Vm> = peers.iter().enumerate().map(vm).collect();
+        Client::new(self.platform, CONTROL_LIMIT).post("/standin/vms", &vms).await?;
+        Ok(())
+    }
+}
+
+async fn is_settled(client: &Client, nodes: usize) -> bool {
+    let Ok(ready) = client.get("/readyz").await else {
+        return false;
+    };
+    let Ok(status) = client.get("/status").await else {
+        return false;
+    };
+    let up = String::from_utf8_lossy(&status.body).matches(" Up in ").count();
+    ready.status == 200 && up == nodes
+}
+
+fn start_nodes(
+    spec: &Spec,
+    platform: SocketAddr,
+    folder: &Path,
+) -> io::Result<(Vec<NodeProcess>, Vec<SocketAddr>)> {
+    let ports = free_ports(spec.nodes * 2)?;
+    let (entries, peers) = ports.split_at(spec.nodes);
+    let mut nodes = Vec::new();
+    for number in 0..spec.nodes {
+        let settings = Settings {
+            node: NodeSettings {
+                name: format!("n{number}"),
+                centre: CENTRES[number % spec.centres].to_owned(),
+                region: "siam".to_owned(),
+            },
+            listen: ListenSettings { entry: entries[number], peer: peers[number] },
+            platform: PlatformSettings { address: platform, ..Default::default() },
+            join: JoinSettings { seeds: peers.iter().take(SEEDS).copied().collect() },
+            limits: LimitSettings { connections: spec.connections, ..Default::default() },
+            groups: GroupSettings { shards: spec.group, ..Default::default() },
+            ..Default::default()
+        };
+        let file = folder.join(format!("n{number}.toml"));
+        fs::write(&file, toml::to_string(&settings).map_err(io::Error::other)?)?;
+        let log = folder.join(format!("n{number}.log"));
+        let mut node = NodeProcess { entry: entries[number], process: None, settings: file, log };
+        node.launch()?;
+        nodes.push(node);
+    }
+    Ok((nodes, peers.to_vec()))
+}
+
+impl NodeProcess {
+    /// Starts its process, again if it was killed.
+    pub fn launch(&mut self) -> io::Result<()> {
+        let args = ["--settings".to_owned(), self.settings.display().to_string()];
+        self.process = Some(Process::start("kumquatnotchd", &args, &self.log)?);
+        Ok(())
+    }
+
+    /// Kills its process.
+    pub fn kill(&mut self) {
+        self.process = None;
+    }
+}
+
+impl Process {
+    /// Starts the program `name`, which lies next to the one that runs now.
+    fn start(name: &str, args: &[String], log: &Path) -> io::Result<Process> {
+        let path = std::env::current_exe()?.with_file_name(name);
+        if !path.is_file() {
+            let detail = format!("{name} is missing; build the workspace with --release first");
+            return Err(io::Error::other(detail));
+        }
+        let child = Command::new(path)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(File::options().create(true).append(true).open(log)?)
+            .spawn()?;
+        Ok(Process { child })
+    }
+
+    /// Reads the line in which a stand-in tells its ports.
+    fn ports<T: DeserializeOwned>(&mut self) -> io::Result<T> {
+        let Some(output) = self.child.stdout.take() else {
+            return Err(io::Error::other("the output was read before"));
+        };
+        let mut line = String::new();
+        BufReader::new(output).read_line(&mut line)?;
+        serde_json::from_str(&line).map_err(io::Error::other)
+    }
+
+    fn usage(&self) -> io::Result<Usage> {
+        let id = self.child.id();
+        let stat = fs::read_to_string(format!("/proc/{id}/stat"))?;
+        let status = fs::read_to_string(format!("/proc/{id}/status"))?;
+        parse_usage(&stat, &status).ok_or_else(|| io::Error::other("/proc can't be read"))
+    }
+}
+
+/// Reads what Linux tells of a process.
+fn parse_usage(stat: &str, status: &str) -> Option<Usage> {
+    // The name in parentheses may hold anything; the state follows it.
+    let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+    let ticks: f64 = fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?;
+    let memory = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+    let kilobytes: f64 = memory.split_whitespace().next()?.parse().ok()?;
+    Some(Usage { cpu: ticks / TICKS, memory: kilobytes / 1_024.0 })
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // Both fail only if it has ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A folder that goes when this is dropped.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn create(name: &str) -> io::Result<Folder> {
+        let own = std::process::id();
+        let path = std::env::temp_dir().join(format!("kumquatnotch-measure-{own}-{name}"));
+        fs::create_dir_all(&path)?;
+        Ok(Folder(path))
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+/// Ports of the loopback address that are free now.
+fn free_ports(count: usize) -> io::Result<Vec<SocketAddr>> {
+    let bind = |_| TcpListener::bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)));
+    let listeners = (0..count).map(bind).collect::<io::Result<Vec<TcpListener>>>()?;
+    listeners.iter().map(TcpListener::local_addr).collect()
+}
+
+/// The load average of the machine, for the head of a report.
+pub fn load_average() -> String {
+    let text = fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    text.split_whitespace().take(3).collect::<Vec<&str>>().join(" ")
+}
--- /dev/null
+++ b/crates/measure/src/processes_layout.rs
@@ -0,0 +1,177 @@
+//! The targets of a measurement with processes, its document and its callers.
+
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+
+use kumquatnotch::{
+    config::store::{Authorship, Store},
+    core::{
+        Clock, Platform,
+        answer::Answer,
+        clock::RuntimeClock,
+        document::{Class, Document, Rules, SelectorSpec, TargetSpec, TenantSpec},
+        front::key_digest,
+        ids::{DataCentre, IndexVersion, Region, SelectorName, ShardName, TargetName, TenantName},
+        labels::{Expression, Labels},
+        random::Random,
+        target::HeldVersion,
+    },
+    net::{
+        CallerClient, PlatformClient,
+        message::{JSON, Request},
+        platform_client::PlatformOptions,
+    },
+};
+use serde_json::json;
+use standins::plan::{Plan, TargetPlan};
+
+use crate::processes::World;
+
+/// The data centres, all of one region.
+pub const CENTRES: [&str; 8] =
+    ["chiang-mai", "phuket", "bangkok", "lampang", "krabi", "nan", "trang", "yala"];
+
+/// The tenant of all callers.
+pub const TENANT: &str = "siam";
+
+/// How many hits callers ask for.
+pub const LIMIT: u32 = 10;
+
+const KEY: &str = "key-of-siam";
+
+/// The deadline of every selector, in milliseconds.
+const DEADLINE_MS: u64 = 2_000;
+
+/// The shards of one collection, which one selector reaches.
+#[derive(Clone)]
+pub struct Shards {
+    /// The label of the targets, and the name of the selector and collection.
+    pub role: &'static str,
+    /// How many shards.
+    pub count: usize,
+    /// The replicas of each.
+    pub replicas: usize,
+    /// What each target is like.
+    pub like: TargetPlan,
+}
+
+/// The plans of `processes` processes, over which targets are laid in turn.
+pub fn plans(shards: &[Shards], processes: usize) -> Vec<Plan> {
+    let mut plans = vec![Plan { seed: 1, ..Plan::default() }; processes];
+    let targets = shards.iter().flat_map(targets_of);
+    for (number, target) in targets.enumerate() {
+        plans[number % processes].target.push(target);
+    }
+    plans
+}
+
+fn targets_of(shards: &Shards) -> impl Iterator<Item = TargetPlan> {
+    (0..shards.count * shards.replicas).map(move |number| {
+        let shard = format!("{}-{}", shards.role, number / shards.replicas);
+        let held = HeldVersion {
+            version: IndexVersion(1),
+            shard: ShardName::from(shard.as_str()),
+            collection: shards.role.to_owned(),
+            total: shards.count as u32,
+        };
+        let name = TargetName::from(format!("{shard}.{}", number % shards.replicas));
+        TargetPlan { name, held: vec![held], ..shards.like.clone() }
+    })
+}
+
+/// The document that puts the targets of `world` into service.
+pub fn document(world: &World) -> Document {
+    let targets = world.targets.iter().enumerate().map(|(number, target)| {
+        let shard = target.name.as_str().rsplit_once('.').map_or("", |(shard, _)| shard);
+        let role = shard.rsplit_once('-').map_or("", |(role, _)| role);
+        let centre = CENTRES[number % world.spec.centres];
+        (target.name.clone(), target_spec(target.address, centre, shard, role))
+    });
+    let selectors = world.spec.shards.iter().map(|shards| {
+        let selector = SelectorSpec {
+            targets: Expression::parse(&format!("role = {}", shards.role))
+                .expect("the expression is right"),
+            class: Class::Desk,
+            exclusive: false,
+            tenants: Vec::new(),
+            deadline_ms: DEADLINE_MS,
+        };
+        (SelectorName::from(shards.role), selector)
+    });
+    let tenant = TenantSpec { keys: vec![key_digest(KEY)], weight: 1, stop: Default::default() };
+    let rules = Rules {
+        regions: CENTRES.map(|centre| (DataCentre::from(centre), Region::from("siam"))).into(),
+        selectors: selectors.collect(),
+        tenants: [(TenantName::from(TENANT), tenant)].into(),
+        ..Rules::default()
+    };
+    Document { targets: targets.collect(), rules, ..Document::default() }
+}
+
+/// A target as its operators declare it.
+pub fn target_spec(address: SocketAddr, centre: &str, shard: &str, role: &str) -> TargetSpec {
+    TargetSpec {
+        address,
+        centre: DataCentre::from(centre),
+        shard: ShardName::from(shard),
+        labels: Labels::from([("role".to_owned(), role.to_owned())]),
+        drain: false,
+    }
+}
+
+/// The operators' side of the platform of `world`.
+pub fn store(world: &World) -> Store {
+    let clock: Rc<dyn Clock> = Rc::new(RuntimeClock);
+    let random = Random::with_seed(1);
+    let options = PlatformOptions { address: world.platform, ..PlatformOptions::default() };
+    let client: Rc<dyn Platform> =
+        Rc::new(PlatformClient::new(options, clock.clone(), random.clone()));
+    Store::new(client, clock, random)
+}
+
+/// Publishes `document` in place of what is in force; returns its version.
+pub async fn publish(store: &Store, document: &Document) -> io::Result<u64> {
+    let base = store.current().await.map_err(io::Error::other)?;
+    let by = Authorship { author: "measure", note: "measure" };
+    let version = store.publish(&base, document, by).await.map_err(io::Error::other)?;
+    Ok(version.0)
+}
+
+/// Starts a world of `spec`, puts its document in force, and waits for it.
+pub async fn start(spec: crate::processes::Spec, limit: Duration) -> io::Result<World> {
+    let world = World::start(spec).await?;
+    publish(&store(&world), &document(&world)).await?;
+    world.settle(limit).await?;
+    Ok(world)
+}
+
+/// A caller of every node of a world.
+pub struct Callers {
+    clients: Vec<CallerClient>,
+}
+
+impl Callers {
+    /// Callers that open at most `connections` to each node.
+    pub fn new(world: &World, connections: usize) -> Callers {
+        let clock: Rc<dyn Clock> = Rc::new(RuntimeClock);
+        let client = |(number, node): (usize, &crate::processes::NodeProcess)| {
+            let random = Random::with_seed(number as u64);
+            CallerClient::new(node.entry, connections, clock.clone(), random)
+        };
+        Callers { clients: world.nodes.iter().enumerate().map(client).collect() }
+    }
+
+    /// Sends a search to node `number`, modulo the count of nodes.
+    pub async fn search(&self, number: usize, role: &str, text: &str) -> io::Result<Answer> {
+        let body = json!({ "selector": role, "query": { "text": text }, "limit": LIMIT });
+        let request = Request::post("/v1/search", JSON, body.to_string().into_bytes())
+            .with("authorization", format!("Bearer {KEY}"));
+        let client = &self.clients[number % self.clients.len()];
+        let time = Duration::from_millis(DEADLINE_MS) + Duration::from_secs(3);
+        let reply = client.call(request, time).await.map_err(io::Error::other)?;
+        if reply.status != 200 {
+            let text = String::from_utf8_lossy(&reply.body).into_owned();
+            return Err(io::Error::other(format!("{}: {text}", reply.status)));
+        }
+        reply.read_json().map_err(io::Error::other)
+    }
+}
--- /dev/null
+++ b/crates/measure/src/spread.rs
@@ -0,0 +1,300 @@
+//! How long a change of configuration takes to be in force on all nodes, and
+//! what control costs, as the count of node processes grows.
+
+use std::{
+    collections::BTreeMap,
+    io,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use argh::FromArgs;
+use humantime_serde::re::humantime::parse_rfc3339;
+use kumquatnotch::core::{document::Document, ids::TargetName, stored};
+use standins::{block_on, http::Client, plan::TargetPlan};
+
+use crate::{
+    processes::{Spec, World, load_average},
+    processes_layout::{Shards, document, publish, store, target_spec},
+    today::mean,
+};
+
+const ROLE: &str = "desk";
+const CENTRES: usize = 3;
+
+/// How long processes may take to come up, for each node.
+const START_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// The least of it.
+const LEAST_LIMIT: Duration = Duration::from_secs(60);
+
+/// How long the last change has before it counts as not in force everywhere.
+const REST: Duration = Duration::from_secs(19);
+
+/// How often the status of all is asked for.
+const STATUSES: usize = 7;
+
+/// The line of a node's log that tells of a version.
+const LINE: &str = "config: version ";
+
+/// Measure how configuration spreads and what control costs, with real processes.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "spread")]
+pub struct Args {
+    /// how many nodes, more than once for several sizes; 9, 30, 60, 120 if left out
+    #[argh(option)]
+    nodes: Vec<usize>,
+    /// targets declared besides the ten that run, which no query asks for
+    #[argh(option, default = "0")]
+    targets: usize,
+    /// changes at each size
+    #[argh(option, default = "20")]
+    changes: usize,
+    /// seconds between two changes
+    #[argh(option, default = "2")]
+    pause: u64,
+    /// seconds without changes over which costs are taken
+    #[argh(option, default = "20")]
+    idle: u64,
+}
+
+/// Runs the measurement.
+pub fn run(args: &Args) -> io::Result<()> {
+    let sizes = if args.nodes.is_empty() { vec![9, 30, 60, 120] } else { args.nodes.clone() };
+    println!("load average at the start: {}\n", load_average());
+    println!("{} targets are declared besides those that run\n", args.targets);
+    print_document()?;
+    println!(
+        "\n| nodes | changes | not everywhere in 19 s | in force everywhere: p50 ms | max ms \
+         | on a node: p50 ms | idle node: MiB | most MiB | idle node: % of a core \
+         | control bytes/s | messages/s | with changes: % of a core | control bytes/s \
+         | platform calls/s idle | with changes | calls a change | status of all: ms |"
+    );
+    println!("|{}", " --- |".repeat(17));
+    for nodes in sizes {
+        block_on(measure(args, nodes))?;
+    }
+    println!("\nload average at the end: {}", load_average());
+    Ok(())
+}
+
+/// What the nodes of a world used in a while.
+struct Cost {
+    memory: f64,
+    most: f64,
+    cpu: f64,
+    bytes: f64,
+    messages: f64,
+    calls: f64,
+    seconds: f64,
+}
+
+async fn measure(args: &Args, nodes: usize) -> io::Result<()> {
+    let limit = LEAST_LIMIT.max(START_LIMIT * nodes as u32);
+    let world = World::start(spec(nodes)).await?;
+    let document = document_of(args, &world);
+    publish(&store(&world), &document).await?;
+    world.settle(limit).await?;
+    // What the start itself costs is over by then.
+    monoio::time::sleep(Duration::from_secs(5)).await;
+    let pause = monoio::time::sleep(Duration::from_secs(args.idle));
+    let idle = cost_of(&world, pause).await?;
+    let mut starts = BTreeMap::new();
+    let busy = cost_of(&world, change(args, &world, document, &mut starts)).await?;
+    monoio::time::sleep(REST).await;
+    let status = status_ms(&world).await?;
+    print(nodes, &world, &starts, &idle, &busy, status)
+}
+
+fn spec(nodes: usize) -> Spec {
+    Spec {
+        name: format!("spread-{nodes}"),
+        nodes,
+        centres: CENTRES,
+        shards: vec![Shards { role: ROLE, count: 5, replicas: 2, like: TargetPlan::default() }],
+        processes: 1,
+        connections: 3,
+        group: 8,
+    }
+}
+
+/// The document of a world with as many more targets as were asked for.
+fn document_of(args: &Args, world: &World) -> Document {
+    let mut document = document(world);
+    let mut more = big_document(args.targets, "other").targets;
+    document.targets.append(&mut more);
+    document
+}
+
+async fn cost_of<T>(world: &World, work: impl Future<Output = T>) -> io::Result<Cost> {
+    let before = world.usage()?;
+    let calls = world.calls().await?;
+    let bytes = world.metric("kumquatnotch_control_bytes_total").await?;
+    let messages = world.metric("kumquatnotch_control_messages_total").await?;
+    let start = Instant::now();
+    work.await;
+    let seconds = start.elapsed().as_secs_f64();
+    let after = world.usage()?;
+    let calls = world.calls().await?.total - calls.total;
+    let bytes = growth(&bytes, &world.metric("kumquatnotch_control_bytes_total").await?);
+    let messages = growth(&messages, &world.metric("kumquatnotch_control_messages_total").await?);
+    let (memory, cpu) = mean(&before, &after);
+    Ok(Cost {
+        memory,
+        most: after.iter().map(|usage| usage.memory).fold(0.0, f64::max),
+        cpu: cpu / seconds * 100.0,
+        bytes: bytes / seconds,
+        messages: messages / seconds,
+        calls: calls as f64 / seconds,
+        seconds,
+    })
+}
+
+/// The mean growth of a counter of the nodes.
+fn growth(before: &[f64], after: &[f64]) -> f64 {
+    let sum: f64 = after.iter().zip(before).map(|(after, before)| after - before).sum();
+    sum / after.len().max(1) as f64
+}
+
+/// Makes changes; `starts` gets the time at which the writing of each began.
+async fn change(
+    args: &Args,
+    world: &World,
+    mut document: Document,
+    starts: &mut BTreeMap<u64, u64>,
+) {
+    let store = store(world);
+    for _ in 0..args.changes {
+        monoio::time::sleep(Duration::from_secs(args.pause)).await;
+        if let Some(target) = document.targets.values_mut().next() {
+            target.drain = !target.drain;
+        }
+        let start = now_us();
+        match publish(&store, &document).await {
+            Ok(version) => drop(starts.insert(version, start)),
+            Err(error) => println!("a change failed: {error}"),
+        }
+    }
+}
+
+fn print(
+    nodes: usize,
+    world: &World,
+    starts: &BTreeMap<u64, u64>,
+    idle: &Cost,
+    busy: &Cost,
+    status: f64,
+) -> io::Result<()> {
+    let logs = (0..nodes).map(|number| world.node_log(number)).collect::<io::Result<Vec<_>>>()?;
+    let seen: Vec<BTreeMap<u64, u64>> = logs.iter().map(|log| in_force(log)).collect();
+    let mut everywhere = Vec::new();
+    let mut each = Vec::new();
+    let mut missing = 0;
+    for (version, start) in starts {
+        // A node that took a later version first has this change too.
+        let times: Vec<u64> =
+            seen.iter().filter_map(|seen| Some(*seen.range(version..).next()?.1)).collect();
+        each.extend(times.iter().map(|time| time.saturating_sub(*start)));
+        match times.iter().max() {
+            Some(last) if times.len() == nodes => everywhere.push(last.saturating_sub(*start)),
+            _ => missing += 1,
+        }
+    }
+    println!(
+        "| {nodes} | {} | {missing} | {:.0} | {:.0} | {:.0} | {:.1} | {:.1} | {:.2} | {:.0} \
+         | {:.1} | {:.2} | {:.0} | {:.1} | {:.1} | {:.1} | {status:.0} |",
+        starts.len(),
+        at(&mut everywhere, 0.5),
+        at(&mut everywhere, 1.0),
+        at(&mut each, 0.5),
+        idle.memory,
+        idle.most,
+        idle.cpu,
+        idle.bytes,
+        idle.messages,
+        busy.cpu,
+        busy.bytes,
+        idle.calls,
+        busy.calls,
+        (busy.calls - idle.calls) * busy.seconds / starts.len().max(1) as f64,
+    );
+    Ok(())
+}
+
+/// The median time in which a node asks all others for their configuration.
+async fn status_ms(world: &World) -> io::Result<f64> {
+    let client = Client::new(world.nodes[0].entry, REST);
+    let mut times = Vec::new();
+    for _ in 0..STATUSES {
+        let start = Instant::now();
+        client.get("/v1/config").await?;
+        times.push(start.elapsed().as_micros() as u64);
+    }
+    Ok(at(&mut times, 0.5))
+}
+
+/// When each version came into force by a node's log, in microseconds.
+fn in_force(log: &str) -> BTreeMap<u64, u64> {
+    let line = |line: &str| {
+        let (_, rest) = line.split_once(LINE)?;
+        let version: u64 = rest.split_whitespace().next()?.parse().ok()?;
+        let time = parse_rfc3339(line.split_whitespace().next()?).ok()?;
+        Some((version, time.duration_since(UNIX_EPOCH).ok()?.as_micros() as u64))
+    };
+    log.lines().filter_map(line).collect()
+}
+
+/// A quantile in milliseconds of times in microseconds.
+fn at(times: &mut [u64], share: f64) -> f64 {
+    times.sort_unstable();
+    let last = times.len().saturating_sub(1);
+    let place = (last as f64 * share).round() as usize;
+    times.get(place).map_or(f64::NAN, |time| *time as f64 / 1_000.0)
+}
+
+fn now_us() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |span| span.as_micros() as u64)
+}
+
+/// What a document weighs, and what one change of it makes new.
+fn print_document() -> io::Result<()> {
+    println!(
+        "| targets | values | bytes in all | largest | new after one change: values | bytes |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- |");
+    for targets in [100, 1_000, 9_400] {
+        let mut document = big_document(targets, ROLE);
+        let before = stored::split(&document).map_err(io::Error::other)?;
+        let name = TargetName::from("target-0");
+        if let Some(target) = document.targets.get_mut(&name) {
+            target.drain = true;
+        }
+        let after = stored::split(&document).map_err(io::Error::other)?;
+        let is_new = |digest| !before.values.iter().any(|value| value.digest == digest);
+        let new: Vec<usize> = after
+            .values
+            .iter()
+            .filter(|value| is_new(value.digest))
+            .map(|value| value.value.len())
+            .collect();
+        let sizes = after.values.iter().map(|value| value.value.len());
+        println!(
+            "| {targets} | {} | {} | {} | {} | {} |",
+            after.values.len(),
+            sizes.clone().sum::<usize>(),
+            sizes.max().unwrap_or_default(),
+            new.len(),
+            new.iter().sum::<usize>(),
+        );
+    }
+    Ok(())
+}
+
+fn big_document(targets: usize, role: &str) -> Document {
+    let address = std::net::SocketAddr::from(([10, 0, 0, 1], 8_000));
+    let target = |number: usize| {
+        let shard = format!("shard-{}", number / 2);
+        let spec = target_spec(address, "chiang-mai", &shard, role);
+        (TargetName::from(format!("target-{number}")), spec)
+    };
+    Document { targets: (0..targets).map(target).collect(), ..Document::default() }
+}
--- /dev/null
+++ b/crates/measure/src/spread_storm.rs
@@ -0,0 +1,143 @@
+//! Storms with real processes: a start of the whole fleet, a data centre lost at
+//! once, its return, and a restart of the fleet; and the platform's calls in each.
+
+use std::{
+    cell::Cell,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use argh::FromArgs;
+use standins::{block_on, http::Client, plan::TargetPlan, platform::Calls};
+
+use crate::{
+    processes::{Spec, World, load_average},
+    processes_layout::{Shards, document, publish, store},
+};
+
+const ROLE: &str = "desk";
+const CENTRES: usize = 8;
+
+/// How long a phase may take.
+const PHASE_LIMIT: Duration = Duration::from_secs(120);
+
+/// How long the nodes are left alone between two phases.
+const PAUSE: Duration = Duration::from_secs(5);
+
+/// Measure storms of the fleet and the platform's calls through them.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "storm")]
+pub struct Args {
+    /// how many nodes, more than once for several sizes; 40, 80, 120 if left out
+    #[argh(option)]
+    nodes: Vec<usize>,
+}
+
+/// Runs the measurement.
+pub fn run(args: &Args) -> io::Result<()> {
+    let sizes = if args.nodes.is_empty() { vec![40, 80, 120] } else { args.nodes.clone() };
+    println!("load average at the start: {}", load_average());
+    println!("one of {CENTRES} data centres is lost; a phase ends once all nodes agree\n");
+    println!(
+        "| nodes | phase | seconds until all agree | platform calls | most in a second \
+         | refused | a node: control bytes/s | processor seconds | MiB |"
+    );
+    println!("|{}", " --- |".repeat(9));
+    for nodes in sizes {
+        block_on(measure(nodes))?;
+    }
+    println!("\nload average at the end: {}", load_average());
+    Ok(())
+}
+
+async fn measure(nodes: usize) -> io::Result<()> {
+    let mut world = World::start(spec(nodes)).await?;
+    let store = store(&world);
+    publish(&store, &document(&world)).await?;
+    phase(&world, "start of all").await?;
+
+    let lost = |number: &usize| number.is_multiple_of(CENTRES);
+    for number in (0..nodes).filter(lost) {
+        world.nodes[number].kill();
+    }
+    phase(&world, "a data centre lost").await?;
+
+    for number in (0..nodes).filter(lost) {
+        world.nodes[number].launch()?;
+    }
+    phase(&world, "its return").await?;
+
+    for node in &mut world.nodes {
+        node.kill();
+    }
+    for node in &mut world.nodes {
+        node.launch()?;
+    }
+    phase(&world, "restart of all").await
+}
+
+fn spec(nodes: usize) -> Spec {
+    Spec {
+        name: format!("storm-{nodes}"),
+        nodes,
+        centres: CENTRES,
+        shards: vec![Shards { role: ROLE, count: 5, replicas: 2, like: TargetPlan::default() }],
+        processes: 1,
+        connections: 3,
+        group: 8,
+    }
+}
+
+/// Waits until the nodes that run agree on who is up, and prints what it cost.
+async fn phase(world: &World, name: &str) -> io::Result<()> {
+    let calls = world.calls().await?;
+    let start = Instant::now();
+    // Those that have just been launched don't answer yet: their counts start at zero.
+    let before = world.metric_or_zero(BYTES).await;
+    let usage = world.usage()?;
+    let watch = Rc::new(Cell::new(0));
+    let sampler = monoio::spawn(sample(world.platform, watch.clone()));
+    let settled = world.settle(PHASE_LIMIT).await;
+    let took = start.elapsed().as_secs_f64();
+    drop(sampler);
+    let last = world.calls().await?;
+    let bytes = world.metric_or_zero(BYTES).await;
+    let count = bytes.len().max(1) as f64;
+    let grown: f64 = bytes.iter().zip(&before).map(|(now, then)| (now - then).max(0.0)).sum();
+    let now = world.usage()?;
+    let cpu: f64 = now.iter().zip(&usage).map(|(now, then)| now.cpu - then.cpu).sum();
+    let memory: f64 = now.iter().map(|usage| usage.memory).sum();
+    println!(
+        "| {} | {name} | {} | {} | {} | {} | {:.0} | {:.2} | {:.1} |",
+        world.spec.nodes,
+        settled.map_or_else(|error| format!("not in time: {error}"), |()| format!("{took:.1}")),
+        last.total - calls.total,
+        watch.get(),
+        last.refused - calls.refused,
+        grown / count / took,
+        cpu / count,
+        memory / count,
+    );
+    monoio::time::sleep(PAUSE).await;
+    Ok(())
+}
+
+const BYTES: &str = "kumquatnotch_control_bytes_total";
+
+/// Keeps the most calls in any second in `most`, until it is the last to hold it.
+async fn sample(platform: SocketAddr, most: Rc<Cell<u64>>) {
+    let client = Client::new(platform, PHASE_LIMIT);
+    let mut last = None;
+    while Rc::strong_count(&most) > 1 {
+        if let Ok(calls) = client.get("/standin/calls").await
+            && let Ok(calls) = calls.json::<Calls>()
+        {
+            let grown = calls.total - last.unwrap_or(calls.total);
+            most.set(most.get().max(grown));
+            last = Some(calls.total);
+        }
+        monoio::time::sleep(Duration::from_secs(1)).await;
+    }
+}
