Try one other shard before a slow canary is given up

Cause: a crash is found out by its holder only after a second replica and a probe, which takes longer than the 95th percentile of answers. The canary was then taken for merely slow and the request fanned out; and the root's own hedge sent the canary through a second holder. Now a slow canary is followed by one other shard; an answer of either releases the rest, a crash of either ends the search, and half of the patience ends the wait. Canaries are not hedged by the root. Ruled out: waiting longer for the one canary, as a straggler would then hold up each new request that meets it first.

--- a/crates/kumquatnotch-query/src/canary.rs
+++ b/crates/kumquatnotch-query/src/canary.rs
@@ -75,7 +75,7 @@
 ///
 /// It follows from the request alone, so that the same request sent to any node
 /// meets the same holder, which recognises it.
-pub(crate) fn first_shard(fingerprint: Fingerprint, shards: &[Expected]) -> usize {
+pub(crate) fn first_shard(fingerprint: Fingerprint, shards: &[&Expected]) -> usize {
     let names: Vec<&str> = shards.iter().map(|expected| expected.shard.as_str()).collect();
     let first = rendezvous(&fingerprint.0.to_be_bytes(), &names).first().copied();
     shards.iter().position(|expected| Some(expected.shard.as_str()) == first).unwrap_or(0)
--- a/crates/kumquatnotch-query/src/gather.rs
+++ b/crates/kumquatnotch-query/src/gather.rs
@@ -4,11 +4,7 @@
 //! covered or failed. What is open or late when the round ends is listed as
 //! missing, so that the numbers of the answer always add up.
 
-use std::{
-    collections::BTreeMap,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{collections::BTreeMap, rc::Rc, time::Instant};
 
 use futures_util::{
     StreamExt,
@@ -28,6 +24,7 @@
     canary::first_shard,
     meters,
     plan::{Expected, Gone, Plan},
+    refusal::nothing_covered,
     router::Ends,
     search::Search,
 };
@@ -55,13 +52,21 @@
     Refreshed,
 }
 
+/// The shards that wait for a canary.
+struct HeldBack<'a> {
+    shards: Vec<&'a Expected>,
+    /// When the next step is due.
+    until: Instant,
+    /// Whether the next step is a second canary.
+    second: bool,
+}
+
 /// The state of a round.
 pub(crate) struct Gather<'a> {
     search: &'a Search<'a>,
     plan: &'a Plan,
     open: FuturesUnordered<LocalFuture<'a, Event>>,
-    /// The parts that wait for the canary, and until when.
-    held_back: Option<(Vec<Part>, Instant)>,
+    held_back: Option<HeldBack<'a>>,
     waiting: HashSet<ShardName>,
     /// The shards that holders gave up because partial answers were wanted.
     late: Vec<(ShardName, Error)>,
@@ -160,28 +165,33 @@
     fn next_timer(&self, now: Instant) -> Instant {
         let search = self.search;
         let patience = search.start + search.stop_rule.patience(&search.stop, search.deadline);
-        let release = self.held_back.as_ref().map(|(_, until)| *until);
+        let release = self.held_back.as_ref().map(|held| held.until);
         let timers = [Some(patience), release, Some(search.ends.finish)];
         timers.into_iter().flatten().filter(|at| *at > now).min().unwrap_or(search.ends.finish)
     }
 
     /// Sends the parts, or the canary's first.
     fn fan_out(&mut self, canary: bool) {
-        let mut shards: Vec<&Expected> = self.plan.shards.iter().collect();
+        let mut shards: Vec<&'a Expected> = self.plan.shards.iter().collect();
         if !canary || shards.is_empty() {
             for part in self.parts(&shards) {
                 self.send(part, self.search.ends);
             }
             return;
         }
+        self.send_canary(&mut shards);
+        let until = self.search.clock.now() + self.search.canary_delay();
+        self.held_back = Some(HeldBack { shards, until, second: true });
+    }
+
+    /// Sends the one of `shards` that the request meets first, and takes it out.
+    fn send_canary(&mut self, shards: &mut Vec<&'a Expected>) {
         meters::canary();
-        let first = shards.swap_remove(first_shard(self.search.fingerprint, &self.plan.shards));
+        let first = shards.swap_remove(first_shard(self.search.fingerprint, shards));
         for mut part in self.parts(&[first]) {
             part.canary = true;
             self.send(part, self.search.ends);
         }
-        let until = self.search.clock.now() + self.search.canary_delay();
-        self.held_back = Some((self.parts(&shards), until));
     }
 
     fn parts(&self, shards: &[&Expected]) -> Vec<Part> {
@@ -198,24 +208,42 @@
         let search = self.search;
         let request = search.request(self.plan.version, part.shards.clone());
         self.open.push(Box::pin(async move {
-            let answer = search.router.ask(part.group, &request, ends).await;
+            let answer = search.router.ask(part.group, &request, ends, !part.canary).await;
             Event::Answered(part, answer)
         }));
     }
 
     /// Sends what waited for the canary, as it has answered.
     fn release(&mut self) {
-        for part in self.held_back.take().map(|(parts, _)| parts).unwrap_or_default() {
+        let Some(held) = self.held_back.take() else {
+            return;
+        };
+        for part in self.parts(&held.shards) {
             self.send(part, self.search.ends);
         }
     }
 
-    /// Sends it as well if the canary is merely slow.
+    /// Takes the next step if the canary is slow.
+    ///
+    /// It may have met a straggler. It may also be crashing one replica after the
+    /// other, which its holder needs a while to find out; fanning out meanwhile
+    /// would crash a replica of each shard. So one other shard is tried, which
+    /// tells the two apart, and only half of the patience ends the wait.
     fn release_due(&mut self) {
-        let now = self.search.clock.now();
-        if self.held_back.as_ref().is_some_and(|(_, until)| now >= *until) {
-            self.release();
+        let search = self.search;
+        let now = search.clock.now();
+        let Some(mut held) = self.held_back.take_if(|held| now >= held.until) else {
+            return;
+        };
+        if held.second && !held.shards.is_empty() {
+            self.send_canary(&mut held.shards);
+            held.until = search.canary_end().max(now);
+            held.second = false;
+            self.held_back = Some(held);
+            return;
         }
+        self.held_back = Some(held);
+        self.release();
     }
 
     /// Takes the answer of a part; an error ends the search.
@@ -359,23 +387,3 @@
         Ok(Round::Done(self.hits, coverage))
     }
 }
-
-/// The time to come back if holders refused and did not say when.
-const RETRY: Duration = Duration::from_millis(100);
-
-/// The error of a search that no shard answered.
-///
-/// If each shard was refused for want of capacity, the caller is told when to
-/// come back; a lost search is never an empty success.
-fn nothing_covered(faults: &[(ShardName, Error)]) -> Error {
-    if faults.is_empty() || !faults.iter().all(|(_, error)| is_starved(error)) {
-        return Error::NothingCovered;
-    }
-    let retry = faults.iter().filter_map(|(_, error)| error.retry_after()).max();
-    Error::overloaded(retry.unwrap_or(RETRY))
-}
-
-/// Whether a shard did not run the request for want of capacity.
-fn is_starved(error: &Error) -> bool {
-    matches!(error, Error::Overloaded { .. } | Error::Shed { .. } | Error::ExpiredInQueue)
-}
--- a/crates/kumquatnotch-query/src/lib.rs
+++ b/crates/kumquatnotch-query/src/lib.rs
@@ -22,6 +22,7 @@
 mod outcomes;
 mod plan;
 mod planner;
+mod refusal;
 mod router;
 mod runner;
 mod search;
--- a/crates/kumquatnotch-query/src/router.rs
+++ b/crates/kumquatnotch-query/src/router.rs
@@ -196,11 +196,15 @@
     }
 
     /// Asks the holders of `group`; the first answer wins.
+    ///
+    /// Without `hedged` a late holder is waited for as long as it is not silent: a
+    /// request that may crash targets must not run through two holders at once.
     pub(crate) async fn ask(
         &self,
         group: usize,
         request: &GroupRequest,
         ends: Ends,
+        hedged: bool,
     ) -> Result<GroupAnswer> {
         let holders = self.holders(group);
         let mut waiting = holders.iter().take(self.options.tries);
@@ -229,7 +233,7 @@
                 Either::Right(_) if self.clock.now() >= ends.finish => return Err(Error::TimedOut),
                 Either::Right(_) => {
                     let is_silent = self.has_gone_silent(&first.name);
-                    if is_silent || self.spend_token() {
+                    if is_silent || (hedged && self.spend_token()) {
                         let next = waiting.next();
                         open.extend(next.map(|next| self.attempt(next, request, ends, true)));
                         hedge_at = ends.finish;
--- a/crates/kumquatnotch-query/src/search.rs
+++ b/crates/kumquatnotch-query/src/search.rs
@@ -122,13 +122,17 @@
         }
     }
 
-    /// How long a canary is waited for.
+    /// How long the first canary is waited for.
     pub fn canary_delay(&self) -> Duration {
-        // Half of the patience at most, so that a slow canary leaves time for the rest.
-        let most = self.ends.patience.saturating_duration_since(self.start) / 2;
+        let most = self.canary_end().saturating_duration_since(self.start);
         self.router.canary_delay(self.class(), self.canary_start).min(most)
     }
 
+    /// When no canary is waited for any more, so that time is left for the rest.
+    pub fn canary_end(&self) -> Instant {
+        self.start + self.ends.patience.saturating_duration_since(self.start) / 2
+    }
+
     /// Takes what an answer tells besides its hits.
     pub fn learn(&self, answer: &GroupAnswer) {
         let now = self.clock.now();
--- a/crates/kumquatnotch-query/tests/holders.rs
+++ b/crates/kumquatnotch-query/tests/holders.rs
@@ -198,6 +198,32 @@
     assert!(asked.iter().all(|entry| *entry == asked[0]), "{asked:?}");
 }
 
+/// What the caller sees: an error, and every target but two serves on.
+/// Order: the request crashes targets; the holder needs 120 ms to be sure of it,
+/// far longer than an answer takes. Why: taken for merely slow, the canary was
+/// given up, and the request crashed a target of each shard.
+#[test]
+fn a_crash_that_is_found_late_is_not_fanned_out() {
+    let world = world(3, 40);
+
+    let result = run(&world, async {
+        for _ in 0..40 {
+            world.search(0).await.unwrap();
+        }
+        world.shards.asked.borrow_mut().clear();
+        for number in 0..40 {
+            world.shards.change(&shard(number), |state| {
+                state.delay = ms(120);
+                state.fault = Some(Error::ConnectionLost);
+            });
+        }
+        world.search_for(0, KEY, "poison").await
+    });
+
+    assert_eq!(code(result), 4002);
+    assert_eq!(world.shards.asked.borrow().len(), 2);
+}
+
 /// What the caller sees: the refusal, at once, with the time it lasts.
 /// Order: another node marked the request; the mark came with membership news.
 /// Why: the shared mark stops it on nodes that have not seen a crash.
