Tell what the targets of a declared shard hold, whatever its name there

Cause: the holder told of a shard only the versions in which it has the declared name, and nothing of targets that drain. Ruled out: roots that also read undeclared names, as they must ask the holder of a declared shard anyway. Before: two new tests fail.

--- a/crates/kumquatnotch-holder/src/group.rs
+++ b/crates/kumquatnotch-holder/src/group.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::Cell,
+    collections::BTreeSet,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -15,11 +16,11 @@
     Error, Result,
     answer::{GroupAnswer, ShardFault, ShardVersions},
     document::Class,
-    ids::{ShardName, TenantName},
+    ids::{IndexVersion, ShardName, TenantName},
     query::GroupRequest,
     target::HeldVersion,
 };
-use kumquatnotch_policy::containment::Verdict;
+use kumquatnotch_policy::{containment::Verdict, replica::Fitness};
 
 use crate::{
     calls::contained,
@@ -157,25 +158,28 @@
         }
         let mut hits = merge_hits(hits, request.limit as usize);
         strip_private(&mut hits, &request.tenant);
-        let held = self.held(&request.shards);
+        let held = self.held(&self.declared(&request.shards));
         let wait = self.class_wait(&request.shards, request.class, &request.tenant);
         GroupAnswer { hits, covered, missing, held, wait_us: wait.as_micros() as u64 }
     }
 
-    /// The versions of `shards` that usable replicas hold.
+    /// What the targets declared for each of `shards` hold.
+    ///
+    /// Everything that they hold is told, under the name that they declare: after
+    /// a repartition a version has shards of other names, and a root that heard
+    /// only of the declared ones would find no snapshot at all. Targets that
+    /// drain are heard too, as the shards of a version stay its shards.
     pub fn held(&self, shards: &[ShardName]) -> Vec<ShardVersions> {
         let now = self.now();
         let table = self.table.borrow();
         let versions = |shard: &ShardName| {
             let names = table.index.get(shard).map(Vec::as_slice).unwrap_or_default();
             let entries = names.iter().filter_map(|name| table.entries.get(name));
-            let usable = entries.filter(|entry| entry.is_usable(now));
-            let mut versions: Vec<HeldVersion> = usable
-                .flat_map(|entry| entry.replica.held())
-                .filter(|held| held.shard == *shard)
-                .cloned()
-                .collect();
-            versions.sort_by(|a, b| (a.version, &a.collection).cmp(&(b.version, &b.collection)));
+            let declared = entries.filter(|entry| entry.spec.shard == *shard);
+            let reached = declared.filter(|entry| entry.fitness(now) != Fitness::Down);
+            let mut versions: Vec<HeldVersion> =
+                reached.flat_map(|entry| entry.replica.held()).cloned().collect();
+            versions.sort_by(|a, b| key_of(a).cmp(&key_of(b)));
             versions.dedup();
             versions
         };
@@ -185,6 +189,15 @@
             .collect()
     }
 
+    /// The shards that the targets holding `shards` declare.
+    fn declared(&self, shards: &[ShardName]) -> Vec<ShardName> {
+        let table = self.table.borrow();
+        let targets = shards.iter().filter_map(|shard| table.index.get(shard)).flatten();
+        let entries = targets.filter_map(|target| table.entries.get(target));
+        let names: BTreeSet<&ShardName> = entries.map(|entry| &entry.spec.shard).collect();
+        names.into_iter().cloned().collect()
+    }
+
     /// The mean time that requests of this class and tenant would wait now.
     fn class_wait(&self, shards: &[ShardName], class: Class, tenant: &TenantName) -> Duration {
         if shards.is_empty() {
@@ -201,3 +214,7 @@
         waits.sum::<Duration>() / shards.len() as u32
     }
 }
+
+fn key_of(held: &HeldVersion) -> (IndexVersion, &str, &ShardName) {
+    (held.version, &held.collection, &held.shard)
+}
--- a/crates/kumquatnotch-holder/tests/common/mod.rs
+++ b/crates/kumquatnotch-holder/tests/common/mod.rs
@@ -51,6 +51,8 @@
     pub up: Cell<bool>,
     pub incarnation: Cell<u64>,
     pub version: Cell<IndexVersion>,
+    /// What it holds besides the shard it declares.
+    pub extra: RefCell<Vec<HeldVersion>>,
     /// The bodies of the calls it was sent.
     pub calls: RefCell<Vec<String>>,
     pub inside: Cell<u32>,
@@ -176,7 +178,9 @@
                 total: 1,
             };
             let (phase, incarnation) = (script.phase.get(), script.incarnation.get());
-            Ok(TargetStatus { phase, load: 0, held: vec![held], incarnation })
+            let mut all = vec![held];
+            all.extend(script.extra.borrow().iter().cloned());
+            Ok(TargetStatus { phase, load: 0, held: all, incarnation })
         })
     }
 
@@ -324,6 +328,7 @@
         up: Cell::new(true),
         incarnation: Cell::new(1),
         version: Cell::new(VERSION),
+        extra: RefCell::default(),
         calls: RefCell::default(),
         inside: Cell::new(0),
         most_inside: Cell::new(0),
--- a/crates/kumquatnotch-holder/tests/holder.rs
+++ b/crates/kumquatnotch-holder/tests/holder.rs
@@ -13,7 +13,7 @@
     marks::{Mark, MarkKind},
     peer::{PeerHandler, PeerMessage, PeerReply},
     query::{GroupRequest, Hit},
-    target::Phase,
+    target::{HeldVersion, Phase},
 };
 use yare::parameterized;
 
@@ -69,6 +69,56 @@
     assert_eq!(versions[0].versions[0].version, VERSION);
 }
 
+fn moved(version: u64) -> HeldVersion {
+    HeldVersion {
+        version: IndexVersion(version),
+        shard: ShardName::from("r0"),
+        collection: "rooms".to_owned(),
+        total: 1,
+    }
+}
+
+/// A repartition gives the next version shards of other names. Every search
+/// after it found no snapshot at all: the holder told only of shards that are
+/// named as the declared one, so no root ever saw the new layout.
+#[test]
+fn versions_of_another_layout_are_told_under_the_declared_shard() {
+    let world = World::new(&[("a", "s0")]);
+    world.script("a").extra.borrow_mut().push(moved(VERSION.0 + 1));
+
+    let (polled, answered) = world.run(async {
+        let versions = PeerMessage::Versions(vec![ShardName::from("s0")]);
+        let polled = world.holder.handle(versions).await.unwrap();
+        let request =
+            GroupRequest { version: IndexVersion(VERSION.0 + 1), ..request(&["r0"], "moved") };
+        world.script("a").version.set(IndexVersion(VERSION.0 + 1));
+        (polled, world.group(request).await.unwrap())
+    });
+
+    let PeerReply::Versions(polled) = polled else { panic!("{polled:?}") };
+    assert!(polled[0].versions.contains(&moved(VERSION.0 + 1)), "{polled:?}");
+    assert_eq!(answered.held[0].shard, ShardName::from("s0"));
+    assert!(answered.held[0].versions.contains(&moved(VERSION.0 + 1)));
+}
+
+/// Both targets of a shard drain after a repartition. A node that starts then
+/// hears of no layout from them, so it lists the declared shard as missing from
+/// a version that it does not belong to. What they hold is still true.
+#[test]
+fn draining_targets_still_tell_what_they_hold() {
+    let world = World::new(&[("a", "s0")]);
+    world.script("a").phase.set(Phase::Draining);
+
+    let polled = world.run(async {
+        let versions = PeerMessage::Versions(vec![ShardName::from("s0")]);
+        world.holder.handle(versions.clone()).await.unwrap();
+        world.holder.handle(versions).await.unwrap()
+    });
+
+    let PeerReply::Versions(polled) = polled else { panic!("{polled:?}") };
+    assert_eq!(polled[0].versions.len(), 1);
+}
+
 #[test]
 fn version_that_nobody_holds_is_gone() {
     let world = World::new(&PAIR);
