Contain only requests that crashed a target while they were kept alone

A search is on every shard, so targets that are lost together each had it in flight, often with nobody beside it, and two of these crashes contained it for ten minutes though it had done nothing. Being there by chance proves nothing; a suspect that was kept alone for this reason does. A test has five targets lost under one search.

--- a/crates/kumquatnotch-holder/src/crash.rs
+++ b/crates/kumquatnotch-holder/src/crash.rs
@@ -15,17 +15,18 @@
     core: &'a Core,
     target: &'a TargetName,
     present: Vec<Running>,
+    alone: bool,
     crashed: bool,
 }
 
 impl Drop for Check<'_> {
     fn drop(&mut self) {
-        self.core.end_check(self.target, &self.present, self.crashed);
+        self.core.end_check(self);
     }
 }
 
 enum Begun {
-    First { known: Option<u64>, spec: Rc<TargetSpec>, present: Vec<Running> },
+    First { known: Option<u64>, spec: Rc<TargetSpec>, present: Vec<Running>, alone: bool },
     Joined(oneshot::Receiver<()>),
     Gone,
 }
@@ -37,8 +38,8 @@
     /// asks the target; the others wait for what it hears, so that one crash
     /// isn't counted once for each of them.
     pub async fn check_crash(self: &Rc<Self>, target: &TargetName) {
-        let (known, spec, present) = match self.begin_check(target) {
-            Begun::First { known, spec, present } => (known, spec, present),
+        let (known, spec, present, alone) = match self.begin_check(target) {
+            Begun::First { known, spec, present, alone } => (known, spec, present, alone),
             Begun::Joined(receiver) => {
                 let _ = receiver.await;
                 return;
@@ -47,7 +48,7 @@
         };
         // A caller that gives up during the check must not save the request from
         // being suspected, so "crashed" holds until the target says otherwise.
-        let mut check = Check { core: self, target, present, crashed: true };
+        let mut check = Check { core: self, target, present, alone, crashed: true };
         let deadline = self.now() + self.options.probe_timeout;
         let status = self.targets.probe(target, &spec, deadline).await;
         check.crashed = match &status {
@@ -69,7 +70,8 @@
         }
         entry.checking = Some(Vec::new());
         let known = entry.replica.incarnation();
-        Begun::First { known, spec: entry.spec.clone(), present: present(entry) }
+        let alone = entry.alone.is_some();
+        Begun::First { known, spec: entry.spec.clone(), present: present(entry), alone }
     }
 
     fn heard(&self, target: &TargetName, status: Option<TargetStatus>) {
@@ -92,17 +94,18 @@
         }
     }
 
-    fn end_check(&self, target: &TargetName, present: &[Running], crashed: bool) {
+    fn end_check(&self, check: &Check<'_>) {
+        let Check { target, present, alone, crashed, .. } = check;
         let waiting = {
             let mut table = self.table.borrow_mut();
-            let entry = table.entries.get_mut(target);
+            let entry = table.entries.get_mut(*target);
             entry.and_then(|entry| entry.checking.take()).unwrap_or_default()
         };
-        if crashed {
+        if *crashed {
             self.meters.crashes.increment(1);
             tracing::warn!(%target, beside = present.len(), "holder: target crashed");
             let mut containment = self.containment.borrow_mut();
-            if let Some(print) = containment.on_crash(present, self.now()) {
+            if let Some(print) = containment.on_crash(present, *alone, self.now()) {
                 let span = containment.span();
                 drop(containment);
                 self.mark(MarkKind::Contained(print), span);
--- a/crates/kumquatnotch-policy/src/containment.rs
+++ b/crates/kumquatnotch-policy/src/containment.rs
@@ -39,7 +39,9 @@
     fn verdict(&self, print: Fingerprint, now: Instant) -> Verdict;
 
     /// A target crashed with these requests in flight; the one contained now.
-    fn on_crash(&mut self, present: &[Running], now: Instant) -> Option<Fingerprint>;
+    ///
+    /// `alone` tells whether it ran a suspect that was kept alone for this reason.
+    fn on_crash(&mut self, present: &[Running], alone: bool, now: Instant) -> Option<Fingerprint>;
 
     /// A request was answered by a shard.
     fn on_answer(&mut self, print: Fingerprint, shard: &ShardName);
@@ -57,7 +59,12 @@
         Verdict::Free
     }
 
-    fn on_crash(&mut self, _present: &[Running], _now: Instant) -> Option<Fingerprint> {
+    fn on_crash(
+        &mut self,
+        _present: &[Running],
+        _alone: bool,
+        _now: Instant,
+    ) -> Option<Fingerprint> {
         None
     }
 
@@ -103,7 +110,7 @@
         }
     }
 
-    fn on_crash(&mut self, present: &[Running], now: Instant) -> Option<Fingerprint> {
+    fn on_crash(&mut self, present: &[Running], alone: bool, now: Instant) -> Option<Fingerprint> {
         self.make_room(now);
         for running in present {
             let suspect = self.suspects.entry(running.print).or_insert_with(|| Suspect {
@@ -119,10 +126,15 @@
             }
         }
         // With others beside it nothing is proved: a popular request could have
-        // been beside the culprit twice, and its callers would be refused.
+        // been beside the culprit twice, and its callers would be refused. To be
+        // there by chance with nobody else proves nothing either: a rack that is
+        // lost takes many targets at once, and each search is on all of them.
         let [running] = present else {
             return None;
         };
+        if !alone {
+            return None;
+        }
         let suspect = self.suspects.get_mut(&running.print)?;
         if suspect.strikes < MOST_STRIKES {
             return None;
--- a/crates/kumquatnotch-policy/tests/calls.rs
+++ b/crates/kumquatnotch-policy/tests/calls.rs
@@ -257,13 +257,13 @@
     let now = Instant::now();
     let mut crashes = 0;
     for _ in 0..10 {
-        let beside = match containment.verdict(Fingerprint(7), now) {
-            Verdict::Free => vec![running(7, "a"), running(1, "a")],
-            Verdict::Alone => vec![running(7, "a")],
+        let (beside, alone) = match containment.verdict(Fingerprint(7), now) {
+            Verdict::Free => (vec![running(7, "a"), running(1, "a")], false),
+            Verdict::Alone => (vec![running(7, "a")], true),
             Verdict::Refused(_) => continue,
         };
         crashes += 1;
-        containment.on_crash(&beside, now);
+        containment.on_crash(&beside, alone, now);
         containment.on_answer(Fingerprint(7), &ShardName::from("b"));
     }
     crashes
@@ -282,20 +282,34 @@
     let now = Instant::now();
     let mut containment = StrikeContainment::default();
 
-    containment.on_crash(&[running(7, "a"), running(1, "a")], now);
-    containment.on_crash(&[running(8, "a"), running(1, "a")], now);
+    containment.on_crash(&[running(7, "a"), running(1, "a")], false, now);
+    containment.on_crash(&[running(8, "a"), running(1, "a")], false, now);
 
     assert_eq!(containment.verdict(Fingerprint(1), now), Verdict::Alone);
     containment.on_answer(Fingerprint(1), &ShardName::from("a"));
     assert_eq!(containment.verdict(Fingerprint(1), now), Verdict::Free);
 }
 
+// A rack is lost while a search is in flight to five of its targets, with nobody
+// beside it there. It would be refused for ten minutes though it did nothing.
+#[test]
+fn search_on_targets_that_are_lost_together_is_not_contained() {
+    let now = Instant::now();
+    let mut containment = StrikeContainment::default();
+
+    let contained = ["a", "b", "c", "d", "e"]
+        .map(|shard| containment.on_crash(&[running(1, shard)], false, now));
+
+    assert_eq!(contained, [None; 5]);
+    assert_eq!(containment.verdict(Fingerprint(1), now), Verdict::Alone);
+}
+
 #[test]
 fn containment_expires() {
     let now = Instant::now();
     let mut containment = StrikeContainment::default();
-    containment.on_crash(&[running(7, "a")], now);
-    assert_eq!(containment.on_crash(&[running(7, "a")], now), Some(Fingerprint(7)));
+    containment.on_crash(&[running(7, "a")], true, now);
+    assert_eq!(containment.on_crash(&[running(7, "a")], true, now), Some(Fingerprint(7)));
 
     let later = now + containment.span() + MS;
 
--- a/crates/measure/src/decisions.rs
+++ b/crates/measure/src/decisions.rs
@@ -52,6 +52,8 @@
     load: f64,
     /// The shares of the classes.
     mix: [f64; 3],
+    /// Whether the fault is there from the start, and not only once counting begins.
+    early: bool,
     faults: fn(&Rc<Bench>, Duration),
     naive: fn() -> Decisions,
 }
@@ -60,13 +62,16 @@
 const MIXED: [f64; 3] = [0.2, 0.5, 0.3];
 
 fn cases() -> Vec<Case> {
-    let case = |name, load, mix, faults| Case { name, load, mix, faults, naive };
+    let case = |name, load, mix, faults| Case { name, load, mix, early: false, faults, naive };
+    let early = |name, load, faults| Case { early: true, ..case(name, load, DESK, faults) };
     vec![
         case("no fault", 0.3, DESK, |_, _| {}),
-        case("one straggler in 50", 0.3, DESK, |bench, _| bench.fake(7, 0).factor.set(10.0)),
+        early("one straggler in 50", 0.3, |bench, _| bench.fake(7, 0).factor.set(10.0)),
+        early("one replica gone in 50", 0.3, |bench, _| bench.fake(7, 0).stop()),
+        case("one straggler, onset", 0.3, DESK, |bench, _| bench.fake(7, 0).factor.set(10.0)),
         case("no fault, load 0.15", 0.15, DESK, |_, _| {}),
-        case("one straggler, load 0.15", 0.15, DESK, |bench, _| bench.fake(7, 0).factor.set(10.0)),
-        case("5 % stragglers", 0.3, DESK, |bench, _| {
+        early("one straggler, load 0.15", 0.15, |bench, _| bench.fake(7, 0).factor.set(10.0)),
+        early("5 % stragglers", 0.3, |bench, _| {
             (0..5).for_each(|index| bench.fake(index * 9, index % 2).factor.set(10.0));
         }),
         case("lost replicas", 0.3, DESK, |bench, span| {
@@ -74,7 +79,7 @@
         }),
         Case {
             naive: || Decisions { choice: Box::new(ReportedLoad), ..naive() },
-            ..case("lying load report", 0.3, DESK, |bench, _| {
+            ..early("lying load report", 0.3, |bench, _| {
                 for index in 0..3 {
                     let fake = bench.fake(index * 11, 0);
                     fake.lies.set(true);
@@ -121,7 +126,7 @@
                 });
             });
         }),
-        case("desk alone, load 0.6", 0.6, DESK, |_, _| {}),
+        case("load 0.6, desk alone", 0.6, DESK, |_, _| {}),
         case("load 0.5", 0.5, MIXED, |_, _| {}),
         case("load 0.75", 0.75, MIXED, |_, _| {}),
         case("load 1.0", 1.0, MIXED, |_, _| {}),
@@ -211,13 +216,18 @@
             bench.offer(class, capacity() * case.load * share);
         }
     }
+    let span = Duration::from_secs(args.seconds);
+    if case.early {
+        (case.faults)(&bench, span);
+    }
     bench.time.run_for(WARM_UP);
     bench.counts.set(true);
     bench.targets.counts.set(true);
     bench.fakes().iter().for_each(|fake| fake.reset_over());
     bench.targets.seen.borrow_mut().connects = 0;
-    let span = Duration::from_secs(args.seconds);
-    (case.faults)(&bench, span);
+    if !case.early {
+        (case.faults)(&bench, span);
+    }
     bench.time.run_for(span);
     figures(&bench, span)
 }
