Name no shard of the old layout as missing from the new one

Cause: a declared shard that was never heard of gave its name to a place in the layout of the chosen version. Now such a place is called unseen unless the layout stands under declared names; the place is counted as before.

--- a/crates/kumquatnotch-query/src/plan.rs
+++ b/crates/kumquatnotch-query/src/plan.rs
@@ -102,6 +102,11 @@
 }
 
 impl Layout {
+    /// Whether the shards that were seen stand under their declared names.
+    fn is_declared(&self) -> bool {
+        self.shards.iter().all(|(shard, home)| shard == home)
+    }
+
     /// The shard is held by replicas declared for `home`; its own come first.
     fn add(&mut self, shard: &ShardName, home: &ShardName) {
         let known = self.shards.entry(shard.clone()).or_insert_with(|| home.clone());
@@ -188,7 +193,7 @@
                 plan.absent.push(Missing::new(shard.clone(), &gone));
                 open -= 1;
             }
-            names.fill(collection, open, &mut plan.absent);
+            names.fill(collection, (open, layout.is_declared()), &mut plan.absent);
         }
         names.rest(&mut plan.absent);
         plan.shards.sort();
@@ -224,18 +229,22 @@
         Names { unknown: unknown.iter().collect(), known: BTreeSet::new() }
     }
 
-    /// Lists `open` shards of `collection` as missing.
-    fn fill(&mut self, collection: &str, open: usize, absent: &mut Vec<Missing>) {
+    /// Lists `open` shards of `collection` as missing, under the names of declared
+    /// shards if the layout is `named` by them.
+    ///
+    /// After a repartitioning it is not, and a declared name would be that of a
+    /// shard which is not part of the snapshot.
+    fn fill(&mut self, collection: &str, (open, named): (usize, bool), absent: &mut Vec<Missing>) {
         self.known.insert(collection.to_owned());
         for number in 0..open {
             // First a shard that was seen in this collection, then one that was
             // never seen anywhere and may belong to it.
             let seen = self.unknown.iter().position(|u| u.collections.contains(collection));
             let place = seen.or_else(|| self.unknown.iter().position(|u| u.collections.is_empty()));
-            let shard = match place {
-                Some(place) => self.unknown.remove(place).shard.clone(),
-                None => ShardName::from(format!("{collection}/unseen-{number}")),
-            };
+            let unknown = place.map(|place| self.unknown.remove(place).shard.clone());
+            let shard = unknown
+                .filter(|_| named)
+                .unwrap_or_else(|| ShardName::from(format!("{collection}/unseen-{number}")));
             absent.push(Missing::new(shard, &Error::NoTarget));
         }
     }
--- a/crates/kumquatnotch-query/tests/versions.rs
+++ b/crates/kumquatnotch-query/tests/versions.rs
@@ -358,6 +358,19 @@
     assert_eq!((plan.shards.len(), plan.asked()), (shards, 2));
 }
 
+/// What the caller sees: that a shard of the new layout is missing, under no name
+/// of the old one. Order: two shards were split in four; "b" was never heard of.
+/// Why: "b" is not part of the snapshot, so that listing it would be untrue.
+#[test]
+fn a_missing_part_of_a_new_layout_has_no_old_name() {
+    let view = view_of(&[("a", &[at(2, "p0", "c", 4), at(2, "p1", "c", 4)])]);
+
+    let plan = plan(&view, &["a".into(), "b".into()]).unwrap();
+
+    let names: Vec<&str> = plan.absent.iter().map(|missing| missing.shard.as_str()).collect();
+    assert_eq!(names, ["c/unseen-0", "c/unseen-1"]);
+}
+
 /// What the caller sees: the shard once.
 /// Order: shard "b" has moved to the replicas of "a"; its own replicas are empty.
 /// Why: seen at "a" and unknown at "b", it stood in one answer as covered and as
