Keep the learned limit of a target over its restart

Cause: after a mass restart the limit was learned afresh from cold caches, whose latencies look like lost slots, just when the targets had to catch up. Now the limit stays, and the first 64 answers after a restart don't feed it; slots that did change show in the answers after these.

--- a/crates/kumquatnotch-holder/src/calls.rs
+++ b/crates/kumquatnotch-holder/src/calls.rs
@@ -182,7 +182,11 @@
         let mut table = self.table.borrow_mut();
         if let Some(entry) = table.entries.get_mut(&slot.target) {
             entry.replica.on_answer(latency, reply.load, now);
-            entry.limit.on_answer(slot.level, latency, now);
+            // Cold caches would look like slots that were lost, and the limit
+            // would be cut just when the target has to catch up.
+            if entry.replica.is_settled() {
+                entry.limit.on_answer(slot.level, latency, now);
+            }
             entry.given_up = 0;
         }
         if let Some(shard) = table.shards.get_mut(&work.shard) {
--- a/crates/kumquatnotch-holder/src/crash.rs
+++ b/crates/kumquatnotch-holder/src/crash.rs
@@ -82,13 +82,10 @@
         };
         match status {
             Some(status) => {
-                if entry.replica.on_probe(&status, now) {
-                    entry.limit.reset();
-                }
+                entry.replica.on_probe(&status, now);
             }
             None => {
                 entry.replica.on_unreachable(now, &self.random);
-                entry.limit.reset();
                 entry.next_probe = entry.replica.down_until();
             }
         }
--- a/crates/kumquatnotch-holder/src/probes.rs
+++ b/crates/kumquatnotch-holder/src/probes.rs
@@ -120,7 +120,6 @@
         let held = entry.replica.held() != status.held;
         if entry.replica.on_probe(&status, now) {
             tracing::info!(%target, "holder: target has restarted");
-            entry.limit.reset();
         }
         if held {
             table.rebuild_index();
--- a/crates/kumquatnotch-policy/src/limit.rs
+++ b/crates/kumquatnotch-policy/src/limit.rs
@@ -23,9 +23,6 @@
 
     /// The replica refused a call that would have been the `level`th.
     fn on_shed(&mut self, level: u32, now: Instant);
-
-    /// The replica has restarted: what was learned may not hold any more.
-    fn reset(&mut self);
 }
 
 /// The part of `allowed` that each of `holders` may use, at least one.
@@ -47,8 +44,6 @@
     fn on_answer(&mut self, _level: u32, _latency: Duration, _now: Instant) {}
 
     fn on_shed(&mut self, _level: u32, _now: Instant) {}
-
-    fn reset(&mut self) {}
 }
 
 /// A bound that an operator guessed: the second baseline.
@@ -65,8 +60,6 @@
     fn on_answer(&mut self, _level: u32, _latency: Duration, _now: Instant) {}
 
     fn on_shed(&mut self, _level: u32, _now: Instant) {}
-
-    fn reset(&mut self) {}
 }
 
 /// The limit of a replica that nothing is known of.
@@ -192,10 +185,6 @@
         self.trial = Trial::None;
         self.limit = self.limit.min(level.saturating_sub(1)).max(1);
     }
-
-    fn reset(&mut self) {
-        *self = LearnedLimit::default();
-    }
 }
 
 impl LearnedLimit {
--- a/crates/kumquatnotch-policy/src/replica.rs
+++ b/crates/kumquatnotch-policy/src/replica.rs
@@ -28,6 +28,9 @@
 /// The answers after which a replica that restarted counts as warm.
 pub const WARM_ANSWERS: u32 = 32;
 
+/// The answers after which the latency of a replica that restarted tells of its slots.
+const SETTLED_ANSWERS: u32 = 64;
+
 /// Whether a replica may be given a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fitness {
@@ -116,6 +119,11 @@
         self.held.is_some()
     }
 
+    /// Whether its latencies are those of warm caches.
+    pub fn is_settled(&self) -> bool {
+        !self.restarted || self.answers > SETTLED_ANSWERS
+    }
+
     /// The calls in flight to it from here.
     pub fn in_flight(&self) -> u32 {
         self.in_flight
