Tell no age of a confirmation before the first one

Ruled out: leaving the field out of the JSON. The same type crosses between nodes with fields by position, where a field that is left out shifts the rest. It is an Option, null in JSON and nil between nodes.

After: null, "not confirmed yet" in the text of ctl and on the status page. A node without a confirmation may still read the head by chance, as before.

--- a/crates/kumquatnotch-core/src/member.rs
+++ b/crates/kumquatnotch-core/src/member.rs
@@ -68,5 +68,7 @@
     /// The version in force on this node.
     pub version: ConfigVersion,
     /// The age of the last reading of the platform that this node knows of, in milliseconds.
-    pub age_ms: u64,
+    ///
+    /// `None` before the first one.
+    pub age_ms: Option<u64>,
 }
--- a/crates/kumquatnotch-core/src/report.rs
+++ b/crates/kumquatnotch-core/src/report.rs
@@ -43,9 +43,12 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{} ({:?}): ", self.name, self.state)?;
         match (self.confirmation, &self.error) {
-            (Some(Confirmation { version, age_ms }), _) => {
+            (Some(Confirmation { version, age_ms: Some(age_ms) }), _) => {
                 write!(f, "version {version}, confirmed {age_ms} ms ago")
             }
+            (Some(Confirmation { version, age_ms: None }), _) => {
+                write!(f, "version {version}, not confirmed yet")
+            }
             (None, Some(error)) => write!(f, "no answer: {error}"),
             (None, None) => write!(f, "no answer"),
         }
--- a/crates/kumquatnotch-core/tests/core.rs
+++ b/crates/kumquatnotch-core/tests/core.rs
@@ -8,10 +8,12 @@
     clock::{PausedClock, sleep, timeout_at},
     codec,
     errors::Result,
-    ids::{NodeName, rendezvous},
+    ids::{ConfigVersion, NodeName, rendezvous},
     labels::{Expression, Labels},
+    member::{Confirmation, NodeState},
     peer::PeerReply,
     registry::Registry,
+    report::NodeReport,
     ticket::Ticket,
 };
 use yare::parameterized;
@@ -161,3 +163,27 @@
     assert_eq!(registry.find::<u64>("answer").unwrap_err().code(), 9001);
     assert_eq!(registry.find::<u32>("question").unwrap_err().code(), 9001);
 }
+
+/// What an operator reads of a node that has had no confirmation yet: that, and
+/// no number. Order: the node tells another by position, which tells JSON and text.
+#[parameterized(
+    confirmed = { Some(40), "40", "n1 (Up): version 3, confirmed 40 ms ago" },
+    never = { None, "null", "n1 (Up): version 3, not confirmed yet" },
+)]
+fn the_age_of_a_confirmation_is_told(age_ms: Option<u64>, json: &str, text: &str) {
+    let told = Confirmation { version: ConfigVersion(3), age_ms };
+
+    let bytes = codec::encode(&PeerReply::ConfigState(told)).unwrap();
+    let heard: PeerReply = codec::decode(&bytes).unwrap();
+    let report = NodeReport {
+        name: "n1".into(),
+        state: NodeState::Up,
+        confirmation: Some(told),
+        error: None,
+    };
+
+    assert_eq!(heard, PeerReply::ConfigState(told));
+    let expected = format!("{{\"version\":3,\"age_ms\":{json}}}");
+    assert_eq!(serde_json::to_string(&told).unwrap(), expected);
+    assert_eq!(report.to_string(), text);
+}
--- a/crates/kumquatnotch-member/examples/members.rs
+++ b/crates/kumquatnotch-member/examples/members.rs
@@ -91,6 +91,7 @@
     let steady = watch(&world, STEADY).await;
     let calls = (world.platform.calls.get() - calls) as f64 / STEADY.as_secs_f64();
     let ages = world.nodes.borrow().iter().map(|node| node.members.confirmed().age_ms).max();
+    let ages = ages.flatten();
 
     let before = usage(&world);
     let mut changes = Vec::new();
--- a/crates/kumquatnotch-member/src/head_board.rs
+++ b/crates/kumquatnotch-member/src/head_board.rs
@@ -131,7 +131,10 @@
 
     pub(crate) fn confirmation(&self) -> Confirmation {
         let news = self.news();
-        Confirmation { version: news.version, age_ms: news.age_ms }
+        // A version that came without a confirmation has the oldest one there is.
+        let is_confirmed = u128::from(news.age_ms) < AGE_LIMIT.as_millis();
+        let age_ms = is_confirmed.then_some(news.age_ms);
+        Confirmation { version: news.version, age_ms }
     }
 
     fn age_ms(&self, state: InForce) -> u64 {
--- a/crates/kumquatnotch-member/src/readers.rs
+++ b/crates/kumquatnotch-member/src/readers.rs
@@ -124,8 +124,9 @@
         if self.is_reader() {
             return true;
         }
-        let age = Duration::from_millis(self.members.confirmed().age_ms);
-        age >= self.options.silence && self.random.chance(1.0 / self.node_count() as f64)
+        let age = self.members.confirmed().age_ms.map(Duration::from_millis);
+        let is_silent = age.is_none_or(|age| age >= self.options.silence);
+        is_silent && self.random.chance(1.0 / self.node_count() as f64)
     }
 
     fn take_reading(&self, news: HeadNews, asked: Instant) -> Result<()> {
--- a/crates/kumquatnotch-member/tests/config.rs
+++ b/crates/kumquatnotch-member/tests/config.rs
@@ -97,7 +97,7 @@
         let newborn = world.add_configured(50);
         let born = world.wait(30 * SECOND, || newborn.served() == Some(1)).await;
         world.pass(30 * SECOND).await;
-        let age = nodes[30].members.confirmed().age_ms;
+        let age = nodes[30].members.confirmed().age_ms.unwrap();
         let calls = world.platform.calls.get() - before;
         assert_eq!(nodes[30].served(), Some(1));
         world.platform.peak.set(0);
@@ -124,7 +124,7 @@
         let before = world.platform.calls.get();
         world.pass(30 * SECOND).await;
         let calls = world.platform.calls.get() - before;
-        let ages = nodes.iter().map(|node| node.members.confirmed().age_ms);
+        let ages = nodes.iter().map(|node| node.members.confirmed().age_ms.unwrap());
         (calls as f64 / 30.0, ages.max().unwrap())
     });
 
@@ -168,7 +168,7 @@
         world.network.cut(|from, to| from == address(4) || to == address(4));
         nodes[4].life.set(State::Running);
         let took = world.wait(10 * SECOND, || nodes[4].served().is_some()).await;
-        (took, nodes[4].served(), nodes[4].members.confirmed().age_ms)
+        (took, nodes[4].served(), nodes[4].members.confirmed().age_ms.unwrap())
     });
 
     assert!(took.unwrap() < 3 * SECOND, "took {took:?}");
@@ -241,3 +241,24 @@
         other => panic!("{other:?}"),
     }
 }
+
+/// An operator asks a node for its configuration before it has one, and then after.
+/// The first answer told an age of 584 million years, which a script took for a
+/// number. Why: "never" was told as the greatest number.
+#[test]
+fn no_age_is_told_before_the_first_confirmation() {
+    let (before, after) = run(14, async |world| {
+        world.platform.down.set(true);
+        world.platform.publish(1, 10);
+        let node = world.add_configured(0);
+        world.pass(5 * SECOND).await;
+        let before = node.members.confirmed();
+        world.platform.down.set(false);
+        assert!(world.wait(30 * SECOND, || node.served() == Some(1)).await.is_some());
+        (before, node.members.confirmed())
+    });
+
+    assert_eq!((before.version.0, before.age_ms), (0, None));
+    assert_eq!(after.version.0, 1);
+    assert!(after.age_ms.is_some_and(|age| age < 10_000), "{after:?}");
+}
--- a/crates/kumquatnotch-net/tests/peer_links.rs
+++ b/crates/kumquatnotch-net/tests/peer_links.rs
@@ -52,7 +52,7 @@
 }
 
 fn confirmation() -> Confirmation {
-    Confirmation { version: ConfigVersion(4), age_ms: 9 }
+    Confirmation { version: ConfigVersion(4), age_ms: Some(9) }
 }
 
 fn outcome() -> Outcome {
--- a/crates/kumquatnotch-query/tests/common/mod.rs
+++ b/crates/kumquatnotch-query/tests/common/mod.rs
@@ -335,7 +335,7 @@
     fn report_silent(&self, _name: &NodeName) {}
 
     fn confirmed(&self) -> Confirmation {
-        Confirmation { version: ConfigVersion(1), age_ms: 0 }
+        Confirmation { version: ConfigVersion(1), age_ms: Some(0) }
     }
 }
 
--- a/crates/kumquatnotch/src/operator.rs
+++ b/crates/kumquatnotch/src/operator.rs
@@ -86,11 +86,15 @@
         let local = self.members.local();
         let uptime = self.clock.now().saturating_duration_since(self.start);
         let confirmed = self.members.confirmed();
-        let age = Duration::from_millis(confirmed.age_ms);
+        let age = confirmed.age_ms.map(Duration::from_millis);
         writeln!(text, "node: {} in {}, {}", local.name, local.centre, local.region)?;
         writeln!(text, "stage: {:?}, up for {uptime:.0?}", self.lifecycle.stage())?;
         writeln!(text, "callers: {}, peers: {}", local.entry, local.peer)?;
-        writeln!(text, "configuration: version {}, confirmed {age:.1?} ago", confirmed.version)?;
+        write!(text, "configuration: version {}, ", confirmed.version)?;
+        match age {
+            Some(age) => writeln!(text, "confirmed {age:.1?} ago")?,
+            None => writeln!(text, "not confirmed yet")?,
+        }
         if let Some(document) = self.documents.current() {
             write_document(text, &document)?;
         }
