Queue the probes of targets by their time, and probe those less that answer

Cause: each probe that ended ran the whole tick. That looked through all held targets and sorted those due (`Core::due`), and wrote the marks of all declared targets (`read_marks`), so probing cost the square of the targets. A probe whose target held something new rebuilt the index of all declared targets, 1,600 times after a start.

Now the times wait in a heap (`agenda`); an entry whose time was changed is skipped when it comes up. A target enters with the first request for one of its shards and leaves when its turn comes and nobody has asked for a while. Only the tick, every 25 ms, follows the document, marks and queues; marks touch the targets that are marked, and the index moves one target at a time.

A target that answered a call in the last 500 ms is probed every 2.5 to 3.3 s instead of each second: its answers tell more of its life than a probe, and one that drains refuses calls. Only versions need the probe. As soon as one target tells of others, all are probed at the usual rate for 10 s, so with many targets news of a version comes about as soon as before, and with a single busy one up to 3.3 s old.

Found beside it: a caller that went away while its request waited for versions left the target marked as being probed for ever.

Ruled out: a generation in `Marks`. Without marks, which is the usual state, a tick now compares two empty lists.

--- a/crates/kumquatnotch-holder/src/core.rs
+++ b/crates/kumquatnotch-holder/src/core.rs
@@ -47,6 +47,7 @@
         decisions: Decisions,
         registry: &Registry,
     ) -> Result<Rc<Core>> {
+        let table = Table::new(&options);
         Ok(Rc::new(Core {
             options,
             clock: registry.find(services::CLOCK)?,
@@ -54,7 +55,7 @@
             targets: registry.find(services::TARGETS)?,
             documents: registry.find(services::DOCUMENTS)?,
             marks: registry.find(services::MARKS)?,
-            table: RefCell::new(Table::new()),
+            table: RefCell::new(table),
             choice: decisions.choice,
             warmup: decisions.warmup,
             hedge: RefCell::new(decisions.hedge),
--- a/crates/kumquatnotch-holder/src/crash.rs
+++ b/crates/kumquatnotch-holder/src/crash.rs
@@ -86,7 +86,8 @@
             }
             None => {
                 entry.replica.on_unreachable(now, &self.random);
-                entry.next_probe = entry.replica.down_until();
+                let at = entry.replica.down_until().unwrap_or(now);
+                table.plan(target, at);
             }
         }
     }
--- a/crates/kumquatnotch-holder/src/lib.rs
+++ b/crates/kumquatnotch-holder/src/lib.rs
@@ -10,10 +10,11 @@
 //! its shards, `slots` and `offers` find each a replica or a place in the queue,
 //! `calls` sends it, hedges it and tries it again, `crash` looks into a lost
 //! connection, and `merge` puts the answers together. `probes` keeps the
-//! observations fresh between calls.
+//! observations fresh between calls, in the order of `agenda`.
 
 #![forbid(unsafe_code)]
 
+mod agenda;
 mod calls;
 mod core;
 mod crash;
--- a/crates/kumquatnotch-holder/src/probes.rs
+++ b/crates/kumquatnotch-holder/src/probes.rs
@@ -1,9 +1,6 @@
 //! The background work: probes of targets, and queues whose replicas come back.
 
-use std::{
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{rc::Rc, time::Duration};
 
 use futures_util::{
     StreamExt,
@@ -13,14 +10,14 @@
 use kumquatnotch_core::{
     Error, Result,
     answer::ShardVersions,
-    clock::{sleep, timeout_at},
+    clock::timeout_at,
     collections::HashSet,
     ids::{ShardName, TargetName},
     marks::MarkKind,
     target::{Phase, TargetStatus},
 };
 
-use crate::{calls::DRAINING_SPAN, core::Core, slots::expire};
+use crate::{calls::DRAINING_SPAN, core::Core, slots::expire, table::Table};
 
 /// The time between two rounds of the background work.
 const TICK: Duration = Duration::from_millis(25);
@@ -32,29 +29,66 @@
 /// The probes without an answer after which a target counts as down.
 const MOST_UNHEARD: u32 = 2;
 
+/// A probe that is on; dropping it lets the next one be made.
+///
+/// A caller that goes away while its request waits for versions drops the probe
+/// in the middle. The target would count as being probed for ever, and a restart
+/// or another version of it would never be heard of.
+struct Probing<'a> {
+    core: &'a Core,
+    target: &'a TargetName,
+}
+
+impl Drop for Probing<'_> {
+    fn drop(&mut self) {
+        let now = self.core.now();
+        let mut table = self.core.table.borrow_mut();
+        let Some(entry) = table.entries.get_mut(self.target) else {
+            return;
+        };
+        entry.probing = false;
+        if entry.next_probe.is_none_or(|at| at <= now) {
+            table.plan(self.target, now);
+        }
+    }
+}
+
 impl Core {
     /// Does the background work until it is dropped.
     pub async fn watch(self: Rc<Self>) {
         let mut probes = FuturesUnordered::new();
+        let mut due = self.now();
+        let mut timer = self.clock.sleep_until(due);
         loop {
-            // Without a document there is nothing to watch yet.
-            if self.follow_document().is_ok() {
-                self.read_marks();
-                for target in self.due(MOST_PROBES - probes.len()) {
-                    let core = self.clone();
-                    probes.push(async move { core.probe(&target).await });
-                }
-                self.serve_queues();
+            let now = self.now();
+            if now >= due {
+                due = now + TICK;
+                timer = self.clock.sleep_until(due);
+                self.tick();
+            }
+            while probes.len() < MOST_PROBES {
+                let Some(target) = self.next_due() else {
+                    break;
+                };
+                let core = self.clone();
+                probes.push(async move { core.probe(&target).await });
             }
-            let tick = sleep(&*self.clock, TICK);
             if probes.is_empty() {
-                tick.await;
+                (&mut timer).await;
             } else {
-                select(probes.next(), tick).await;
+                select(probes.next(), &mut timer).await;
             }
         }
     }
 
+    fn tick(self: &Rc<Self>) {
+        // Without a document there is nothing to watch yet.
+        if self.follow_document().is_ok() {
+            self.read_marks();
+            self.serve_queues();
+        }
+    }
+
     /// The versions of `shards`, asking the targets that were never asked.
     pub async fn versions(self: &Rc<Self>, shards: &[ShardName]) -> Result<Vec<ShardVersions>> {
         self.follow_document()?;
@@ -88,6 +122,7 @@
             entry.probing = true;
             entry.spec.clone()
         };
+        let _probing = Probing { core: self, target };
         let deadline = self.now() + self.options.probe_timeout;
         let probe = self.targets.probe(target, &spec, deadline);
         let status = timeout_at(&*self.clock, deadline, probe).await.and_then(|status| status);
@@ -100,8 +135,7 @@
         let Some(entry) = table.entries.get_mut(target) else {
             return;
         };
-        entry.probing = false;
-        entry.next_probe = Some(now + self.random.jitter(self.options.probe_every));
+        let mut next = now + self.random.jitter(self.options.probe_every);
         let status = match status {
             Ok(status) => status,
             Err(error) => {
@@ -109,20 +143,24 @@
                 // One late answer is no proof; a refused connection is.
                 if error == Error::ConnectFailed || entry.unheard >= MOST_UNHEARD {
                     entry.replica.on_unreachable(now, &self.random);
-                    entry.next_probe = entry.replica.down_until();
+                    next = entry.replica.down_until().unwrap_or(next);
                 }
+                table.plan(target, next);
                 return;
             }
         };
         entry.unheard = 0;
         entry.given_up = 0;
         let drained = entry.replica.phase() == Phase::Draining;
-        let held = entry.replica.held() != status.held;
+        let news = entry.told.is_some() && entry.replica.held() != status.held;
+        entry.told = Some(now);
         if entry.replica.on_probe(&status, now) {
             tracing::info!(%target, "holder: target has restarted");
         }
-        if held {
-            table.rebuild_index();
+        table.reindex(target);
+        table.plan(target, next);
+        if news {
+            table.agenda.on_news(now);
         }
         drop(table);
         if status.phase == Phase::Draining {
@@ -133,41 +171,40 @@
         }
     }
 
+    /// Takes over what other nodes say of targets, looking at these targets only.
     fn read_marks(&self) {
         let marks = self.marks.all();
-        let draining: HashSet<&TargetName> = marks
-            .iter()
-            .filter_map(|mark| match &mark.kind {
-                MarkKind::Draining(target) => Some(target),
-                MarkKind::Contained(_) => None,
-            })
-            .collect();
-        for (name, entry) in &mut self.table.borrow_mut().entries {
-            entry.marked = draining.contains(name);
+        let mut table = self.table.borrow_mut();
+        if marks.is_empty() && table.marked.is_empty() {
+            return;
         }
-    }
-
-    /// The targets that are due for a probe, at most `most`.
-    fn due(&self, most: usize) -> Vec<TargetName> {
-        let now = self.now();
-        let table = self.table.borrow();
-        let mut due: Vec<(Option<Instant>, &TargetName)> = Vec::new();
-        for (shard, state) in &table.shards {
-            if now.saturating_duration_since(state.asked) > self.options.asked_for {
-                continue;
+        let draining = marks.into_iter().filter_map(|mark| match mark.kind {
+            MarkKind::Draining(target) => Some(target),
+            MarkKind::Contained(_) => None,
+        });
+        let draining: HashSet<TargetName> = draining.collect();
+        let Table { entries, marked, .. } = &mut *table;
+        for name in marked.drain(..) {
+            if let Some(entry) = entries.get_mut(&name) {
+                entry.marked = draining.contains(&name);
             }
-            let names = table.index.get(shard).map(Vec::as_slice).unwrap_or_default();
-            for name in names {
-                let entry = &table.entries[name];
-                if !entry.probing && entry.next_probe.is_none_or(|at| at <= now) {
-                    due.push((entry.next_probe, name));
-                }
+        }
+        // An entry that the document has brought since starts without its mark.
+        for name in draining {
+            if let Some(entry) = entries.get_mut(&name) {
+                entry.marked = true;
+                marked.push(name);
             }
         }
-        due.sort_unstable();
-        due.dedup();
-        due.truncate(most);
-        due.into_iter().map(|(_, name)| name.clone()).collect()
+    }
+
+    /// The next target that is due for a probe.
+    fn next_due(&self) -> Option<TargetName> {
+        let now = self.now();
+        let pause = || self.random.jitter(self.options.probe_every);
+        let mut table = self.table.borrow_mut();
+        table.plan_fresh(&self.options, now);
+        table.take_due(&self.options, &pause, now)
     }
 
     /// Looks at every queue again, as time alone can free a replica.
--- a/crates/kumquatnotch-holder/src/slots.rs
+++ b/crates/kumquatnotch-holder/src/slots.rs
@@ -276,7 +276,7 @@
         let mut shards = Vec::new();
         {
             let mut table = self.table.borrow_mut();
-            let Table { entries, alone, .. } = &mut *table;
+            let Table { entries, alone, agenda, .. } = &mut *table;
             if let Some(print) = &slot.alone {
                 alone.remove(print);
             }
@@ -289,7 +289,9 @@
             let (_, running) = entry.running.swap_remove(at);
             entry.replica.on_end();
             if let Some(elapsed) = given_up {
-                entry.on_given_up(elapsed, now);
+                if entry.on_given_up(elapsed, now) {
+                    agenda.push(&slot.target, now);
+                }
                 self.hedge.borrow_mut().on_latency(elapsed);
             }
             if entry.alone == Some(slot.id) {
--- a/crates/kumquatnotch-holder/src/table.rs
+++ b/crates/kumquatnotch-holder/src/table.rs
@@ -20,7 +20,7 @@
     replica::{Fitness, Replica},
 };
 
-use crate::{HolderOptions, slots::Slot, slots::Work};
+use crate::{HolderOptions, agenda::Agenda, slots::Slot, slots::Work};
 
 /// The targets that a selector may reach.
 pub type Reach = Rc<HashSet<TargetName>>;
@@ -41,6 +41,11 @@
     /// The targets that declare or hold a shard.
     pub index: HashMap<ShardName, Vec<TargetName>>,
     pub reach: HashMap<SelectorName, Reach>,
+    pub agenda: Agenda,
+    /// The targets that other nodes say are draining.
+    pub marked: Vec<TargetName>,
+    /// How long a shard is probed after it was last asked for.
+    asked_for: Duration,
     /// Suspect requests that run alone now; a second copy of one waits.
     pub alone: HashSet<Fingerprint>,
 }
@@ -64,6 +69,10 @@
     pub marked: bool,
     pub probing: bool,
     pub next_probe: Option<Instant>,
+    /// When it last told its state.
+    pub told: Option<Instant>,
+    /// The shards in whose index it stands.
+    pub indexed: Vec<ShardName>,
     /// The probes that failed in a row.
     pub unheard: u32,
     /// The calls given up since it was last heard of.
@@ -91,13 +100,16 @@
 }
 
 impl Table {
-    pub fn new() -> Table {
+    pub fn new(options: &HolderOptions) -> Table {
         Table {
             document: None,
             entries: HashMap::default(),
             shards: HashMap::default(),
             index: HashMap::default(),
             reach: HashMap::default(),
+            agenda: Agenda::default(),
+            marked: Vec::new(),
+            asked_for: options.asked_for,
             alone: HashSet::default(),
         }
     }
@@ -139,6 +151,7 @@
         self.document = Some(document.clone());
         self.reach.clear();
         self.rebuild_index();
+        self.agenda.spoil();
         gone
     }
 
@@ -163,6 +176,10 @@
         now: Instant,
         queue: fn() -> Box<dyn WaitQueue>,
     ) -> &mut Shard {
+        let known = self.shards.get(name).map(|shard| now.saturating_duration_since(shard.asked));
+        if known.is_none_or(|since| since > self.asked_for) {
+            self.agenda.add_shard(name);
+        }
         let shard = self.shards.entry(name.clone()).or_insert_with(|| Shard {
             queue: queue(),
             pending: HashMap::default(),
@@ -185,18 +202,36 @@
     }
 
     /// Every target belongs to the shard it declares and to those it holds.
-    pub fn rebuild_index(&mut self) {
+    fn rebuild_index(&mut self) {
         self.index.clear();
-        let mut names: Vec<&TargetName> = self.entries.keys().collect();
-        names.sort_unstable();
-        for name in names {
-            let entry = &self.entries[name];
-            let held = entry.replica.held().iter().map(|held| &held.shard);
-            for shard in std::iter::once(&entry.spec.shard).chain(held) {
-                let targets = self.index.entry(shard.clone()).or_default();
-                if !targets.contains(name) {
-                    targets.push(name.clone());
-                }
+        let mut entries: Vec<_> = self.entries.iter_mut().collect();
+        entries.sort_unstable_by_key(|(name, _)| *name);
+        for (name, entry) in entries {
+            entry.indexed = entry.shards();
+            for shard in &entry.indexed {
+                self.index.entry(shard.clone()).or_default().push(name.clone());
+            }
+        }
+    }
+
+    /// Moves a target to the shards that it holds now.
+    pub fn reindex(&mut self, name: &TargetName) {
+        let Some(entry) = self.entries.get_mut(name) else {
+            return;
+        };
+        let shards = entry.shards();
+        if shards == entry.indexed {
+            return;
+        }
+        for shard in std::mem::replace(&mut entry.indexed, shards) {
+            if let Some(targets) = self.index.get_mut(&shard) {
+                targets.retain(|other| other != name);
+            }
+        }
+        for shard in &entry.indexed {
+            let targets = self.index.entry(shard.clone()).or_default();
+            if let Err(at) = targets.binary_search(name) {
+                targets.insert(at, name.clone());
             }
         }
     }
@@ -223,6 +258,8 @@
             marked: false,
             probing: false,
             next_probe: None,
+            told: None,
+            indexed: Vec::new(),
             unheard: 0,
             given_up: 0,
         }
@@ -244,15 +281,28 @@
         matches!(self.fitness(now), Fitness::Ready | Fitness::Shedding(_))
     }
 
-    /// A call to it was given up.
-    pub fn on_given_up(&mut self, elapsed: Duration, now: Instant) {
+    /// The shard it declares and those it holds.
+    fn shards(&self) -> Vec<ShardName> {
+        let mut shards = vec![self.spec.shard.clone()];
+        for held in self.replica.held() {
+            if !shards.contains(&held.shard) {
+                shards.push(held.shard.clone());
+            }
+        }
+        shards
+    }
+
+    /// A call to it was given up; whether it has to be probed at once.
+    pub fn on_given_up(&mut self, elapsed: Duration, now: Instant) -> bool {
         self.replica.on_given_up(elapsed);
         self.given_up += 1;
-        if self.is_quiet() {
-            // A target that was cut off answers nothing and refuses nothing; a
-            // probe at once tells it from one that is slow.
-            self.next_probe = self.next_probe.map(|at| at.min(now));
+        // A target that was cut off answers nothing and refuses nothing; a
+        // probe at once tells it from one that is slow.
+        let sooner = self.is_quiet() && self.next_probe.is_some_and(|at| at > now);
+        if sooner {
+            self.next_probe = Some(now);
         }
+        sooner
     }
 
     /// Whether calls to it were given up and nothing was heard of it since.
--- /dev/null
+++ b/crates/kumquatnotch-holder/tests/probes.rs
@@ -0,0 +1,136 @@
+//! Tests of when targets are probed, and of what a probe's end is taken for.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{World, document, request};
+use kumquatnotch_core::{
+    Clock,
+    clock::timeout_at,
+    ids::{IndexVersion, ShardName, TargetName},
+    marks::{Mark, MarkKind},
+    peer::{PeerHandler, PeerMessage},
+};
+
+const PAIR: [(&str, &str); 2] = [("a", "s0"), ("b", "s1")];
+
+/// Asks "s0" every 100 ms for `seconds`.
+async fn keep_asking(world: &World, seconds: usize) {
+    for index in 0..seconds * 10 {
+        world.group(request(&["s0"], &format!("q{index}"))).await.unwrap();
+        world.pause(94).await;
+    }
+}
+
+// Both targets are asked for; one answers calls all the time, the other none.
+// A probe tells nothing of the life of the first that its answers don't, and at
+// 1,600 targets probes cost a core. The second is probed each second as before.
+#[test]
+fn target_that_answers_calls_is_probed_less() {
+    let world = World::new(&PAIR);
+
+    let (busy, idle) = world.run(async {
+        world.group(request(&["s0", "s1"], "first")).await.unwrap();
+        keep_asking(&world, 30).await;
+        (world.script("a").probes.get(), world.script("b").probes.get())
+    });
+
+    assert!((7..=15).contains(&busy), "{busy} probes of the target that answers");
+    assert!((24..=40).contains(&idle), "{idle} probes of the idle target");
+}
+
+// Targets publish a version while they answer calls of the one before. Roots
+// hear of it only through probes, so these must not be put off for long.
+#[test]
+fn published_version_is_heard_of_while_calls_are_answered() {
+    let world = World::new(&PAIR);
+    let newer = IndexVersion(8);
+
+    let seen = world.run(async {
+        keep_asking(&world, 5).await;
+        let start = world.clock.now();
+        world.script("a").version.set(newer);
+        loop {
+            // It serves the version before for a while beside the newer one.
+            let result = world.group(request(&["s0"], "q")).await.unwrap();
+            let told = result.held.iter().flat_map(|shard| &shard.versions);
+            if told.into_iter().any(|held| held.version == newer) {
+                break world.clock.now() - start;
+            }
+            world.pause(100).await;
+        }
+    });
+
+    assert!(seen < Duration::from_millis(3_500), "{seen:?}");
+}
+
+// A shard is asked for, then not for minutes, then again. Its targets are left
+// alone in between and probed again afterwards.
+#[test]
+fn targets_that_nobody_asks_for_are_left_alone() {
+    let world = World::new(&PAIR);
+
+    let (pause, after) = world.run(async {
+        world.group(request(&["s0"], "q")).await.unwrap();
+        world.pause(70_000).await;
+        let probes = || world.script("a").probes.get();
+        let before = probes();
+        world.pause(100_000).await;
+        let pause = probes() - before;
+        world.group(request(&["s0"], "again")).await.unwrap();
+        let before = probes();
+        world.pause(10_000).await;
+        (pause, probes() - before)
+    });
+
+    assert_eq!((pause, world.script("b").probes.get()), (0, 0));
+    assert!((6..=18).contains(&after), "{after} probes");
+}
+
+// A root gives up while a holder asks a target for its versions, so the probe
+// is dropped in the middle. The target counted as being probed for ever, and
+// nothing that it did later was noticed.
+#[test]
+fn dropped_probe_is_made_again() {
+    let world = World::new(&PAIR);
+
+    let probes = world.run(async {
+        let now = world.clock.now();
+        let shards = vec![ShardName::from("s0")];
+        let asking = world.holder.handle(PeerMessage::Versions(shards));
+        let cut = timeout_at(&world.clock, now + Duration::from_micros(500), asking).await;
+        assert!(cut.is_err());
+        world.pause(5_000).await;
+        world.script("a").probes.get()
+    });
+
+    assert!(probes >= 3, "{probes} probes");
+}
+
+// Another node marks a target as draining, the document changes, and the mark
+// expires. The target takes no work just as long as the mark lasts.
+#[test]
+fn mark_holds_over_a_new_document_and_ends() {
+    let world = World::new(&[("a", "s0")]);
+    let target = TargetName::from("a");
+
+    let (marked, renewed, ended) = world.run(async {
+        let covered = async || world.group(request(&["s0"], "q")).await.unwrap().covered.len();
+        world.group(request(&["s0"], "q")).await.unwrap();
+        let mark = Mark { kind: MarkKind::Draining(target), left_ms: 10_000 };
+        world.marks.0.borrow_mut().push(mark);
+        world.pause(60).await;
+        let marked = covered().await;
+        let mut moved = document(&[("a", "s0")]);
+        moved.targets.values_mut().for_each(|spec| spec.address.set_port(10));
+        *world.documents.0.borrow_mut() = std::rc::Rc::new(moved);
+        world.pause(60).await;
+        let renewed = covered().await;
+        world.marks.0.borrow_mut().clear();
+        world.pause(60).await;
+        (marked, renewed, covered().await)
+    });
+
+    assert_eq!((marked, renewed, ended), (0, 0, 1));
+}
