Send another canary after one that told nothing

A canary that met another version of the index released the rest too, by a second round without one. Now a canary that covered nothing is followed by another, four at most in a round; a second round has one if nothing was covered; and none is sent while versions are asked for again. Ruled out: expiry of the mark (all crashes lie within one attempt, the mark is there for the next one 150 ms later) and restarted holders.

--- a/crates/kumquatnotch-query/src/gather.rs
+++ b/crates/kumquatnotch-query/src/gather.rs
@@ -115,12 +115,14 @@
                     if gone.len() > known {
                         self.refresh();
                     }
+                    self.release_due();
                 }
                 Either::Left((Some(Event::Refreshed), _)) => {
                     self.refreshing = false;
                     if let Some(next) = search.replan(self.plan, gone) {
                         return Ok(Round::Gone { plan: next, covered: self.covered });
                     }
+                    self.release_due();
                 }
                 Either::Left((None, _)) | Either::Right(_) => self.release_due(),
             }
@@ -222,12 +224,11 @@
     /// A shard that is lost, draining or of another version tells nothing of the
     /// request. To fan out then would crash a replica of each shard, so another
     /// canary is sent, a few times at most, since many shards may be refusing.
-    fn release_after(&mut self, part: &Part, ran: bool) {
-        let Some(held) = self.held_back.as_mut().filter(|_| part.canary && !ran) else {
+    fn release_after(&mut self, canary: bool, ran: bool) {
+        let Some(held) = self.held_back.as_mut().filter(|_| canary && !ran) else {
             return self.release();
         };
         held.on_failed(self.search.clock.now(), self.search.canary_end());
-        self.release_due();
     }
 
     /// Takes the next step if the canary is slow.
@@ -239,7 +240,9 @@
     fn release_due(&mut self) {
         let search = self.search;
         let now = search.clock.now();
-        let Some(mut held) = self.held_back.take_if(|held| now >= held.until) else {
+        // While versions are asked for again, a canary may meet the old one only.
+        let is_due = |held: &mut HeldBack<'_>| now >= held.until && !self.refreshing;
+        let Some(mut held) = self.held_back.take_if(is_due) else {
             return;
         };
         if held.second && !held.shards.is_empty() {
@@ -262,7 +265,7 @@
                 for shard in part.shards.clone() {
                     self.take_refusal(&part, shard, &error, gone)?;
                 }
-                self.release_after(&part, false);
+                self.release_after(part.canary, false);
                 return Ok(());
             }
         };
@@ -281,7 +284,7 @@
         for shard in part.shards {
             self.fail(shard, Error::protocol("left out of an answer"));
         }
-        self.release_after(&part, ran);
+        self.release_after(part.canary, ran);
         Ok(())
     }
 
--- a/crates/kumquatnotch-query/tests/holders.rs
+++ b/crates/kumquatnotch-query/tests/holders.rs
@@ -5,6 +5,7 @@
 use common::{holder::ShardState, net::Way, *};
 use kumquatnotch_core::{
     Error,
+    clock::sleep,
     marks::{Mark, MarkKind},
     query::SearchRequest,
 };
@@ -243,6 +244,7 @@
 
     let result = run(&world, async {
         let first = first_asked(&world, search_request("rooms")).await;
+        world.search_for(1, KEY, "other").await.unwrap();
         for number in 0..20 {
             let lost = Some(Error::ConnectionLost);
             world.shards.change(&shard(number), |state| state.fault = lost);
@@ -253,6 +255,8 @@
             world.shards.change(&first, |known| *known = state);
         }
         world.shards.asked.borrow_mut().clear();
+        // What was heard a moment ago is not asked for again.
+        sleep(&world.clock, ms(100)).await;
         // Another node has not seen the request succeed.
         world.search_for(1, KEY, "rooms").await
     });
