Send callers and groups to nodes that serve

Cause: a node is up in the membership as soon as it answers its peers, which is before it has a document. Advice named it, and groups ranked it by hashing like any other; whoever came was refused with 2004. With a platform that hangs this lasts as long as the hang.

Ruled out: announcing a node only once it has a document. When all nodes start at once they must know each other to share the readings of the platform. Another state beside up was ruled out too: a node that does not serve can be suspected and can leave like any other.

Change: a record tells whether its node has begun to serve; the node raises its counter as it does, and the hash of the tables has it. Advice names serving nodes, suspect ones too, before any that does not serve; a group's rank puts those last. While a node holds its document back after a freeze it advises the others, but that is not spread, as it lasts two seconds at most.

Before, with the safeguards taken out: four new tests fail (two of advice and groups, two of the news). After: they pass. The short tests of the nine crates pass. The size of a record grows by one byte.

--- a/crates/kumquatnotch-core/src/member.rs
+++ b/crates/kumquatnotch-core/src/member.rs
@@ -25,13 +25,15 @@
     pub centre: DataCentre,
     /// Its region.
     pub region: Region,
+    /// Whether it has begun to serve; what it does since is in its state.
+    pub serving: bool,
 }
 
 /// The state of a node, in the order in which reports of one counter win.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum NodeState {
-    /// It serves.
+    /// It answers; whether it has a document to serve is told beside the state.
     Up,
     /// It does not answer; it is taken as gone unless it refutes that soon.
     Suspect,
--- a/crates/kumquatnotch-member/src/config_service.rs
+++ b/crates/kumquatnotch-member/src/config_service.rs
@@ -137,6 +137,9 @@
         self.drop_values(state.manifest, manifest);
         if let Some(lifecycle) = &self.lifecycle {
             lifecycle.advance(Stage::Serving);
+            if lifecycle.stage() == Stage::Serving {
+                self.members.note_serving();
+            }
         }
         let members = self.members.clone();
         let fanout = self.options.push_fanout;
--- a/crates/kumquatnotch-member/src/membership_service.rs
+++ b/crates/kumquatnotch-member/src/membership_service.rs
@@ -78,7 +78,8 @@
         let random: Random = registry.find(services::RANDOM)?;
         let peers: Rc<dyn Peers> = registry.find(services::PEERS)?;
         let now = clock.now();
-        let local = local_record(&options, &random);
+        let lifecycle: Option<Lifecycle> = registry.find(services::LIFECYCLE).ok();
+        let local = local_record(&options, &random, lifecycle.is_none());
         let service = Rc::new_cyclic(|me| MembershipService {
             board: HeadBoard::new(clock.clone()),
             table: RefCell::new(Table::new(local, options.check_gone)),
@@ -91,7 +92,7 @@
             announced: Cell::new(false),
             outlived: Cell::new(false),
             platform: registry.find(services::PLATFORM).ok(),
-            lifecycle: registry.find(services::LIFECYCLE).ok(),
+            lifecycle,
             clock,
             random,
             peers,
@@ -120,6 +121,18 @@
         monoio::spawn(me.run_reaching());
     }
 
+    /// Tells the others that this node has begun to serve, once.
+    ///
+    /// Before that it is up, as it answers and reads the platform in its turn, but
+    /// callers and groups sent to it would be refused.
+    pub(crate) fn note_serving(&self) {
+        if !self.table.borrow_mut().begin_serving() {
+            return;
+        }
+        info!("member: serving");
+        self.spread_local();
+    }
+
     /// Tells the others that this node ends its work and takes no new callers.
     pub fn leave(&self) {
         if self.table.borrow().local().state != NodeState::Up {
@@ -233,8 +246,10 @@
             self.end_suspicions(now);
             self.marks.borrow_mut().expire(now);
             let stage = self.lifecycle.as_ref().map(Lifecycle::stage);
-            if stage.is_some_and(|stage| stage >= Stage::Leaving) {
-                self.leave();
+            match stage {
+                None | Some(Stage::Starting) => {}
+                Some(Stage::Serving) => self.note_serving(),
+                Some(Stage::Leaving | Stage::Closing) => self.leave(),
             }
         }
     }
@@ -336,7 +351,7 @@
     }
 }
 
-fn local_record(options: &MembershipOptions, random: &Random) -> NodeRecord {
+fn local_record(options: &MembershipOptions, random: &Random, serving: bool) -> NodeRecord {
     NodeRecord {
         name: options.name.clone(),
         incarnation: options.incarnation.unwrap_or_else(|| incarnation::draw_now(random)),
@@ -346,5 +361,6 @@
         entry: options.entry,
         centre: options.centre.clone(),
         region: options.region.clone(),
+        serving,
     }
 }
--- a/crates/kumquatnotch-member/src/table.rs
+++ b/crates/kumquatnotch-member/src/table.rs
@@ -125,6 +125,17 @@
         }
     }
 
+    /// Raises the counter of this node as it begins to serve; false if it has before.
+    pub(crate) fn begin_serving(&mut self) -> bool {
+        if self.local.serving {
+            return false;
+        }
+        self.local.serving = true;
+        self.local.counter += 1;
+        self.generation += 1;
+        true
+    }
+
     /// Gives this node another incarnation.
     pub(crate) fn renumber_local(&mut self, incarnation: Incarnation) {
         self.local.incarnation = incarnation;
@@ -306,10 +317,10 @@
 }
 
 fn record_hash(record: &NodeRecord) -> u64 {
-    let leaving = [u8::from(record.state == NodeState::Leaving)];
+    let state = [u8::from(record.state == NodeState::Leaving), u8::from(record.serving)];
     let incarnation = record.incarnation.0.to_be_bytes();
     let counter = record.counter.to_be_bytes();
-    stable_hash(&[record.name.as_bytes(), &incarnation, &counter, &leaving])
+    stable_hash(&[record.name.as_bytes(), &incarnation, &counter, &state])
 }
 
 fn is_visible_change(old: &NodeRecord, new: &NodeRecord) -> bool {
--- a/crates/kumquatnotch-member/tests/membership.rs
+++ b/crates/kumquatnotch-member/tests/membership.rs
@@ -7,8 +7,10 @@
 use fixture::{Node, State, World, address, run};
 use kumquatnotch_core::{
     ids::Incarnation,
+    lifecycle::{Lifecycle, Stage},
     marks::{Mark, MarkKind, Marks},
     member::{Members, NodeState},
+    services,
 };
 use kumquatnotch_member::MembershipOptions;
 use yare::parameterized;
@@ -261,6 +263,31 @@
     assert!(ended.unwrap() < 3 * SECOND, "took {ended:?}");
 }
 
+/// A node joins and is up before it has a document. Callers that are sent to it are
+/// refused. The others must know that it doesn't serve, and learn soon when it does,
+/// also those that the news missed: then the tables differ, and an exchange finds it.
+#[parameterized(
+    by_news = { 3.0, 3 },
+    by_exchange = { 0.0, 30 },
+)]
+fn a_node_is_known_to_serve_once_it_does(spread_factor: f64, limit: u32) {
+    let (before, took) = run(13, async move |world| {
+        let change = |options: &mut MembershipOptions| options.spread_factor = spread_factor;
+        let nodes: Vec<_> = (0..50)
+            .map(|number| world.add_with(&format!("n{number}"), number, None, change))
+            .collect();
+        assert!(world.wait(60 * SECOND, || world.has_converged()).await.is_some());
+        let serves = |node: &Rc<Node>| node.members.find(&nodes[7].name).unwrap().serving;
+        let before = nodes.iter().filter(|node| serves(node)).count();
+        let lifecycle: Lifecycle = nodes[7].registry.find(services::LIFECYCLE).unwrap();
+        lifecycle.advance(Stage::Serving);
+        (before, world.wait(60 * SECOND, || nodes.iter().all(serves)).await)
+    });
+
+    assert_eq!(before, 0);
+    assert!(took.unwrap() < limit * SECOND, "took {took:?}");
+}
+
 /// One message in ten is lost, and each round trip has two. Probes fail often,
 /// helpers and refutations make up for it: nobody is taken as gone.
 #[test]
--- a/crates/kumquatnotch-policy/src/advice.rs
+++ b/crates/kumquatnotch-policy/src/advice.rs
@@ -24,6 +24,8 @@
     pub region: Region,
     /// Its state.
     pub state: NodeState,
+    /// Whether it has a document to serve.
+    pub serving: bool,
     /// How long requests wait there, if it is known.
     pub wait: Option<Duration>,
 }
@@ -92,14 +94,23 @@
     }
 }
 
-/// The nodes that are up; suspect ones only if there is no other.
+/// Which nodes are advised: the first of these kinds of which there are any.
 ///
+/// A node that has no document yet refuses every caller, and callers keep the
+/// advice. A suspect one that serves may only be slow, so it is the better.
 /// A leaving node is never advised: a caller that keeps the advice would meet a
 /// closed port.
+const USABLE: [(bool, NodeState); 4] = [
+    (true, NodeState::Up),
+    (true, NodeState::Suspect),
+    (false, NodeState::Up),
+    (false, NodeState::Suspect),
+];
+
 fn usable(nodes: &[EntryNode]) -> Vec<&EntryNode> {
-    let of = |state| nodes.iter().filter(move |node| node.state == state);
-    let up: Vec<&EntryNode> = of(NodeState::Up).collect();
-    if up.is_empty() { of(NodeState::Suspect).collect() } else { up }
+    let of = |kind| nodes.iter().filter(move |node| (node.serving, node.state) == kind);
+    let found = USABLE.iter().map(|kind| of(*kind).collect::<Vec<_>>());
+    found.into_iter().find(|nodes| !nodes.is_empty()).unwrap_or_default()
 }
 
 fn distance(node: &EntryNode, near: Near<'_>) -> u8 {
--- a/crates/kumquatnotch-policy/tests/advice.rs
+++ b/crates/kumquatnotch-policy/tests/advice.rs
@@ -17,6 +17,7 @@
         centre: DataCentre::from(format!("dc{}", number / 3)),
         region: Region::from(if number < 3 { "north" } else { "south" }),
         state: NodeState::Up,
+        serving: true,
         wait: None,
     };
     (0..9).map(node).collect()
@@ -101,3 +102,35 @@
 
     assert_eq!(order(&policy(), &nodes).len(), 8);
 }
+
+/// What the callers see: no refusal by a node that has only just started.
+/// Order: a node joins, is up, and fetches its document; callers ask meanwhile.
+/// Why: it answers its peers before it can serve, and being up was all that counted.
+#[test]
+fn nodes_that_do_not_serve_yet_are_not_advised() {
+    let mut nodes = nodes();
+    nodes[4].serving = false;
+
+    let order = order(&policy(), &nodes);
+
+    assert_eq!(order.len(), 8);
+    assert!(!order.contains(&4));
+}
+
+/// What the callers see: suspect nodes that serve before up ones that don't, and
+/// those if nobody serves, as they may by the time that the caller comes.
+#[parameterized(
+    one_suspect_serves = { Some(4), &[4] },
+    none_serves = { None, &[3, 4, 5, 6, 7, 8, 0, 1, 2] },
+)]
+fn nodes_that_do_not_serve_are_better_than_none(suspect: Option<usize>, expected: &[u16]) {
+    let mut nodes = nodes();
+    nodes.iter_mut().for_each(|node| node.serving = false);
+    if let Some(number) = suspect {
+        (nodes[number].serving, nodes[number].state) = (true, NodeState::Suspect);
+    }
+
+    let order = order(&NearestEntry, &nodes);
+
+    assert_eq!(order, expected);
+}
--- a/crates/kumquatnotch-query/src/entry.rs
+++ b/crates/kumquatnotch-query/src/entry.rs
@@ -28,9 +28,17 @@
         let is_local = record.name == local.name;
         // The own stage is newer than the own record: a node that leaves stops
         // advising itself before the others hear of it.
-        if is_local && stage != Stage::Serving {
+        if is_local && stage > Stage::Serving {
             continue;
         }
+        // After a freeze a node holds its document back for at most two seconds,
+        // and asks others meanwhile. It then advises others, but does not tell
+        // them to do so: the news would spread no faster than it serves again,
+        // and whom they advise meanwhile is told when to come back.
+        let serves = match is_local {
+            true => stage == Stage::Serving && document.is_some(),
+            false => record.serving,
+        };
         if record.state == NodeState::Gone {
             continue;
         }
@@ -39,6 +47,7 @@
             centre: record.centre,
             region: record.region,
             state: record.state,
+            serving: serves,
             wait: router.wait_at(&record.name),
         });
     }
--- a/crates/kumquatnotch-query/src/groups.rs
+++ b/crates/kumquatnotch-query/src/groups.rs
@@ -127,14 +127,23 @@
     }
 }
 
+/// The tiers of nodes that serve; those that don't have as many after them.
+const SERVING_TIERS: u8 = 3;
+
 /// The nodes that are not gone, each with its tier: up in the own region, up
 /// elsewhere, doubtful.
+///
+/// Those that do not serve yet come after all that do: a group sent to one would
+/// be refused and lose a round trip, and each root would learn so for itself.
 fn tiers_of(members: &dyn Members) -> Vec<(u8, NodeRecord)> {
     let local = members.local();
     let known = members.known().into_iter().filter(|node| node.state != NodeState::Gone);
-    let tier = |node: &NodeRecord| match node.state {
-        NodeState::Up => u8::from(node.region != local.region),
-        _ => 2,
+    let tier = |node: &NodeRecord| {
+        let tier = match node.state {
+            NodeState::Up => u8::from(node.region != local.region),
+            _ => 2,
+        };
+        if node.serving { tier } else { tier + SERVING_TIERS }
     };
     known.map(|node| (tier(&node), node)).collect()
 }
--- a/crates/kumquatnotch-query/tests/common/mod.rs
+++ b/crates/kumquatnotch-query/tests/common/mod.rs
@@ -145,6 +145,13 @@
         self.generation.set(self.generation.get() + 1);
     }
 
+    /// Node `number` has no document yet, and the others know.
+    pub fn set_starting(&self, number: usize) {
+        let name = self.nodes[number].record.name.clone();
+        self.members.borrow_mut().get_mut(&name).unwrap().serving = false;
+        self.generation.set(self.generation.get() + 1);
+    }
+
     /// Node `number` takes `other` as gone, and no other node does.
     pub fn hide(&self, number: usize, other: usize) {
         let name = |number: usize| self.nodes[number].record.name.clone();
@@ -237,6 +244,7 @@
         entry: address(20_000 + number),
         centre: format!("dc{}", number % 3).as_str().into(),
         region: "north".into(),
+        serving: true,
     }
 }
 
--- a/crates/kumquatnotch-query/tests/search.rs
+++ b/crates/kumquatnotch-query/tests/search.rs
@@ -271,3 +271,36 @@
     assert_eq!(after.len(), 2);
     assert!(!after.contains(&world.nodes[1].record.entry));
 }
+
+/// What the caller sees: no refusal with 2004 by a node that has just started, and
+/// no search that loses a round trip to one. Order: a node joins and is up; the
+/// platform hangs, so it has no document for long; callers ask and search.
+/// Why: it answers its peers before it can serve, and being up was all that counted.
+#[test]
+fn a_node_that_does_not_serve_yet_gets_no_callers_and_no_groups() {
+    let world = world_with(3, 40, without_canary());
+    world.set_starting(2);
+
+    let advised = world.nodes[0].front.advice(Some("dc2")).addresses;
+    let answer = run(&world, async { world.search(0).await }).unwrap();
+
+    assert!(answer.coverage.is_full());
+    assert_eq!(advised.len(), 2);
+    assert!(!advised.contains(&world.nodes[2].record.entry));
+    let name = &world.nodes[2].record.name;
+    assert!(world.shards.asked.borrow().iter().all(|(asked, _, _)| asked != name));
+}
+
+/// What the callers see: while a node holds its document back after a freeze it
+/// advises the others and not itself. It is not told to the others, as it serves
+/// again within two seconds.
+#[test]
+fn a_node_that_was_frozen_advises_others() {
+    let world = world(3, 2);
+    world.documents.0.take();
+
+    let advised = world.nodes[0].front.advice(Some("dc0")).addresses;
+
+    assert_eq!(advised.len(), 2);
+    assert!(!advised.contains(&world.nodes[0].record.entry));
+}
--- a/crates/measure/src/nodes.rs
+++ b/crates/measure/src/nodes.rs
@@ -96,6 +96,7 @@
         entry: address(20_000 + number),
         centre: DataCentre::from("c0"),
         region: Region::from("r"),
+        serving: true,
     }
 }
 
