Let a crash count before another target gets the request

A refusal of the next try ("no target") then hid that the request had run, and the root tried it on other shards. A copy could also be sent while the first target was being asked. Now a target that seems well is asked once more after 20 ms; no copy is sent while one of the tried targets is being asked; and the error of a try that ran goes before the refusal of a later one, which said "not run" of a request that ran. Ruled out: expiry of the mark, forgotten strikes, other holders: all crashes came from one attempt of the caller.

--- a/crates/kumquatnotch-holder/src/calls.rs
+++ b/crates/kumquatnotch-holder/src/calls.rs
@@ -35,13 +35,20 @@
         self.retry.borrow_mut().on_call();
         let mut tried = Vec::new();
         let mut tries = 0;
+        // A refusal of a later try must not hide that an earlier one ran. A request
+        // that has crashed the last replica would end with "no target", and the
+        // root, which takes that for a shard that is lost, would try it elsewhere.
+        let mut ran: Option<Error> = None;
         loop {
             let alone = match self.verdict(work.print) {
                 Verdict::Free => false,
                 Verdict::Alone => true,
-                Verdict::Refused(left) => return Err(contained(left)),
+                Verdict::Refused(left) => return Err(ran.unwrap_or(contained(left))),
+            };
+            let slot = match self.acquire(work, &tried, alone).await {
+                Ok(slot) => slot,
+                Err(error) => return Err(ran.unwrap_or(error)),
             };
-            let slot = self.acquire(work, &tried, alone).await?;
             tries += 1;
             let error = match self.attempt(work, slot, alone, &mut tried).await {
                 Ok(reply) => return Ok(reply),
@@ -54,6 +61,9 @@
             let Some(wait) = self.next_attempt(work, &error, tries, &tried) else {
                 return Err(error);
             };
+            if !error.is_not_run() {
+                ran = Some(error);
+            }
             self.meters.retries.increment(1);
             if !wait.is_zero() {
                 sleep(&*self.clock, wait).await;
@@ -131,6 +141,12 @@
         tried: &[TargetName],
         pressing: bool,
     ) -> Option<Slot> {
+        // The lost connection may be the request's own doing. A copy sent before
+        // its target was asked would crash a second replica, unproved again, as
+        // the first crash has not made the request a suspect yet.
+        if self.is_checked(tried) {
+            return None;
+        }
         let slot = self.spare_slot(work, tried, pressing)?;
         if !self.hedge.borrow_mut().spend() {
             // It was never used, so it tells nothing of the replica.
@@ -142,6 +158,13 @@
         Some(slot)
     }
 
+    /// Whether one of `tried` is being asked whether it crashed.
+    fn is_checked(&self, tried: &[TargetName]) -> bool {
+        let table = self.table.borrow();
+        let mut entries = tried.iter().filter_map(|name| table.entries.get(name));
+        entries.any(|entry| entry.checking.is_some())
+    }
+
     /// Sends `work` to the replica of `slot` and learns from how it ends.
     async fn call(self: &Rc<Self>, work: &Rc<Work>, mut slot: Slot) -> Result<TargetReply> {
         let call = TargetCall {
--- a/crates/kumquatnotch-holder/src/crash.rs
+++ b/crates/kumquatnotch-holder/src/crash.rs
@@ -1,15 +1,23 @@
 //! What a lost connection means: did the target crash, and under which request?
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use futures_channel::oneshot;
 use kumquatnotch_core::{
-    document::TargetSpec, ids::TargetName, marks::MarkKind, target::TargetStatus,
+    Result, clock::sleep, document::TargetSpec, ids::TargetName, marks::MarkKind,
+    target::TargetStatus,
 };
 use kumquatnotch_policy::containment::Running;
 
 use crate::{core::Core, table::Entry};
 
+/// The time after which a target that seems well is asked once more.
+///
+/// One that goes down loses one connection after the other, and may still answer a
+/// probe on the next. Its request would not become a suspect, and would be tried
+/// on replica after replica. A target that answers after this time has not crashed.
+const CRASH_PAUSE: Duration = Duration::from_millis(20);
+
 /// A check that is on; one that is cut short counts as a crash.
 struct Check<'a> {
     core: &'a Core,
@@ -49,15 +57,20 @@
         // A caller that gives up during the check must not save the request from
         // being suspected, so "crashed" holds until the target says otherwise.
         let mut check = Check { core: self, target, present, alone, crashed: true };
-        let deadline = self.now() + self.options.probe_timeout;
-        let status = self.targets.probe(target, &spec, deadline).await;
-        check.crashed = match &status {
-            Ok(status) => known != Some(status.incarnation),
-            Err(_) => true,
-        };
+        let mut status = self.ask(target, &spec).await;
+        if is_same(&status, known) {
+            sleep(&*self.clock, CRASH_PAUSE).await;
+            status = self.ask(target, &spec).await;
+        }
+        check.crashed = !is_same(&status, known);
         self.heard(target, status.ok());
     }
 
+    async fn ask(&self, target: &TargetName, spec: &TargetSpec) -> Result<TargetStatus> {
+        let deadline = self.now() + self.options.probe_timeout;
+        self.targets.probe(target, spec, deadline).await
+    }
+
     fn begin_check(&self, target: &TargetName) -> Begun {
         let mut table = self.table.borrow_mut();
         let Some(entry) = table.entries.get_mut(target) else {
@@ -116,6 +129,11 @@
     }
 }
 
+/// Whether a target answers and is in the life that was `known`.
+fn is_same(status: &Result<TargetStatus>, known: Option<u64>) -> bool {
+    status.as_ref().is_ok_and(|status| known == Some(status.incarnation))
+}
+
 fn present(entry: &Entry) -> Vec<Running> {
     let mut present: Vec<Running> = Vec::new();
     for (_, running) in &entry.running {
--- a/crates/kumquatnotch-holder/tests/common/mod.rs
+++ b/crates/kumquatnotch-holder/tests/common/mod.rs
@@ -59,6 +59,10 @@
     pub most_inside: Cell<u32>,
     pub crashes: Cell<u32>,
     pub probes: Cell<u32>,
+    /// How long it takes to find out that it is down.
+    pub down_span: Cell<Duration>,
+    /// The probes that it still answers after a crash.
+    pub last_words: Cell<u32>,
 }
 
 /// Scripted targets by name.
@@ -105,6 +109,15 @@
     }
 }
 
+impl Script {
+    /// Whether it answers a probe though it has crashed.
+    fn speaks_on(&self) -> bool {
+        let left = self.last_words.get();
+        self.last_words.set(left.saturating_sub(1));
+        left > 0
+    }
+}
+
 struct Inside<'a>(&'a Script);
 
 impl Drop for Inside<'_> {
@@ -168,7 +181,8 @@
             self.most_probing.set(self.most_probing.get().max(self.probing.get()));
             sleep(&self.clock, Duration::from_millis(1)).await;
             self.probing.set(self.probing.get() - 1);
-            if !script.up.get() {
+            if !script.up.get() && !script.speaks_on() {
+                sleep(&self.clock, script.down_span.get()).await;
                 return Err(Error::ConnectFailed);
             }
             let held = HeldVersion {
@@ -334,5 +348,7 @@
         most_inside: Cell::new(0),
         crashes: Cell::new(0),
         probes: Cell::new(0),
+        down_span: Cell::default(),
+        last_words: Cell::default(),
     }
 }
--- /dev/null
+++ b/crates/kumquatnotch-holder/tests/crashes.rs
@@ -0,0 +1,55 @@
+//! Requests that crash targets, and what a holder makes of the lost connections.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{World, request};
+use kumquatnotch_core::Error;
+use yare::parameterized;
+
+const FIVE: [(&str, &str); 5] = [("a", "s0"), ("b", "s0"), ("c", "s0"), ("d", "s0"), ("e", "s0")];
+
+/// What the caller sees: a lost connection, and three of five targets serve on.
+/// Order: a target crashes; that it is down shows late, so that the call would be
+/// due for a copy, or it still answers a probe on its way down. Why: the copy
+/// crashed a second one before the request was a suspect; a target that answered
+/// had not crashed, and the next one got the request like any other.
+#[parameterized(
+    found_late = { 40, 0 },
+    still_answers = { 0, 1 },
+    both = { 40, 1 },
+)]
+fn a_crash_counts_before_another_target_is_tried(down_ms: u64, last_words: u32) {
+    let world = World::new(&FIVE);
+
+    let answer = world.run(async {
+        world.warm(300).await;
+        world.pause(200).await;
+        for (name, _) in FIVE {
+            world.script(name).down_span.set(Duration::from_millis(down_ms));
+            world.script(name).last_words.set(last_words);
+        }
+        world.group(request(&["s0"], "poison")).await.unwrap()
+    });
+
+    let crashes: u32 = FIVE.iter().map(|(name, _)| world.script(name).crashes.get()).sum();
+    assert_eq!(crashes, 2);
+    assert_eq!(answer.missing[0].error, Error::ConnectionLost);
+}
+
+/// What the root sees: a lost connection, not a shard without a target.
+/// Order: the request crashes the only target of its shard; nobody is left for
+/// another try. Why: the refusal of that try hid that the request had run, and
+/// the root went on to crash the targets of the other shards.
+#[test]
+fn a_request_that_ran_is_not_called_one_without_a_target() {
+    let world = World::new(&[("a", "s0")]);
+
+    let answer = world.run(async {
+        world.warm(1).await;
+        world.group(request(&["s0"], "poison")).await.unwrap()
+    });
+
+    assert_eq!(answer.missing[0].error, Error::ConnectionLost);
+}
