--- a/crates/measure/src/capacity.rs
+++ b/crates/measure/src/capacity.rs
@@ -71,12 +71,16 @@
     pub shard_replicas: f64,
     /// Shards of a group, before the count of groups is rounded up.
     pub group_shards: f64,
+    /// How shards fall into groups.
+    pub grouping: Grouping,
     /// Holders of a group in each region.
     pub holders: f64,
+    /// Nodes kept in rank for a group besides its holders.
+    pub spares: f64,
     /// Connections of a holder to a target.
     pub connections: f64,
-    /// Groups that a query would meet if groups followed the selectors.
-    pub groups_by_selector: f64,
+    /// Groups that a query should meet: those of 40 replicas each.
+    pub groups_aimed: f64,
     /// Service time of a target, in seconds.
     pub service_seconds: f64,
     /// Nodes that the status command asks at once.
@@ -87,6 +91,16 @@
     pub ask_seconds: f64,
 }
 
+/// How shards fall into groups.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Grouping {
+    /// By a hash of the shard, whatever selector reaches it.
+    Hash,
+    /// By hash among the shards that the same selectors reach.
+    Selector,
+}
+
 /// One measured figure.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -188,6 +202,8 @@
     pub messages: f64,
     /// Nodes that hold a replica.
     pub holders: f64,
+    /// Nodes kept in rank for a group.
+    pub ranked: f64,
     /// Replicas that a node holds.
     pub held: f64,
 }
@@ -198,9 +214,17 @@
         let Inputs { size, design, .. } = inputs;
         let queries = size.queries / size.nodes;
         let shards = (size.replicas / design.shard_replicas).ceil();
-        let groups = ((shards / design.group_shards).ceil() as u64).next_power_of_two() as f64;
-        // Shards fall into groups by hash, whatever selector reaches them.
-        let met = groups * (1.0 - (1.0 - 1.0 / groups).powf(size.fanout));
+        let (groups, met) = match design.grouping {
+            Grouping::Hash => {
+                let groups = group_count(shards, design);
+                (groups, hit(groups, size.fanout))
+            }
+            // As many selectors as it takes to reach every shard once.
+            Grouping::Selector => {
+                let groups = group_count(size.fanout, design);
+                (groups * (shards / size.fanout).ceil(), hit(groups, size.fanout))
+            }
+        };
         let holders = design.holders * size.regions;
         Derived {
             queries,
@@ -210,7 +234,18 @@
             met,
             messages: queries * met,
             holders,
+            ranked: design.holders + design.spares,
             held: size.replicas * holders / size.nodes,
         }
     }
 }
+
+/// The groups of `shards` shards, as the router counts them.
+fn group_count(shards: f64, design: &Design) -> f64 {
+    ((shards / design.group_shards).ceil() as u64).next_power_of_two() as f64
+}
+
+/// How many of `groups` groups get at least one of `shards` shards by hashing.
+fn hit(groups: f64, shards: f64) -> f64 {
+    groups * (1.0 - (1.0 - 1.0 / groups).powf(shards))
+}
--- a/crates/measure/src/capacity_control.rs
+++ b/crates/measure/src/capacity_control.rs
@@ -15,7 +15,7 @@
     let ranks = inputs.value("node_record_bytes");
     let all = memory.zip(inputs.value("target_kib")).zip(ranks).map(|((memory, target), rank)| {
         let targets = target * size.replicas / 1_024.0;
-        memory + targets + derived.groups * size.nodes * rank / MIB
+        memory + targets + derived.groups * derived.ranked * rank / MIB
     });
     let control = inputs
         .at("idle_percent", size.nodes)
@@ -26,9 +26,10 @@
         .at("control_bytes", size.nodes)
         .zip(inputs.value("change_bytes"))
         .zip(inputs.at("death_bytes", size.nodes))
-        .map(|((base, change), death)| {
+        .zip(inputs.value("head_bytes"))
+        .map(|(((base, change), death), heads)| {
             // A VM that is replaced is news twice: it goes, and another comes.
-            base + (change * size.changes + 2.0 * death * size.churn) / DAY
+            base + heads + (change * size.changes + 2.0 * death * size.churn) / DAY
         });
     vec![
         Row {
@@ -78,12 +79,12 @@
         },
         Row {
             role: "all of control",
-            what: "messages: membership, changes, news of VMs that come and go",
+            what: "messages with HTTP's heads: membership, changes, news of VMs",
             amount: bytes,
             unit: "bytes/s",
             allowed: Some(budget.bytes),
             carrier: "as above",
-            from: "control_bytes, change_bytes, death_bytes",
+            from: "control_bytes, head_bytes, change_bytes, death_bytes",
         },
         Row {
             role: "all of control",
--- a/crates/measure/src/capacity_rows.rs
+++ b/crates/measure/src/capacity_rows.rs
@@ -95,9 +95,9 @@
 }
 
 fn root(inputs: &Inputs, derived: &Derived) -> Vec<Row> {
-    let Inputs { size, budget, design, .. } = inputs;
+    let Inputs { budget, design, .. } = inputs;
     let role = "root";
-    let by_selector = derived.queries * design.groups_by_selector;
+    let aimed = derived.queries * design.groups_aimed;
     let message = inputs.value("peer_message_us");
     let copy = inputs.value("rank_entry_ns");
     let entry = inputs.value("node_record_bytes");
@@ -116,8 +116,8 @@
             what: "messages to holders, a second; as many answers",
             amount: Some(derived.messages),
             unit: "/s",
-            allowed: Some(by_selector),
-            carrier: "groups by hash of the shard, query/src/groups.rs",
+            allowed: Some(aimed),
+            carrier: "groups of shards, query/src/groups.rs",
             from: "size, design",
         },
         Row {
@@ -132,7 +132,7 @@
         Row {
             role,
             what: "processor: copying and sorting the rank of each group asked",
-            amount: copy.map(|ns| derived.messages * size.nodes * ns / 1e9),
+            amount: copy.map(|ns| derived.messages * derived.ranked * ns / 1e9),
             unit: "cores",
             allowed: Some(budget.cores),
             carrier: "`Router::holders`, query/src/router.rs",
@@ -141,7 +141,7 @@
         Row {
             role,
             what: "memory: the ranks of all groups",
-            amount: entry.map(|bytes| derived.groups * size.nodes * bytes / MIB),
+            amount: entry.map(|bytes| derived.groups * derived.ranked * bytes / MIB),
             unit: "MiB",
             allowed: Some(budget.memory_mib),
             carrier: "`Ranks`, query/src/groups.rs",
--- a/crates/measure/src/spread.rs
+++ b/crates/measure/src/spread.rs
@@ -9,7 +9,7 @@
 
 use argh::FromArgs;
 use humantime_serde::re::humantime::parse_rfc3339;
-use kumquatnotch::core::{document::Document, ids::TargetName, stored};
+use kumquatnotch::core::{document::Document, ids::TargetName, report::ConfigReport, stored};
 use standins::{block_on, http::Client, plan::TargetPlan};
 
 use crate::{
@@ -203,7 +203,7 @@
     }
     println!(
         "| {nodes} | {} | {missing} | {:.0} | {:.0} | {:.0} | {:.1} | {:.1} | {:.2} | {:.0} \
-         | {:.1} | {:.2} | {:.0} | {:.1} | {:.1} | {:.1} | {status:.0} |",
+         | {:.1} | {:.2} | {:.0} | {:.1} | {:.1} | {:.1} | {status:.1} |",
         starts.len(),
         at(&mut everywhere, 0.5),
         at(&mut everywhere, 1.0),
@@ -228,8 +228,12 @@
     let mut times = Vec::new();
     for _ in 0..STATUSES {
         let start = Instant::now();
-        client.get("/v1/config").await?;
+        let report: ConfigReport = client.get("/v1/config").await?.json()?;
         times.push(start.elapsed().as_micros() as u64);
+        let told = report.nodes.iter().filter(|node| node.confirmation.is_some()).count();
+        if told < world.nodes.len() {
+            eprintln!("{told} of {} nodes told their configuration", world.nodes.len());
+        }
     }
     Ok(at(&mut times, 0.5))
 }
--- a/crates/measure/src/today.rs
+++ b/crates/measure/src/today.rs
@@ -236,12 +236,13 @@
         Ok(answer) => answer,
         Err(error) => {
             answers.failed += 1;
-            *answers.reasons.entry(format!("failed: {error}")).or_default() += 1;
+            let error = error.to_string();
+            *answers.reasons.entry(format!("failed: {}", short(&error))).or_default() += 1;
             return;
         }
     };
     for missing in &answer.coverage.missing {
-        *answers.reasons.entry(format!("missing: {}", missing.reason)).or_default() += 1;
+        *answers.reasons.entry(format!("missing: {}", short(&missing.reason))).or_default() += 1;
     }
     answers.times.push(start.elapsed().as_micros() as u64);
     answers.asked += u64::from(answer.coverage.asked);
@@ -249,6 +250,11 @@
     answers.full += usize::from(answer.coverage.is_full());
 }
 
+/// A reason without the time to come back, which differs each time.
+fn short(reason: &str) -> &str {
+    reason.split(';').next().unwrap_or(reason)
+}
+
 /// The mean memory after, and the mean processor time between, of the nodes.
 pub fn mean(before: &[Usage], after: &[Usage]) -> (f64, f64) {
     let count = after.len().max(1) as f64;
--- a/crates/measure/tests/capacity.rs
+++ b/crates/measure/tests/capacity.rs
@@ -3,7 +3,7 @@
 use std::{fs, path::Path};
 
 use measure::{
-    capacity::{Derived, Inputs, Law, Series},
+    capacity::{Derived, Grouping, Inputs, Law, Series},
     capacity_rows::{rows, table},
 };
 use yare::parameterized;
@@ -70,7 +70,9 @@
 
 #[test]
 fn the_size_gives_the_figures_of_the_letter() {
-    let derived = Derived::new(&inputs());
+    let mut inputs = inputs();
+    inputs.design.grouping = Grouping::Hash;
+    let derived = Derived::new(&inputs);
 
     assert_eq!(derived.queries, 200.0);
     assert_eq!(derived.sub_requests, 320_000.0);
@@ -79,6 +81,18 @@
     assert!(derived.met > 255.0 && derived.met < 256.0);
 }
 
+#[test]
+fn a_query_meets_only_the_groups_of_its_selector() {
+    let mut inputs = inputs();
+    inputs.design.grouping = Grouping::Selector;
+
+    let derived = Derived::new(&inputs);
+
+    // 1,600 shards in groups of 20 are 80, and 128 after rounding up.
+    assert_eq!(derived.groups, 3.0 * 128.0);
+    assert!(derived.met > 127.0 && derived.met <= 128.0);
+}
+
 #[parameterized(
     linear = { Law::Linear, &[(10.0, 7.0), (20.0, 12.0), (30.0, 17.0)], 2.0, 0.5 },
     logarithm = { Law::Logarithm, &[(2.0, 4.0), (8.0, 10.0)], 1.0, 3.0 },
