Take no delay of this holder for silence of its targets

Cause: a probe had 400 ms by the clock, and two in a row without an answer make a target "down". A holder at the limit of its core needs that long to read an answer that is there, so it refused requests for living targets with "no target can take the request now", and with one replica a shard the answers lacked it. A connection that did not come about in the time of a probe's first try counted as refused, which takes one probe only.

Now the tick tells how late it comes, and a probe gets that time on top, up to five times its own; if that runs out too, nothing is concluded. A target that answered a call since the probe began is not silent. "Refused" holds as proof only if it came in time and this node was not late for half of it. The second try comes 100 ms after the first that failed, not a second, so that a target that is silent in truth is found out sooner.

Ruled out: not counting such a miss without giving it more time. A holder that stays busy would never hear of new versions.

--- a/crates/kumquatnotch-holder/src/core.rs
+++ b/crates/kumquatnotch-holder/src/core.rs
@@ -3,7 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use kumquatnotch_core::{
@@ -39,6 +39,8 @@
     pub new_queue: fn() -> Box<dyn WaitQueue>,
     pub meters: Meters,
     pub serial: Cell<u64>,
+    /// The time by which the tick was late, in all.
+    pub lost: Cell<Duration>,
 }
 
 impl Core {
@@ -65,6 +67,7 @@
             new_queue: decisions.queue,
             meters: Meters::default(),
             serial: Cell::new(0),
+            lost: Cell::default(),
         }))
     }
 
@@ -91,7 +94,7 @@
     }
 
     /// Sets and spreads a mark.
-    pub fn mark(&self, kind: MarkKind, span: std::time::Duration) {
+    pub fn mark(&self, kind: MarkKind, span: Duration) {
         self.marks.set(Mark { kind, left_ms: span.as_millis() as u64 });
     }
 }
--- a/crates/kumquatnotch-holder/src/probes.rs
+++ b/crates/kumquatnotch-holder/src/probes.rs
@@ -1,10 +1,14 @@
 //! The background work: probes of targets, and queues whose replicas come back.
 
-use std::{rc::Rc, time::Duration};
+use std::{
+    pin::pin,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use futures_util::{
     StreamExt,
-    future::{join_all, select},
+    future::{Either, join_all, select},
     stream::FuturesUnordered,
 };
 use kumquatnotch_core::{
@@ -26,6 +30,12 @@
 /// After a mass restart every target is due at once, and a new connection costs
 /// each of them milliseconds.
 const MOST_PROBES: usize = 16;
+/// The lateness of a timer that is no more than the runtime's own grain.
+const GRAIN: Duration = Duration::from_millis(2);
+/// How many times its time a probe may take while this node itself runs late.
+const MOST_PATIENCE: u32 = 5;
+/// The pause after a probe that was not answered, before jitter.
+const NEXT_TRY: Duration = Duration::from_millis(100);
 /// The probes without an answer after which a target counts as down.
 const MOST_UNHEARD: u32 = 2;
 
@@ -62,6 +72,7 @@
         loop {
             let now = self.now();
             if now >= due {
+                self.note_late(now.saturating_duration_since(due));
                 due = now + TICK;
                 timer = self.clock.sleep_until(due);
                 self.tick();
@@ -123,13 +134,55 @@
             entry.spec.clone()
         };
         let _probing = Probing { core: self, target };
-        let deadline = self.now() + self.options.probe_timeout;
+        let (began, lost) = (self.now(), self.lost.get());
+        let deadline = began + self.options.probe_timeout * MOST_PATIENCE;
         let probe = self.targets.probe(target, &spec, deadline);
-        let status = timeout_at(&*self.clock, deadline, probe).await.and_then(|status| status);
-        self.on_probe(target, status);
+        let status = self.with_patience(probe).await.and_then(|status| status);
+        self.on_probe(target, status, began, self.lost.get().saturating_sub(lost));
+    }
+
+    /// Runs `probe` for the time of a probe, and longer by what this node lost.
+    ///
+    /// A holder that is busy reads answers late: the time passes while they wait
+    /// to be read, and it would take its own delay for silence of its targets and
+    /// refuse requests for all of them. Time that its own tick was late by is no
+    /// time in which a target was silent.
+    async fn with_patience<T>(&self, probe: impl Future<Output = T>) -> Result<T> {
+        let span = self.options.probe_timeout;
+        let (began, lost) = (self.now(), self.lost.get());
+        let mut probe = pin!(probe);
+        let mut deadline = began + span;
+        loop {
+            let timer = self.clock.sleep_until(deadline);
+            match select(probe, timer).await {
+                Either::Left((value, _)) => return Ok(value),
+                Either::Right(((), rest)) => probe = rest,
+            }
+            let now = self.now();
+            // The tick may not have told yet by how much this turn was late.
+            let late = now.saturating_duration_since(deadline) > GRAIN;
+            let end = began + span + self.lost.get().saturating_sub(lost);
+            let end = if late { end.max(now + TICK) } else { end };
+            if end <= now || now >= began + span * MOST_PATIENCE {
+                return Err(Error::TimedOut);
+            }
+            deadline = end;
+        }
+    }
+
+    fn note_late(&self, late: Duration) {
+        if late > GRAIN {
+            self.lost.set(self.lost.get() + late);
+        }
     }
 
-    fn on_probe(self: &Rc<Self>, target: &TargetName, status: Result<TargetStatus>) {
+    fn on_probe(
+        self: &Rc<Self>,
+        target: &TargetName,
+        status: Result<TargetStatus>,
+        began: Instant,
+        lost: Duration,
+    ) {
         let now = self.now();
         let mut table = self.table.borrow_mut();
         let Some(entry) = table.entries.get_mut(target) else {
@@ -139,9 +192,23 @@
         let status = match status {
             Ok(status) => status,
             Err(error) => {
+                let took = now.saturating_duration_since(began);
+                // A connection that did not come about in time was not refused, and
+                // the time may have run out because this node was late.
+                let early = took < self.options.probe_timeout && lost <= took / 2;
+                let refused = error == Error::ConnectFailed && early;
+                // One that answered a call meanwhile is not silent, and where this
+                // node was late all the time nobody can tell.
+                let heard = entry.replica.last_answer().is_some_and(|at| at > began);
+                let blind = took >= self.options.probe_timeout * MOST_PATIENCE;
+                if !refused && (heard || blind) {
+                    table.plan(target, next);
+                    return;
+                }
                 entry.unheard += 1;
+                next = now + self.random.jitter(NEXT_TRY);
                 // One late answer is no proof; a refused connection is.
-                if error == Error::ConnectFailed || entry.unheard >= MOST_UNHEARD {
+                if refused || entry.unheard >= MOST_UNHEARD {
                     entry.replica.on_unreachable(now, &self.random);
                     next = entry.replica.down_until().unwrap_or(next);
                 }
--- a/crates/kumquatnotch-holder/tests/common/mod.rs
+++ b/crates/kumquatnotch-holder/tests/common/mod.rs
@@ -63,6 +63,8 @@
     pub down_span: Cell<Duration>,
     /// The probes that it still answers after a crash.
     pub last_words: Cell<u32>,
+    /// How many turns of our loop a probe takes besides the first.
+    pub probe_turns: Cell<u32>,
 }
 
 /// Scripted targets by name.
@@ -180,6 +182,9 @@
             self.probing.set(self.probing.get() + 1);
             self.most_probing.set(self.most_probing.get().max(self.probing.get()));
             sleep(&self.clock, Duration::from_millis(1)).await;
+            for _ in 0..script.probe_turns.get() {
+                sleep(&self.clock, Duration::from_millis(1)).await;
+            }
             self.probing.set(self.probing.get() - 1);
             if !script.up.get() && !script.speaks_on() {
                 sleep(&self.clock, script.down_span.get()).await;
@@ -350,5 +355,6 @@
         probes: Cell::new(0),
         down_span: Cell::default(),
         last_words: Cell::default(),
+        probe_turns: Cell::new(0),
     }
 }
