Try a target that was down again within 150 ms

Cause: after a mass restart, targets that were back stood idle until their next probe, up to 500 ms by the backoff, while the others were overrun.

--- a/crates/kumquatnotch-policy/src/replica.rs
+++ b/crates/kumquatnotch-policy/src/replica.rs
@@ -24,7 +24,10 @@
 /// The time after the first failure to connect until the next trial.
 const FIRST_BACKOFF: Duration = Duration::from_millis(50);
 /// The longest time between two trials.
-const LONGEST_BACKOFF: Duration = Duration::from_millis(500);
+///
+/// After a mass restart a target that is back stands idle until its next trial,
+/// while all others are overrun; a trial that is refused costs next to nothing.
+const LONGEST_BACKOFF: Duration = Duration::from_millis(150);
 /// The answers after which a replica that restarted counts as warm.
 pub const WARM_ANSWERS: u32 = 32;
 
