Leave copies of late calls to the holder, and few to the root

Cause: the budgets of both layers add up, and a root's copy of a group's request runs each of its shards again: 2 % of the requests of groups are 2 % of all calls. Ruled out: none at all, since a holder that is itself slow or frozen is passed only by a copy until it counts as silent after 250 ms. Conclusion: 0.2 %, which keeps ten copies saved up for that.

--- a/crates/kumquatnotch-query/src/options.rs
+++ b/crates/kumquatnotch-query/src/options.rs
@@ -27,6 +27,10 @@
     /// The least hedge delay.
     pub hedge_least: Duration,
     /// The share of requests that may be sent to a second holder because the first is late.
+    ///
+    /// A copy of a request runs all of its shards again, on top of the copies that
+    /// holders make of late calls, so the two shares together are the extra load.
+    /// Holders already rescue calls from slow replicas; this is for slow holders.
     pub hedge_share: f64,
     /// A peer with requests open and no reply for this long is asked last.
     pub silence: Duration,
@@ -42,7 +46,7 @@
             tries: 3,
             hedge_start: Duration::from_millis(60),
             hedge_least: Duration::from_millis(5),
-            hedge_share: 0.02,
+            hedge_share: 0.002,
             silence: Duration::from_millis(250),
             retrial: Duration::from_millis(500),
         }
