Wait for a hold that was sent beyond its deadline

Cause: the holder dropped the relay of an exclusive call at its deadline even after it was sent, so that a hold whose reply came a moment later ended as "outcome unknown", although its issuer waits 2 s longer for it. Now what was sent is waited for up to that grace. Ruled out: waiting for what never left, which is still told as not run at its deadline. Tests: a slow hold gets its outcome, and one without a reply is given up after the grace; the first failed before. The metrics of the holder have the project's prefix like all others now.

--- a/crates/kumquatnotch-holder/src/calls.rs
+++ b/crates/kumquatnotch-holder/src/calls.rs
@@ -180,7 +180,7 @@
         work.sent.set(true);
         self.meters.calls.increment(1);
         let spec = slot.spec.clone();
-        let result = self.targets.call(&slot.target, &spec, &call, work.deadline).await;
+        let result = self.targets.call(&slot.target, &spec, &call, work.call_end()).await;
         match result {
             Ok(reply) if work.version.is_some_and(|version| version != reply.version) => {
                 slot.settled = true;
--- a/crates/kumquatnotch-holder/src/meters.rs
+++ b/crates/kumquatnotch-holder/src/meters.rs
@@ -36,13 +36,13 @@
     fn default() -> Meters {
         Meters {
             spans: RefCell::default(),
-            calls: counter!("holder_calls_total"),
-            hedges: counter!("holder_hedges_total"),
-            retries: counter!("holder_retries_total"),
-            sheds: counter!("holder_sheds_total"),
-            refusals: counter!("holder_refusals_total"),
-            crashes: counter!("holder_crashes_total"),
-            silences: counter!("holder_silent_connections_total"),
+            calls: counter!("kumquatnotch_holder_calls_total"),
+            hedges: counter!("kumquatnotch_holder_hedges_total"),
+            retries: counter!("kumquatnotch_holder_retries_total"),
+            sheds: counter!("kumquatnotch_holder_sheds_total"),
+            refusals: counter!("kumquatnotch_holder_refusals_total"),
+            crashes: counter!("kumquatnotch_holder_crashes_total"),
+            silences: counter!("kumquatnotch_holder_silent_connections_total"),
         }
     }
 }
@@ -63,8 +63,8 @@
         let entry = spans.entry((tenant.clone(), class)).or_insert_with(|| {
             let labels = [("tenant", tenant.to_string()), ("class", class.as_str().to_owned())];
             Spans {
-                wait: histogram!("holder_wait_seconds", &labels),
-                service: histogram!("holder_service_seconds", &labels),
+                wait: histogram!("kumquatnotch_holder_wait_seconds", &labels),
+                service: histogram!("kumquatnotch_holder_service_seconds", &labels),
             }
         });
         entry.clone()
--- a/crates/kumquatnotch-holder/src/service.rs
+++ b/crates/kumquatnotch-holder/src/service.rs
@@ -4,6 +4,7 @@
 
 use kumquatnotch_core::{
     Error, LocalFuture, Result,
+    clock::timeout_at,
     ids::{Fingerprint, stable_hash},
     peer::{HOLDER_SERVICE, PeerHandler, PeerMessage, PeerReply, RelayCall},
     registry::Registry,
@@ -89,14 +90,15 @@
         };
         let work = Rc::new(work);
         let core = &self.core;
-        let running =
-            kumquatnotch_core::clock::timeout_at(&*core.clock, work.deadline, core.run(&work));
-        match running.await {
-            Ok(result) => result,
-            // Only what never left may be called "not run".
-            Err(_) if work.sent.get() => Err(Error::TimedOut),
-            Err(_) => Err(Error::ExpiredInQueue),
+        let mut running = std::pin::pin!(core.run(&work));
+        if let Ok(result) = timeout_at(&*core.clock, work.deadline, running.as_mut()).await {
+            return result;
         }
+        // Only what never left may be called "not run".
+        if !work.sent.get() {
+            return Err(Error::ExpiredInQueue);
+        }
+        timeout_at(&*core.clock, work.call_end(), running).await?
     }
 }
 
--- a/crates/kumquatnotch-holder/src/slots.rs
+++ b/crates/kumquatnotch-holder/src/slots.rs
@@ -23,6 +23,13 @@
 
 /// After the desk has asked for a shard, a slot is kept free for it this long.
 const URGENT_SPAN: Duration = Duration::from_millis(250);
+/// How long after its deadline the reply of an exclusive call that was sent is waited for.
+///
+/// A call that is dropped at its deadline ends as "outcome unknown", though its
+/// reply may come a moment later and its caller can still ask for it. The issuer
+/// waits as long, so a longer time here would bring nothing.
+const EXCLUSIVE_GRACE: Duration = Duration::from_secs(2);
+
 /// What is to run on one replica of a shard.
 pub struct Work {
     pub shard: ShardName,
@@ -46,6 +53,11 @@
     pub fn is_exclusive(&self) -> bool {
         self.version.is_none()
     }
+
+    /// When a call of it that was sent is given up.
+    pub fn call_end(&self) -> Instant {
+        if self.is_exclusive() { self.deadline + EXCLUSIVE_GRACE } else { self.deadline }
+    }
 }
 
 /// A slot of a replica that is taken for one call; dropping it frees it.
--- a/crates/kumquatnotch-holder/tests/holder.rs
+++ b/crates/kumquatnotch-holder/tests/holder.rs
@@ -233,6 +233,37 @@
     assert_eq!(calls("a") + calls("b"), 1);
 }
 
+// A hold takes longer than its deadline. Its caller is told that it still runs
+// and asks again; the reply comes meanwhile. Dropped at the deadline, the call
+// would end as "outcome unknown" for good, though the room is held.
+#[test]
+fn slow_hold_is_waited_for_beyond_its_deadline() {
+    let world = World::new(&[("a", "s0")]);
+    world.answers("a", 600);
+
+    let result = world.run(world.relay("hold", 500));
+
+    assert!(result.is_ok(), "{result:?}");
+    assert_eq!(*world.script("a").calls.borrow(), ["hold"]);
+}
+
+// A hold is never answered. The wait for it ends, and its slot is free again.
+#[test]
+fn hold_without_reply_is_given_up_after_the_grace() {
+    let world = World::new(&[("a", "s0")]);
+    world.acts("a", Act::Hang);
+
+    let (result, span) = world.run(async {
+        let start = world.clock.now();
+        let result = world.relay("hold", 500).await;
+        (result, world.clock.now() - start)
+    });
+
+    assert_eq!(result, Err(Error::TimedOut));
+    assert_eq!(span, std::time::Duration::from_millis(2_500));
+    assert_eq!(world.script("a").inside.get(), 0);
+}
+
 // One connection goes silent while new ones work. The call is made elsewhere,
 // and the target isn't taken for dead.
 #[test]
