Give up a search that can't be enough once a group was refused

Cause: a group that was refused for want of capacity left the other groups running, whose answers were then too thin for the tenant; their slots were lost to searches that could have been whole. Now the search ends at once if what is covered and open can't be enough by the tenant's stop rule, with the time to come back. Parts of it may have run, so it has a number of its own, 3006, and isn't called "not run". Ruled out: giving up for single shards, as one overrun shard would then cost every answer of a tenant that wants them all.

--- a/crates/kumquatnotch-core/src/errors.rs
+++ b/crates/kumquatnotch-core/src/errors.rs
@@ -95,6 +95,11 @@
     NothingCovered,
     /// no version of the index covers the selector
     NoSnapshot,
+    /// given up for want of capacity after a part of it ran; come back in {retry_ms} ms
+    GivenUp {
+        /// When to come back, in milliseconds.
+        retry_ms: u64,
+    },
     /// the connection could not be opened; nothing was sent
     ConnectFailed,
     /// the connection broke after the request was sent
@@ -202,6 +207,7 @@
             Error::IssuerUnreachable => 3003,
             Error::NothingCovered => 3004,
             Error::NoSnapshot => 3005,
+            Error::GivenUp { .. } => 3006,
             Error::ConnectFailed => 4001,
             Error::ConnectionLost => 4002,
             Error::ConnectionSilent => 4003,
@@ -250,6 +256,7 @@
         match self {
             Error::Overloaded { retry_ms }
             | Error::Contained { retry_ms }
+            | Error::GivenUp { retry_ms }
             | Error::Shed { retry_ms } => Some(Duration::from_millis(*retry_ms)),
             _ => None,
         }
@@ -264,7 +271,7 @@
             Error::UnknownSelector { .. } | Error::NotFound { .. } => 404,
             Error::MethodNotAllowed => 405,
             Error::TicketExpired => 410,
-            Error::Overloaded { .. } | Error::Shed { .. } => 429,
+            Error::Overloaded { .. } | Error::Shed { .. } | Error::GivenUp { .. } => 429,
             Error::Contained { .. } => 422,
             Error::StillRunning => 202,
             Error::OutcomeUnknown => 502,
--- a/crates/kumquatnotch-policy/src/stop.rs
+++ b/crates/kumquatnotch-policy/src/stop.rs
@@ -31,6 +31,9 @@
 
     /// Whether the query ends with what it has.
     fn is_enough(&self, spec: &StopSpec, progress: &Progress) -> bool;
+
+    /// Whether the query could still end with enough, if all that is open answers.
+    fn can_suffice(&self, spec: &StopSpec, progress: &Progress) -> bool;
 }
 
 /// Stops by the tenant's own trade of coverage against time.
@@ -56,6 +59,11 @@
         }
         f64::from(progress.covered) >= enough(spec) * f64::from(progress.asked)
     }
+
+    fn can_suffice(&self, spec: &StopSpec, progress: &Progress) -> bool {
+        let most = progress.covered + progress.open;
+        f64::from(most) >= enough(spec) * f64::from(progress.asked)
+    }
 }
 
 /// Waits for every shard until the deadline; the baseline.
@@ -70,6 +78,10 @@
     fn is_enough(&self, _spec: &StopSpec, progress: &Progress) -> bool {
         progress.open == 0
     }
+
+    fn can_suffice(&self, _spec: &StopSpec, _progress: &Progress) -> bool {
+        true
+    }
 }
 
 fn enough(spec: &StopSpec) -> f64 {
--- a/crates/kumquatnotch-policy/tests/stop.rs
+++ b/crates/kumquatnotch-policy/tests/stop.rs
@@ -29,6 +29,21 @@
     assert_eq!(TenantStop.is_enough(&spec, &progress), expected);
 }
 
+#[parameterized(
+    just_enough = { spec(0.5, 0.9), progress(9, 40, 5), true },
+    too_few_left = { spec(0.5, 0.9), progress(9, 40, 4), false },
+    all_wanted = { spec(0.5, 1.0), progress(9, 0, 49), false },
+    none_wanted = { spec(0.5, 0.0), progress(9, 0, 0), true },
+)]
+fn a_query_is_hopeless_once_too_few_shards_are_left(
+    spec: StopSpec,
+    progress: Progress,
+    expected: bool,
+) {
+    assert_eq!(TenantStop.can_suffice(&spec, &progress), expected);
+    assert!(WaitForAll.can_suffice(&spec, &progress));
+}
+
 #[parameterized(
     siam = { spec(0.5, 0.9), 500 },
     barid = { spec(0.5, 1.0), 1_000 },
--- a/crates/kumquatnotch-query/src/front.rs
+++ b/crates/kumquatnotch-query/src/front.rs
@@ -310,7 +310,7 @@
 fn is_starved(result: &Result<Answer>) -> bool {
     let answer = match result {
         Ok(answer) => answer,
-        Err(error) => return matches!(error, Error::Overloaded { .. }),
+        Err(error) => return matches!(error, Error::Overloaded { .. } | Error::GivenUp { .. }),
     };
     let codes = [Error::ExpiredInQueue.code(), Error::overloaded(Duration::ZERO).code()];
     let coverage = &answer.coverage;
--- a/crates/kumquatnotch-query/src/gather.rs
+++ b/crates/kumquatnotch-query/src/gather.rs
@@ -265,6 +265,7 @@
                 for shard in part.shards.clone() {
                     self.take_refusal(&part, shard, &error, gone)?;
                 }
+                self.give_up_if_starved(&part, &error)?;
                 self.release_after(part.canary, false);
                 return Ok(());
             }
@@ -288,6 +289,25 @@
         Ok(())
     }
 
+    /// Ends the search if a holder has refused and the rest can't be enough.
+    ///
+    /// Run on, the other groups would spend slots on an answer that its tenant
+    /// finds too thin, and under overload leave less for the answers that could
+    /// be whole. A part may have run, so this isn't called "not run".
+    fn give_up_if_starved(&self, part: &Part, error: &Error) -> Result<()> {
+        // One shard that is overrun tells nothing of the rest, a group does.
+        let &Error::Overloaded { retry_ms } = error else {
+            return Ok(());
+        };
+        let search = self.search;
+        let progress = self.progress(search.clock.now());
+        let has_run = self.covered > 0 || !self.open.is_empty();
+        if part.canary || !has_run || search.stop_rule.can_suffice(&search.stop, &progress) {
+            return Ok(());
+        }
+        Err(Error::GivenUp { retry_ms })
+    }
+
     /// Takes that the holder answered for none of its shards.
     fn take_refusal(
         &mut self,
--- a/crates/kumquatnotch-query/tests/holders.rs
+++ b/crates/kumquatnotch-query/tests/holders.rs
@@ -4,7 +4,7 @@
 
 use common::{holder::ShardState, net::Way, *};
 use kumquatnotch_core::{
-    Error,
+    Clock, Error,
     clock::sleep,
     marks::{Mark, MarkKind},
     query::SearchRequest,
@@ -97,6 +97,32 @@
     assert!(expected < 40);
 }
 
+/// What the caller sees: "given up" with the time to come back, at once, and no
+/// thin answer at its deadline.
+/// Order: one holder refuses its groups for want of slots; the others would answer
+/// after 300 ms. Why: their slots would be spent on an answer that is too thin.
+#[test]
+fn a_search_that_can_not_be_enough_is_given_up_at_once() {
+    let world = world_with(4, 40, without_canary());
+
+    let (result, span) = run(&world, async {
+        world.search(0).await.unwrap();
+        let refusing = world.shards.asked.borrow()[0].0.clone();
+        *world.shards.refusing.borrow_mut() = Some(refusing);
+        for number in 0..40 {
+            world.shards.change(&shard(number), |state| state.delay = ms(300));
+        }
+        let start = world.clock.now();
+        let result = world.search_for(0, RIVAL_KEY, "vans").await;
+        (result, world.now_ms(start))
+    });
+
+    let error = result.unwrap_err();
+    assert_eq!(error, Error::GivenUp { retry_ms: 100 });
+    assert!(!error.is_not_run());
+    assert!(span < 50, "{span} ms");
+}
+
 /// What the caller sees: full answers from both nodes.
 /// Order: node 0 takes node 2 as gone, node 1 does not; both ask their own holder
 /// of the same group. Why: where views differ a group has two holders for a
--- a/crates/measure/src/bench.rs
+++ b/crates/measure/src/bench.rs
@@ -214,6 +214,7 @@
         let node = &self.nodes[self.random.below(self.nodes.len())];
         match node.front.search(tenant, request).await {
             Ok(answer) => Outcome { covered: answer.coverage.covered as usize, refused: false },
+            Err(Error::GivenUp { .. }) => Outcome { covered: 0, refused: true },
             Err(error) => Outcome { covered: 0, refused: error.code() / 1_000 == 2 },
         }
     }
