Let operators set the budgets and safeguards of the decisions

Cause: the extra load that targets may get and the canary were constants in the code; operators whose targets differ could not change them. A test compares the settings' defaults with those that were measured.

--- a/crates/kumquatnotch-config/src/settings.rs
+++ b/crates/kumquatnotch-config/src/settings.rs
@@ -42,6 +42,9 @@
     /// Entry advice.
     #[garde(dive)]
     pub advice: AdviceSettings,
+    /// Budgets and safeguards.
+    #[garde(dive)]
+    pub decisions: DecisionSettings,
     /// Logs.
     #[garde(skip)]
     pub log: LogSettings,
@@ -192,6 +195,39 @@
     }
 }
 
+/// Budgets and safeguards of the decisions.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, Validate)]
+#[serde(default, deny_unknown_fields)]
+pub struct DecisionSettings {
+    /// Second copies of late calls allowed for each call to a target.
+    #[garde(range(min = 0.0, max = 0.5))]
+    pub hedges: f64,
+    /// Repeated attempts allowed for each call to a target.
+    #[garde(range(min = 0.0, max = 1.0))]
+    pub retries: f64,
+    /// Second copies allowed for each request to a holder.
+    #[garde(range(min = 0.0, max = 0.5))]
+    pub group_hedges: f64,
+    /// Whether a request that was not seen before goes to one shard first.
+    #[garde(skip)]
+    pub canary: bool,
+    /// Whether requests are refused early when demand is over capacity.
+    #[garde(skip)]
+    pub admission: bool,
+}
+
+impl Default for DecisionSettings {
+    fn default() -> DecisionSettings {
+        DecisionSettings {
+            hedges: 0.025,
+            retries: 0.1,
+            group_hedges: 0.02,
+            canary: true,
+            admission: true,
+        }
+    }
+}
+
 /// Logs.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/crates/kumquatnotch/src/node.rs
+++ b/crates/kumquatnotch/src/node.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use kumquatnotch_config::settings::{AdviceSettings, Settings};
+use kumquatnotch_config::settings::{AdviceSettings, DecisionSettings, Settings};
 use kumquatnotch_core::{
     Clock, LocalFuture, Result,
     clock::{self, RuntimeClock},
@@ -16,7 +16,7 @@
     registry::Registry,
     services,
 };
-use kumquatnotch_holder::{HolderOptions, HolderService};
+use kumquatnotch_holder::{Decisions, HolderOptions, HolderService};
 use kumquatnotch_member::{ConfigOptions, ConfigService, MembershipOptions, MembershipService};
 use kumquatnotch_net::{
     PeerLinks, PlatformClient, Server, TargetLinks,
@@ -28,6 +28,10 @@
     silence::INTERIM_PERIOD,
     target_links::TargetLinkOptions,
 };
+use kumquatnotch_policy::{
+    hedge::{HedgeOptions, QuantileHedge},
+    retry::{BudgetRetry, RetryOptions},
+};
 use kumquatnotch_query::{FrontOptions, FrontService, QueryOptions, RouterOptions};
 
 use crate::operator::NodeOperator;
@@ -114,7 +118,8 @@
         let options = member_options(&settings, &entry, &peer);
         let members = MembershipService::try_new(options, &registry)?;
         let config = ConfigService::try_new(ConfigOptions::default(), &registry)?;
-        let holder = HolderService::try_new(holder_options(&settings), &registry)?;
+        let options = holder_options(&settings);
+        let holder = HolderService::with_decisions(options, decisions(&settings), &registry)?;
         let front = kumquatnotch_query::install(query_options(&settings), &registry)?;
         let operator = NodeOperator::new(&registry, holder.clone(), front.clone(), metrics)?;
         registry.register::<Rc<dyn Operator>>(OPERATOR, Rc::new(operator));
@@ -252,12 +257,26 @@
     }
 }
 
+fn decisions(settings: &Settings) -> Decisions {
+    let DecisionSettings { hedges, retries, .. } = settings.decisions;
+    let hedge = HedgeOptions { budget: hedges, ..Default::default() };
+    let retry = RetryOptions { budget: retries, ..Default::default() };
+    Decisions {
+        hedge: Box::new(QuantileHedge::new(hedge)),
+        retry: Box::new(BudgetRetry::new(retry)),
+        ..Default::default()
+    }
+}
+
 fn query_options(settings: &Settings) -> QueryOptions {
+    let DecisionSettings { group_hedges, canary, admission, .. } = settings.decisions;
+    let advice_valid = settings.advice.valid;
     QueryOptions {
-        front: FrontOptions { advice_valid: settings.advice.valid, ..Default::default() },
+        front: FrontOptions { advice_valid, canary, admission, ..Default::default() },
         router: RouterOptions {
             group_shards: settings.groups.shards,
             holders: settings.groups.holders,
+            hedge_share: group_hedges,
             ..Default::default()
         },
         ..Default::default()
--- a/crates/kumquatnotch/tests/node.rs
+++ b/crates/kumquatnotch/tests/node.rs
@@ -22,6 +22,8 @@
         services,
     },
     net::entry::OPERATOR,
+    policy::{hedge::HedgeOptions, retry::RetryOptions},
+    query::{FrontOptions, RouterOptions},
 };
 use serde_json::{Value, json};
 use standins::{http::Client, plan::Plan, platform::PlatformServer, targets::Fleet};
@@ -202,3 +204,17 @@
         println!("advised for {advised_until:?} more");
     });
 }
+
+/// The settings name the defaults of the decisions a second time, for operators
+/// to read. Were the two to differ, a node would run with other budgets than
+/// those that were measured.
+#[test]
+fn the_budgets_in_the_settings_are_those_of_the_decisions() {
+    let settings = Settings::default().decisions;
+
+    let front = FrontOptions::default();
+    assert_eq!(settings.hedges, HedgeOptions::default().budget);
+    assert_eq!(settings.retries, RetryOptions::default().budget);
+    assert_eq!(settings.group_hedges, RouterOptions::default().hedge_share);
+    assert_eq!((settings.canary, settings.admission), (front.canary, front.admission));
+}
