Let operators of histories roll back, relabel, remove and change selectors

Targets leave by a label, by a selector, by removal and by a drain, and come back; rollbacks cross all of it. The checker keeps with each accepted version which targets it lets get work, and takes a target for leaving from the acceptance that takes it out until one that takes it in may be in force. A version of which nobody was told, as its reply was lost, may have taken any in.

--- /dev/null
+++ b/crates/history/src/changes.rs
@@ -0,0 +1,121 @@
+//! Operators who take targets out by a label, a selector or removal, and roll back.
+//!
+//! Only second replicas leave this way, so that a shard keeps a target.
+
+use std::cell::RefCell;
+
+use kumquatnotch_core::{
+    Error, Result,
+    document::{Document, TargetSpec},
+    ids::{SelectorName, TargetName},
+    labels::Expression,
+};
+
+use crate::{layout, operators::Operator};
+
+/// How long a change stays: past the time after which no new work may come.
+const STAY_MS: u64 = 8_000;
+
+/// The label by which the selector of searches leaves targets out.
+const HIDDEN: &str = "hidden";
+
+impl Operator {
+    /// Takes one target out after the other, and takes it in again.
+    pub async fn change_targets(self) {
+        while !self.run.over.get() {
+            let shard = self.random.below(layout::SEARCH_SHARDS);
+            let target = layout::target_name("s", shard, layout::REPLICAS[1]);
+            match self.random.below(3) {
+                0 => self.remove(&target).await,
+                1 => self.relabel(&target).await,
+                _ => self.hide(&target).await,
+            }
+            self.run.sleep_ms(self.random.below(1_000) as u64).await;
+        }
+    }
+
+    /// Rolls back now and then, whatever others have just changed.
+    pub async fn roll_back_often(self) {
+        while !self.run.over.get() {
+            self.run.sleep_ms(4_000 + self.random.below(4_000) as u64).await;
+            if self.roll_back().await.is_ok() {
+                self.run.record("rolled back", "");
+            }
+        }
+    }
+
+    async fn remove(&self, name: &TargetName) {
+        let removed: RefCell<Option<TargetSpec>> = RefCell::default();
+        let take = |document: &mut Document| {
+            removed.replace(document.targets.remove(name));
+            Ok(())
+        };
+        if self.amend(take, "remove").await {
+            self.run.record("target removed", name);
+            self.run.sleep_ms(STAY_MS).await;
+        }
+        let Some(spec) = removed.take() else {
+            return;
+        };
+        let add = |document: &mut Document| {
+            document.targets.insert(name.clone(), spec.clone());
+            Ok(())
+        };
+        self.insist(add, "add").await;
+    }
+
+    async fn relabel(&self, name: &TargetName) {
+        let set = |role: &'static str| {
+            move |document: &mut Document| {
+                // A rollback may have taken the target out or in meanwhile.
+                if let Some(target) = document.targets.get_mut(name) {
+                    target.labels.insert("role".to_owned(), role.to_owned());
+                }
+                Ok(())
+            }
+        };
+        if self.amend(set("spare"), "label").await {
+            self.run.record("target relabelled", name);
+            self.run.sleep_ms(STAY_MS).await;
+        }
+        self.insist(set("search"), "label").await;
+    }
+
+    /// Labels a target, then changes the selector so that it is left out.
+    async fn hide(&self, name: &TargetName) {
+        let mark = |document: &mut Document| {
+            if let Some(target) = document.targets.get_mut(name) {
+                target.labels.insert(HIDDEN.to_owned(), "yes".to_owned());
+            }
+            Ok(())
+        };
+        self.amend(mark, "label").await;
+        if self.amend(|document| select(document, "role = search, !hidden"), "select").await {
+            self.run.record("selector changed", name);
+            self.run.sleep_ms(STAY_MS).await;
+        }
+        self.insist(|document| select(document, "role = search"), "select").await;
+        let unmark = |document: &mut Document| {
+            if let Some(target) = document.targets.get_mut(name) {
+                target.labels.remove(HIDDEN);
+            }
+            Ok(())
+        };
+        self.insist(unmark, "label").await;
+    }
+
+    /// Changes what is in force until that is accepted or the run is over.
+    async fn insist(&self, change: impl Fn(&mut Document) -> Result<()>, note: &'static str) {
+        while !self.amend(&change, note).await && !self.run.over.get() {
+            self.run.sleep_ms(200).await;
+        }
+    }
+}
+
+fn select(document: &mut Document, expression: &str) -> Result<()> {
+    let name = SelectorName::from(layout::SEARCH_SELECTOR);
+    let unknown = || Error::UnknownSelector { name: name.to_string() };
+    let spec = document.rules.selectors.get_mut(&name).ok_or_else(unknown)?;
+    spec.targets = Expression::parse(expression)?;
+    Ok(())
+}
--- a/crates/history/src/checker.rs
+++ b/crates/history/src/checker.rs
@@ -1,15 +1,15 @@
-//! Judges a recorded run by the eight promises of the brief.
+//! Judges a recorded run by the eight promises of the brief, and one bound.
 
 use std::{collections::BTreeMap, fmt};
 
 use serde::Serialize;
 
 use crate::{
-    answers, configuration, coverage, exclusives, leaving, record::History, refusals, shutdown,
-    snapshot,
+    answers, configuration, containment, coverage, exclusives, leaving, record::History, refusals,
+    shutdown, snapshot,
 };
 
-/// The promises, in the order of the brief.
+/// The promises, in the order of the brief, and a bound of the tier.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Promise {
@@ -29,11 +29,13 @@
     Shutdown,
     /// An accepted configuration is in force everywhere within seconds and stays.
     Configuration,
+    /// A request that crashes targets is contained after few of them.
+    Containment,
 }
 
 impl Promise {
     /// Every promise.
-    pub const ALL: [Promise; 8] = [
+    pub const ALL: [Promise; 9] = [
         Promise::Snapshot,
         Promise::Coverage,
         Promise::Answers,
@@ -42,6 +44,7 @@
         Promise::Leaving,
         Promise::Shutdown,
         Promise::Configuration,
+        Promise::Containment,
     ];
 }
 
@@ -70,11 +73,21 @@
     /// For how long a node may take a declared shard of which it has heard nothing
     /// for one of the snapshot, in microseconds.
     pub caution_us: u64,
+    /// How many targets a request may crash while it is contained.
+    pub crashes: usize,
+    /// How long it is contained, in microseconds.
+    pub contained_us: u64,
 }
 
 impl Default for Bounds {
     fn default() -> Bounds {
-        Bounds { leaving_us: 5_000_000, config_us: 5_000_000, caution_us: 5_000_000 }
+        Bounds {
+            leaving_us: 5_000_000,
+            config_us: 5_000_000,
+            caution_us: 5_000_000,
+            crashes: 4,
+            contained_us: 600_000_000,
+        }
     }
 }
 
@@ -113,5 +126,6 @@
     leaving::check(history, bounds, &mut findings);
     shutdown::check(history, &mut findings);
     configuration::check(history, bounds, &mut findings);
+    containment::check(history, bounds, &mut findings);
     findings
 }
--- a/crates/history/src/leaving.rs
+++ b/crates/history/src/leaving.rs
@@ -1,12 +1,16 @@
 //! A leaving target gets no new work after a few seconds.
 //!
-//! Work that a draining target refuses counts as work that it got.
+//! Work that a draining target refuses counts as work that it got. A target that a
+//! configuration takes out, by a drain, a label, a selector or its removal, leaves
+//! too, until a configuration may be in force that takes it in again.
+
+use std::collections::BTreeSet;
 
 use kumquatnotch_core::ids::TargetName;
 
 use crate::{
     checker::{Bounds, Findings, Promise},
-    record::{Drain, History},
+    record::{Accepted, Drain, History},
 };
 
 /// Looks for late work of leaving targets.
@@ -14,7 +18,7 @@
     let runs = history.runs.iter().map(|run| (&run.target, run.arrived_us));
     let refused = history.drained.iter().map(|refusal| (&refusal.target, refusal.arrived_us));
     let offers: Vec<(&TargetName, u64)> = runs.chain(refused).collect();
-    for drain in &history.drains {
+    for drain in history.drains.iter().chain(&taken_out(history)) {
         let due = due(drain, history, bounds);
         let late = offers.iter().filter(|(target, _)| **target == drain.target);
         let late = late.map(|(_, at)| *at).filter(|at| *at > due && *at < drain.until_us);
@@ -27,6 +31,44 @@
     }
 }
 
+/// The times in which the configurations in force left a target out.
+///
+/// A version that nobody told of, as the reply to its write was lost, may have
+/// taken any target in.
+fn taken_out(history: &History) -> Vec<Drain> {
+    let mut accepted: Vec<&Accepted> = history.accepted.iter().collect();
+    accepted.sort_by_key(|accepted| accepted.version);
+    let reaches = accepted.iter().filter_map(|accepted| accepted.reach.as_ref());
+    let targets: BTreeSet<&TargetName> = reaches.flatten().collect();
+    let mut drains = Vec::new();
+    for target in targets {
+        let mut open: Option<Drain> = None;
+        let mut last: Option<&Accepted> = None;
+        for now in &accepted {
+            let next = last.is_none_or(|last| last.version.0 + 1 == now.version.0);
+            if let (false, Some(last)) = (next, last) {
+                drains.extend(open.take().map(|drain| Drain { until_us: last.at_us, ..drain }));
+            }
+            let is_out = now.reach.as_ref().is_some_and(|reach| !reach.contains(target));
+            match (is_out, open.take()) {
+                (true, Some(drain)) => open = Some(drain),
+                (true, None) => {
+                    let (target, from_us) = (target.clone(), now.at_us);
+                    open = Some(Drain { target, from_us, until_us: u64::MAX });
+                }
+                (false, Some(drain)) => drains.push(Drain { until_us: now.sent_us, ..drain }),
+                (false, None) => {}
+            }
+            last = Some(now);
+        }
+        // Later changes may have been accepted of which nobody knows.
+        let is_last = last.is_some_and(|last| last.version == history.last);
+        let end = if is_last { u64::MAX } else { last.map_or(0, |last| last.at_us) };
+        drains.extend(open.map(|drain| Drain { until_us: end, ..drain }));
+    }
+    drains
+}
+
 /// When the last new work may come; an outage of the platform that begins
 /// before then puts it off, as the order can't spread.
 fn due(drain: &Drain, history: &History, bounds: &Bounds) -> u64 {
--- a/crates/history/src/lib.rs
+++ b/crates/history/src/lib.rs
@@ -10,9 +10,11 @@
 
 pub mod answers;
 pub mod callers;
+pub mod changes;
 pub mod checker;
 pub mod cluster;
 pub mod configuration;
+pub mod containment;
 pub mod coverage;
 pub mod exclusives;
 pub mod layout;
--- a/crates/history/src/operators.rs
+++ b/crates/history/src/operators.rs
@@ -1,6 +1,6 @@
 //! Operators who race each other, and watchers of what is in force.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::RefCell, collections::BTreeSet, rc::Rc, time::Duration};
 
 use futures_util::future::join_all;
 use kumquatnotch_config::store::{Authorship, Store, set_drain};
@@ -19,7 +19,7 @@
 use crate::{
     cluster::Node,
     layout,
-    record::{Accepted, Drain, Reading},
+    record::{Accepted, Reading},
     recorder::Run,
 };
 
@@ -34,8 +34,8 @@
 
 /// One operator.
 pub struct Operator {
-    run: Rc<Run>,
-    random: Random,
+    pub(crate) run: Rc<Run>,
+    pub(crate) random: Random,
     store: Store,
     name: String,
 }
@@ -67,8 +67,9 @@
     /// Puts the first document in force.
     pub async fn found(&self, document: &Document) -> Result<()> {
         let base = self.store.current().await?;
+        let sent_us = now_us();
         let result = self.store.publish(&base, document, self.authorship("found")).await;
-        self.record(&result);
+        self.record(&result, sent_us, Some(reach(document)));
         result.map(|_| ())
     }
 
@@ -85,11 +86,12 @@
             if let Some(spec) = document.rules.tenants.get_mut(&tenant) {
                 spec.weight = weight;
             }
+            let sent_us = now_us();
             let result = self.store.publish(&base, &document, self.authorship("weigh")).await;
             if matches!(result, Err(Error::Conflict { .. })) {
                 self.run.record("conflict of operators", "");
             }
-            self.record(&result);
+            self.record(&result, sent_us, Some(reach(&document)));
             self.run.sleep_ms(200 + self.random.below(1_000) as u64).await;
         }
     }
@@ -100,12 +102,11 @@
             // Only first replicas: a shard keeps a target, whatever befalls others.
             let shard = self.random.below(layout::SEARCH_SHARDS);
             let target = layout::target_name("s", shard, layout::REPLICAS[0]);
-            if let Some(from_us) = self.drain(&target, true).await {
+            // How long it is out follows from the configurations: a rollback may
+            // take it in again.
+            if self.drain(&target, true).await {
                 self.run.record("drain by an operator", &target);
                 self.run.sleep_ms(DRAIN_MS).await;
-                let until_us = now_us();
-                let drain = Drain { target: target.clone(), from_us, until_us };
-                self.run.history.borrow_mut().drains.push(drain);
             }
             self.drain(&target, false).await;
             self.run.sleep_ms(self.random.below(1_000) as u64).await;
@@ -117,25 +118,67 @@
         Ok(self.store.current().await?.document.version)
     }
 
-    async fn drain(&self, target: &TargetName, drain: bool) -> Option<u64> {
+    async fn drain(&self, target: &TargetName, drain: bool) -> bool {
         let change = |document: &mut Document| set_drain(document, target, drain);
-        let result = self.store.amend(change, self.authorship("drain")).await;
-        self.record(&result);
-        result.ok().map(|_| now_us())
+        self.amend(change, "drain").await
+    }
+
+    /// Changes what is in force, and records it; whether it was accepted.
+    pub async fn amend(
+        &self,
+        change: impl Fn(&mut Document) -> Result<()>,
+        note: &'static str,
+    ) -> bool {
+        let sent_us = now_us();
+        let reached = RefCell::new(None);
+        let change = |document: &mut Document| {
+            change(document)?;
+            reached.replace(Some(reach(document)));
+            Ok(())
+        };
+        let result = self.store.amend(change, self.authorship(note)).await;
+        self.record(&result, sent_us, reached.take());
+        result.is_ok()
+    }
+
+    /// Puts the version before the one in force in force again.
+    pub async fn roll_back(&self) -> Result<()> {
+        let base = self.store.current().await?;
+        let past = base.head.iter().flat_map(|head| &head.history);
+        let Some(version) = past.map(|past| past.version).max() else {
+            return Ok(());
+        };
+        let sent_us = now_us();
+        let result = self.store.roll_back(&base, version, self.authorship("roll back")).await;
+        let now = self.store.current().await.ok().map(|now| now.document);
+        let reached = now.filter(|now| result.as_ref().is_ok_and(|own| *own == now.version));
+        self.record(&result, sent_us, reached.as_ref().map(reach));
+        result.map(|_| ())
     }
 
     fn authorship(&self, note: &'static str) -> Authorship<'_> {
         Authorship { author: &self.name, note }
     }
 
-    fn record(&self, result: &Result<ConfigVersion>) {
+    fn record(
+        &self,
+        result: &Result<ConfigVersion>,
+        sent_us: u64,
+        reach: Option<BTreeSet<TargetName>>,
+    ) {
         if let Ok(version) = result {
-            let accepted = Accepted { version: *version, at_us: now_us() };
+            let accepted = Accepted { version: *version, sent_us, at_us: now_us(), reach };
             self.run.history.borrow_mut().accepted.push(accepted);
         }
     }
 }
 
+/// The targets that may get work under `document`.
+fn reach(document: &Document) -> BTreeSet<TargetName> {
+    let selected = document.rules.selectors.values().flat_map(|spec| document.select(spec));
+    selected.filter(|(_, target)| !target.drain).map(|(name, _)| name.clone()).collect()
+}
+
 /// Reads what is in force on each node until the run is over.
 pub async fn watch(run: Rc<Run>) {
     while !run.over.get() {
--- a/crates/history/src/record.rs
+++ b/crates/history/src/record.rs
@@ -119,12 +119,18 @@
 }
 
 /// A configuration that the platform accepted.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Accepted {
     /// Its version.
     pub version: ConfigVersion,
+    /// When its operator began to change it.
+    #[serde(default)]
+    pub sent_us: u64,
     /// When its operator was told.
     pub at_us: u64,
+    /// The targets that may get work under it, if that is known.
+    #[serde(default)]
+    pub reach: Option<BTreeSet<TargetName>>,
 }
 
 /// A reading of the version in force on a node.
--- a/crates/history/src/report.rs
+++ b/crates/history/src/report.rs
@@ -2,12 +2,12 @@
 
 use std::{collections::BTreeMap, fmt::Write};
 
-use standins::{data, records::RunEnd};
+use standins::records::RunEnd;
 
 use crate::{
     checker::Bounds,
     configuration::spread_times,
-    layout::MARKER,
+    containment::{crashes, most_in},
     record::{History, Outcome, Request},
     runner::Verdict,
 };
@@ -69,23 +69,23 @@
     )?;
     writeln!(text, "readings of nodes: {}", history.readings.len())?;
     writeln!(text, "drains: {}, shutdowns: {}", history.drains.len(), history.shutdowns.len())?;
-    let crashed = crashed(history);
-    let most = crashed.values().max().copied().unwrap_or_default();
-    let all: usize = crashed.values().sum();
-    writeln!(text, "requests that crash: {}, {all} crashes, {most} at most by one", crashed.len())?;
+    write_crashes(text, history)?;
     writeln!(text, "platform: {:?}", verdict.calls)
 }
 
-/// How many targets each request with the marker crashed.
-fn crashed(history: &History) -> BTreeMap<u64, usize> {
-    let mut crashed = BTreeMap::new();
-    for run in
-        history.runs.iter().filter(|run| run.end == RunEnd::Lost && run.body.contains(MARKER))
-    {
-        let nonce = data::field(&run.body, "nonce").as_u64().unwrap_or_default();
-        *crashed.entry(nonce).or_default() += 1;
+fn write_crashes(text: &mut String, history: &History) -> std::fmt::Result {
+    let bounds = Bounds::default();
+    let crashes = crashes(history);
+    let all: usize = crashes.values().map(Vec::len).sum();
+    let mut counts: BTreeMap<usize, usize> = BTreeMap::new();
+    for times in crashes.values() {
+        *counts.entry(most_in(times, bounds.contained_us)).or_default() += 1;
     }
-    crashed
+    writeln!(text, "requests that crash: {}, {all} crashes", crashes.len())?;
+    for (count, requests) in counts {
+        writeln!(text, "  {count} targets while contained: {requests}")?;
+    }
+    Ok(())
 }
 
 fn quantile(values: &mut [u64], share: f64) -> u64 {
--- a/crates/history/src/runner.rs
+++ b/crates/history/src/runner.rs
@@ -119,6 +119,8 @@
     tasks.push(Box::pin(Operator::new(run, 1).change_weights()));
     tasks.push(Box::pin(Operator::new(run, 2).change_weights()));
     tasks.push(Box::pin(Operator::new(run, 3).drain_targets()));
+    tasks.push(Box::pin(Operator::new(run, 4).change_targets()));
+    tasks.push(Box::pin(Operator::new(run, 5).roll_back_often()));
     tasks.push(Box::pin(world_faults::publish_index(run.clone())));
     if options.faults {
         tasks.push(Box::pin(node_faults::disturb(run.clone())));
--- a/crates/history/tests/promises_checker.rs
+++ b/crates/history/tests/promises_checker.rs
@@ -8,7 +8,7 @@
 use history::{
     checker::{Bounds, Promise},
     configuration::spread_times,
-    record::{Accepted, Disturbance, History, Outcome, Reading, Request},
+    record::{Disturbance, History, Outcome, Reading, Request},
 };
 use kumquatnotch_core::ids::{ConfigVersion, NodeName, TargetName};
 use serde_json::json;
@@ -16,7 +16,7 @@
 use yare::parameterized;
 
 use fixture::{
-    LIMIT, REFUSED, SECOND, attempt, clean, exclusive, life, promises, run, with_answer,
+    LIMIT, REFUSED, SECOND, accepted, attempt, clean, exclusive, life, promises, run, with_answer,
 };
 
 #[parameterized(
@@ -119,6 +119,50 @@
     assert_eq!(promises(&history).contains(&Promise::Leaving), caught);
 }
 
+/// Version 2, of second 10, leaves a target out; a later one takes it in again.
+#[parameterized(
+    late = { 16, &[(3, 18)], true },
+    in_time = { 14, &[(3, 18)], false },
+    taken_in = { 16, &[(3, 12)], false },
+    taken_in_later = { 17, &[(3, 18)], true },
+    // The version between them may have taken it in.
+    unknown_between = { 16, &[(4, 18)], false },
+    for_good = { 40, &[], true },
+)]
+fn late_work_of_a_target_taken_out_is_caught(second: u64, later: &[(u64, u64)], caught: bool) {
+    let mut history = clean();
+    let all = Some(["s0-a", "s1-a", "s9-b"].as_slice());
+    history.accepted =
+        vec![accepted(1, 1, all), accepted(2, 10, Some(["s0-a", "s1-a"].as_slice()))];
+    history.accepted.extend(later.iter().map(|(version, at)| accepted(*version, *at, all)));
+    history.last = history.accepted.last().unwrap().version;
+    history.readings.clear();
+    let mut late = run(99, "s9", Some(1), second * SECOND);
+    late.target = TargetName::from("s9-b");
+
+    history.runs.push(late);
+
+    assert_eq!(promises(&history).contains(&Promise::Leaving), caught);
+}
+
+/// One request crashes targets, a second apart, or after its mark has expired.
+#[parameterized(
+    few = { &[1, 2, 3, 4], false },
+    many = { &[1, 2, 3, 4, 5], true },
+    after_expiry = { &[1, 2, 3, 4, 602], false },
+)]
+fn too_many_crashes_by_one_request_are_caught(seconds: &[u64], caught: bool) {
+    let mut history = clean();
+    for second in seconds {
+        let mut lost = run(99, "s0", Some(1), second * SECOND);
+        lost.body = json!({ "nonce": 99, "words": "poison" }).to_string();
+        lost.end = standins::records::RunEnd::Lost;
+        history.runs.push(lost);
+    }
+
+    assert_eq!(promises(&history).contains(&Promise::Containment), caught);
+}
+
 fn outage(node: Option<&str>, from: u64, until: u64) -> Disturbance {
     let node = node.map(NodeName::from);
     Disturbance { node, from_us: from * SECOND, until_us: until * SECOND }
@@ -196,7 +240,7 @@
 }
 
 fn accepted_twice(history: &mut History) {
-    history.accepted.push(Accepted { version: ConfigVersion(2), at_us: 11 * SECOND });
+    history.accepted.push(accepted(2, 11, None));
 }
 
 fn accepted_and_lost(history: &mut History) {
