End a node whose name or address another process has taken

Cause: membership noticed that a later life of the same name or address had taken a node's place and only logged it. The node went on for good: the others know the later life alone, so this one got no news and no part of the readings, nobody could ask it what it has in force, and callers that had its address went on with it.

Ruled out: drawing a higher number and staying. Tickets carry the number, and a node that took another would forget what it has run. Ending at once was ruled out too, as it would cut requests in flight; serving while it leaves is safe, since a ticket names the life that issued it.

Change: the node looks once a second, and then leaves as after a signal.

Before, with the watch taken out: both new tests fail, as the earlier node stays. After: they pass.

--- a/crates/kumquatnotch/src/node.rs
+++ b/crates/kumquatnotch/src/node.rs
@@ -6,6 +6,7 @@
     time::{Duration, Instant},
 };
 
+use futures_util::future::{Either, select};
 use kumquatnotch_config::settings::{AdviceSettings, DecisionSettings, Settings};
 use kumquatnotch_core::{
     Clock, LocalFuture, Result,
@@ -45,6 +46,9 @@
 /// How long the news that a node has gone takes to reach the others.
 const FAREWELL_TIME: Duration = Duration::from_secs(1);
 
+/// How often a node looks whether another process took its place.
+const OUTLIVED_GAP: Duration = Duration::from_secs(1);
+
 /// The largest message between nodes, in bytes.
 const PEER_BODY: usize = 16 << 20;
 
@@ -73,6 +77,8 @@
     Clean,
     /// Some had not when the time for the shutdown was over.
     Cut,
+    /// It left as another process has its name or address, and must be started again.
+    Outlived,
 }
 
 /// A node of the tier.
@@ -151,15 +157,43 @@
         self.front.start();
     }
 
-    /// Runs until `stop` completes, then leaves gracefully.
+    /// Runs until it is to end, then leaves gracefully.
     pub async fn run(&self, stop: LocalFuture<'_, ()>) -> Shutdown {
         self.start();
-        stop.await;
+        self.wait(stop).await;
         self.leave().await
     }
 
+    /// Waits until `stop` completes or another process has taken this node's place.
+    ///
+    /// The others know only the later life of a name or an address, so this one
+    /// would be sent neither news nor work, would get no part of the readings of
+    /// the platform, and couldn't be seen: callers that still have its address
+    /// would be served from a configuration that nobody asks it about. It can't
+    /// take another number, as tickets carry the one that it has. So it ends, and
+    /// a new process draws a number above both.
+    pub async fn wait(&self, stop: LocalFuture<'_, ()>) {
+        let outlived = std::pin::pin!(self.outlived());
+        if let Either::Right(_) = select(stop, outlived).await {
+            tracing::warn!("node: another process has this name or address, so it ends");
+        }
+    }
+
+    async fn outlived(&self) {
+        while !self.members.is_outlived() {
+            clock::sleep(&*self.clock, OUTLIVED_GAP).await;
+        }
+    }
+
     /// Leaves gracefully: no request in flight is cut while time is left.
+    ///
+    /// Also a node that was outlived may serve meanwhile: a ticket names the life
+    /// that issued it, so the later process never runs what this one may have run,
+    /// and whoever passes a ticket on to the later one is told that the outcome is
+    /// unknown. Searches change nothing, and their document is asked for on.
     pub async fn leave(&self) -> Shutdown {
+        // What another process does once this one leaves is no reason to start again.
+        let outlived = self.members.is_outlived();
         // Callers keep the address of this node for as long as their advice said,
         // and other nodes go on giving it out until they hear that this one leaves.
         // A node that waited for its own advice only would refuse callers that
@@ -186,6 +220,7 @@
         clock::sleep(&*self.clock, FAREWELL_TIME).await;
         let peer = self.close_peer(deadline).await;
         match entry && peer {
+            _ if outlived => Shutdown::Outlived,
             true => Shutdown::Clean,
             false => Shutdown::Cut,
         }
--- a/crates/kumquatnotch/tests/node.rs
+++ b/crates/kumquatnotch/tests/node.rs
@@ -1,6 +1,7 @@
 //! Nodes put together in one process, among stand-ins.
 
 use std::{
+    future::pending,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -218,3 +219,34 @@
     assert_eq!(settings.group_hedges, RouterOptions::default().hedge_share);
     assert_eq!((settings.canary, settings.admission), (front.canary, front.admission));
 }
+
+/// Another process starts under the name of a node that still runs. The third node
+/// knows only the later life then. The earlier one hears of it within seconds, and
+/// leaves as if it had been told to; what it answers callers meanwhile is whole.
+#[test]
+fn a_node_that_was_outlived_leaves() {
+    run(async {
+        let platform = PlatformServer::start(0).expect("a free port is found");
+        let fleet = Fleet::start(&Plan::uniform(0, 8, 4)).expect("free ports are found");
+        let earlier = Node::try_new(NodeOptions::new(settings("n1", platform.address, &[])));
+        let earlier = Rc::new(earlier.expect("the node is put together"));
+        let running = earlier.clone();
+        let ended = monoio::spawn(async move { running.run(Box::pin(pending())).await });
+        let second = node("n2", platform.address, &[earlier.servers().1.address()]);
+        publish(&second, document(&fleet)).await;
+        for node in [&earlier, &second] {
+            until("advice with two nodes", async || advised(node).await.len() == 2).await;
+        }
+        let caller = client(&earlier);
+        until("full coverage", async || coverage(&caller).await["covered"] == 4).await;
+
+        let later = node("n1", platform.address, &[second.servers().1.address()]);
+        let gone = earlier.servers().0.address();
+        until("advice without it", async || !advised(&earlier).await.contains(&gone)).await;
+        let found = coverage(&caller).await;
+
+        assert_eq!(found["covered"], 4, "{found}");
+        assert_eq!(ended.await, Shutdown::Outlived);
+        assert_eq!(advised(&later).await.len(), 2);
+    });
+}
--- a/crates/kumquatnotchd/src/main.rs
+++ b/crates/kumquatnotchd/src/main.rs
@@ -28,6 +28,8 @@
 const CUT: u8 = 3;
 /// The exit code after a second signal.
 const HURRIED: u8 = 4;
+/// The exit code if another process has this node's name or address.
+const OUTLIVED: u8 = 5;
 
 fn main() -> ExitCode {
     let options: Options = argh::from_env();
@@ -64,7 +66,7 @@
     let (entry, peer) = node.servers();
     tracing::info!("node: callers at {}, peers at {}", entry.address(), peer.address());
     node.start();
-    signals.next().await;
+    node.wait(Box::pin(signals.next())).await;
     let leave = std::pin::pin!(node.leave());
     let hurry = std::pin::pin!(signals.next());
     match select(leave, hurry).await {
@@ -73,6 +75,7 @@
             Ok(ExitCode::SUCCESS)
         }
         Either::Left((Shutdown::Cut, _)) => Ok(ExitCode::from(CUT)),
+        Either::Left((Shutdown::Outlived, _)) => Ok(ExitCode::from(OUTLIVED)),
         Either::Right(_) => {
             tracing::warn!("node: told twice to stop, ending at once");
             Ok(ExitCode::from(HURRIED))
--- a/crates/kumquatnotchd/src/options.rs
+++ b/crates/kumquatnotchd/src/options.rs
@@ -14,6 +14,9 @@
             The first SIGTERM or SIGINT lets the node leave: it serves until the \
             entry advice given out has lapsed, ends what is in flight, and exits \
             with 0. A second one ends it at once.\n\n\
+            If another process takes over its name or address, the node leaves in \
+            the same way and exits with 5. Whoever runs it should then start it \
+            again, with a name of its own if the other one still runs.\n\n\
             GET /healthz, /readyz, /status, /v1/config and /metrics at the address \
             for callers tell how it is.",
     example = "A settings file that works on one machine:\n\
@@ -25,7 +28,8 @@
                \n  {command_name} --settings n1.toml",
     error_code(1, "The command line or the settings are wrong, or the node can't start."),
     error_code(3, "Requests were still in flight when the time to leave was over."),
-    error_code(4, "A second signal came.")
+    error_code(4, "A second signal came."),
+    error_code(5, "Another process has the name or the address; start this one again.")
 )]
 pub struct Options {
     /// the settings file, in TOML
--- a/crates/kumquatnotchd/tests/common/mod.rs
+++ b/crates/kumquatnotchd/tests/common/mod.rs
@@ -146,7 +146,18 @@
 impl Daemon {
     /// Starts a daemon and waits until it listens.
     pub async fn start(around: &Around, extra: &[&str]) -> Daemon {
-        let settings = settings_file(&around.settings());
+        Daemon::start_with(&around.settings(), extra).await
+    }
+
+    /// Starts a daemon named `name` that asks `seed` first.
+    pub async fn start_near(around: &Around, name: &str, seed: SocketAddr) -> Daemon {
+        let settings = around.settings().replace("\"n1\"", &format!("\"{name}\""));
+        let settings = format!("{settings}[join]\nseeds = [\"{seed}\"]\n");
+        Daemon::start_with(&settings, &[]).await
+    }
+
+    async fn start_with(settings: &str, extra: &[&str]) -> Daemon {
+        let settings = settings_file(settings);
         let mut command = command(&settings);
         command.args(extra).stderr(Stdio::piped()).stdout(Stdio::null());
         let mut child = command.spawn().expect("the daemon starts");
@@ -157,10 +168,15 @@
                 shared.lock().expect("no reader panics").push(line);
             }
         });
-        let entry = until("its address", async || find_entry(&lines)).await;
+        let entry = until("its address", async || find_address(&lines, "callers at ")).await;
         Daemon { child, entry, lines, settings }
     }
 
+    /// Where it listens for peers.
+    pub fn peer(&self) -> SocketAddr {
+        find_address(&self.lines, "peers at ").expect("it is told with the other address")
+    }
+
     pub fn client(&self) -> Client {
         Client::new(self.entry, Duration::from_secs(10))
     }
@@ -202,11 +218,11 @@
     }
 }
 
-fn find_entry(lines: &Arc<Mutex<Vec<String>>>) -> Option<SocketAddr> {
+fn find_address(lines: &Arc<Mutex<Vec<String>>>, label: &str) -> Option<SocketAddr> {
     let lines = lines.lock().expect("no writer panics");
-    let line = lines.iter().find(|line| line.contains("callers at "))?;
-    let address = line.split("callers at ").nth(1)?.split(',').next()?;
-    address.parse().ok()
+    let line = lines.iter().find(|line| line.contains(label))?;
+    let address = line.split(label).nth(1)?.split(',').next()?;
+    address.trim().parse().ok()
 }
 
 /// Sends a search or another request as a caller.
--- a/crates/kumquatnotchd/tests/daemon.rs
+++ b/crates/kumquatnotchd/tests/daemon.rs
@@ -4,7 +4,7 @@
 
 use std::{fs, time::Instant};
 
-use common::{Daemon, around, call, command, pause, run, settings_file};
+use common::{Daemon, around, call, command, pause, run, settings_file, until};
 use serde_json::{Value, json};
 
 fn search() -> Value {
@@ -130,6 +130,42 @@
     });
 }
 
+/// A VM is replaced by one of the same name while the earlier process still runs,
+/// and callers still have its address. It serves until their advice has lapsed,
+/// then exits with a code that says to start it again. Before, it went on for good,
+/// unseen: the others know only the later life, so nobody sent it news.
+#[test]
+fn a_daemon_that_was_outlived_leaves_with_its_own_code() {
+    run(async {
+        let around = around(5.0);
+        let mut earlier = Daemon::start(&around, &[]).await;
+        around.publish().await;
+        earlier.ready().await;
+        let second = Daemon::start_near(&around, "n2", earlier.peer()).await;
+        // The second knows the first only once that has announced itself; until then
+        // a later life of its name would make it take a higher number.
+        until("advice with two nodes", async || {
+            let advice: Value = second.get("/v1/entry").await.json().unwrap();
+            (advice["addresses"].as_array().map(Vec::len) == Some(2)).then_some(())
+        })
+        .await;
+
+        let later = Daemon::start_near(&around, "n1", second.peer()).await;
+        later.ready().await;
+        until("the end of its readiness", async || {
+            let ready = earlier.get("/readyz").await.status == 200;
+            (!ready).then_some(())
+        })
+        .await;
+        let served = call(&earlier.client(), "/v1/search", search()).await;
+        let status = earlier.end().await;
+        let other = call(&later.client(), "/v1/search", search()).await;
+
+        assert_eq!((served.status, other.status), (200, 200));
+        assert_eq!(status.code(), Some(5));
+    });
+}
+
 /// An operator is in a hurry and sends the signal twice.
 #[test]
 fn a_second_signal_ends_the_daemon_at_once() {
