List nodes that went without a word for ten minutes

Cause: GET /v1/config asked the nodes that the membership knows. One that was cut off is dropped after some seconds, and may serve an earlier document for as long as it is cut off; ctl then said "in force on all nodes".

Ruled out: keeping such nodes for the hour in which they are remembered. Ruled out too: telling a graceful end by the counter of the record. It is raised by refutations as well, so a node that missed one would take a crash for a farewell.

Change: members list as lost who was taken as gone and was not leaving before, for 600 s. A node tells that it leaves at least two seconds before it says that it has gone. A node that missed all news of the leaving lists it as lost, which errs on the safe side. The report asks the lost ones too and gives their state; the status page shows them.

Before, with the listing taken out, the daemon's test fails as the killed node isn't named; without the distinction both new tests fail as the one that left is. After: they pass.

--- a/crates/kumquatnotch-core/src/member.rs
+++ b/crates/kumquatnotch-core/src/member.rs
@@ -51,6 +51,11 @@
     /// Every node that is up, suspect or leaving, this one too, by name.
     fn known(&self) -> Vec<NodeRecord>;
 
+    /// The nodes that were taken as gone not long ago and had not said that they go.
+    ///
+    /// One that is only cut off may still serve, with the document that it had.
+    fn lost(&self) -> Vec<NodeRecord>;
+
     /// Grows with every change of the view, so that derived tables can be kept.
     fn generation(&self) -> u64;
 
--- a/crates/kumquatnotch-member/src/membership_service.rs
+++ b/crates/kumquatnotch-member/src/membership_service.rs
@@ -42,6 +42,14 @@
 /// How slow this node may take itself for, as a multiple of its time-outs.
 const HEALTH_LIMIT: u32 = 4;
 
+/// How long a node that went without a word is listed as lost.
+///
+/// It may only be cut off and still serve an earlier document, and an operator who
+/// waits for a change would be told that it is in force everywhere. Regions lose
+/// each other for minutes at a time; what is away for longer is dead in all
+/// likelihood, and a longer list would hide that with the dead of the whole day.
+const LOST_SPAN: Duration = Duration::from_secs(600);
+
 /// Keeps the list of nodes and spreads what all nodes share.
 pub struct MembershipService {
     pub(crate) options: MembershipOptions,
@@ -290,6 +298,11 @@
         known
     }
 
+    fn lost(&self) -> Vec<NodeRecord> {
+        let rest = self.options.forget_after.saturating_sub(LOST_SPAN);
+        self.table.borrow().lost(self.clock.now() + rest).cloned().collect()
+    }
+
     fn generation(&self) -> u64 {
         self.table.borrow().generation()
     }
--- a/crates/kumquatnotch-member/src/table.rs
+++ b/crates/kumquatnotch-member/src/table.rs
@@ -52,12 +52,19 @@
     pub(crate) until: Option<Instant>,
     /// Whether a suspect was asked itself before its time is over.
     pub(crate) asked: bool,
+    /// Whether a node that is gone had said itself that it goes.
+    pub(crate) left: bool,
 }
 
 impl Entry {
     fn is_live(&self) -> bool {
         self.record.state != NodeState::Gone
     }
+
+    /// Whether it said itself that it goes, which no other node can say of it.
+    fn has_left(&self) -> bool {
+        self.record.state == NodeState::Leaving || self.left
+    }
 }
 
 /// The records of all nodes.
@@ -111,6 +118,15 @@
         self.live_count
     }
 
+    /// The nodes that are gone without having said so, to be forgotten after `until`.
+    pub(crate) fn lost(&self, until: Instant) -> impl Iterator<Item = &NodeRecord> {
+        let lost = self.others().filter(move |entry| {
+            let recent = entry.until.is_some_and(|end| end > until);
+            entry.record.state == NodeState::Gone && !entry.left && recent
+        });
+        lost.map(|entry| &entry.record)
+    }
+
     /// The node that is known at `address`.
     pub(crate) fn at(&self, address: SocketAddr) -> Option<&Entry> {
         self.nodes.get(self.addresses.get(&address)?)
@@ -195,7 +211,9 @@
         };
         self.addresses.insert(record.peer, record.name.clone());
         self.live_count += usize::from(record.state != NodeState::Gone);
-        let entry = Entry { record: record.clone(), until, asked: false };
+        let left = record.state == NodeState::Gone
+            && self.nodes.get(&record.name).is_some_and(Entry::has_left);
+        let entry = Entry { record: record.clone(), until, asked: false, left };
         let earlier = self.nodes.insert(record.name, entry);
         self.live_count -= usize::from(earlier.is_some_and(|entry| entry.is_live()));
     }
--- a/crates/kumquatnotch-member/tests/membership.rs
+++ b/crates/kumquatnotch-member/tests/membership.rs
@@ -244,6 +244,41 @@
     assert_eq!(known, vec![20; 20]);
 }
 
+/// A node is cut off, and a minute later another one leaves. Both are gone to the
+/// rest, but the first may still serve an earlier document to callers that reach it.
+/// So it has to be listed when an operator asks what is in force, though not for
+/// good, and the one that said itself that it goes must not be.
+#[test]
+fn a_node_that_went_without_a_word_is_lost_for_ten_minutes() {
+    let (early, late, back) = run(15, async |world| {
+        let nodes = settled(&world, 20).await;
+        world.network.cut(|from, to| from == address(4) || to == address(4));
+        world.pass(60 * SECOND).await;
+        let leaver = nodes[7].clone();
+        leaver.members.leave();
+        world.pass(12 * SECOND).await;
+        leaver.members.farewell().await;
+        world.kill(&leaver);
+        world.pass(60 * SECOND).await;
+        let lost = || {
+            let others = nodes.iter().filter(|node| !["n4", "n7"].contains(&&*node.name));
+            let lost = others.map(|node| node.members.lost());
+            lost.map(|lost| lost.into_iter().map(|record| record.name.to_string()).collect())
+                .collect::<Vec<Vec<String>>>()
+        };
+        let early = lost();
+        world.pass(500 * SECOND).await;
+        let late = lost();
+        world.network.cut(|_, _| false);
+        let back = world.wait(60 * SECOND, || world.has_converged()).await;
+        (early, late, back)
+    });
+
+    assert_eq!(early, vec![vec!["n4"]; 18]);
+    assert_eq!(late, vec![Vec::<String>::new(); 18]);
+    assert!(back.is_some());
+}
+
 #[test]
 fn leaving_is_known_everywhere_and_ends_at_once() {
     let (told, ended) = run(9, async |world| {
--- a/crates/kumquatnotch-query/tests/common/mod.rs
+++ b/crates/kumquatnotch-query/tests/common/mod.rs
@@ -332,6 +332,10 @@
         all.values().filter(|node| self.sees(node)).cloned().collect()
     }
 
+    fn lost(&self) -> Vec<NodeRecord> {
+        Vec::new()
+    }
+
     fn generation(&self) -> u64 {
         self.generation.get()
     }
--- a/crates/kumquatnotch/src/operator.rs
+++ b/crates/kumquatnotch/src/operator.rs
@@ -100,7 +100,7 @@
         }
         let known = self.members.known();
         writeln!(text, "\nnodes: {}", known.len())?;
-        for node in known {
+        for node in known.into_iter().chain(self.members.lost()) {
             let NodeRecord { name, state, centre, entry, .. } = node;
             writeln!(text, "  {name} {state:?} in {centre}, callers at {entry}")?;
         }
@@ -139,7 +139,10 @@
 
     fn config(&self) -> LocalFuture<'_, ConfigReport> {
         Box::pin(async move {
-            let asked = stream::iter(self.members.known()).map(|record| self.config_of(record));
+            let mut listed = self.members.known();
+            listed.extend(self.members.lost());
+            listed.sort_unstable_by(|a, b| a.name.cmp(&b.name));
+            let asked = stream::iter(listed).map(|record| self.config_of(record));
             ConfigReport { nodes: asked.buffered(ASKED_AT_ONCE).collect().await }
         })
     }
--- a/crates/kumquatnotchd/tests/daemon.rs
+++ b/crates/kumquatnotchd/tests/daemon.rs
@@ -130,6 +130,40 @@
     });
 }
 
+/// One of three daemons leaves and one is killed. An operator who then asks whether
+/// a change is in force everywhere must be told of the killed one: the others can't
+/// know whether it is dead or cut off and still serves. Nobody needs the other.
+#[test]
+fn a_killed_daemon_is_named_and_one_that_left_is_not() {
+    run(async {
+        let around = around(5.0);
+        let first = Daemon::start(&around, &[]).await;
+        around.publish().await;
+        let mut killed = Daemon::start_near(&around, "n2", first.peer()).await;
+        let mut leaving = Daemon::start_near(&around, "n3", first.peer()).await;
+        let states = async || {
+            let report: Value = first.get("/v1/config").await.json().unwrap();
+            let nodes = report["nodes"].as_array().unwrap().iter();
+            let told = nodes.map(|node| {
+                let answered = !node["confirmation"].is_null();
+                format!("{} {} {answered}", node["name"], node["state"]).replace('"', "")
+            });
+            told.collect::<Vec<String>>()
+        };
+        until("all three", async || (states().await.len() == 3).then_some(())).await;
+
+        leaving.signal();
+        assert_eq!(leaving.end().await.code(), Some(0));
+        killed.child.kill().unwrap();
+        for state in ["n2 suspect false", "n2 gone false"] {
+            let told = async || states().await.contains(&state.to_owned());
+            until(state, async || told().await.then_some(())).await;
+        }
+
+        assert_eq!(states().await, ["n1 up true", "n2 gone false"]);
+    });
+}
+
 /// A VM is replaced by one of the same name while the earlier process still runs,
 /// and callers still have its address. It serves until their advice has lapsed,
 /// then exits with a code that says to start it again. Before, it went on for good,
--- a/crates/measure/src/nodes.rs
+++ b/crates/measure/src/nodes.rs
@@ -135,6 +135,10 @@
         (0..NODES).map(record).collect()
     }
 
+    fn lost(&self) -> Vec<NodeRecord> {
+        Vec::new()
+    }
+
     fn generation(&self) -> u64 {
         1
     }
