Set the default of group_hedges to that of the router

Cause: the setting came in with the router's earlier default of 0.02 just as that went to 0.002, so a node would have run with ten times the measured budget; the test that compares the two was red in between.

--- a/crates/kumquatnotch-config/src/settings.rs
+++ b/crates/kumquatnotch-config/src/settings.rs
@@ -221,7 +221,7 @@
         DecisionSettings {
             hedges: 0.025,
             retries: 0.1,
-            group_hedges: 0.02,
+            group_hedges: 0.002,
             canary: true,
             admission: true,
         }
