--- a/crates/kumquatnotch-query/src/gather.rs
+++ b/crates/kumquatnotch-query/src/gather.rs
@@ -40,14 +40,14 @@
 }
 
 /// The shards of one request to a holder.
-struct Part {
-    group: GroupId,
-    shards: Vec<ShardName>,
-    canary: bool,
+pub(crate) struct Part {
+    pub(crate) group: GroupId,
+    pub(crate) shards: Vec<ShardName>,
+    pub(crate) canary: bool,
 }
 
 /// What a round waits for.
-enum Event {
+pub(crate) enum Event {
     /// A holder has answered for its part.
     Answered(Part, Result<GroupAnswer>),
     /// The holders have told the versions of their shards again.
@@ -56,19 +56,19 @@
 
 /// The state of a round.
 pub(crate) struct Gather<'a> {
-    search: &'a Search<'a>,
-    plan: &'a Plan,
-    open: FuturesUnordered<LocalFuture<'a, Event>>,
-    held_back: Option<HeldBack<'a>>,
-    waiting: HashSet<ShardName>,
+    pub(crate) search: &'a Search<'a>,
+    pub(crate) plan: &'a Plan,
+    pub(crate) open: FuturesUnordered<LocalFuture<'a, Event>>,
+    pub(crate) held_back: Option<HeldBack<'a>>,
+    pub(crate) waiting: HashSet<ShardName>,
     /// The shards that holders gave up because partial answers were wanted.
-    late: Vec<(ShardName, Error)>,
-    covered: u32,
-    faults: Vec<(ShardName, Error)>,
-    hits: Vec<Hit>,
-    followed: bool,
-    refreshing: bool,
-    is_last: bool,
+    pub(crate) late: Vec<(ShardName, Error)>,
+    pub(crate) covered: u32,
+    pub(crate) faults: Vec<(ShardName, Error)>,
+    pub(crate) hits: Vec<Hit>,
+    pub(crate) followed: bool,
+    pub(crate) refreshing: bool,
+    pub(crate) is_last: bool,
 }
 
 impl<'a> Gather<'a> {
@@ -146,7 +146,7 @@
         }));
     }
 
-    fn progress(&self, now: Instant) -> Progress {
+    pub(crate) fn progress(&self, now: Instant) -> Progress {
         let late = if self.may_follow(now) { self.late.len() } else { 0 };
         Progress {
             elapsed: now.saturating_duration_since(self.search.start),
@@ -224,7 +224,7 @@
     /// A shard that is lost, draining or of another version tells nothing of the
     /// request. To fan out then would crash a replica of each shard, so another
     /// canary is sent, a few times at most, since many shards may be refusing.
-    fn release_after(&mut self, canary: bool, ran: bool) {
+    pub(crate) fn release_after(&mut self, canary: bool, ran: bool) {
         let Some(held) = self.held_back.as_mut().filter(|_| canary && !ran) else {
             return self.release();
         };
@@ -255,117 +255,6 @@
         self.release();
     }
 
-    /// Takes the answer of a part; an error ends the search.
-    fn take(&mut self, part: Part, result: Result<GroupAnswer>, gone: &mut Gone) -> Result<()> {
-        let search = self.search;
-        let answer = match result {
-            Ok(answer) => answer,
-            Err(error) => {
-                search.learn_refusal(&error);
-                for shard in part.shards.clone() {
-                    self.take_refusal(&part, shard, &error, gone)?;
-                }
-                self.give_up_if_starved(&part, &error)?;
-                self.release_after(part.canary, false);
-                return Ok(());
-            }
-        };
-        search.learn(&answer);
-        let ran = !answer.covered.is_empty();
-        for shard in &answer.covered {
-            if self.waiting.remove(shard) {
-                self.covered += 1;
-            }
-        }
-        self.hits.extend(answer.hits);
-        for fault in answer.missing {
-            self.take_fault(&part, fault.shard, fault.error, gone)?;
-        }
-        // A shard that is in neither list must not vanish from the answer.
-        for shard in part.shards {
-            self.fail(shard, Error::protocol("left out of an answer"));
-        }
-        self.release_after(part.canary, ran);
-        Ok(())
-    }
-
-    /// Ends the search if a holder has refused and the rest can't be enough.
-    ///
-    /// Run on, the other groups would spend slots on an answer that its tenant
-    /// finds too thin, and under overload leave less for the answers that could
-    /// be whole. A part may have run, so this isn't called "not run".
-    fn give_up_if_starved(&self, part: &Part, error: &Error) -> Result<()> {
-        // One shard that is overrun tells nothing of the rest, a group does.
-        let &Error::Overloaded { retry_ms } = error else {
-            return Ok(());
-        };
-        let search = self.search;
-        let progress = self.progress(search.clock.now());
-        let has_run = self.covered > 0 || !self.open.is_empty();
-        if part.canary || !has_run || search.stop_rule.can_suffice(&search.stop, &progress) {
-            return Ok(());
-        }
-        Err(Error::GivenUp { retry_ms })
-    }
-
-    /// Takes that the holder answered for none of its shards.
-    fn take_refusal(
-        &mut self,
-        part: &Part,
-        shard: ShardName,
-        error: &Error,
-        gone: &mut Gone,
-    ) -> Result<()> {
-        // A connection to a holder that breaks tells nothing of the request.
-        if *error != Error::ConnectionLost {
-            return self.take_fault(part, shard, error.clone(), gone);
-        }
-        self.fail(shard, error.clone());
-        Ok(())
-    }
-
-    fn take_fault(
-        &mut self,
-        part: &Part,
-        shard: ShardName,
-        error: Error,
-        gone: &mut Gone,
-    ) -> Result<()> {
-        match &error {
-            // The one shard that the request went to failed as crash-causing
-            // requests do. Sending it to the others would crash them too.
-            Error::Contained { .. } | Error::ConnectionLost
-                if part.canary && self.held_back.is_some() =>
-            {
-                return Err(error);
-            }
-            // Holders know it as crash-causing by now. It has run on other shards,
-            // so that "not run" would be false.
-            Error::Contained { retry_ms } => {
-                let detail = format!("the request crashes targets; refused for {retry_ms} ms");
-                return Err(Error::TargetFailed { detail });
-            }
-            Error::VersionGone { .. } => {
-                gone.insert((self.plan.version, shard.clone()));
-            }
-            Error::TimedOut | Error::ExpiredInQueue if !self.followed => {
-                if self.waiting.remove(&shard) {
-                    self.late.push((shard, error));
-                }
-                return Ok(());
-            }
-            _ => {}
-        }
-        self.fail(shard, error);
-        Ok(())
-    }
-
-    fn fail(&mut self, shard: ShardName, error: Error) {
-        if self.waiting.remove(&shard) {
-            self.faults.push((shard, error));
-        }
-    }
-
     fn may_follow(&self, now: Instant) -> bool {
         let search = self.search;
         search.follow_up && !self.followed && now + search.margin < search.ends.deadline
--- a/crates/kumquatnotch-query/src/lib.rs
+++ b/crates/kumquatnotch-query/src/lib.rs
@@ -15,6 +15,7 @@
 mod gather;
 mod groups;
 mod health;
+mod intake;
 mod latency;
 mod merge;
 mod meters;
