--- a/crates/kumquatnotch-core/src/codec.rs
+++ b/crates/kumquatnotch-core/src/codec.rs
@@ -1,7 +1,7 @@
 //! The codec between nodes and for stored values: MessagePack, with fields by position.
 //!
-//! Fields by position make records about half as long as fields by name, which
-//! the control budget needs. A struct that travels so must not skip fields.
+//! Fields by position leave the names out of every record, which the control
+//! budget needs. A struct that travels so must not skip fields.
 
 use serde::{Serialize, de::DeserializeOwned};
 
--- a/crates/kumquatnotch-core/src/stored.rs
+++ b/crates/kumquatnotch-core/src/stored.rs
@@ -1,8 +1,8 @@
 //! The stored form of the document: a head, a manifest, and parts by digest.
 //!
-//! At 1,900 nodes a document of 9,400 targets is close to a megabyte, and 1,100
-//! changes a day would cost each node more than its control budget if every
-//! change sent the whole. So the targets are spread over a fixed number of
+//! A document of 9,400 targets is over half a megabyte (docs/MEASURES.md), and
+//! 1,100 changes a day would cost each node more than its control budget if
+//! every change sent the whole. So the targets are spread over a fixed number of
 //! parts by the hash of their names, each part is stored under its digest and
 //! never changes, and a manifest lists the digests. A change writes the parts
 //! it touches, the manifest, and then the head, by compare-and-swap: only that
