--- a/crates/kumquatnotch-core/src/errors.rs
+++ b/crates/kumquatnotch-core/src/errors.rs
@@ -136,6 +136,8 @@
     },
     /// the platform's service refuses more calls now
     PlatformBusy,
+    /// the lease has ended
+    LeaseGone,
     /// settings: {detail}
     BadSettings {
         /// Each fault with its path and line.
@@ -220,6 +222,7 @@
             Error::WriteUnknown => 5003,
             Error::ValueTooLarge { .. } => 5004,
             Error::PlatformBusy => 5005,
+            Error::LeaseGone => 5006,
             Error::BadSettings { .. } => 6001,
             Error::BadDocument { .. } => 6002,
             Error::Conflict { .. } => 6003,
--- a/crates/kumquatnotch-core/src/lib.rs
+++ b/crates/kumquatnotch-core/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod registry;
 pub mod report;
 pub mod services;
+pub mod store;
 pub mod stored;
 pub mod target;
 pub mod ticket;
@@ -39,6 +40,7 @@
     errors::{Error, Result},
     peer::Peers,
     platform::Platform,
+    store::Store,
     target::Targets,
 };
 
--- /dev/null
+++ b/crates/kumquatnotch-core/src/store.rs
@@ -0,0 +1,120 @@
+//! The border to the store in which the platform keeps what must last.
+//!
+//! It is a key-value service with one counter of revisions, leases and watches.
+//! What it has acknowledged it never loses; everything else about it may fail:
+//! it may be away, slow, refuse calls, or carry out a write whose reply is lost.
+
+use std::time::Duration;
+
+use crate::{LocalFuture, Result};
+
+/// A key with its value.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoreItem {
+    /// The key.
+    pub key: String,
+    /// The value.
+    pub value: Vec<u8>,
+    /// The revision of its last change.
+    pub revision: u64,
+}
+
+/// The keys under a prefix.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StoreScan {
+    /// The items, by key.
+    pub items: Vec<StoreItem>,
+    /// A revision from which a watch misses nothing that the scan didn't see.
+    pub revision: u64,
+}
+
+/// A change of a key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoreEvent {
+    /// The key was written.
+    Written(StoreItem),
+    /// The key was deleted, or its lease ended.
+    Deleted {
+        /// The key.
+        key: String,
+        /// The revision of the deletion.
+        revision: u64,
+    },
+}
+
+/// What a watch has seen.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StoreChanges {
+    /// The changes, in their order; empty if none came in time.
+    pub events: Vec<StoreEvent>,
+    /// The revision to watch from next.
+    pub revision: u64,
+}
+
+/// A write of several keys that takes effect whole or not at all.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StoreWrite {
+    /// The revisions that keys must have; zero if a key must not exist.
+    pub expect: Vec<(String, u64)>,
+    /// The values to put, each under a lease if there is one.
+    pub puts: Vec<StorePut>,
+    /// The keys to delete.
+    pub deletes: Vec<String>,
+}
+
+/// A value to put.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StorePut {
+    /// The key.
+    pub key: String,
+    /// The value.
+    pub value: Vec<u8>,
+    /// The lease with which the key ends.
+    pub lease: Option<u64>,
+}
+
+/// A lease that was granted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StoreLease {
+    /// Its number.
+    pub id: u64,
+    /// How long it lasts without renewal.
+    pub ttl: Duration,
+}
+
+/// The platform's store.
+///
+/// Errors are [`Error::PlatformUnavailable`] if nothing is known of the call,
+/// [`Error::PlatformBusy`] if it was refused, [`Error::WriteUnknown`] if a write
+/// may have taken effect or may still do so, and those that each call names.
+///
+/// [`Error::PlatformUnavailable`]: crate::Error::PlatformUnavailable
+/// [`Error::PlatformBusy`]: crate::Error::PlatformBusy
+/// [`Error::WriteUnknown`]: crate::Error::WriteUnknown
+pub trait Store {
+    /// All keys under `prefix`.
+    fn scan<'a>(&'a self, prefix: &'a str) -> LocalFuture<'a, Result<StoreScan>>;
+
+    /// The changes under `prefix` after a revision, or none when `wait` is over.
+    ///
+    /// [`Error::VersionUnknown`](crate::Error::VersionUnknown) if the store
+    /// doesn't keep that history any more.
+    fn watch<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: u64,
+        wait: Duration,
+    ) -> LocalFuture<'a, Result<StoreChanges>>;
+
+    /// Writes; gives the revision.
+    ///
+    /// [`Error::CompareFailed`](crate::Error::CompareFailed) if an expectation
+    /// fails, [`Error::LeaseGone`](crate::Error::LeaseGone) if a lease has ended.
+    fn write<'a>(&'a self, write: &'a StoreWrite) -> LocalFuture<'a, Result<u64>>;
+
+    /// Asks for a lease.
+    fn grant(&self, ttl: Duration) -> LocalFuture<'_, Result<StoreLease>>;
+
+    /// Renews a lease; [`Error::LeaseGone`](crate::Error::LeaseGone) if it has ended.
+    fn renew(&self, lease: u64) -> LocalFuture<'_, Result<()>>;
+}
--- /dev/null
+++ b/crates/kumquatnotch-daemon/src/logs.rs
@@ -0,0 +1,53 @@
+//! Logs as JSON lines on standard output.
+//!
+//! A thread of its own writes them. Whoever logs never waits for it: what doesn't
+//! fit its queue is dropped, and counted.
+
+use std::time::Duration;
+
+use kumquatnotch_core::{Error, Result};
+use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
+use tracing_subscriber::EnvFilter;
+
+/// The most lines that wait to be written.
+///
+/// A line has about 300 bytes, so that these take about a megabyte.
+const QUEUE_LINES: usize = 4_096;
+
+/// How often it is looked for dropped lines.
+const DROPS_PERIOD: Duration = Duration::from_secs(5);
+
+/// Starts to write logs; the guard writes what is left when it is dropped.
+pub fn install_json(filter: &str) -> Result<WorkerGuard> {
+    let filter = EnvFilter::try_new(filter)
+        .map_err(|error| Error::BadSettings { detail: format!("log.filter: {error}") })?;
+    let builder = NonBlockingBuilder::default().lossy(true).buffered_lines_limit(QUEUE_LINES);
+    let (writer, guard) = builder.finish(std::io::stdout());
+    let drops = writer.error_counter();
+    tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(writer)
+        .with_target(false)
+        .json()
+        .flatten_event(true)
+        .with_current_span(false)
+        .with_span_list(false)
+        .try_init()
+        .map_err(Error::internal)?;
+    monoio::spawn(tell_drops(drops));
+    Ok(guard)
+}
+
+/// Tells how many lines were dropped, whenever some were.
+async fn tell_drops(drops: ErrorCounter) {
+    let mut told = 0;
+    loop {
+        monoio::time::sleep(DROPS_PERIOD).await;
+        let dropped = drops.dropped_lines();
+        if dropped > told {
+            metrics::counter!("kumquatnotch_log_lines_dropped_total").absolute(dropped as u64);
+            tracing::warn!(dropped, since = dropped - told, "log: lines were dropped");
+            told = dropped;
+        }
+    }
+}
--- a/crates/kumquatnotchd/src/meters.rs
+++ b/crates/kumquatnotch-daemon/src/meters.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use kumquatnotch::core::{Error, Result};
+use kumquatnotch_core::{Error, Result};
 use metrics_exporter_prometheus::{BuildError, Matcher, PrometheusBuilder, PrometheusHandle};
 
 /// The bounds of histograms of times, in seconds.
--- a/crates/kumquatnotch-net/src/lib.rs
+++ b/crates/kumquatnotch-net/src/lib.rs
@@ -4,7 +4,7 @@
 //! task each, and hands whole requests to a [`server::Handler`]. The client side
 //! keeps bounded pools of connections, one task each, and offers the borders of
 //! the core crate over them: [`PeerLinks`], [`TargetLinks`] and
-//! [`PlatformClient`]. What is done about connections that go silent is told in
+//! [`PlatformClient`]. Requests of others pass unchanged over an [`OpaqueLink`]. What is done about connections that go silent is told in
 //! [`silence`].
 
 #![forbid(unsafe_code)]
@@ -12,6 +12,7 @@
 pub mod caller_client;
 pub mod entry;
 pub mod message;
+pub mod opaque_link;
 pub mod peer_links;
 pub mod peer_route;
 pub mod platform_client;
@@ -30,6 +31,6 @@
 mod target_reply;
 
 pub use crate::{
-    caller_client::CallerClient, peer_links::PeerLinks, platform_client::PlatformClient,
-    server::Server, target_links::TargetLinks,
+    caller_client::CallerClient, opaque_link::OpaqueLink, peer_links::PeerLinks,
+    platform_client::PlatformClient, server::Server, target_links::TargetLinks,
 };
--- a/crates/kumquatnotch-net/src/reader.rs
+++ b/crates/kumquatnotch-net/src/reader.rs
@@ -139,6 +139,26 @@
         }
     }
 
+    /// Reads a body that has no length and ends with its connection.
+    ///
+    /// A connection that was reset has not ended: what came before is a part of
+    /// the body, which must not pass for the whole.
+    pub(crate) async fn rest(&mut self) -> Result<Bytes, ReadFault> {
+        self.left.set(self.limit + BODY_SLACK);
+        let mut body = BytesMut::new();
+        loop {
+            match self.framed.peek_data().await {
+                Ok([]) => return Ok(body.freeze()),
+                Ok(_) => body.unsplit(self.framed.read_buffer_mut().split()),
+                Err(_) if self.left.get() == 0 => return Err(ReadFault::TooLong),
+                Err(_) => return Err(ReadFault::Closed),
+            }
+            if body.len() > self.limit {
+                return Err(ReadFault::TooLong);
+            }
+        }
+    }
+
     /// Reads and drops what still comes, up to one body.
     ///
     /// Closing a connection with unread bytes resets it, and the reset can
--- /dev/null
+++ b/crates/kumquatnotch-route/src/announce.rs
@@ -0,0 +1,127 @@
+//! Announcing this node to the others, by an entry in the store under a lease.
+//!
+//! The entry ends with the node: by a deletion when it leaves, by the end of the
+//! lease when it is killed or cut off. A lease may also end while the node lives,
+//! as the store may be away; and the store may take the entry away although the
+//! renewals go on. Then the node announces itself anew.
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use kumquatnotch_core::{
+    Error, Result, Store, clock,
+    ids::NodeName,
+    lifecycle::Stage,
+    store::{StoreLease, StorePut, StoreWrite},
+};
+
+use crate::{mirror::Mirror, router::Router};
+
+/// How long the entry of a node outlives it.
+///
+/// Callers that are advised to use a node that has ended lose an attempt, so it
+/// is short; renewals are cheap.
+const LEASE_TIME: Duration = Duration::from_millis(3_000);
+
+/// How often the lease is renewed: two renewals may be lost.
+const RENEW_PERIOD: Duration = Duration::from_millis(900);
+
+/// The pause after a failure, before jitter.
+const FAILURE_PAUSE: Duration = Duration::from_millis(500);
+
+/// How long the own entry may be missing in the mirror before it is written anew.
+const MISSING_PERIODS: u32 = 2;
+
+/// Announces this node.
+pub struct Announcer {
+    router: Rc<Router>,
+    store: Rc<dyn Store>,
+    mirror: Rc<Mirror>,
+    name: NodeName,
+    key: String,
+    value: Vec<u8>,
+    lease: RefCell<Option<StoreLease>>,
+}
+
+impl Announcer {
+    /// An announcer that writes `value` at `key`.
+    pub fn new(
+        router: Rc<Router>,
+        store: Rc<dyn Store>,
+        mirror: Rc<Mirror>,
+        name: NodeName,
+        key: String,
+        value: Vec<u8>,
+    ) -> Rc<Announcer> {
+        let lease = RefCell::default();
+        Rc::new(Announcer { router, store, mirror, name, key, value, lease })
+    }
+
+    /// Starts to announce the node, until it leaves.
+    pub fn start(self: &Rc<Announcer>) {
+        monoio::spawn(self.clone().run());
+    }
+
+    async fn run(self: Rc<Announcer>) {
+        let clock = self.router.clock.clone();
+        while self.router.lifecycle.stage() < Stage::Leaving {
+            match self.announce().await {
+                Ok(lease) => self.hold(lease).await,
+                Err(error) => {
+                    tracing::warn!(code = error.code(), "announce: failed: {error}");
+                    let pause = self.router.random.jitter(FAILURE_PAUSE);
+                    clock::sleep(&*clock, pause).await;
+                }
+            }
+        }
+    }
+
+    async fn announce(&self) -> Result<StoreLease> {
+        let lease = self.store.grant(LEASE_TIME).await?;
+        let put =
+            StorePut { key: self.key.clone(), value: self.value.clone(), lease: Some(lease.id) };
+        let write = StoreWrite { puts: vec![put], ..Default::default() };
+        let revision = self.store.write(&write).await?;
+        *self.lease.borrow_mut() = Some(lease);
+        tracing::info!(revision, lease = lease.id, "announce: this node is announced");
+        Ok(lease)
+    }
+
+    /// Renews the lease until it or the entry is lost.
+    async fn hold(&self, lease: StoreLease) {
+        let clock = &*self.router.clock;
+        let losses = self.mirror.losses_of(&self.name);
+        let mut missing = 0;
+        while self.router.lifecycle.stage() < Stage::Leaving {
+            clock::sleep(clock, RENEW_PERIOD).await;
+            match self.store.renew(lease.id).await {
+                Err(Error::LeaseGone) => {
+                    tracing::warn!(lease = lease.id, "announce: the lease has ended");
+                    return;
+                }
+                Err(error) => {
+                    tracing::info!(code = error.code(), "announce: not renewed: {error}");
+                }
+                Ok(()) => {}
+            }
+            // The write may not have reached the mirror yet, so it has some time.
+            let lost = self.mirror.losses_of(&self.name) != losses;
+            missing = if self.mirror.has_node(&self.name) { 0 } else { missing + 1 };
+            if lost && missing >= MISSING_PERIODS {
+                tracing::warn!(lease = lease.id, "announce: the entry was taken away");
+                return;
+            }
+        }
+    }
+
+    /// Takes the entry away, so that callers are advised to use other nodes.
+    pub async fn leave(&self) {
+        let write = StoreWrite { deletes: vec![self.key.clone()], ..Default::default() };
+        if let Err(error) = self.store.write(&write).await {
+            // It ends with its lease then.
+            tracing::warn!(
+                code = error.code(),
+                "announce: the entry could not be deleted: {error}"
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/kumquatnotch-route/src/attempt.rs
@@ -0,0 +1,238 @@
+//! Sending a request to one replica.
+
+use std::{
+    cell::Cell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use http::HeaderValue;
+use kumquatnotch_core::Error;
+use kumquatnotch_net::{
+    OpaqueLink,
+    message::{Reply, Request},
+    opaque_link::OpaqueReply,
+};
+
+use crate::{
+    choice,
+    names::ServiceName,
+    probe,
+    replica::{Fitness, Replica},
+    route::{Route, RouteKind},
+    router::Router,
+};
+
+/// How long a connection may have been idle before an exclusive request.
+///
+/// A replica closes idle connections, and a request that crosses the close can't
+/// be told from one that ran. Opening a connection costs a few milliseconds.
+const EXCLUSIVE_IDLE: Duration = Duration::from_millis(500);
+
+/// The same for a request that may be repeated.
+const IDEMPOTENT_IDLE: Duration = Duration::from_secs(30);
+
+/// A request to one service, of which each attempt is a copy.
+pub struct Call<'a> {
+    /// The route.
+    pub route: &'a Route,
+    /// The service that is asked.
+    pub service: &'a ServiceName,
+    /// The request, without headers that concern one connection.
+    pub request: &'a Request,
+    /// The identity that the caller gave it.
+    pub identity: &'a HeaderValue,
+    /// When its time is over.
+    pub deadline: Instant,
+}
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub enum Ended {
+    /// The replica replied.
+    Replied(Reply),
+    /// The replica did not run the request, by its own word.
+    Rejected,
+    /// Another replica has the address, and did not run the request.
+    Replaced,
+    /// Nothing was sent.
+    NotSent,
+    /// It was sent, and whether it has run is unknown.
+    Lost(Error),
+}
+
+/// Counts a request as unanswered by its replica for as long as it is.
+struct Unanswered<'a> {
+    router: &'a Rc<Router>,
+    replica: &'a Rc<Replica>,
+    usual: Duration,
+    at: Instant,
+    ended: Cell<bool>,
+}
+
+impl Unanswered<'_> {
+    /// Notes that a reply has come, whatever it says.
+    fn replied(&self) -> Duration {
+        let now = self.router.clock.now();
+        self.ended.set(true);
+        self.replica.note_end(self.at, Some(now));
+        now.saturating_duration_since(self.at)
+    }
+
+    /// Notes that the connection broke.
+    fn broke(&self) {
+        self.ended.set(true);
+        self.replica.note_end(self.at, None);
+    }
+}
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        if self.ended.get() {
+            return;
+        }
+        // Another replica was sooner, or the time was over. If this one has
+        // answered nothing meanwhile, the next requests would wait for it too.
+        let now = self.router.clock.now();
+        if choice::is_silent(self.replica, self.usual, now) {
+            probe::suspect(self.router, self.replica, "no reply");
+        }
+        self.replica.note_end(self.at, None);
+        let took = now.saturating_duration_since(self.at);
+        let way = self.replica.known_trip().unwrap_or_default();
+        if took > choice::lateness(self.replica, self.usual, now) {
+            self.replica.note_unanswered(took.saturating_sub(way), self.usual, now);
+        }
+    }
+}
+
+/// Sends a request to `replica` and waits for its reply.
+///
+/// Dropping it closes the connection, by which the replica learns that nobody
+/// waits any more. `sent` is set as soon as the replica may have got it.
+pub async fn attempt(
+    router: &Rc<Router>,
+    call: &Call<'_>,
+    replica: &Rc<Replica>,
+    sent: &Cell<bool>,
+) -> Ended {
+    let clock = &*router.clock;
+    router.bound_connections(replica, call.service);
+    let _permit = replica.gate.acquire(call.route.priority).await;
+    if !replica.takes_requests() {
+        return Ended::NotSent;
+    }
+    let Some(mut link) = connect(router, call, replica).await else {
+        return Ended::NotSent;
+    };
+    // It may have begun to drain while the connection was opened.
+    if !replica.takes_requests() || clock.now() >= call.deadline {
+        return Ended::NotSent;
+    }
+    let at = clock.now();
+    let request = prepare(router, call, replica, at);
+    sent.set(true);
+    replica.note_sent(at);
+    let usual = router.paces.usual(call.route);
+    let guard = Unanswered { router, replica, usual, at, ended: Cell::new(false) };
+    let reply = match link.send(&request).await {
+        Ok(()) => link.receive(&|reply| belongs(router, call, reply)).await,
+        Err(error) => Err(error),
+    };
+    match reply {
+        Ok(OpaqueReply { reply, keep }) => {
+            let took = guard.replied();
+            if let Some(keep) = keep {
+                replica.links.put(link, clock.now(), keep);
+            }
+            judge(router, call, replica, reply, took)
+        }
+        Err(error) => {
+            guard.broke();
+            replica.note_outcome(true, clock.now());
+            // Whatever broke this connection has broken idle ones as well.
+            replica.links.drop_idle();
+            Ended::Lost(error)
+        }
+    }
+}
+
+async fn connect(
+    router: &Rc<Router>,
+    call: &Call<'_>,
+    replica: &Rc<Replica>,
+) -> Option<OpaqueLink> {
+    let clock = &*router.clock;
+    let most_idle = match call.route.kind {
+        RouteKind::Idempotent => IDEMPOTENT_IDLE,
+        RouteKind::Exclusive => EXCLUSIVE_IDLE,
+    };
+    if let Some(link) = replica.links.take(clock.now(), most_idle) {
+        return Some(link);
+    }
+    let start = clock.now();
+    match replica.links.open(clock, call.deadline).await {
+        Ok(link) => {
+            replica.note_connect(clock.now().saturating_duration_since(start));
+            metrics::counter!("kumquatnotch_connections_opened_total").increment(1);
+            Some(link)
+        }
+        Err(_) => {
+            // If the caller's time was over first, that says nothing of the replica.
+            if clock.now() < call.deadline {
+                probe::suspect(router, replica, "no connection");
+            }
+            None
+        }
+    }
+}
+
+/// The copy of the request for one replica.
+fn prepare(router: &Router, call: &Call<'_>, replica: &Replica, now: Instant) -> Request {
+    let mut request = call.request.clone();
+    let left = call.deadline.saturating_duration_since(now).as_millis() as u64;
+    let names = &router.names;
+    request.headers.insert(names.deadline.clone(), HeaderValue::from(left.max(1)));
+    if let Ok(id) = HeaderValue::from_str(replica.id.as_str()) {
+        request.headers.insert(names.expected.clone(), id);
+    }
+    request
+}
+
+/// Whether a reply is the one to this request.
+///
+/// A replica repeats the identity of the request. One without it is believed, as
+/// an earlier request on this connection has been answered by then.
+fn belongs(router: &Router, call: &Call<'_>, reply: &Reply) -> bool {
+    reply.headers.get(&router.names.request).is_none_or(|identity| identity == call.identity)
+}
+
+/// What a reply says of the request and of its replica.
+fn judge(
+    router: &Rc<Router>,
+    call: &Call<'_>,
+    replica: &Rc<Replica>,
+    reply: Reply,
+    took: Duration,
+) -> Ended {
+    let now = router.clock.now();
+    if reply.status.as_u16() == 421 {
+        // Another replica has the address by now. Its own entry is, or will be,
+        // in the directory; this one never comes back.
+        replica.set_fitness(Fitness::Replaced);
+        replica.links.drop_idle();
+        return Ended::Replaced;
+    }
+    if reply.headers.contains_key(&router.names.rejected) {
+        replica.note_outcome(true, now);
+        return Ended::Rejected;
+    }
+    replica.note_outcome(reply.status.is_server_error(), now);
+    if reply.status.is_success() {
+        let way = replica.known_trip().unwrap_or_default();
+        let work = took.saturating_sub(way);
+        replica.note_speed(work, router.paces.usual(call.route), now);
+        router.paces.note(call.route, work);
+    }
+    Ended::Replied(reply)
+}
--- /dev/null
+++ b/crates/kumquatnotch-route/src/budget.rs
@@ -0,0 +1,117 @@
+//! The budget for sending a request more than once.
+//!
+//! All nodes together may send each service only so many repeats in any window:
+//! a share of its requests, and a fixed number. Each node keeps to that share of
+//! its own requests and to its part of the fixed number, so that the sum holds
+//! without a shared counter.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use kumquatnotch_core::{Clock, collections::HashMap};
+
+use crate::names::ServiceName;
+
+/// Into how many steps a window is cut.
+const STEPS: usize = 10;
+
+/// The part of the allowance that is used.
+///
+/// Windows of the platform slide, while those here move in steps; the rest pays
+/// for the difference of one step.
+const USED_PART: f64 = 0.85;
+
+/// Options of [`Budget`].
+#[derive(Clone, Copy, Debug)]
+pub struct BudgetOptions {
+    /// The repeats allowed for each request.
+    pub ratio: f64,
+    /// The repeats allowed besides, by all nodes together.
+    pub slack: f64,
+    /// The length of the window.
+    pub window: Duration,
+}
+
+/// The budget for repeats, by service.
+pub struct Budget {
+    options: BudgetOptions,
+    clock: Rc<dyn Clock>,
+    start: Instant,
+    nodes: Cell<usize>,
+    windows: RefCell<HashMap<ServiceName, Window>>,
+}
+
+#[derive(Debug, Default)]
+struct Window {
+    step: u64,
+    firsts: [u32; STEPS],
+    repeats: [u32; STEPS],
+}
+
+impl Window {
+    /// Forgets the steps that have left the window.
+    fn advance(&mut self, step: u64) {
+        let passed = step.saturating_sub(self.step).min(STEPS as u64);
+        for past in 0..passed {
+            let index = ((step - past) % STEPS as u64) as usize;
+            self.firsts[index] = 0;
+            self.repeats[index] = 0;
+        }
+        self.step = self.step.max(step);
+    }
+
+    fn index(&self) -> usize {
+        (self.step % STEPS as u64) as usize
+    }
+}
+
+impl Budget {
+    /// A budget from which nothing was spent.
+    pub fn new(options: BudgetOptions, clock: Rc<dyn Clock>) -> Budget {
+        let start = clock.now();
+        let nodes = Cell::new(1);
+        Budget { options, clock, start, nodes, windows: RefCell::default() }
+    }
+
+    /// Sets how many nodes share the fixed number.
+    pub fn set_nodes(&self, nodes: usize) {
+        self.nodes.set(nodes.max(1));
+    }
+
+    /// Notes the first sending of a request.
+    pub fn note_first(&self, service: &ServiceName) {
+        self.with_window(service, |window| {
+            let index = window.index();
+            window.firsts[index] += 1;
+        });
+    }
+
+    /// Pays for a repeat; false if the budget is used up.
+    pub fn spend(&self, service: &ServiceName) -> bool {
+        let slack = self.options.slack / self.nodes.get() as f64;
+        let ratio = self.options.ratio;
+        self.with_window(service, |window| {
+            let firsts: u32 = window.firsts.iter().sum();
+            let repeats: u32 = window.repeats.iter().sum();
+            let allowance = USED_PART * (ratio * f64::from(firsts) + slack);
+            if f64::from(repeats + 1) > allowance {
+                return false;
+            }
+            let index = window.index();
+            window.repeats[index] += 1;
+            true
+        })
+    }
+
+    fn with_window<T>(&self, service: &ServiceName, work: impl FnOnce(&mut Window) -> T) -> T {
+        let passed = self.clock.now().saturating_duration_since(self.start);
+        let step = (passed.as_nanos() * STEPS as u128 / self.options.window.as_nanos()) as u64;
+        let mut windows = self.windows.borrow_mut();
+        let window = windows.entry(service.clone()).or_default();
+        window.advance(step);
+        work(window)
+    }
+}
--- /dev/null
+++ b/crates/kumquatnotch-route/src/choice.rs
@@ -0,0 +1,92 @@
+//! Which replica a request is sent to, and when its reply is late.
+//!
+//! The replica from which the reply is expected first is taken, by this node's
+//! own measurements. A replica in another region is farther by the way there and
+//! back, so it is taken only if those nearby are slow, stand still or fail.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    names::ReplicaId,
+    replica::{Fitness, Replica},
+};
+
+/// The way there and back to a replica to which no connection was opened yet.
+const UNKNOWN_TRIP: Duration = Duration::from_millis(5);
+
+/// What a failure costs: finding another replica, and a repeat out of the budget.
+const FAILURE_COST: f64 = 0.2;
+
+/// After how many times the usual time a reply is late.
+///
+/// Work times spread by about a third, with one in a hundred five times as long:
+/// 2.5 times is beyond 99 of 100.
+const LATE_TIMES: f64 = 2.5;
+
+/// What a reply may be late by besides, for the scheduling of both processes.
+const LATE_SLACK: Duration = Duration::from_millis(8);
+
+/// The most slowness that is waited for before a reply counts as late.
+const PATIENT_SLOWNESS: f64 = 2.0;
+
+/// After which time a reply of `replica` is late.
+pub fn lateness(replica: &Replica, usual: Duration, now: Instant) -> Duration {
+    let slowness = replica.slowness(now).clamp(1.0, PATIENT_SLOWNESS);
+    replica.round_trip(UNKNOWN_TRIP) + usual.mul_f64(LATE_TIMES * slowness) + LATE_SLACK
+}
+
+/// Whether `replica` has answered nothing for longer than a reply may take.
+pub fn is_silent(replica: &Replica, usual: Duration, now: Instant) -> bool {
+    replica.silence(now) > lateness(replica, usual, now)
+}
+
+/// The expected time to a reply, in seconds.
+pub fn expected(replica: &Replica, usual: Duration, now: Instant) -> f64 {
+    let slots = f64::from(replica.spec().slots.max(1)).min(f64::from(replica.gate.limit().max(1)));
+    let ahead = replica.unanswered() as f64 + replica.gate.waiting() as f64;
+    let queue = ((ahead + 1.0 - slots) / slots).max(0.0);
+    let work = usual.as_secs_f64() * replica.slowness(now) * (1.0 + queue);
+    replica.round_trip(UNKNOWN_TRIP).as_secs_f64() + work + FAILURE_COST * replica.failures(now)
+}
+
+/// How readily a replica is taken; less is better.
+fn reluctance(replica: &Replica, usual: Duration, now: Instant) -> u8 {
+    match replica.fitness() {
+        Fitness::Fit if !is_silent(replica, usual, now) => 0,
+        Fitness::Fit => 1,
+        Fitness::Suspect | Fitness::Replaced => 2,
+    }
+}
+
+/// The best of `replicas`, without those `tried`; with its reluctance.
+pub fn best(
+    replicas: &[Rc<Replica>],
+    tried: &[ReplicaId],
+    usual: Duration,
+    now: Instant,
+) -> Option<Pick> {
+    let open = replicas.iter().filter(|replica| replica.takes_requests());
+    let open = open.filter(|replica| !tried.contains(&replica.id));
+    let rated = open.map(|replica| Pick {
+        replica: replica.clone(),
+        reluctance: reluctance(replica, usual, now),
+        expected: expected(replica, usual, now),
+    });
+    rated.min_by(|one, other| {
+        let order = one.reluctance.cmp(&other.reluctance);
+        order.then(one.expected.total_cmp(&other.expected))
+    })
+}
+
+/// A replica that was picked.
+pub struct Pick {
+    /// The replica.
+    pub replica: Rc<Replica>,
+    /// Zero if nothing speaks against it.
+    pub reluctance: u8,
+    /// The expected time to its reply, in seconds.
+    pub expected: f64,
+}
--- /dev/null
+++ b/crates/kumquatnotch-route/src/directory.rs
@@ -0,0 +1,80 @@
+//! The replicas that are known, by their service.
+
+use std::{cell::RefCell, rc::Rc, time::Instant};
+
+use kumquatnotch_core::collections::HashMap;
+
+use crate::{
+    names::{ReplicaId, ServiceName},
+    replica::{Replica, ReplicaSpec},
+};
+
+/// The replicas that are known.
+#[derive(Default)]
+pub struct Directory {
+    replicas: RefCell<HashMap<ReplicaId, Rc<Replica>>>,
+    services: RefCell<HashMap<ServiceName, Rc<[Rc<Replica>]>>>,
+}
+
+impl Directory {
+    /// Adds a replica, or takes over what it says of itself now.
+    pub fn put(&self, id: &ReplicaId, spec: ReplicaSpec, now: Instant) {
+        let known = self.replicas.borrow().get(id).cloned();
+        if let Some(replica) = known {
+            let moved = {
+                let known = replica.spec();
+                known.service != spec.service || known.address != spec.address
+            };
+            if !moved {
+                replica.update(spec);
+                return;
+            }
+            self.remove(id);
+        }
+        let service = spec.service.clone();
+        let replica = Rc::new(Replica::new(id.clone(), spec, now));
+        self.replicas.borrow_mut().insert(id.clone(), replica);
+        self.sort(&service);
+    }
+
+    /// Removes a replica, to which nothing is sent any more.
+    pub fn remove(&self, id: &ReplicaId) {
+        let Some(replica) = self.replicas.borrow_mut().remove(id) else {
+            return;
+        };
+        replica.set_gone();
+        let service = replica.spec().service.clone();
+        self.sort(&service);
+    }
+
+    /// The replicas of a service, in no order.
+    pub fn of(&self, service: &ServiceName) -> Rc<[Rc<Replica>]> {
+        self.services.borrow().get(service).cloned().unwrap_or_else(|| Rc::new([]))
+    }
+
+    /// All replicas.
+    pub fn all(&self) -> Vec<Rc<Replica>> {
+        self.replicas.borrow().values().cloned().collect()
+    }
+
+    /// How many replicas there are.
+    pub fn len(&self) -> usize {
+        self.replicas.borrow().len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn sort(&self, service: &ServiceName) {
+        let replicas = self.replicas.borrow();
+        let of_service = replicas.values().filter(|replica| replica.spec().service == *service);
+        let list: Vec<Rc<Replica>> = of_service.cloned().collect();
+        if list.is_empty() {
+            self.services.borrow_mut().remove(service);
+        } else {
+            self.services.borrow_mut().insert(service.clone(), list.into());
+        }
+    }
+}
--- /dev/null
+++ b/crates/kumquatnotch-route/src/fleet.rs
@@ -0,0 +1,130 @@
+//! The nodes that are known, and which of them a caller is advised to use.
+//!
+//! A search asks a replica of each shard, and what these send to a node of
+//! another region is by far the most that crosses regions. The way of a caller
+//! to a node costs the same delay once. So callers are advised to use nodes of
+//! their own region if it holds replicas of most shards, and else nodes of the
+//! regions that do.
+
+use std::{cell::RefCell, net::SocketAddr};
+
+use kumquatnotch_core::{
+    collections::HashMap,
+    ids::{DataCentre, NodeName, Region},
+};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    directory::Directory,
+    names::ServiceName,
+    route::{Destination, RouteTable},
+};
+
+/// By how much a caller's own region may hold fewer shards than the best one.
+const HOME_BONUS: f64 = 0.25;
+
+/// The fewest nodes that are advised, so that one that has just ended is no harm.
+const LEAST_NODES: usize = 2;
+
+/// The most nodes that are advised.
+const MOST_NODES: usize = 64;
+
+/// What a node tells the others of itself.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct NodeRecord {
+    /// Where it takes callers.
+    pub entry: SocketAddr,
+    /// Its data centre.
+    pub centre: DataCentre,
+    /// Its region.
+    pub region: Region,
+}
+
+/// The nodes that are known.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    nodes: RefCell<HashMap<NodeName, NodeRecord>>,
+    regions: RefCell<HashMap<DataCentre, Region>>,
+}
+
+impl Fleet {
+    /// Sets in which region each data centre lies.
+    pub fn set_regions(&self, regions: HashMap<DataCentre, Region>) {
+        *self.regions.borrow_mut() = regions;
+    }
+
+    /// Adds a node, or takes over what it tells now.
+    pub fn put(&self, name: NodeName, record: NodeRecord) {
+        self.nodes.borrow_mut().insert(name, record);
+    }
+
+    /// Removes a node.
+    pub fn remove(&self, name: &NodeName) {
+        self.nodes.borrow_mut().remove(name);
+    }
+
+    /// How many nodes are known.
+    pub fn len(&self) -> usize {
+        self.nodes.borrow().len()
+    }
+
+    /// Whether none is known.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// The nodes that a caller in `region` is advised to use for `host`.
+    pub fn advise(
+        &self,
+        host: &str,
+        region: &Region,
+        table: &RouteTable,
+        directory: &Directory,
+    ) -> Vec<SocketAddr> {
+        let held = self.held(host, table, directory);
+        let best = held.values().copied().fold(0.0, f64::max);
+        let share = |region: &Region| held.get(region).copied().unwrap_or(0.0);
+        let mut chosen = self.nodes_in(|other| other == region);
+        if chosen.is_empty() || share(region) + HOME_BONUS < best {
+            chosen = self.nodes_in(|other| share(other) + HOME_BONUS >= best);
+        }
+        if chosen.len() < LEAST_NODES {
+            chosen = self.nodes_in(|_| true);
+        }
+        chosen.sort_unstable();
+        chosen.truncate(MOST_NODES);
+        chosen
+    }
+
+    fn nodes_in(&self, fits: impl Fn(&Region) -> bool) -> Vec<SocketAddr> {
+        let nodes = self.nodes.borrow();
+        nodes.values().filter(|node| fits(&node.region)).map(|node| node.entry).collect()
+    }
+
+    /// The share of the shards of `host` that has a replica in each region.
+    fn held(&self, host: &str, table: &RouteTable, directory: &Directory) -> HashMap<Region, f64> {
+        let mut shards: Vec<&ServiceName> = Vec::new();
+        for route in table.routes_of(host) {
+            if let Destination::Shards(set) = &route.destination {
+                shards.extend(&set.shards);
+            }
+        }
+        shards.sort_unstable();
+        shards.dedup();
+        let regions = self.regions.borrow();
+        let mut held: HashMap<Region, f64> = HashMap::default();
+        for shard in &shards {
+            let mut seen: Vec<Region> = Vec::new();
+            for replica in directory.of(shard).iter().filter(|replica| replica.takes_requests()) {
+                let Some(region) = regions.get(&replica.spec().centre) else { continue };
+                if !seen.contains(region) {
+                    seen.push(region.clone());
+                }
+            }
+            for region in seen {
+                *held.entry(region).or_default() += 1.0 / shards.len() as f64;
+            }
+        }
+        held
+    }
+}
--- /dev/null
+++ b/crates/kumquatnotch-route/src/front.rs
@@ -0,0 +1,272 @@
+//! What callers reach: finds the route of a request and answers it.
+
+use std::{
+    cell::Cell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use http::{HeaderMap, HeaderValue, StatusCode, header};
+use kumquatnotch_net::{
+    message::{Reply, Request},
+    opaque_link::remove_hop_headers,
+    server::{Handler, Work},
+};
+
+use crate::{
+    attempt::Call,
+    call::{self, CallFault, CallTrace},
+    gather::{self, Gathered, Search},
+    names::ServiceName,
+    route::{Destination, Route, RouteTable, ShardSet},
+    router::Router,
+    weights::Weights,
+};
+
+/// When to come back to a node that knows no configuration yet.
+const NOT_READY_RETRY: Duration = Duration::from_millis(400);
+
+/// What callers reach.
+pub struct RouteFront {
+    router: Rc<Router>,
+    weights: Weights,
+}
+
+/// A refusal or failure of the node's own.
+#[derive(Clone, Copy, Debug)]
+struct Refusal {
+    status: StatusCode,
+    reason: &'static str,
+    /// When to come back; only if the request has not run.
+    retry: Option<Duration>,
+}
+
+impl Refusal {
+    fn new(status: StatusCode, reason: &'static str) -> Refusal {
+        Refusal { status, reason, retry: None }
+    }
+
+    /// A promise that the request has not run and never will.
+    fn not_run(reason: &'static str, retry: Duration) -> Refusal {
+        Refusal { status: StatusCode::SERVICE_UNAVAILABLE, reason, retry: Some(retry) }
+    }
+
+    fn reply(self) -> Reply {
+        let mut reply = Reply::text(self.status, format!("{}\n", self.reason));
+        if let Some(retry) = self.retry {
+            // Whole seconds would be longer than most requests last.
+            let seconds = format!("{:.3}", retry.as_secs_f64());
+            if let Ok(value) = HeaderValue::from_str(&seconds) {
+                reply.headers.insert(header::RETRY_AFTER, value);
+            }
+        }
+        reply
+    }
+}
+
+/// What is known of a request besides its bytes.
+struct Asked {
+    identity: HeaderValue,
+    route: Rc<Route>,
+    version: u64,
+    arrival: Instant,
+    deadline: Instant,
+}
+
+/// Writes one line for a request, also if its caller goes away.
+struct RequestLog<'a> {
+    router: &'a Router,
+    asked: &'a Asked,
+    trace: CallTrace,
+    parts: Cell<usize>,
+    missing: Cell<usize>,
+    written: Cell<bool>,
+}
+
+impl RouteFront {
+    /// A front for what `router` knows.
+    pub fn new(router: Rc<Router>) -> RouteFront {
+        RouteFront { router, weights: Weights::default() }
+    }
+
+    async fn answer(&self, request: Request, arrival: Instant) -> Reply {
+        let (asked, table) = match self.ask(&request, arrival) {
+            Ok(asked) => asked,
+            Err(refusal) => {
+                let identity = request.headers.get(&self.router.names.request);
+                tracing::info!(
+                    request = identity.and_then(|value| value.to_str().ok()).unwrap_or_default(),
+                    status = refusal.status.as_u16(),
+                    reason = refusal.reason,
+                    "front: refused"
+                );
+                return refusal.reply();
+            }
+        };
+        if request.body.len() > table.limits().body {
+            return Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large").reply();
+        }
+        let log = RequestLog::new(&self.router, &asked);
+        let request = strip(request);
+        let outcome = match &asked.route.destination {
+            Destination::Service(service) => self.call(&asked, service, &request, &log).await,
+            Destination::Weighted(services) => {
+                match self.weights.pick(&asked.route.name, services) {
+                    Some(service) => self.call(&asked, service, &request, &log).await,
+                    None => Err(CallFault::NotRun {
+                        retry: NOT_READY_RETRY,
+                        reason: "no service has a weight",
+                    }),
+                }
+            }
+            Destination::Shards(set) => self.search(&asked, set, &request, &log).await,
+        };
+        let (reply, reason) = finish(outcome);
+        log.write(reply.status, reason);
+        reply
+    }
+
+    /// Finds the route and the time of a request.
+    fn ask(&self, request: &Request, arrival: Instant) -> Result<(Asked, Rc<RouteTable>), Refusal> {
+        if !self.router.is_ready() {
+            return Err(Refusal::not_run("no configuration yet", NOT_READY_RETRY));
+        }
+        let Some(table) = self.router.table() else {
+            return Err(Refusal::not_run("no configuration yet", NOT_READY_RETRY));
+        };
+        let names = &self.router.names;
+        let Some(identity) = request.headers.get(&names.request).cloned() else {
+            return Err(Refusal::new(StatusCode::BAD_REQUEST, "the request has no identity"));
+        };
+        let host = text(&request.headers, &header::HOST).unwrap_or_default();
+        let Some(route) = table.find(host, &request.path).cloned() else {
+            return Err(Refusal::new(StatusCode::NOT_FOUND, "no route"));
+        };
+        let told = text(&request.headers, &names.deadline).and_then(|text| text.parse().ok());
+        let told = told.map_or(Duration::MAX, Duration::from_millis);
+        let deadline = arrival + told.min(route.timeout);
+        let asked = Asked { identity, route, version: table.version(), arrival, deadline };
+        Ok((asked, table))
+    }
+
+    async fn call(
+        &self,
+        asked: &Asked,
+        service: &ServiceName,
+        request: &Request,
+        log: &RequestLog<'_>,
+    ) -> Result<Reply, CallFault> {
+        let call = Call {
+            route: &asked.route,
+            service,
+            request,
+            identity: &asked.identity,
+            deadline: asked.deadline,
+        };
+        call::call(&self.router, &call, &log.trace).await
+    }
+
+    async fn search(
+        &self,
+        asked: &Asked,
+        set: &ShardSet,
+        request: &Request,
+        log: &RequestLog<'_>,
+    ) -> Result<Reply, CallFault> {
+        let search = Search {
+            route: &asked.route,
+            set,
+            request,
+            identity: &asked.identity,
+            arrival: asked.arrival,
+            deadline: asked.deadline,
+        };
+        let Gathered { answer, parts, missing } =
+            gather::gather(&self.router, &search, &log.trace).await;
+        log.parts.set(parts);
+        log.missing.set(missing);
+        answer
+    }
+}
+
+impl Handler for RouteFront {
+    fn start(&self, request: Request) -> Work<'_> {
+        let arrival = self.router.clock.now();
+        Work::new(self.answer(request, arrival))
+    }
+}
+
+/// The request without what concerns only the connection to its caller.
+fn strip(mut request: Request) -> Request {
+    remove_hop_headers(&mut request.headers);
+    request.headers.remove(header::CONTENT_LENGTH);
+    request.headers.remove(header::EXPECT);
+    request
+}
+
+/// The reply to the caller, and why it is none of a replica.
+fn finish(outcome: Result<Reply, CallFault>) -> (Reply, &'static str) {
+    let refusal = match outcome {
+        Ok(reply) => return (reply, "answered"),
+        Err(CallFault::Failed(reply)) => return (reply, "failed at the replica"),
+        Err(CallFault::NotRun { retry, reason }) => Refusal::not_run(reason, retry),
+        Err(CallFault::Unknown) => Refusal::new(StatusCode::BAD_GATEWAY, "outcome unknown"),
+        Err(CallFault::TimedOut) => Refusal::new(StatusCode::GATEWAY_TIMEOUT, "timed out"),
+    };
+    (refusal.reply(), refusal.reason)
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &header::HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+impl<'a> RequestLog<'a> {
+    fn new(router: &'a Router, asked: &'a Asked) -> RequestLog<'a> {
+        RequestLog {
+            router,
+            asked,
+            trace: CallTrace::default(),
+            parts: Cell::new(0),
+            missing: Cell::new(0),
+            written: Cell::new(false),
+        }
+    }
+
+    fn write(&self, status: StatusCode, reason: &'static str) {
+        self.written.set(true);
+        let asked = self.asked;
+        let took = self.router.clock.now().saturating_duration_since(asked.arrival);
+        let route = asked.route.name.as_str();
+        metrics::counter!(
+            "kumquatnotch_requests_total",
+            "route" => route.to_owned(),
+            "status" => status.as_str().to_owned()
+        )
+        .increment(1);
+        metrics::histogram!("kumquatnotch_request_seconds", "route" => route.to_owned())
+            .record(took.as_secs_f64());
+        tracing::info!(
+            request = asked.identity.to_str().unwrap_or_default(),
+            route,
+            version = asked.version,
+            status = status.as_u16(),
+            reason,
+            ms = took.as_millis() as u64,
+            left_ms = asked.deadline.saturating_duration_since(self.router.clock.now()).as_millis()
+                as u64,
+            parts = self.parts.get(),
+            missing = self.missing.get(),
+            hedges = self.trace.hedges.get(),
+            retries = self.trace.retries.get(),
+            "front: answered"
+        );
+    }
+}
+
+impl Drop for RequestLog<'_> {
+    fn drop(&mut self) {
+        if !self.written.get() {
+            self.write(StatusCode::REQUEST_TIMEOUT, "the caller went away");
+        }
+    }
+}
--- /dev/null
+++ b/crates/kumquatnotch-route/src/lib.rs
@@ -0,0 +1,36 @@
+//! Routed requests: opaque requests of callers, passed on to replicas unchanged.
+//!
+//! A [`RouteFront`](front::RouteFront) finds the route of each request by its
+//! host and path. A request goes to a replica of one service ([`call`]), or to a
+//! replica of each shard, whose parts are merged ([`gather`]). Which replica,
+//! when a second copy is sent and what is tried again is decided in [`choice`]
+//! and [`call`] within the [`budget`] for repeats; what is learned of a replica
+//! is kept with it ([`replica`]), and one that is silent is probed ([`probe`]).
+//!
+//! Configuration, replicas and other nodes come from the platform's store
+//! ([`mirror`]), in which each node announces itself ([`announce`]). All that is
+//! kept here can be read or learned again after a restart.
+
+#![forbid(unsafe_code)]
+
+pub mod announce;
+pub mod attempt;
+pub mod budget;
+pub mod call;
+pub mod choice;
+pub mod directory;
+pub mod fleet;
+pub mod front;
+pub mod gate;
+pub mod gather;
+pub mod headers;
+pub mod links;
+pub mod merge;
+pub mod mirror;
+pub mod names;
+pub mod pace;
+pub mod probe;
+pub mod replica;
+pub mod route;
+pub mod router;
+pub mod weights;
--- /dev/null
+++ b/crates/kumquatnotch-route/src/mirror.rs
@@ -0,0 +1,323 @@
+//! Following the platform's store: what it holds is mirrored by every node.
+//!
+//! One scan, then one watch after another. When the store is away, what was
+//! known last goes on being used. Replicas and nodes renew their entries, so
+//! entries may lapse while the store is away although those behind them live;
+//! they come back soon after its return. So what vanishes around an outage is
+//! kept for a while, and dropped if it is still missing then.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use kumquatnotch_core::{
+    Error, Result, Store, clock,
+    collections::{HashMap, HashSet},
+    ids::NodeName,
+    store::{StoreChanges, StoreEvent, StoreItem, StoreScan},
+};
+
+use crate::{
+    fleet::NodeRecord,
+    names::ReplicaId,
+    replica::ReplicaSpec,
+    route::{RouteConfig, RouteTable},
+    router::Router,
+};
+
+/// What a key of the store holds.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Entry {
+    /// The operators' configuration.
+    Config(RouteConfig),
+    /// A replica.
+    Replica(ReplicaId, ReplicaSpec),
+    /// A node of this tier.
+    Node(NodeName, NodeRecord),
+}
+
+/// What a key is about.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum EntryKey {
+    /// The operators' configuration.
+    Config,
+    /// A replica.
+    Replica(ReplicaId),
+    /// A node of this tier.
+    Node(NodeName),
+}
+
+/// How keys and values of the store are to be read.
+pub trait Schema {
+    /// The prefix under which all that is mirrored lies.
+    fn prefix(&self) -> &str;
+
+    /// What a key is about; `None` if it is nothing to this tier.
+    fn read_key(&self, key: &str) -> Option<EntryKey>;
+
+    /// What an item holds; `None` if it is nothing to this tier.
+    fn read(&self, item: &StoreItem) -> Result<Option<Entry>>;
+}
+
+/// Options of a [`Mirror`].
+#[derive(Clone, Copy, Debug)]
+pub struct MirrorOptions {
+    /// How long a watch waits for changes.
+    ///
+    /// A watch whose connection has gone silent is noticed only when it is over,
+    /// so it must stay below the time in which changes have to be seen.
+    pub wait: Duration,
+    /// The pause after changes came, in which more of them collect.
+    ///
+    /// Each return of a watch is a call that counts, and changes come in series.
+    pub collect: Duration,
+    /// How long an entry that vanished around an outage is kept.
+    pub keep: Duration,
+    /// The first pause after a failed call, before jitter; it doubles.
+    pub backoff: Duration,
+    /// The longest pause after a failed call, before jitter.
+    pub most_backoff: Duration,
+}
+
+impl Default for MirrorOptions {
+    fn default() -> MirrorOptions {
+        MirrorOptions {
+            wait: Duration::from_millis(2_500),
+            collect: Duration::from_millis(300),
+            keep: Duration::from_millis(2_600),
+            backoff: Duration::from_millis(150),
+            most_backoff: Duration::from_millis(900),
+        }
+    }
+}
+
+/// Follows the store.
+pub struct Mirror {
+    options: MirrorOptions,
+    router: Rc<Router>,
+    store: Rc<dyn Store>,
+    schema: Rc<dyn Schema>,
+    /// The keys that are known to exist.
+    known: RefCell<HashSet<EntryKey>>,
+    /// The keys that vanished around an outage, and when they are dropped.
+    vanished: RefCell<HashMap<EntryKey, Instant>>,
+    /// Until when vanished entries are kept for a while.
+    lenient: Cell<Option<Instant>>,
+    /// How often the own entry of this node was seen to vanish.
+    losses: RefCell<HashMap<NodeName, u64>>,
+}
+
+impl Mirror {
+    /// A mirror that has read nothing yet.
+    pub fn new(
+        options: MirrorOptions,
+        router: Rc<Router>,
+        store: Rc<dyn Store>,
+        schema: Rc<dyn Schema>,
+    ) -> Rc<Mirror> {
+        Rc::new(Mirror {
+            options,
+            router,
+            store,
+            schema,
+            known: RefCell::default(),
+            vanished: RefCell::default(),
+            lenient: Cell::new(None),
+            losses: RefCell::default(),
+        })
+    }
+
+    /// Starts to follow the store.
+    pub fn start(self: &Rc<Mirror>) {
+        monoio::spawn(self.clone().follow());
+        monoio::spawn(self.clone().sweep());
+    }
+
+    /// Whether the entry of node `name` is in the store, as far as is known.
+    pub fn has_node(&self, name: &NodeName) -> bool {
+        self.known.borrow().contains(&EntryKey::Node(name.clone()))
+    }
+
+    /// How often the entry of node `name` has vanished.
+    pub fn losses_of(&self, name: &NodeName) -> u64 {
+        self.losses.borrow().get(name).copied().unwrap_or_default()
+    }
+
+    async fn follow(self: Rc<Mirror>) {
+        let clock = self.router.clock.clone();
+        let mut after = None;
+        let mut failures = 0;
+        loop {
+            let result = match after {
+                None => self.scan().await,
+                Some(revision) => self.watch(revision).await,
+            };
+            match result {
+                Ok(revision) => {
+                    if failures > 0 {
+                        self.note_return(failures);
+                    }
+                    failures = 0;
+                    after = Some(revision);
+                }
+                Err(Error::VersionUnknown { .. }) => {
+                    tracing::info!("mirror: the history is gone, reading everything anew");
+                    after = None;
+                }
+                Err(error) => {
+                    failures += 1;
+                    if failures == 1 {
+                        tracing::warn!(code = error.code(), "mirror: the store is away: {error}");
+                    }
+                    let backoff = self.options.backoff * 2u32.pow(failures.min(6) - 1);
+                    let pause = backoff.min(self.options.most_backoff);
+                    clock::sleep(&*clock, self.router.random.jitter(pause)).await;
+                }
+            }
+        }
+    }
+
+    /// Notes that the store answers again.
+    fn note_return(&self, failures: u32) {
+        tracing::info!(failures, "mirror: the store answers again");
+        self.lenient.set(Some(self.router.clock.now() + self.options.keep));
+    }
+
+    async fn scan(&self) -> Result<u64> {
+        let StoreScan { items, revision } = self.store.scan(self.schema.prefix()).await?;
+        let mut seen = HashSet::default();
+        for item in &items {
+            if let Some(key) = self.put(item) {
+                seen.insert(key);
+            }
+        }
+        let lost: Vec<EntryKey> = self.known.borrow().difference(&seen).cloned().collect();
+        // Without the history, whether an entry left or lapsed can't be told.
+        self.lenient.set(Some(self.router.clock.now() + self.options.keep));
+        lost.into_iter().for_each(|key| self.lose(key));
+        self.router.set_synced();
+        tracing::info!(
+            revision,
+            items = items.len(),
+            replicas = self.router.directory.len(),
+            nodes = self.router.fleet.len(),
+            "mirror: read everything"
+        );
+        Ok(revision)
+    }
+
+    async fn watch(&self, after: u64) -> Result<u64> {
+        let changes = self.store.watch(self.schema.prefix(), after, self.options.wait).await?;
+        let StoreChanges { events, revision } = changes;
+        for event in &events {
+            match event {
+                StoreEvent::Written(item) => {
+                    self.put(item);
+                }
+                StoreEvent::Deleted { key, .. } => {
+                    if let Some(key) = self.schema.read_key(key) {
+                        self.lose(key);
+                    }
+                }
+            }
+        }
+        if !events.is_empty() {
+            clock::sleep(&*self.router.clock, self.options.collect).await;
+        }
+        Ok(revision)
+    }
+
+    /// Takes over an item; gives its key if it is something to this tier.
+    fn put(&self, item: &StoreItem) -> Option<EntryKey> {
+        let key = self.schema.read_key(&item.key)?;
+        let entry = match self.schema.read(item) {
+            Ok(entry) => entry?,
+            Err(error) => {
+                tracing::warn!(key = item.key, code = error.code(), "mirror: can't read: {error}");
+                return None;
+            }
+        };
+        self.known.borrow_mut().insert(key.clone());
+        self.vanished.borrow_mut().remove(&key);
+        self.apply(entry, item.revision);
+        Some(key)
+    }
+
+    fn apply(&self, entry: Entry, revision: u64) {
+        let router = &self.router;
+        match entry {
+            Entry::Config(config) => {
+                let version = config.version;
+                let in_force = router.put_in_force(RouteTable::new(config));
+                tracing::info!(version, revision, in_force, "mirror: a configuration came");
+            }
+            Entry::Replica(id, spec) => {
+                tracing::info!(
+                    replica = id.as_str(),
+                    service = spec.service.as_str(),
+                    address = %spec.address,
+                    draining = spec.draining,
+                    revision,
+                    "mirror: a replica tells of itself"
+                );
+                router.directory.put(&id, spec, router.clock.now());
+            }
+            Entry::Node(name, record) => {
+                tracing::info!(node = name.as_str(), revision, "mirror: a node tells of itself");
+                router.fleet.put(name, record);
+                router.budget.set_nodes(router.fleet.len());
+            }
+        }
+    }
+
+    /// Notes that a key is not in the store any more.
+    fn lose(&self, key: EntryKey) {
+        self.known.borrow_mut().remove(&key);
+        if let EntryKey::Node(name) = &key {
+            *self.losses.borrow_mut().entry(name.clone()).or_default() += 1;
+        }
+        let now = self.router.clock.now();
+        match self.lenient.get() {
+            Some(until) if now < until => {
+                self.vanished.borrow_mut().insert(key, now + self.options.keep);
+            }
+            _ => self.drop_entry(&key, "left the store"),
+        }
+    }
+
+    fn drop_entry(&self, key: &EntryKey, reason: &'static str) {
+        let router = &self.router;
+        match key {
+            // The operators never take the configuration away.
+            EntryKey::Config => {}
+            EntryKey::Replica(id) => {
+                tracing::info!(replica = id.as_str(), reason, "mirror: a replica is gone");
+                router.directory.remove(id);
+            }
+            EntryKey::Node(name) => {
+                tracing::info!(node = name.as_str(), reason, "mirror: a node is gone");
+                router.fleet.remove(name);
+                router.budget.set_nodes(router.fleet.len());
+            }
+        }
+    }
+
+    /// Drops the entries that have been missing for too long.
+    async fn sweep(self: Rc<Mirror>) {
+        const PERIOD: Duration = Duration::from_millis(200);
+        loop {
+            clock::sleep(&*self.router.clock, PERIOD).await;
+            let now = self.router.clock.now();
+            let due: Vec<EntryKey> = {
+                let vanished = self.vanished.borrow();
+                vanished.iter().filter(|(_, at)| **at <= now).map(|(key, _)| key.clone()).collect()
+            };
+            for key in due {
+                self.vanished.borrow_mut().remove(&key);
+                self.drop_entry(&key, "did not come back");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/kumquatnotch-route/src/pace.rs
@@ -0,0 +1,45 @@
+//! How long the requests of a route usually take at a replica.
+
+use std::{cell::RefCell, time::Duration};
+
+use kumquatnotch_core::collections::HashMap;
+
+use crate::{names::RouteName, route::Route};
+
+/// The part of the objective that is assumed before anything was measured.
+const FIRST_PART: f64 = 0.125;
+
+/// The weight of a new measurement.
+const WEIGHT: f64 = 0.04;
+
+/// The most that a single measurement counts, as a multiple of what is usual.
+///
+/// A replica that stands still says nothing about the work of a request.
+const MOST: f64 = 3.0;
+
+/// The usual times, by route.
+#[derive(Debug, Default)]
+pub struct Paces {
+    usual: RefCell<HashMap<RouteName, f64>>,
+}
+
+impl Paces {
+    /// How long a request usually takes, without its way to the replica.
+    pub fn usual(&self, route: &Route) -> Duration {
+        let usual = self.usual.borrow();
+        let seconds = usual.get(&route.name).copied().unwrap_or_else(|| first(route));
+        Duration::from_secs_f64(seconds)
+    }
+
+    /// Notes how long a request took, without its way to the replica.
+    pub fn note(&self, route: &Route, took: Duration) {
+        let mut usual = self.usual.borrow_mut();
+        let seconds = usual.entry(route.name.clone()).or_insert_with(|| first(route));
+        let sample = took.as_secs_f64().clamp(1e-4, *seconds * MOST);
+        *seconds += WEIGHT * (sample - *seconds);
+    }
+}
+
+fn first(route: &Route) -> f64 {
+    (route.objective.as_secs_f64() * FIRST_PART).max(0.002)
+}
--- /dev/null
+++ b/crates/kumquatnotch-route/src/probe.rs
@@ -0,0 +1,89 @@
+//! Probing a replica that is suspected, until it answers again.
+//!
+//! A replica that broke connections or answers nothing gets no requests, so
+//! somebody has to ask whether it is back. One task asks for each suspect, with
+//! a request that runs nothing.
+
+use std::{rc::Rc, time::Duration};
+
+use http::HeaderValue;
+use kumquatnotch_core::clock;
+use kumquatnotch_net::message::{Reply, Request};
+
+use crate::{
+    replica::{Fitness, Replica},
+    router::Router,
+};
+
+/// How long a probe waits for its reply.
+///
+/// Longer than the pauses of a quarter of a second in which replicas answer nothing.
+const PROBE_TIME: Duration = Duration::from_millis(400);
+
+/// The pause after a probe that failed, before jitter.
+const PROBE_PAUSE: Duration = Duration::from_millis(300);
+
+/// Marks a replica as suspect, and probes it until it answers or is gone.
+pub fn suspect(router: &Rc<Router>, replica: &Rc<Replica>, reason: &'static str) {
+    if replica.fitness() != Fitness::Fit || replica.is_gone() {
+        return;
+    }
+    replica.set_fitness(Fitness::Suspect);
+    replica.links.drop_idle();
+    metrics::counter!("kumquatnotch_suspects_total", "reason" => reason).increment(1);
+    let spec = replica.spec();
+    tracing::info!(
+        replica = replica.id.as_str(),
+        service = spec.service.as_str(),
+        reason,
+        "replica: suspected"
+    );
+    drop(spec);
+    monoio::spawn(watch(router.clone(), replica.clone()));
+}
+
+async fn watch(router: Rc<Router>, replica: Rc<Replica>) {
+    let clock = &*router.clock;
+    while replica.fitness() == Fitness::Suspect && replica.takes_requests() {
+        let deadline = clock.now() + PROBE_TIME;
+        let reply = clock::timeout_at(clock, deadline, probe(&router, &replica)).await;
+        match reply.ok().flatten() {
+            Some(reply) if !is_same(&router, &replica, &reply) => {
+                replica.set_fitness(Fitness::Replaced);
+                tracing::info!(replica = replica.id.as_str(), "replica: its address has another");
+                return;
+            }
+            Some(reply) if reply.status.is_success() => {
+                replica.set_fitness(Fitness::Fit);
+                tracing::info!(replica = replica.id.as_str(), "replica: answers again");
+                return;
+            }
+            _ => clock::sleep(clock, router.random.jitter(PROBE_PAUSE)).await,
+        }
+    }
+}
+
+async fn probe(router: &Router, replica: &Replica) -> Option<Reply> {
+    let clock = &*router.clock;
+    let service = replica.spec().service.clone();
+    let path = router.table()?.service(&service)?.probe_path.clone();
+    let start = clock.now();
+    let mut link = replica.links.open(clock, start + PROBE_TIME).await.ok()?;
+    replica.note_connect(clock.now().saturating_duration_since(start));
+    let mut request = Request::get(&path);
+    let host = replica.spec().address.to_string();
+    request.headers.insert(http::header::HOST, HeaderValue::from_str(&host).ok()?);
+    metrics::counter!("kumquatnotch_probes_total").increment(1);
+    link.send(&request).await.ok()?;
+    let answer = link.receive(&|_| true).await.ok()?;
+    if let Some(keep) = answer.keep {
+        replica.links.put(link, clock.now(), keep);
+    }
+    Some(answer.reply)
+}
+
+/// Whether a reply is that of this incarnation, as far as it tells.
+fn is_same(router: &Router, replica: &Replica, reply: &Reply) -> bool {
+    let told = reply.headers.get(&router.names.incarnation);
+    told.is_none_or(|told| told.as_bytes() == replica.id.as_str().as_bytes())
+}
--- /dev/null
+++ b/crates/kumquatnotch-route/src/replica.rs
@@ -0,0 +1,224 @@
+//! One incarnation of a replica: what it says of itself, and what was learned of it.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use kumquatnotch_core::ids::DataCentre;
+
+use crate::{
+    gate::Gate,
+    links::Links,
+    names::{ReplicaId, ServiceName},
+};
+
+/// What a replica says of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReplicaSpec {
+    /// Its service.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub centre: DataCentre,
+    /// How many requests it runs at once.
+    pub slots: u32,
+    /// Whether it ends what it runs and takes no new requests.
+    pub draining: bool,
+}
+
+/// Whether requests are sent to a replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fitness {
+    /// They are.
+    Fit,
+    /// Only if there is no other: it broke connections or stood still.
+    Suspect,
+    /// Never: its address belongs to another one by now.
+    Replaced,
+}
+
+/// The weight of a new measurement of speed.
+const SPEED_WEIGHT: f64 = 0.2;
+
+/// The bounds of the slowness of a replica.
+const SLOWNESS: (f64, f64) = (0.25, 60.0);
+
+/// The time after which only a third of a measured slowness is believed.
+///
+/// A slow replica gets no requests, so it could never show that it has recovered.
+const SLOWNESS_AGE: Duration = Duration::from_secs(3);
+
+/// The weight of a new failure or success.
+const FAILURE_WEIGHT: f64 = 0.15;
+
+/// One incarnation of a replica.
+pub struct Replica {
+    /// Its name.
+    pub id: ReplicaId,
+    /// The permits to be with it.
+    pub gate: Rc<Gate>,
+    /// The connections to it.
+    pub links: Links,
+    spec: RefCell<ReplicaSpec>,
+    fitness: Cell<Fitness>,
+    gone: Cell<bool>,
+    /// The way there and back, from the quickest opening of a connection.
+    round_trip: Cell<Option<Duration>>,
+    slowness: Cell<f64>,
+    failures: Cell<f64>,
+    measured: Cell<Instant>,
+    /// When the requests that it has not answered yet were sent.
+    sent: RefCell<Vec<Instant>>,
+    last_reply: Cell<Instant>,
+}
+
+impl Replica {
+    /// A replica of which nothing was learned yet.
+    pub fn new(id: ReplicaId, spec: ReplicaSpec, now: Instant) -> Replica {
+        Replica {
+            id,
+            gate: Rc::default(),
+            links: Links::new(spec.address),
+            spec: RefCell::new(spec),
+            fitness: Cell::new(Fitness::Fit),
+            gone: Cell::new(false),
+            round_trip: Cell::new(None),
+            slowness: Cell::new(1.0),
+            failures: Cell::new(0.0),
+            measured: Cell::new(now),
+            sent: RefCell::default(),
+            last_reply: Cell::new(now),
+        }
+    }
+
+    /// Takes over what the replica says of itself now.
+    pub fn update(&self, spec: ReplicaSpec) {
+        *self.spec.borrow_mut() = spec;
+    }
+
+    /// What the replica says of itself.
+    pub fn spec(&self) -> std::cell::Ref<'_, ReplicaSpec> {
+        self.spec.borrow()
+    }
+
+    /// Marks it as gone, so that nothing is sent any more.
+    pub fn set_gone(&self) {
+        self.gone.set(true);
+        self.links.close();
+    }
+
+    /// Whether new requests may be sent to it at all.
+    pub fn takes_requests(&self) -> bool {
+        !self.gone.get() && !self.spec.borrow().draining && self.fitness.get() != Fitness::Replaced
+    }
+
+    /// Whether it is gone from the directory.
+    pub fn is_gone(&self) -> bool {
+        self.gone.get()
+    }
+
+    /// Whether requests are sent to it.
+    pub fn fitness(&self) -> Fitness {
+        self.fitness.get()
+    }
+
+    /// Sets whether requests are sent to it; gives what was so before.
+    pub fn set_fitness(&self, fitness: Fitness) -> Fitness {
+        if fitness == Fitness::Fit {
+            self.failures.set(self.failures.get().min(0.3));
+        }
+        self.fitness.replace(fitness)
+    }
+
+    /// Notes how long a connection took to open.
+    pub fn note_connect(&self, took: Duration) {
+        let known = self.round_trip.get().unwrap_or(Duration::MAX);
+        self.round_trip.set(Some(known.min(took)));
+    }
+
+    /// The way there and back; `default` before the first connection.
+    pub fn round_trip(&self, default: Duration) -> Duration {
+        self.round_trip.get().unwrap_or(default)
+    }
+
+    /// The way there and back, if it was measured.
+    pub fn known_trip(&self) -> Option<Duration> {
+        self.round_trip.get()
+    }
+
+    /// How many times longer than usual it takes, by what was measured lately.
+    pub fn slowness(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.measured.get()).as_secs_f64();
+        let faded = (-age / SLOWNESS_AGE.as_secs_f64()).exp();
+        1.0 + (self.slowness.get() - 1.0) * faded
+    }
+
+    /// The share of requests that failed lately.
+    pub fn failures(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.measured.get()).as_secs_f64();
+        self.failures.get() * (-age / SLOWNESS_AGE.as_secs_f64()).exp()
+    }
+
+    /// Notes that a request was sent.
+    pub fn note_sent(&self, now: Instant) {
+        self.sent.borrow_mut().push(now);
+    }
+
+    /// Notes the end of the request sent at `at`, with or without a reply.
+    pub fn note_end(&self, at: Instant, replied: Option<Instant>) {
+        let mut sent = self.sent.borrow_mut();
+        if let Some(index) = sent.iter().position(|other| *other == at) {
+            sent.swap_remove(index);
+        }
+        if let Some(now) = replied {
+            self.last_reply.set(now);
+        }
+    }
+
+    /// Notes that a request took `took` where `usual` is usual, both without the way.
+    pub fn note_speed(&self, took: Duration, usual: Duration, now: Instant) {
+        let sample = took.as_secs_f64() / usual.as_secs_f64().max(1e-4);
+        let sample = sample.clamp(SLOWNESS.0, SLOWNESS.1);
+        let before = self.slowness(now);
+        self.slowness.set(before + SPEED_WEIGHT * (sample - before));
+        self.failures.set(self.failures(now));
+        self.measured.set(now);
+    }
+
+    /// Notes that a request was given up after `took` without a reply.
+    ///
+    /// It would have taken longer still, so it counts only against the replica.
+    pub fn note_unanswered(&self, took: Duration, usual: Duration, now: Instant) {
+        let least = took.as_secs_f64() / usual.as_secs_f64().max(1e-4);
+        if least > self.slowness(now) {
+            self.note_speed(took, usual, now);
+        }
+    }
+
+    /// Notes a success or a failure.
+    pub fn note_outcome(&self, failed: bool, now: Instant) {
+        let sample = if failed { 1.0 } else { 0.0 };
+        let before = self.failures(now);
+        self.slowness.set(self.slowness(now));
+        self.failures.set(before + FAILURE_WEIGHT * (sample - before));
+        self.measured.set(now);
+    }
+
+    /// How long it has answered nothing although requests wait.
+    pub fn silence(&self, now: Instant) -> Duration {
+        let sent = self.sent.borrow();
+        let Some(oldest) = sent.iter().min() else {
+            return Duration::ZERO;
+        };
+        now.saturating_duration_since((*oldest).max(self.last_reply.get()))
+    }
+
+    /// How many requests it has not answered yet.
+    pub fn unanswered(&self) -> usize {
+        self.sent.borrow().len()
+    }
+}
--- /dev/null
+++ b/crates/kumquatnotch-route/src/route.rs
@@ -0,0 +1,162 @@
+//! Routes: which services a request may reach, and how.
+
+use std::{rc::Rc, time::Duration};
+
+use kumquatnotch_core::collections::HashMap;
+
+use crate::names::{RouteName, ServiceName};
+
+/// What may be done with a request of a route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RouteKind {
+    /// It may run more than once.
+    Idempotent,
+    /// It runs at most once for each attempt of its caller.
+    Exclusive,
+}
+
+/// Where the requests of a route go.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Destination {
+    /// To a replica of one service.
+    Service(ServiceName),
+    /// To a replica of one of several services, in proportion to their weights.
+    Weighted(Vec<WeightedService>),
+    /// To a replica of each shard; the answer merges their parts.
+    Shards(ShardSet),
+}
+
+/// One of the services among which requests are shared out.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WeightedService {
+    /// The service.
+    pub name: ServiceName,
+    /// Its weight, of any unit.
+    pub weight: f64,
+}
+
+/// The shards of a route, and what an answer from them must hold.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ShardSet {
+    /// The services that hold a shard each.
+    pub shards: Vec<ServiceName>,
+    /// How many of the greatest records an answer has.
+    pub top: usize,
+    /// The least share of the shards that must be covered, from zero to one.
+    pub least: f64,
+}
+
+impl ShardSet {
+    /// How many parts an answer must have at least.
+    pub fn least_parts(&self) -> usize {
+        // The share is a decimal fraction, whose product may lie a rounding
+        // error above the whole number that is meant.
+        let parts = (self.least * self.shards.len() as f64 - 1e-9).ceil();
+        (parts as usize).max(1)
+    }
+}
+
+/// A route.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Its name, for logs and metrics.
+    pub name: RouteName,
+    /// The host that callers name.
+    pub host: String,
+    /// What the path begins with; begins and ends with a slash.
+    pub prefix: String,
+    /// What may be done with its requests.
+    pub kind: RouteKind,
+    /// The longest time that a caller is kept waiting.
+    pub timeout: Duration,
+    /// The time within which an answer is worth most.
+    pub objective: Duration,
+    /// The most replicas that may run one request, for each service.
+    pub attempts: u32,
+    /// Its rank; zero is the most urgent.
+    pub priority: u32,
+    /// Where its requests go.
+    pub destination: Destination,
+}
+
+/// A service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Service {
+    /// Its name.
+    pub name: ServiceName,
+    /// Where its replicas answer probes.
+    pub probe_path: String,
+    /// The most connections that a replica takes from all nodes together.
+    pub connections: u32,
+}
+
+/// The bounds on what a caller may send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// The largest body, in bytes.
+    pub body: usize,
+}
+
+/// One version of the operators' configuration.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RouteConfig {
+    /// Its version, which only grows.
+    pub version: u64,
+    /// The routes.
+    pub routes: Vec<Route>,
+    /// The services.
+    pub services: Vec<Service>,
+    /// The bounds on what a caller may send.
+    pub limits: Limits,
+}
+
+/// The routes of one version, by host and prefix.
+#[derive(Debug)]
+pub struct RouteTable {
+    version: u64,
+    hosts: HashMap<String, Vec<Rc<Route>>>,
+    services: HashMap<ServiceName, Service>,
+    limits: Limits,
+}
+
+impl RouteTable {
+    /// Sorts a configuration for lookups.
+    pub fn new(config: RouteConfig) -> RouteTable {
+        let RouteConfig { version, routes, services, limits } = config;
+        let mut hosts: HashMap<String, Vec<Rc<Route>>> = HashMap::default();
+        for route in routes {
+            hosts.entry(route.host.to_ascii_lowercase()).or_default().push(Rc::new(route));
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        let services = services.into_iter().map(|service| (service.name.clone(), service));
+        RouteTable { version, hosts, services: services.collect(), limits }
+    }
+
+    /// The version.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// The bounds on what a caller may send.
+    pub fn limits(&self) -> Limits {
+        self.limits
+    }
+
+    /// The route with the longest prefix that `path` begins with.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
+        self.routes_of(host).iter().find(|route| path.starts_with(&route.prefix))
+    }
+
+    /// The routes of a host, the longest prefix first.
+    pub fn routes_of(&self, host: &str) -> &[Rc<Route>] {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        self.hosts.get(&name.to_ascii_lowercase()).map_or(&[], Vec::as_slice)
+    }
+
+    /// A service.
+    pub fn service(&self, name: &ServiceName) -> Option<&Service> {
+        self.services.get(name)
+    }
+}
--- /dev/null
+++ b/crates/kumquatnotch-route/src/router.rs
@@ -0,0 +1,131 @@
+//! What the parts of a node share: the configuration in force, the replicas, and
+//! what was learned of them.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
+
+use kumquatnotch_core::{
+    Clock, Result, lifecycle::Lifecycle, random::Random, registry::Registry, services,
+};
+
+use crate::{
+    budget::{Budget, BudgetOptions},
+    directory::Directory,
+    fleet::Fleet,
+    headers::HeaderNames,
+    names::ServiceName,
+    pace::Paces,
+    replica::Replica,
+    route::RouteTable,
+};
+
+/// The part of a replica's connections that the nodes share out among them.
+///
+/// The rest is for connections that the replica hasn't seen closed yet, and for
+/// nodes that have just started.
+const SHARED_CONNECTIONS: f64 = 0.8;
+
+/// The most connections of one node to one replica.
+///
+/// A replica runs only a few requests at once; what waits is better kept here,
+/// where a more urgent request can overtake it.
+const MOST_CONNECTIONS: u32 = 8;
+
+/// The connections to a replica of a service that the configuration doesn't name.
+const UNKNOWN_CONNECTIONS: u32 = 8;
+
+/// Options of a [`Router`].
+#[derive(Clone, Debug)]
+pub struct RouterOptions {
+    /// The names of headers.
+    pub names: HeaderNames,
+    /// The budget for repeats.
+    pub budget: BudgetOptions,
+}
+
+/// What the parts of a node share.
+pub struct Router {
+    /// The names of headers.
+    pub names: HeaderNames,
+    /// The clock.
+    pub clock: Rc<dyn Clock>,
+    /// The generator of random numbers.
+    pub random: Random,
+    /// The stage of the node's life.
+    pub lifecycle: Lifecycle,
+    /// The replicas that are known.
+    pub directory: Directory,
+    /// The nodes that are known.
+    pub fleet: Fleet,
+    /// How long requests usually take.
+    pub paces: Paces,
+    /// The budget for repeats.
+    pub budget: Budget,
+    table: RefCell<Option<Rc<RouteTable>>>,
+    synced: Cell<bool>,
+}
+
+impl Router {
+    /// A router without configuration and replicas.
+    pub fn try_new(options: RouterOptions, registry: &Registry) -> Result<Rc<Router>> {
+        let clock = registry.find::<Rc<dyn Clock>>(services::CLOCK)?;
+        Ok(Rc::new(Router {
+            names: options.names,
+            budget: Budget::new(options.budget, clock.clone()),
+            clock,
+            random: registry.find(services::RANDOM)?,
+            lifecycle: registry.find(services::LIFECYCLE)?,
+            directory: Directory::default(),
+            fleet: Fleet::default(),
+            paces: Paces::default(),
+            table: RefCell::default(),
+            synced: Cell::new(false),
+        }))
+    }
+
+    /// The configuration in force.
+    pub fn table(&self) -> Option<Rc<RouteTable>> {
+        self.table.borrow().clone()
+    }
+
+    /// Puts a configuration in force, unless it is older than the one that is.
+    pub fn put_in_force(&self, table: RouteTable) -> bool {
+        let known = self.table().map(|table| table.version());
+        if known.is_some_and(|known| known >= table.version()) {
+            return false;
+        }
+        *self.table.borrow_mut() = Some(Rc::new(table));
+        true
+    }
+
+    /// Notes that the directory was read in full once.
+    pub fn set_synced(&self) {
+        self.synced.set(true);
+    }
+
+    /// Whether the node knows enough to serve.
+    pub fn is_ready(&self) -> bool {
+        self.synced.get() && self.table.borrow().is_some()
+    }
+
+    /// Sets how many connections this node may have to `replica`.
+    pub(crate) fn bound_connections(&self, replica: &Replica, service: &ServiceName) {
+        let table = self.table();
+        let service = table.as_ref().and_then(|table| table.service(service));
+        let all = service.map_or(UNKNOWN_CONNECTIONS, |service| service.connections);
+        let nodes = self.fleet.len().max(1) as f64;
+        let own = (f64::from(all) * SHARED_CONNECTIONS / nodes) as u32;
+        replica.gate.set_limit(own.clamp(1, MOST_CONNECTIONS));
+    }
+
+    /// The way there and back to the farthest replica that was reached.
+    ///
+    /// Callers may be as far from this node as its replicas are.
+    pub fn farthest_trip(&self) -> Duration {
+        let trips = self.directory.all().into_iter().filter_map(|replica| replica.known_trip());
+        trips.max().unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/kumquatnotch-route/src/weights.rs
@@ -0,0 +1,48 @@
+//! Sharing out requests among services by weight.
+//!
+//! Each request goes to the service that is furthest behind its share, so that
+//! the shares hold over any few dozen requests and not only on average.
+
+use std::cell::RefCell;
+
+use kumquatnotch_core::collections::HashMap;
+
+use crate::{
+    names::{RouteName, ServiceName},
+    route::WeightedService,
+};
+
+/// How far each service of each route is behind its share.
+#[derive(Debug, Default)]
+pub struct Weights {
+    behind: RefCell<HashMap<(RouteName, ServiceName), f64>>,
+}
+
+impl Weights {
+    /// The service for the next request of a route; `None` if no weight is positive.
+    pub fn pick<'a>(
+        &self,
+        route: &RouteName,
+        services: &'a [WeightedService],
+    ) -> Option<&'a ServiceName> {
+        let total: f64 = services.iter().map(|service| service.weight.max(0.0)).sum();
+        if total <= 0.0 {
+            return None;
+        }
+        let mut behind = self.behind.borrow_mut();
+        let mut best: Option<(f64, &ServiceName)> = None;
+        for service in services.iter().filter(|service| service.weight > 0.0) {
+            let key = (route.clone(), service.name.clone());
+            let owed = behind.entry(key).or_default();
+            *owed += service.weight / total;
+            if best.is_none_or(|(most, _)| *owed > most) {
+                best = Some((*owed, &service.name));
+            }
+        }
+        let (_, name) = best?;
+        if let Some(owed) = behind.get_mut(&(route.clone(), name.clone())) {
+            *owed -= 1.0;
+        }
+        Some(name)
+    }
+}
--- a/crates/kumquatnotchd/src/main.rs
+++ b/crates/kumquatnotchd/src/main.rs
@@ -6,9 +6,7 @@
 #![forbid(unsafe_code)]
 
 mod logs;
-mod meters;
 mod options;
-mod signals;
 
 use std::process::ExitCode;
 
@@ -18,9 +16,10 @@
     config::settings::Settings,
     core::{Error, Result},
 };
+use kumquatnotch_daemon::{meters, signals::Signals};
 use monoio::{LegacyDriver, RuntimeBuilder};
 
-use crate::{options::Options, signals::Signals};
+use crate::options::Options;
 
 /// The exit code of a start that failed.
 const FAILED: u8 = 1;
@@ -59,7 +58,7 @@
 }
 
 async fn run(settings: Settings) -> Result<ExitCode> {
-    let mut signals = Signals::try_new()?;
+    let mut signals = Signals::stops()?;
     let metrics = meters::install()?;
     let node = Node::try_new(NodeOptions { settings, metrics })?;
     // The tests and scripts that let the system choose ports read this line.
