Gather the shards of other regions through a node there

Change: a search asks a node beside the replicas for the merged parts of all shards that have none in its own region. Both nodes keep to the same few replicas, so that one that is lost can be replaced from here. Ruled out: advice that sends callers elsewhere, as each region holds two thirds of the shards, none all.

--- a/crates/kumquatnotch-net/src/message.rs
+++ b/crates/kumquatnotch-net/src/message.rs
@@ -90,7 +90,7 @@
     }
 
     /// The path and the query together.
-    pub(crate) fn target(&self) -> String {
+    pub fn target(&self) -> String {
         if self.query.is_empty() {
             return self.path.clone();
         }
--- a/crates/kumquatnotch-route/src/attempt.rs
+++ b/crates/kumquatnotch-route/src/attempt.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     choice,
-    names::ServiceName,
+    names::{ReplicaId, ServiceName},
     probe,
     replica::{Fitness, Replica},
     route::{Route, RouteKind},
@@ -46,6 +46,10 @@
     pub due: Instant,
     /// When its time is over.
     pub deadline: Instant,
+    /// The replicas that may be asked; none means any.
+    pub allowed: Vec<ReplicaId>,
+    /// Whether even the first attempt is a repeat.
+    pub repeat: bool,
 }
 
 /// How an attempt ended.
--- a/crates/kumquatnotch-route/src/call.rs
+++ b/crates/kumquatnotch-route/src/call.rs
@@ -95,7 +95,11 @@
     };
     let mut over = clock.sleep_until(call.deadline).fuse();
     let mut late = clock::sleep(clock, progress.copy_delay(&first)).fuse();
-    router.budget.note_first(call.service);
+    if !call.repeat {
+        router.budget.note_first(call.service);
+    } else if !router.budget.spend(call.service) {
+        return Err(progress.fault());
+    }
     running.push(run(router, call, first, &sent));
     loop {
         select_biased! {
@@ -157,8 +161,15 @@
     fn best(&self) -> Option<Pick> {
         let router = self.router;
         let replicas = router.directory.of(self.call.service);
+        let allowed = &self.call.allowed;
         let usual = router.paces.usual(self.call.route);
-        choice::best(&replicas, &self.tried, usual, router.clock.now())
+        let now = router.clock.now();
+        if allowed.is_empty() {
+            return choice::best(&replicas, &self.tried, usual, now);
+        }
+        let allowed = replicas.iter().filter(|replica| allowed.contains(&replica.id));
+        let allowed: Vec<Rc<Replica>> = allowed.cloned().collect();
+        choice::best(&allowed, &self.tried, usual, now)
     }
 
     /// The replica that gets the next attempt.
--- a/crates/kumquatnotch-route/src/choice.rs
+++ b/crates/kumquatnotch-route/src/choice.rs
@@ -88,6 +88,11 @@
     }
 }
 
+/// Whether nothing speaks against `replica`.
+pub fn is_good(replica: &Replica, usual: Duration, now: Instant) -> bool {
+    replica.takes_requests() && reluctance(replica, usual, now) == 0
+}
+
 /// The best of `replicas`, without those `tried`; with its reluctance.
 pub fn best(
     replicas: &[Rc<Replica>],
--- a/crates/kumquatnotch-route/src/fleet.rs
+++ b/crates/kumquatnotch-route/src/fleet.rs
@@ -6,7 +6,7 @@
 //! their own region if it holds replicas of most shards, and else nodes of the
 //! regions that do.
 
-use std::{cell::RefCell, net::SocketAddr};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Instant};
 
 use kumquatnotch_core::{
     collections::{HashMap, HashSet},
@@ -16,7 +16,9 @@
 
 use crate::{
     directory::Directory,
-    names::ServiceName,
+    names::{ReplicaId, ServiceName},
+    relay,
+    replica::{Replica, ReplicaSpec},
     route::{Destination, RouteTable},
 };
 
@@ -26,6 +28,12 @@
 /// The fewest nodes that are advised, so that one that has just ended is no harm.
 const LEAST_NODES: usize = 2;
 
+/// The service that the nodes of this tier are to each other.
+pub const PEER_SERVICE: &str = "kumquatnotch";
+
+/// How many requests of one node another one is taken to run at once.
+const PEER_SLOTS: u32 = 16;
+
 /// The most nodes that are advised.
 const MOST_NODES: usize = 64;
 
@@ -34,16 +42,25 @@
 pub struct NodeRecord {
     /// Where it takes callers.
     pub entry: SocketAddr,
+    /// Where it takes other nodes.
+    pub peer: SocketAddr,
     /// Its data centre.
     pub centre: DataCentre,
     /// Its region.
     pub region: Region,
 }
 
+/// What is known of a node.
+struct Node {
+    record: NodeRecord,
+    /// The way to it: for this node, a node is a replica like those of a service.
+    peer: Rc<Replica>,
+}
+
 /// The nodes that are known.
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub struct Fleet {
-    nodes: RefCell<HashMap<NodeName, NodeRecord>>,
+    nodes: RefCell<HashMap<NodeName, Node>>,
     regions: RefCell<HashMap<DataCentre, Region>>,
 }
 
@@ -54,13 +71,42 @@
     }
 
     /// Adds a node, or takes over what it tells now.
-    pub fn put(&self, name: NodeName, record: NodeRecord) {
-        self.nodes.borrow_mut().insert(name, record);
+    pub fn put(&self, name: NodeName, record: NodeRecord, now: Instant) {
+        let mut nodes = self.nodes.borrow_mut();
+        if nodes.get(&name).is_some_and(|node| node.record == record) {
+            return;
+        }
+        let spec = ReplicaSpec {
+            service: ServiceName::from(PEER_SERVICE),
+            address: record.peer,
+            centre: record.centre.clone(),
+            slots: PEER_SLOTS,
+            draining: false,
+        };
+        let peer = Rc::new(Replica::new(ReplicaId::from(name.as_str()), spec, now));
+        if let Some(old) = nodes.insert(name, Node { record, peer }) {
+            old.peer.set_gone();
+        }
     }
 
     /// Removes a node.
     pub fn remove(&self, name: &NodeName) {
-        self.nodes.borrow_mut().remove(name);
+        if let Some(node) = self.nodes.borrow_mut().remove(name) {
+            node.peer.set_gone();
+        }
+    }
+
+    /// The region of a data centre.
+    pub fn region_of(&self, centre: &DataCentre) -> Option<Region> {
+        self.regions.borrow().get(centre).cloned()
+    }
+
+    /// The node of `region` that has fewest requests of this one, if one can be asked.
+    pub fn peer_in(&self, region: &Region) -> Option<Rc<Replica>> {
+        let nodes = self.nodes.borrow();
+        let there = nodes.values().filter(|node| node.record.region == *region);
+        let usable = there.map(|node| &node.peer).filter(|peer| relay::is_usable(peer));
+        usable.min_by_key(|peer| (peer.unanswered(), peer.asked())).cloned()
     }
 
     /// How many nodes are known.
@@ -119,7 +165,7 @@
 
     fn nodes_in(&self, fits: impl Fn(&Region) -> bool) -> Vec<(SocketAddr, Region)> {
         let nodes = self.nodes.borrow();
-        let fitting = nodes.values().filter(|node| fits(&node.region));
+        let fitting = nodes.values().map(|node| &node.record).filter(|node| fits(&node.region));
         fitting.map(|node| (node.entry, node.region.clone())).collect()
     }
 
--- a/crates/kumquatnotch-route/src/front.rs
+++ b/crates/kumquatnotch-route/src/front.rs
@@ -82,6 +82,7 @@
     trace: CallTrace,
     parts: Cell<usize>,
     missing: Cell<usize>,
+    relayed: Cell<usize>,
     written: Cell<bool>,
 }
 
@@ -167,6 +168,8 @@
             identity: &asked.identity,
             due: asked.due,
             deadline: asked.deadline,
+            allowed: Vec::new(),
+            repeat: false,
         };
         call::call(&self.router, &call, &log.trace).await
     }
@@ -186,10 +189,11 @@
             due: asked.due,
             deadline: asked.deadline,
         };
-        let Gathered { answer, parts, missing } =
+        let Gathered { answer, parts, missing, relayed } =
             gather::gather(&self.router, &search, &log.trace).await;
         log.parts.set(parts);
         log.missing.set(missing);
+        log.relayed.set(relayed);
         answer
     }
 }
@@ -233,6 +237,7 @@
             trace: CallTrace::default(),
             parts: Cell::new(0),
             missing: Cell::new(0),
+            relayed: Cell::new(0),
             written: Cell::new(false),
         }
     }
@@ -261,6 +266,7 @@
                 as u64,
             parts = self.parts.get(),
             missing = self.missing.get(),
+            relayed = self.relayed.get(),
             hedges = self.trace.hedges.get(),
             retries = self.trace.retries.get(),
             "front: answered"
--- a/crates/kumquatnotch-route/src/gather.rs
+++ b/crates/kumquatnotch-route/src/gather.rs
@@ -4,6 +4,9 @@
 //! late costs the answer its part; waiting for it costs the whole answer its
 //! time. So an answer is given when all parts are in, or when waiting any longer
 //! would make it late and enough of them are.
+//!
+//! Shards whose replicas are in another region are asked for through a node
+//! there ([`relay`](crate::relay)), and from here if that node fails.
 
 use std::{
     rc::Rc,
@@ -13,14 +16,15 @@
 use bytes::Bytes;
 use futures_util::{FutureExt, StreamExt, select_biased, stream::FuturesUnordered};
 use http::{HeaderMap, HeaderValue, StatusCode, header};
-use kumquatnotch_core::clock;
+use kumquatnotch_core::LocalFuture;
 use kumquatnotch_net::message::{Reply, Request};
 
 use crate::{
     attempt::Call,
     call::{self, CallFault, CallTrace},
     merge,
-    names::ServiceName,
+    names::ReplicaId,
+    relay::{self, Group, RelayReply, Relayed},
     route::{Route, ShardSet},
     router::Router,
 };
@@ -43,7 +47,7 @@
 
 /// The parts that have come.
 #[derive(Default)]
-struct Parts {
+pub struct Parts {
     proofs: Vec<HeaderValue>,
     bodies: Vec<Bytes>,
 }
@@ -56,6 +60,26 @@
     pub parts: usize,
     /// The shards that it leaves out.
     pub missing: usize,
+    /// The shards that were asked for through other nodes.
+    pub relayed: usize,
+}
+
+/// What comes of a part of a search.
+enum Piece {
+    Shard(usize, Result<Reply, CallFault>),
+    Group(Group, Relayed),
+}
+
+type Running<'a> = FuturesUnordered<LocalFuture<'a, Piece>>;
+
+/// What has come of a search so far.
+#[derive(Default)]
+struct Progress {
+    parts: Parts,
+    /// Whether a replica may have run the request.
+    ran: bool,
+    /// When to come back, by the replicas that did not take it.
+    retry: Duration,
 }
 
 /// Asks a replica of each shard and merges their parts.
@@ -63,28 +87,52 @@
     let clock = &*router.clock;
     let total = search.set.shards.len();
     let least = search.set.least_parts();
-    let mut running: FuturesUnordered<_> =
-        search.set.shards.iter().map(|shard| ask(router, search, shard, trace)).collect();
+    let mut running = Running::default();
+    let (here, groups) = relay::plan(router, search.route, search.set);
+    let relayed = total - here.len();
+    for group in groups {
+        running.push(Box::pin(async move {
+            let ended = relay::relay(router, search, &group).await;
+            Piece::Group(group, ended)
+        }));
+    }
+    for index in here {
+        running.push(ask(router, search, index, Vec::new(), false, trace));
+    }
     let mut stop = clock.sleep_until(search.due).fuse();
-    let mut over =
-        clock::sleep(clock, search.deadline.saturating_duration_since(clock.now())).fuse();
-    let mut parts = Parts::default();
+    let mut over = clock.sleep_until(search.deadline).fuse();
+    let mut progress = Progress::default();
     let mut stopping = false;
-    let mut ran = false;
-    let mut retry = Duration::ZERO;
+    let mut outstanding = total;
     let mut timed_out = false;
-    while parts.len() < total {
-        if stopping && parts.len() >= least {
+    while progress.parts.len() < total {
+        if stopping && progress.parts.len() >= least {
             break;
         }
         select_biased! {
-            result = running.next() => match result {
-                Some(Ok(reply)) => {
-                    ran = true;
-                    parts.add(router, reply);
+            piece = running.next() => match piece {
+                Some(Piece::Shard(_, result)) => {
+                    outstanding -= 1;
+                    progress.add(router, result);
+                }
+                Some(Piece::Group(group, ended)) => {
+                    outstanding -= group.shards.len();
+                    // The replicas that the other node may have asked get repeats.
+                    let repeat = !matches!(ended, Relayed::NotRun);
+                    let again = progress.add_group(ended, &group);
+                    // What the other node misses is asked for from here only if
+                    // there is no answer without it: it comes too late to be worth more.
+                    let enough = progress.parts.len() + outstanding >= least;
+                    if repeat && enough {
+                        continue;
+                    }
+                    for index in again {
+                        outstanding += 1;
+                        let shard = &search.set.shards[index];
+                        let allowed = relay::allowed(router, search.route, shard);
+                        running.push(ask(router, search, index, allowed, repeat, trace));
+                    }
                 }
-                Some(Err(CallFault::NotRun { retry: after, .. })) => retry = retry.max(after),
-                Some(Err(_)) => ran = true,
                 None => break,
             },
             () = stop => stopping = true,
@@ -94,42 +142,138 @@
             }
         }
     }
-    ran |= !running.is_empty();
-    let covered = parts.len();
+    progress.ran |= !running.is_empty();
+    drop(running);
+    let covered = progress.parts.len();
     let answer = if covered >= least {
-        Ok(parts.merge(router, search.set))
+        Ok(progress.parts.merge(router, search.set))
     } else if timed_out {
         Err(CallFault::TimedOut)
-    } else if ran {
+    } else if progress.ran {
         Err(CallFault::Unknown)
     } else {
-        Err(CallFault::NotRun { retry, reason: "no shard took it" })
+        Err(CallFault::NotRun { retry: progress.retry, reason: "no shard took it" })
     };
-    Gathered { answer, parts: covered, missing: total - covered }
+    Gathered { answer, parts: covered, missing: total - covered, relayed }
 }
 
-async fn ask(
+/// Asks a replica of each shard from here, until all parts are in or the answer
+/// is due.
+///
+/// `allowed` names the replicas of each shard that may be asked; none means any.
+/// Gives the parts, the places of the missing shards, and whether a replica may
+/// have run the request.
+pub async fn gather_here(
     router: &Rc<Router>,
     search: &Search<'_>,
-    shard: &ServiceName,
+    allowed: &[Vec<ReplicaId>],
     trace: &CallTrace,
-) -> Result<Reply, CallFault> {
-    let call = Call {
-        route: search.route,
-        service: shard,
-        request: search.request,
-        identity: search.identity,
-        due: search.due,
-        deadline: search.deadline,
-    };
-    call::call(router, &call, trace).await
+) -> (Parts, Vec<usize>, bool) {
+    let clock = &*router.clock;
+    let mut running = Running::default();
+    for (index, allowed) in allowed.iter().enumerate() {
+        running.push(ask(router, search, index, allowed.clone(), false, trace));
+    }
+    let mut stop = clock.sleep_until(search.due.min(search.deadline)).fuse();
+    let mut progress = Progress::default();
+    let mut missing: Vec<usize> = (0..allowed.len()).collect();
+    loop {
+        select_biased! {
+            piece = running.next() => match piece {
+                Some(Piece::Shard(index, result)) => {
+                    let before = progress.parts.len();
+                    progress.add(router, result);
+                    if progress.parts.len() > before {
+                        missing.retain(|other| *other != index);
+                    }
+                }
+                Some(Piece::Group(..)) => {}
+                None => break,
+            },
+            () = stop => break,
+        }
+    }
+    let ran = progress.ran || !running.is_empty();
+    (progress.parts, missing, ran)
+}
+
+/// Asks a replica of one shard.
+fn ask<'a>(
+    router: &'a Rc<Router>,
+    search: &'a Search<'a>,
+    index: usize,
+    allowed: Vec<ReplicaId>,
+    repeat: bool,
+    trace: &'a CallTrace,
+) -> LocalFuture<'a, Piece> {
+    Box::pin(async move {
+        let call = Call {
+            route: search.route,
+            service: &search.set.shards[index],
+            request: search.request,
+            identity: search.identity,
+            due: search.due,
+            deadline: search.deadline,
+            allowed,
+            repeat,
+        };
+        Piece::Shard(index, call::call(router, &call, trace).await)
+    })
+}
+
+impl Progress {
+    /// Notes what came of a shard.
+    fn add(&mut self, router: &Router, result: Result<Reply, CallFault>) {
+        match result {
+            Ok(reply) => {
+                self.ran = true;
+                self.parts.add(router, reply);
+            }
+            Err(CallFault::NotRun { retry, .. }) => self.retry = self.retry.max(retry),
+            Err(_) => self.ran = true,
+        }
+    }
+
+    /// Notes what came of a group of shards; gives those that did not come.
+    fn add_group(&mut self, ended: Relayed, group: &Group) -> Vec<usize> {
+        match ended {
+            Relayed::Gathered(RelayReply { records, proofs, missing, ran, .. }) => {
+                self.ran |= ran;
+                self.parts.bodies.push(records);
+                let proofs = proofs.iter().filter_map(|proof| HeaderValue::from_bytes(proof).ok());
+                self.parts.proofs.extend(proofs);
+                missing.iter().filter_map(|place| group.shards.get(*place).copied()).collect()
+            }
+            Relayed::NotRun => group.shards.clone(),
+            Relayed::Lost => {
+                self.ran = true;
+                group.shards.clone()
+            }
+        }
+    }
 }
 
 impl Parts {
-    fn len(&self) -> usize {
+    /// How many parts there are.
+    pub fn len(&self) -> usize {
         self.proofs.len()
     }
 
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.proofs.is_empty()
+    }
+
+    /// The proofs of the parts.
+    pub fn proofs(&self) -> &[HeaderValue] {
+        &self.proofs
+    }
+
+    /// The `top` greatest records of the parts, falling.
+    pub fn greatest(&self, top: usize) -> Bytes {
+        merge::greatest(&self.bodies, top)
+    }
+
     /// Adds a part; a reply that is none leaves its shard out.
     fn add(&mut self, router: &Router, reply: Reply) {
         let proof = reply.headers.get(&router.names.proof);
@@ -141,7 +285,7 @@
         self.bodies.push(reply.body);
     }
 
-    fn merge(self, router: &Router, set: &ShardSet) -> Reply {
+    fn merge(&self, router: &Router, set: &ShardSet) -> Reply {
         let missing = set.shards.len() - self.len();
         let mut headers = HeaderMap::new();
         let proofs: Vec<&[u8]> = self.proofs.iter().map(HeaderValue::as_bytes).collect();
@@ -152,6 +296,6 @@
         headers.insert(router.names.missing.clone(), HeaderValue::from(missing));
         let kind = HeaderValue::from_static("application/octet-stream");
         headers.insert(header::CONTENT_TYPE, kind);
-        Reply { status: StatusCode::OK, headers, body: merge::greatest(&self.bodies, set.top) }
+        Reply { status: StatusCode::OK, headers, body: self.greatest(set.top) }
     }
 }
--- a/crates/kumquatnotch-route/src/lib.rs
+++ b/crates/kumquatnotch-route/src/lib.rs
@@ -4,7 +4,8 @@
 //! host and path. A request goes to a replica of one service ([`call`]), or to a
 //! replica of each shard, whose parts are merged ([`gather`]). Which replica,
 //! when a second copy is sent and what is tried again is decided in [`choice`]
-//! and [`call`] within the [`budget`] for repeats; what is learned of a replica
+//! and [`call`] within the [`budget`] for repeats, and shards far away are gathered
+//! by a node beside them ([`relay`]); what is learned of a replica
 //! is kept with it ([`replica`]), and one that is silent is probed ([`probe`]).
 //!
 //! Configuration, replicas and other nodes come from the platform's store
@@ -30,6 +31,8 @@
 pub mod names;
 pub mod pace;
 pub mod probe;
+pub mod relay;
+pub mod relay_front;
 pub mod replica;
 pub mod route;
 pub mod router;
--- a/crates/kumquatnotch-route/src/mirror.rs
+++ b/crates/kumquatnotch-route/src/mirror.rs
@@ -266,7 +266,7 @@
             }
             Entry::Node(name, record) => {
                 tracing::info!(node = name.as_str(), revision, "mirror: a node tells of itself");
-                router.fleet.put(name, record);
+                router.fleet.put(name, record, router.clock.now());
                 router.budget.set_nodes(router.fleet.len());
             }
         }
--- a/crates/kumquatnotch-route/src/probe.rs
+++ b/crates/kumquatnotch-route/src/probe.rs
@@ -66,7 +66,7 @@
 async fn probe(router: &Router, replica: &Replica) -> Option<Reply> {
     let clock = &*router.clock;
     let service = replica.spec().service.clone();
-    let path = router.table()?.service(&service)?.probe_path.clone();
+    let path = router.probe_path(&service)?;
     let start = clock.now();
     let mut link = replica.links.open(clock, start + PROBE_TIME).await.ok()?;
     replica.note_connect(clock.now().saturating_duration_since(start));
--- /dev/null
+++ b/crates/kumquatnotch-route/src/relay.rs
@@ -0,0 +1,346 @@
+//! Asking a node beside the replicas for the merged parts of several shards.
+//!
+//! Each part that crosses regions costs its head and its records. A node in the
+//! region of the replicas merges them, so that one short reply crosses instead of
+//! one for each shard: the greatest records of all, and the proofs of the parts.
+
+use std::{cell::Cell, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
+use kumquatnotch_core::{Error, Result, clock, codec, ids::Region};
+use kumquatnotch_net::message::Request;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    choice,
+    gather::Search,
+    names::{ReplicaId, RouteName, ServiceName},
+    probe,
+    replica::{Fitness, Replica},
+    route::{Destination, Route, RouteKind, ShardSet},
+    router::Router,
+};
+
+/// Where nodes take what other nodes ask them to gather.
+pub const RELAY_PATH: &str = "/v1/gather";
+
+/// Where nodes answer probes of other nodes.
+pub const PROBE_PATH: &str = "/v1/health";
+
+/// The fewest shards for which a node of another region is asked.
+///
+/// For a single one, its message is no shorter than the part itself.
+pub const LEAST_SHARDS: usize = 2;
+
+/// How long a connection between nodes may be idle.
+const PEER_IDLE: Duration = Duration::from_secs(30);
+
+/// The time that both nodes take for a relayed gathering, besides the ways.
+///
+/// Measured on nodes with a quarter of a core.
+const MERGE_TIME: Duration = Duration::from_millis(8);
+
+/// The least time that the other node gets, as a multiple of the usual time.
+const LEAST_TIMES: f64 = 2.5;
+
+/// How much later than due the reply of another node may come.
+///
+/// It replies with what it has when its time is over. Without its parts there is
+/// no answer, so a short while longer is waited for them before they are asked
+/// for anew.
+const REPLY_SLACK: Duration = Duration::from_millis(40);
+
+/// What a node asks another one to gather.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct RelayRequest {
+    /// The route.
+    pub route: String,
+    /// The most replicas that may run the request, for each shard.
+    pub attempts: u32,
+    /// The rank of the request.
+    pub priority: u32,
+    /// The time within which an answer is worth most, in microseconds.
+    pub objective_us: u64,
+    /// The part of that which is left here, in microseconds.
+    pub due_us: u64,
+    /// The time left in all, in microseconds.
+    pub left_us: u64,
+    /// How many of the greatest records are wanted.
+    pub top: usize,
+    /// The shards, each with the replicas that may be asked; none means any.
+    pub shards: Vec<(String, Vec<String>)>,
+    /// The method of the caller's request.
+    pub method: String,
+    /// Its path and query.
+    pub target: String,
+    /// Its headers.
+    pub headers: Vec<(String, Bytes)>,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// What the other node has gathered.
+#[derive(Debug, Default, Serialize, Deserialize)]
+pub struct RelayReply {
+    /// The greatest records, falling.
+    pub records: Bytes,
+    /// The proofs of the parts.
+    pub proofs: Vec<Bytes>,
+    /// The shards that are missing, by their place in the request.
+    pub missing: Vec<usize>,
+    /// Whether a replica may have run the request.
+    pub ran: bool,
+    /// How long the gathering took, in microseconds.
+    pub took_us: u64,
+}
+
+/// How a relayed group of shards ended.
+#[derive(Debug)]
+pub enum Relayed {
+    /// The other node has gathered these parts.
+    Gathered(RelayReply),
+    /// It did not run the request at all.
+    NotRun,
+    /// Whether it has is unknown.
+    Lost,
+}
+
+/// A group of shards, and the node that is asked for them.
+pub struct Group {
+    /// The node.
+    pub peer: Rc<Replica>,
+    /// The shards, by their place in the set.
+    pub shards: Vec<usize>,
+}
+
+/// Parts the shards of a set into those that are asked for here, and groups for
+/// nodes of other regions.
+pub fn plan(router: &Router, route: &Route, set: &ShardSet) -> (Vec<usize>, Vec<Group>) {
+    let usual = router.paces.usual(route);
+    let now = router.clock.now();
+    let mut here = Vec::new();
+    let mut away: Vec<(usize, Vec<Region>)> = Vec::new();
+    for (index, shard) in set.shards.iter().enumerate() {
+        let replicas = router.directory.of(shard);
+        let best = choice::best(&replicas, &[], usual, now);
+        let home = best.and_then(|pick| router.fleet.region_of(&pick.replica.spec().centre));
+        match home {
+            Some(home) if home != router.place.region => {
+                let fit = replicas.iter().filter(|replica| choice::is_good(replica, usual, now));
+                let regions =
+                    fit.filter_map(|replica| router.fleet.region_of(&replica.spec().centre));
+                away.push((index, regions.collect()));
+            }
+            _ => here.push(index),
+        }
+    }
+    let mut groups = Vec::new();
+    while let Some((peer, region)) = best_region(router, &away) {
+        let (taken, rest): (Vec<_>, Vec<_>) =
+            away.into_iter().partition(|(_, regions)| regions.contains(&region));
+        away = rest;
+        groups.push(Group { peer, shards: taken.into_iter().map(|(index, _)| index).collect() });
+    }
+    here.extend(away.into_iter().map(|(index, _)| index));
+    (here, groups)
+}
+
+/// The region that holds most of the shards `away`, with a node of it.
+fn best_region(router: &Router, away: &[(usize, Vec<Region>)]) -> Option<(Rc<Replica>, Region)> {
+    let mut regions: Vec<&Region> = away.iter().flat_map(|(_, regions)| regions).collect();
+    regions.retain(|region| **region != router.place.region);
+    regions.sort_unstable();
+    regions.dedup();
+    // Of two that hold as many, each is taken in its turn.
+    router.random.shuffle(&mut regions);
+    let count = |region: &Region| away.iter().filter(|(_, all)| all.contains(region)).count();
+    regions.sort_by_key(|region| std::cmp::Reverse(count(region)));
+    let fitting = regions.into_iter().filter(|region| count(region) >= LEAST_SHARDS);
+    fitting.filter_map(|region| Some((router.fleet.peer_in(region)?, region.clone()))).next()
+}
+
+/// Asks a node to gather the parts of a group of shards.
+pub async fn relay(router: &Rc<Router>, search: &Search<'_>, group: &Group) -> Relayed {
+    let peer = &group.peer;
+    let clock = &*router.clock;
+    let sent = Cell::new(false);
+    let ask = ask(router, search, group, &sent);
+    let result = match clock::timeout_at(clock, search.due + REPLY_SLACK, ask).await {
+        Ok(result) => result,
+        Err(error) => Err(error),
+    };
+    match result {
+        Ok(reply) => Relayed::Gathered(reply),
+        Err(error) => {
+            tracing::info!(
+                request = search.identity.to_str().unwrap_or_default(),
+                node = peer.id.as_str(),
+                shards = group.shards.len(),
+                sent = sent.get(),
+                code = error.code(),
+                "relay: failed"
+            );
+            if sent.get() {
+                probe::suspect(router, peer, "no reply to a gathering");
+                Relayed::Lost
+            } else {
+                probe::suspect(router, peer, "no connection");
+                Relayed::NotRun
+            }
+        }
+    }
+}
+
+async fn ask(
+    router: &Rc<Router>,
+    search: &Search<'_>,
+    group: &Group,
+    sent: &Cell<bool>,
+) -> Result<RelayReply> {
+    let clock = &*router.clock;
+    let peer = &group.peer;
+    let start = clock.now();
+    let mut link = match peer.links.take(start, PEER_IDLE) {
+        Some(link) => link,
+        None => {
+            let link = peer.links.open(clock, search.due).await?;
+            peer.note_connect(clock.now().saturating_duration_since(start));
+            link
+        }
+    };
+    let message = codec::encode(&message(router, search, group))?;
+    let mut request = Request::post(RELAY_PATH, "application/msgpack", message);
+    let host = HeaderValue::from_str(&peer.spec().address.to_string()).map_err(Error::internal)?;
+    request.headers.insert(http::header::HOST, host);
+    let at = clock.now();
+    sent.set(true);
+    peer.note_sent(at);
+    let _ended = Ended { peer, at };
+    link.send(&request).await?;
+    let answer = link.receive(&|_| true).await?;
+    if let Some(keep) = answer.keep {
+        peer.links.put(link, clock.now(), keep.max(PEER_IDLE));
+    }
+    if answer.reply.status != StatusCode::OK {
+        // It refuses before it asks any replica.
+        sent.set(false);
+        let status = answer.reply.status.as_u16();
+        return Err(Error::protocol(format!("a node replied with status {status}")));
+    }
+    let reply: RelayReply = codec::decode(&answer.reply.body)?;
+    // Connections are kept for long, so that few openings tell the way.
+    let took = clock.now().saturating_duration_since(at);
+    peer.note_connect(took.saturating_sub(Duration::from_micros(reply.took_us)));
+    Ok(reply)
+}
+
+/// Counts a request to a node for as long as it is open.
+struct Ended<'a> {
+    peer: &'a Replica,
+    at: std::time::Instant,
+}
+
+impl Drop for Ended<'_> {
+    fn drop(&mut self) {
+        self.peer.note_end(self.at, None);
+    }
+}
+
+fn message(router: &Router, search: &Search<'_>, group: &Group) -> RelayRequest {
+    let now = router.clock.now();
+    let left = search.deadline.saturating_duration_since(now);
+    // The reply needs its way back.
+    let due = search.due.saturating_duration_since(now);
+    let route = search.route;
+    let due = due.saturating_sub(group.peer.known_trip().unwrap_or_default() + MERGE_TIME);
+    let due = due.max(router.paces.usual(route).mul_f64(LEAST_TIMES));
+    let headers = search.request.headers.iter();
+    RelayRequest {
+        route: route.name.as_str().to_owned(),
+        attempts: route.attempts,
+        priority: route.priority,
+        objective_us: route.objective.as_micros() as u64,
+        due_us: due.as_micros() as u64,
+        left_us: left.as_micros() as u64,
+        top: search.set.top,
+        shards: group.shards.iter().map(|index| shard(router, search, *index)).collect(),
+        method: search.request.method.as_str().to_owned(),
+        target: search.request.target(),
+        headers: headers
+            .map(|(name, value)| {
+                (name.as_str().to_owned(), Bytes::copy_from_slice(value.as_bytes()))
+            })
+            .collect(),
+        body: search.request.body.clone(),
+    }
+}
+
+/// A shard with the replicas that may be asked.
+///
+/// If the other node is lost, the shard is asked for from here again. Both must
+/// keep to the same few replicas then, or more of them than the route allows
+/// would run the request.
+fn shard(router: &Router, search: &Search<'_>, index: usize) -> (String, Vec<String>) {
+    let name = &search.set.shards[index];
+    let allowed = allowed(router, search.route, name);
+    let allowed = allowed.iter().map(|id| id.as_str().to_owned()).collect();
+    (name.as_str().to_owned(), allowed)
+}
+
+/// The replicas of a shard that one search may ask; none means any.
+pub fn allowed(router: &Router, route: &Route, shard: &ServiceName) -> Vec<ReplicaId> {
+    let replicas = router.directory.of(shard);
+    if replicas.len() <= route.attempts as usize {
+        return Vec::new();
+    }
+    let usual = router.paces.usual(route);
+    let now = router.clock.now();
+    let mut allowed: Vec<ReplicaId> = Vec::new();
+    while allowed.len() < route.attempts as usize {
+        match choice::best(&replicas, &allowed, usual, now) {
+            Some(pick) => allowed.push(pick.replica.id.clone()),
+            None => break,
+        }
+    }
+    allowed
+}
+
+impl RelayRequest {
+    /// The route, as far as the gathering needs it.
+    pub fn route(&self) -> Route {
+        let shards = self.shards.iter().map(|(name, _)| ServiceName::from(&**name));
+        let set = ShardSet { shards: shards.collect(), top: self.top, least: 0.0 };
+        Route {
+            name: RouteName::from(&*self.route),
+            host: String::new(),
+            prefix: String::new(),
+            kind: RouteKind::Idempotent,
+            timeout: Duration::from_micros(self.left_us),
+            objective: Duration::from_micros(self.objective_us),
+            attempts: self.attempts,
+            priority: self.priority,
+            destination: Destination::Shards(set),
+        }
+    }
+
+    /// The caller's request.
+    pub fn request(&self) -> Result<Request> {
+        let method = Method::from_bytes(self.method.as_bytes()).map_err(Error::bad_request)?;
+        let mut request = Request::new(method, &self.target);
+        let mut headers = HeaderMap::new();
+        for (name, value) in &self.headers {
+            let name = HeaderName::from_bytes(name.as_bytes()).map_err(Error::bad_request)?;
+            let value = HeaderValue::from_bytes(value).map_err(Error::bad_request)?;
+            headers.append(name, value);
+        }
+        request.headers = headers;
+        request.body = self.body.clone();
+        Ok(request)
+    }
+}
+
+/// Whether a node can be asked.
+pub(crate) fn is_usable(peer: &Replica) -> bool {
+    peer.fitness() == Fitness::Fit && peer.takes_requests()
+}
--- /dev/null
+++ b/crates/kumquatnotch-route/src/relay_front.rs
@@ -0,0 +1,105 @@
+//! What other nodes reach: gathers the parts of shards beside their replicas.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::StatusCode;
+use kumquatnotch_core::{Error, Result, codec};
+use kumquatnotch_net::{
+    message::{Reply, Request},
+    server::{Handler, Work},
+};
+
+use crate::{
+    call::CallTrace,
+    gather::{self, Search},
+    names::ReplicaId,
+    relay::{RELAY_PATH, RelayReply, RelayRequest},
+    route::Destination,
+    router::Router,
+};
+
+/// What other nodes reach.
+pub struct RelayFront {
+    router: Rc<Router>,
+}
+
+impl RelayFront {
+    /// A front for what `router` knows.
+    pub fn new(router: Rc<Router>) -> RelayFront {
+        RelayFront { router }
+    }
+
+    async fn gather(&self, request: Request) -> Reply {
+        match self.try_gather(request).await {
+            Ok(message) => Reply::new(StatusCode::OK, "application/msgpack", message),
+            Err(error) => Reply::error(&error),
+        }
+    }
+
+    async fn try_gather(&self, request: Request) -> Result<Vec<u8>> {
+        let router = &self.router;
+        if !router.is_ready() {
+            return Err(Error::NotReady);
+        }
+        let now = router.clock.now();
+        let asked: RelayRequest = codec::decode(&request.body)?;
+        let route = asked.route();
+        let Destination::Shards(set) = &route.destination else {
+            return Err(Error::bad_request("no shards"));
+        };
+        let request = asked.request()?;
+        let Some(identity) = request.headers.get(&router.names.request).cloned() else {
+            return Err(Error::bad_request("the request has no identity"));
+        };
+        let allowed: Vec<Vec<ReplicaId>> = asked
+            .shards
+            .iter()
+            .map(|(_, ids)| ids.iter().map(|id| ReplicaId::from(&**id)).collect())
+            .collect();
+        let search = Search {
+            route: &route,
+            set,
+            request: &request,
+            identity: &identity,
+            due: now + Duration::from_micros(asked.due_us),
+            deadline: now + Duration::from_micros(asked.left_us),
+        };
+        let trace = CallTrace::default();
+        let (parts, missing, ran) = gather::gather_here(router, &search, &allowed, &trace).await;
+        let took = router.clock.now().saturating_duration_since(now);
+        tracing::info!(
+            request = identity.to_str().unwrap_or_default(),
+            route = asked.route,
+            shards = set.shards.len(),
+            parts = parts.len(),
+            hedges = trace.hedges.get(),
+            retries = trace.retries.get(),
+            ms = took.as_millis() as u64,
+            "relay: gathered"
+        );
+        let proofs = parts.proofs().iter().map(|proof| Bytes::copy_from_slice(proof.as_bytes()));
+        let proofs = proofs.collect();
+        codec::encode(&RelayReply {
+            records: parts.greatest(set.top),
+            proofs,
+            missing,
+            ran,
+            took_us: took.as_micros() as u64,
+        })
+    }
+}
+
+impl Handler for RelayFront {
+    fn start(&self, request: Request) -> Work<'_> {
+        match request.path.as_str() {
+            RELAY_PATH => Work::new(self.gather(request)),
+            crate::relay::PROBE_PATH => {
+                let ready = self.router.is_ready();
+                let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+                Work::ready(Reply::text(status, ""))
+            }
+            _ => Work::ready(Reply::text(StatusCode::NOT_FOUND, "")),
+        }
+    }
+}
--- a/crates/kumquatnotch-route/src/replica.rs
+++ b/crates/kumquatnotch-route/src/replica.rs
@@ -74,6 +74,7 @@
     /// When the requests that it has not answered yet were sent.
     sent: RefCell<Vec<Instant>>,
     last_reply: Cell<Instant>,
+    asked: Cell<u64>,
 }
 
 impl Replica {
@@ -92,6 +93,7 @@
             measured: Cell::new(now),
             sent: RefCell::default(),
             last_reply: Cell::new(now),
+            asked: Cell::new(0),
         }
     }
 
@@ -163,8 +165,14 @@
         self.failures.get() * (-age / SLOWNESS_AGE.as_secs_f64()).exp()
     }
 
+    /// How many requests were sent to it.
+    pub fn asked(&self) -> u64 {
+        self.asked.get()
+    }
+
     /// Notes that a request was sent.
     pub fn note_sent(&self, now: Instant) {
+        self.asked.set(self.asked.get() + 1);
         self.sent.borrow_mut().push(now);
     }
 
--- a/crates/kumquatnotch-route/src/router.rs
+++ b/crates/kumquatnotch-route/src/router.rs
@@ -19,10 +19,11 @@
 use crate::{
     budget::{Budget, BudgetOptions},
     directory::Directory,
-    fleet::Fleet,
+    fleet::{Fleet, PEER_SERVICE},
     headers::HeaderNames,
     names::ServiceName,
     pace::Paces,
+    relay::PROBE_PATH,
     replica::Replica,
     route::{Route, RouteTable},
 };
@@ -140,6 +141,14 @@
         self.synced.get() && self.table.borrow().is_some()
     }
 
+    /// Where replicas of a service, or the nodes of this tier, answer probes.
+    pub(crate) fn probe_path(&self, service: &ServiceName) -> Option<String> {
+        if service.as_str() == PEER_SERVICE {
+            return Some(PROBE_PATH.to_owned());
+        }
+        Some(self.table()?.service(service)?.probe_path.clone())
+    }
+
     /// Sets how many connections this node may have to `replica`.
     pub(crate) fn bound_connections(&self, replica: &Replica, service: &ServiceName) {
         let table = self.table();
--- a/crates/kumquatnotch-route/tests/advice.rs
+++ b/crates/kumquatnotch-route/tests/advice.rs
@@ -52,10 +52,11 @@
             let entry = address(host);
             let record = NodeRecord {
                 entry,
+                peer: address(host + 50),
                 centre: DataCentre::from(*centre),
                 region: Region::from(*region),
             };
-            fleet.put(NodeName::from(format!("n{host}")), record);
+            fleet.put(NodeName::from(format!("n{host}")), record, Instant::now());
         }
     }
     fleet
