Let relayed gatherings go on while too few parts are in

Change: the other node goes on until enough parts of its group are in; the root asks it whether it works on a request instead of timing it out; replicas' told load counts in the choice; the replicas that may run a request are fixed once for both nodes. Ruled out: too small a budget (refusals rose only after the collapse).

--- a/crates/kumquatnotch-route/src/attempt.rs
+++ b/crates/kumquatnotch-route/src/attempt.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     choice,
+    headers::HeaderNames,
     names::{ReplicaId, ServiceName},
     probe,
     replica::{Fitness, Replica},
@@ -213,6 +214,15 @@
     reply.headers.get(&router.names.request).is_none_or(|identity| identity == call.identity)
 }
 
+/// The requests that run and wait at a replica, by its own word.
+fn told_load(names: &HeaderNames, reply: &Reply) -> Option<u32> {
+    let text = reply.headers.get(&names.load)?.to_str().ok()?;
+    let mut figures = text.split(',').map(|figure| figure.trim().parse::<u32>());
+    let running = figures.next()?.ok()?;
+    let waiting = figures.next()?.ok()?;
+    Some(running + waiting)
+}
+
 /// What a reply says of the request and of its replica.
 fn judge(
     router: &Rc<Router>,
@@ -222,6 +232,9 @@
     took: Duration,
 ) -> Ended {
     let now = router.clock.now();
+    if let Some(load) = told_load(&router.names, &reply) {
+        replica.note_load(load, now);
+    }
     if reply.status.as_u16() == 421 {
         // Another replica has the address by now. Its own entry is, or will be,
         // in the directory; this one never comes back.
--- a/crates/kumquatnotch-route/src/choice.rs
+++ b/crates/kumquatnotch-route/src/choice.rs
@@ -73,7 +73,7 @@
 /// The expected time to a reply, in seconds.
 pub fn expected(replica: &Replica, usual: Duration, now: Instant) -> f64 {
     let slots = f64::from(replica.spec().slots.max(1)).min(f64::from(replica.gate.limit().max(1)));
-    let ahead = replica.unanswered() as f64 + replica.gate.waiting() as f64;
+    let ahead = replica.load(now) + replica.gate.waiting() as f64;
     let queue = ((ahead + 1.0 - slots) / slots).max(0.0);
     let work = usual.as_secs_f64() * replica.slowness(now) * (1.0 + queue);
     replica.round_trip(UNKNOWN_TRIP).as_secs_f64() + work + FAILURE_COST * replica.failures(now)
--- a/crates/kumquatnotch-route/src/gather.rs
+++ b/crates/kumquatnotch-route/src/gather.rs
@@ -126,10 +126,10 @@
                     if repeat && enough {
                         continue;
                     }
-                    for index in again {
+                    for place in again {
                         outstanding += 1;
-                        let shard = &search.set.shards[index];
-                        let allowed = relay::allowed(router, search.route, shard);
+                        let index = group.shards[place];
+                        let allowed = group.allowed[place].clone();
                         running.push(ask(router, search, index, allowed, repeat, trace));
                     }
                 }
@@ -157,8 +157,8 @@
     Gathered { answer, parts: covered, missing: total - covered, relayed }
 }
 
-/// Asks a replica of each shard from here, until all parts are in or the answer
-/// is due.
+/// Asks a replica of each shard from here, until all parts are in, or the answer is
+/// due and `enough` of them are.
 ///
 /// `allowed` names the replicas of each shard that may be asked; none means any.
 /// Gives the parts, the places of the missing shards, and whether a replica may
@@ -167,6 +167,7 @@
     router: &Rc<Router>,
     search: &Search<'_>,
     allowed: &[Vec<ReplicaId>],
+    enough: usize,
     trace: &CallTrace,
 ) -> (Parts, Vec<usize>, bool) {
     let clock = &*router.clock;
@@ -174,10 +175,12 @@
     for (index, allowed) in allowed.iter().enumerate() {
         running.push(ask(router, search, index, allowed.clone(), false, trace));
     }
-    let mut stop = clock.sleep_until(search.due.min(search.deadline)).fuse();
+    let mut stop = clock.sleep_until(search.due).fuse();
+    let mut over = clock.sleep_until(search.deadline).fuse();
+    let mut stopping = false;
     let mut progress = Progress::default();
     let mut missing: Vec<usize> = (0..allowed.len()).collect();
-    loop {
+    while !(stopping && progress.parts.len() >= enough) {
         select_biased! {
             piece = running.next() => match piece {
                 Some(Piece::Shard(index, result)) => {
@@ -190,7 +193,8 @@
                 Some(Piece::Group(..)) => {}
                 None => break,
             },
-            () = stop => break,
+            () = stop => stopping = true,
+            () = over => break,
         }
     }
     let ran = progress.ran || !running.is_empty();
@@ -234,7 +238,7 @@
         }
     }
 
-    /// Notes what came of a group of shards; gives those that did not come.
+    /// Notes what came of a group of shards; gives the places of those that did not come.
     fn add_group(&mut self, ended: Relayed, group: &Group) -> Vec<usize> {
         match ended {
             Relayed::Gathered(RelayReply { records, proofs, missing, ran, .. }) => {
@@ -242,12 +246,12 @@
                 self.parts.bodies.push(records);
                 let proofs = proofs.iter().filter_map(|proof| HeaderValue::from_bytes(proof).ok());
                 self.parts.proofs.extend(proofs);
-                missing.iter().filter_map(|place| group.shards.get(*place).copied()).collect()
+                missing.into_iter().filter(|place| *place < group.shards.len()).collect()
             }
-            Relayed::NotRun => group.shards.clone(),
+            Relayed::NotRun => (0..group.shards.len()).collect(),
             Relayed::Lost => {
                 self.ran = true;
-                group.shards.clone()
+                (0..group.shards.len()).collect()
             }
         }
     }
--- a/crates/kumquatnotch-route/src/relay.rs
+++ b/crates/kumquatnotch-route/src/relay.rs
@@ -7,6 +7,7 @@
 use std::{cell::Cell, rc::Rc, time::Duration};
 
 use bytes::Bytes;
+use futures_util::future::{Either, select};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 use kumquatnotch_core::{Error, Result, clock, codec, ids::Region};
 use kumquatnotch_net::message::Request;
@@ -28,6 +29,15 @@
 /// Where nodes answer probes of other nodes.
 pub const PROBE_PATH: &str = "/v1/health";
 
+/// Where nodes tell whether they have a request.
+pub const RUNNING_PATH: &str = "/v1/running";
+
+/// How long a node may take to tell whether it has a request.
+const RUNNING_TIME: Duration = Duration::from_millis(250);
+
+/// How often it is asked.
+const RUNNING_PERIOD: Duration = Duration::from_millis(250);
+
 /// The fewest shards for which a node of another region is asked.
 ///
 /// For a single one, its message is no shorter than the part itself.
@@ -46,9 +56,7 @@
 
 /// How much later than due the reply of another node may come.
 ///
-/// It replies with what it has when its time is over. Without its parts there is
-/// no answer, so a short while longer is waited for them before they are asked
-/// for anew.
+/// Then it is asked whether it works on the request at all.
 const REPLY_SLACK: Duration = Duration::from_millis(40);
 
 /// What a node asks another one to gather.
@@ -68,6 +76,8 @@
     pub left_us: u64,
     /// How many of the greatest records are wanted.
     pub top: usize,
+    /// How many parts are enough once the time in which they are worth most is over.
+    pub enough: usize,
     /// The shards, each with the replicas that may be asked; none means any.
     pub shards: Vec<(String, Vec<String>)>,
     /// The method of the caller's request.
@@ -112,6 +122,12 @@
     pub peer: Rc<Replica>,
     /// The shards, by their place in the set.
     pub shards: Vec<usize>,
+    /// The replicas of each shard that may be asked; none means any.
+    ///
+    /// If the other node is lost, the shards are asked for from here again. Both
+    /// must keep to the same few replicas then, or more of them than the route
+    /// allows would run the request.
+    pub allowed: Vec<Vec<ReplicaId>>,
 }
 
 /// Parts the shards of a set into those that are asked for here, and groups for
@@ -140,7 +156,9 @@
         let (taken, rest): (Vec<_>, Vec<_>) =
             away.into_iter().partition(|(_, regions)| regions.contains(&region));
         away = rest;
-        groups.push(Group { peer, shards: taken.into_iter().map(|(index, _)| index).collect() });
+        let shards: Vec<usize> = taken.into_iter().map(|(index, _)| index).collect();
+        let allowed = shards.iter().map(|index| allowed(router, route, &set.shards[*index]));
+        groups.push(Group { peer, allowed: allowed.collect(), shards });
     }
     here.extend(away.into_iter().map(|(index, _)| index));
     (here, groups)
@@ -163,12 +181,12 @@
 /// Asks a node to gather the parts of a group of shards.
 pub async fn relay(router: &Rc<Router>, search: &Search<'_>, group: &Group) -> Relayed {
     let peer = &group.peer;
-    let clock = &*router.clock;
     let sent = Cell::new(false);
-    let ask = ask(router, search, group, &sent);
-    let result = match clock::timeout_at(clock, search.due + REPLY_SLACK, ask).await {
-        Ok(result) => result,
-        Err(error) => Err(error),
+    let ask = std::pin::pin!(ask(router, search, group, &sent));
+    let lost = std::pin::pin!(lost(router, search, peer));
+    let result = match select(ask, lost).await {
+        Either::Left((result, _)) => result,
+        Either::Right(_) => Err(Error::ConnectionSilent),
     };
     match result {
         Ok(reply) => Relayed::Gathered(reply),
@@ -192,6 +210,41 @@
     }
 }
 
+/// Completes if the other node doesn't work on the request.
+///
+/// It replies when the answer is due unless too many parts are missing. One that
+/// is silent for longer may have ended, or the connection to it may be lost; so
+/// it is asked, on another connection, whether it has the request.
+async fn lost(router: &Router, search: &Search<'_>, peer: &Replica) {
+    let clock = &*router.clock;
+    let first = search.due + REPLY_SLACK;
+    clock.sleep_until(first.max(clock.now() + REPLY_SLACK)).await;
+    loop {
+        let deadline = clock.now() + RUNNING_TIME;
+        let running = clock::timeout_at(clock, deadline, is_running(router, search, peer)).await;
+        if !matches!(running, Ok(Ok(true))) {
+            return;
+        }
+        clock::sleep(clock, RUNNING_PERIOD).await;
+    }
+}
+
+/// Whether a node has a request, by its own word.
+async fn is_running(router: &Router, search: &Search<'_>, peer: &Replica) -> Result<bool> {
+    let clock = &*router.clock;
+    let mut link = peer.links.open(clock, clock.now() + RUNNING_TIME).await?;
+    let identity = search.identity.to_str().map_err(Error::internal)?;
+    let mut request = Request::get(&format!("{RUNNING_PATH}?request={identity}"));
+    let host = HeaderValue::from_str(&peer.spec().address.to_string()).map_err(Error::internal)?;
+    request.headers.insert(http::header::HOST, host);
+    link.send(&request).await?;
+    let answer = link.receive(&|_| true).await?;
+    if let Some(keep) = answer.keep {
+        peer.links.put(link, clock.now(), keep);
+    }
+    Ok(answer.reply.status == StatusCode::OK)
+}
+
 async fn ask(
     router: &Rc<Router>,
     search: &Search<'_>,
@@ -264,7 +317,16 @@
         due_us: due.as_micros() as u64,
         left_us: left.as_micros() as u64,
         top: search.set.top,
-        shards: group.shards.iter().map(|index| shard(router, search, *index)).collect(),
+        enough: enough(search.set, group),
+        shards: group
+            .shards
+            .iter()
+            .zip(&group.allowed)
+            .map(|(index, allowed)| {
+                let allowed = allowed.iter().map(|id| id.as_str().to_owned()).collect();
+                (search.set.shards[*index].as_str().to_owned(), allowed)
+            })
+            .collect(),
         method: search.request.method.as_str().to_owned(),
         target: search.request.target(),
         headers: headers
@@ -276,20 +338,16 @@
     }
 }
 
-/// A shard with the replicas that may be asked.
+/// How many parts of a group are enough when the answer is due.
 ///
-/// If the other node is lost, the shard is asked for from here again. Both must
-/// keep to the same few replicas then, or more of them than the route allows
-/// would run the request.
-fn shard(router: &Router, search: &Search<'_>, index: usize) -> (String, Vec<String>) {
-    let name = &search.set.shards[index];
-    let allowed = allowed(router, search.route, name);
-    let allowed = allowed.iter().map(|id| id.as_str().to_owned()).collect();
-    (name.as_str().to_owned(), allowed)
+/// With fewer, too many would be missing for an answer even if all others came.
+fn enough(set: &ShardSet, group: &Group) -> usize {
+    let most_missing = set.shards.len() - set.least_parts().min(set.shards.len());
+    group.shards.len().saturating_sub(most_missing).max(1)
 }
 
 /// The replicas of a shard that one search may ask; none means any.
-pub fn allowed(router: &Router, route: &Route, shard: &ServiceName) -> Vec<ReplicaId> {
+fn allowed(router: &Router, route: &Route, shard: &ServiceName) -> Vec<ReplicaId> {
     let replicas = router.directory.of(shard);
     if replicas.len() <= route.attempts as usize {
         return Vec::new();
--- a/crates/kumquatnotch-route/src/relay_front.rs
+++ b/crates/kumquatnotch-route/src/relay_front.rs
@@ -1,9 +1,9 @@
 //! What other nodes reach: gathers the parts of shards beside their replicas.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http::StatusCode;
+use http::{HeaderValue, StatusCode};
 use kumquatnotch_core::{Error, Result, codec};
 use kumquatnotch_net::{
     message::{Reply, Request},
@@ -14,7 +14,7 @@
     call::CallTrace,
     gather::{self, Search},
     names::ReplicaId,
-    relay::{RELAY_PATH, RelayReply, RelayRequest},
+    relay::{PROBE_PATH, RELAY_PATH, RUNNING_PATH, RelayReply, RelayRequest},
     route::Destination,
     router::Router,
 };
@@ -22,12 +22,36 @@
 /// What other nodes reach.
 pub struct RelayFront {
     router: Rc<Router>,
+    /// The identities of the requests in work.
+    running: RefCell<Vec<HeaderValue>>,
+}
+
+/// Lists a request as in work for as long as it is.
+struct Running<'a> {
+    front: &'a RelayFront,
+    identity: HeaderValue,
+}
+
+impl<'a> Running<'a> {
+    fn new(front: &'a RelayFront, identity: &HeaderValue) -> Running<'a> {
+        front.running.borrow_mut().push(identity.clone());
+        Running { front, identity: identity.clone() }
+    }
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        let mut running = self.front.running.borrow_mut();
+        if let Some(index) = running.iter().position(|other| *other == self.identity) {
+            running.swap_remove(index);
+        }
+    }
 }
 
 impl RelayFront {
     /// A front for what `router` knows.
     pub fn new(router: Rc<Router>) -> RelayFront {
-        RelayFront { router }
+        RelayFront { router, running: RefCell::default() }
     }
 
     async fn gather(&self, request: Request) -> Reply {
@@ -52,6 +76,7 @@
         let Some(identity) = request.headers.get(&router.names.request).cloned() else {
             return Err(Error::bad_request("the request has no identity"));
         };
+        let _running = Running::new(self, &identity);
         let allowed: Vec<Vec<ReplicaId>> = asked
             .shards
             .iter()
@@ -66,7 +91,8 @@
             deadline: now + Duration::from_micros(asked.left_us),
         };
         let trace = CallTrace::default();
-        let (parts, missing, ran) = gather::gather_here(router, &search, &allowed, &trace).await;
+        let (parts, missing, ran) =
+            gather::gather_here(router, &search, &allowed, asked.enough, &trace).await;
         let took = router.clock.now().saturating_duration_since(now);
         tracing::info!(
             request = identity.to_str().unwrap_or_default(),
@@ -94,7 +120,14 @@
     fn start(&self, request: Request) -> Work<'_> {
         match request.path.as_str() {
             RELAY_PATH => Work::new(self.gather(request)),
-            crate::relay::PROBE_PATH => {
+            RUNNING_PATH => {
+                let identity = request.field("request").unwrap_or_default();
+                let running = self.running.borrow();
+                let known = running.iter().any(|other| other.as_bytes() == identity.as_bytes());
+                let status = if known { StatusCode::OK } else { StatusCode::NOT_FOUND };
+                Work::ready(Reply::text(status, ""))
+            }
+            PROBE_PATH => {
                 let ready = self.router.is_ready();
                 let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
                 Work::ready(Reply::text(status, ""))
--- a/crates/kumquatnotch-route/src/replica.rs
+++ b/crates/kumquatnotch-route/src/replica.rs
@@ -52,6 +52,11 @@
 /// A slow replica gets no requests, so it could never show that it has recovered.
 const SLOWNESS_AGE: Duration = Duration::from_secs(3);
 
+/// The time after which only a third of a told load is believed.
+///
+/// About the time in which a replica works off what waits.
+const LOAD_AGE: Duration = Duration::from_millis(60);
+
 /// The weight of a new failure or success.
 const FAILURE_WEIGHT: f64 = 0.15;
 
@@ -75,6 +80,7 @@
     sent: RefCell<Vec<Instant>>,
     last_reply: Cell<Instant>,
     asked: Cell<u64>,
+    load: Cell<(u32, Instant)>,
 }
 
 impl Replica {
@@ -94,6 +100,7 @@
             sent: RefCell::default(),
             last_reply: Cell::new(now),
             asked: Cell::new(0),
+            load: Cell::new((0, now)),
         }
     }
 
@@ -216,6 +223,21 @@
         self.measured.set(now);
     }
 
+    /// Notes the load that the replica told: the requests that ran and waited there.
+    pub fn note_load(&self, load: u32, now: Instant) {
+        self.load.set((load, now));
+    }
+
+    /// The requests that run and wait there, as far as is known.
+    ///
+    /// What it told includes those of other nodes, but is soon out of date.
+    pub fn load(&self, now: Instant) -> f64 {
+        let own = self.unanswered() as f64;
+        let (told, at) = self.load.get();
+        let age = now.saturating_duration_since(at).as_secs_f64() / LOAD_AGE.as_secs_f64();
+        own.max(f64::from(told) * (-age).exp())
+    }
+
     /// How long it has answered nothing although requests wait.
     pub fn silence(&self, now: Instant) -> Duration {
         let sent = self.sent.borrow();
