Test forwarding and searches over scripted replicas; fill up late answers

A server that answers by a script, to the byte, stands in for replicas that misbehave. The tests found that an answer which is late already left out parts that came within the next milliseconds: it now waits 20 ms more.

--- a/crates/kumquatnotch-route/src/gather.rs
+++ b/crates/kumquatnotch-route/src/gather.rs
@@ -16,7 +16,7 @@
 use bytes::Bytes;
 use futures_util::{FutureExt, StreamExt, select_biased, stream::FuturesUnordered};
 use http::{HeaderMap, HeaderValue, StatusCode, header};
-use kumquatnotch_core::LocalFuture;
+use kumquatnotch_core::{LocalFuture, clock};
 use kumquatnotch_net::message::{Reply, Request};
 
 use crate::{
@@ -29,6 +29,11 @@
     router::Router,
 };
 
+/// How long a late answer waits for more parts once it has enough of them.
+///
+/// About the time that a part takes; the parts of a shard group come together.
+const LATE_GRACE: Duration = Duration::from_millis(20);
+
 /// A search.
 pub struct Search<'a> {
     /// The route.
@@ -103,11 +108,18 @@
     let mut over = clock.sleep_until(search.deadline).fuse();
     let mut progress = Progress::default();
     let mut stopping = false;
+    let mut is_late = false;
     let mut outstanding = total;
     let mut timed_out = false;
     while progress.parts.len() < total {
         if stopping && progress.parts.len() >= least {
-            break;
+            if !is_late {
+                break;
+            }
+            // It is late already: a moment more costs nothing and makes it fuller.
+            stopping = false;
+            stop = clock::sleep(clock, LATE_GRACE).fuse();
+            is_late = false;
         }
         select_biased! {
             piece = running.next() => match piece {
@@ -135,7 +147,10 @@
                 }
                 None => break,
             },
-            () = stop => stopping = true,
+            () = stop => {
+                stopping = true;
+                is_late = progress.parts.len() < least;
+            }
             () = over => {
                 timed_out = true;
                 break;
--- /dev/null
+++ b/crates/kumquatnotch-route/tests/searches.rs
@@ -0,0 +1,242 @@
+//! Searches over shards: what an answer holds, and what it says is missing.
+
+mod common;
+
+use std::time::Duration;
+
+use common::*;
+use kumquatnotch_core::{Clock, clock::RuntimeClock};
+use kumquatnotch_route::{names::ReplicaId, relay::PROBE_PATH};
+use standins::scripted::{Scripted, Step, answer};
+
+const ONE: &[u8] = &[1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0];
+const TWO: &[u8] = &[2, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0];
+const THREE: &[u8] = &[3, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0];
+
+#[test]
+fn an_answer_merges_the_parts_of_all_shards() {
+    run(async {
+        let tier = Tier::serving(shards(3, 1.0));
+        let replicas = [replica("a", TWO), replica("b", THREE), replica("c", ONE)];
+        for (index, replica) in replicas.iter().enumerate() {
+            tier.add(&format!("s{index}"), replica.address);
+        }
+
+        let answer = tier.get("/a/", "r1").await;
+
+        assert_eq!(answer.status, 200);
+        assert_eq!(&answer.body[..], [THREE, TWO, ONE].concat());
+        assert_eq!(answer.headers["x-missing"], "0");
+        let mut proofs: Vec<&str> =
+            answer.headers["x-proofs"].to_str().unwrap().split(", ").collect();
+        proofs.sort_unstable();
+        assert_eq!(proofs, ["a", "b", "c"]);
+    });
+}
+
+/// One shard has no replica that answers. The answer comes when waiting longer
+/// would make it late, and says that a shard is missing.
+#[test]
+fn a_shard_that_is_late_is_left_out_and_told() {
+    run(async {
+        let tier = Tier::serving(shards(3, 0.6));
+        let replicas = [replica("a", TWO), replica("b", THREE)];
+        let silent = playing(|_| vec![Step::Silence]);
+        tier.add("s0", replicas[0].address);
+        tier.add("s1", replicas[1].address);
+        tier.add("s2", silent.address);
+
+        let start = RuntimeClock.now();
+        let answer = tier.get("/a/", "r1").await;
+        let took = RuntimeClock.now() - start;
+
+        assert_eq!(answer.status, 200);
+        assert_eq!(answer.headers["x-missing"], "1");
+        assert_eq!(&answer.body[..], [THREE, TWO].concat());
+        assert!(took > Duration::from_millis(80) && took < Duration::from_millis(220));
+    });
+}
+
+/// Too few shards can answer. That is a failure at once, not an empty answer, and
+/// no promise that nothing has run.
+#[test]
+fn a_search_with_too_few_parts_fails() {
+    run(async {
+        let tier = Tier::serving(shards(3, 0.9));
+        let replica = replica("a", TWO);
+        let failing = playing(|_| vec![answer(500, &[("x-proof", "f")], ONE)]);
+        tier.add("s0", replica.address);
+        tier.add("s1", failing.address);
+        tier.add("s2", failing.address);
+
+        let answer = tier.get("/a/", "r1").await;
+
+        assert_eq!(answer.status, 502);
+        assert!(!answer.headers.contains_key("x-proofs"));
+    });
+}
+
+/// No shard has a replica. Nothing has run, and the caller hears when to come back.
+#[test]
+fn a_search_that_nobody_took_is_refused_as_not_run() {
+    run(async {
+        let tier = Tier::serving(shards(2, 0.5));
+
+        let answer = tier.get("/a/", "r1").await;
+
+        assert_eq!(answer.status, 503);
+        assert!(answer.headers.contains_key("retry-after"));
+    });
+}
+
+/// A replica fails with a proof. That is no part: its shard is asked once more,
+/// and the part of the sound replica is the one in the answer.
+#[test]
+fn a_failure_with_a_proof_is_no_part() {
+    run(async {
+        let tier = Tier::serving(shards(1, 1.0));
+        let failing = playing(|_| vec![answer(500, &[("x-proof", "bad")], ONE)]);
+        let sound = replica("good", TWO);
+        tier.add("s0", failing.address);
+        tier.add("s0", sound.address);
+
+        for index in 0..4 {
+            let answer = tier.get("/a/", &format!("r{index}")).await;
+
+            assert_eq!((answer.status, &answer.headers["x-proofs"]), (200, &"good".parse().unwrap()));
+        }
+    });
+}
+
+/// A tier in region `home` whose shards lie in region `away`, and a node there.
+struct TwoRegions {
+    home: Tier,
+    away: Tier,
+    replicas: Vec<Scripted>,
+}
+
+impl TwoRegions {
+    fn new() -> TwoRegions {
+        let (home, away) = (Tier::at(100.0, "home"), Tier::at(100.0, "away"));
+        home.put(1, vec![shards(3, 0.6)]);
+        away.put(1, vec![shards(3, 0.6)]);
+        home.know("h1", "home", home.peer.address());
+        home.know("a1", "away", away.peer.address());
+        let replicas = vec![replica("a", TWO), replica("b", THREE), replica("c", ONE)];
+        for (index, replica) in replicas.iter().enumerate() {
+            let id = ReplicaId::from(&*format!("r{index}"));
+            for tier in [&home, &away] {
+                tier.add_as(&id, &format!("s{index}"), replica.address, "away");
+            }
+        }
+        TwoRegions { home, away, replicas }
+    }
+}
+
+#[test]
+fn shards_of_another_region_are_gathered_by_a_node_there() {
+    run(async {
+        let world = TwoRegions::new();
+
+        let answer = world.home.get("/a/", "r1").await;
+
+        assert_eq!(answer.status, 200);
+        assert_eq!(&answer.body[..], [THREE, TWO, ONE].concat());
+        assert_eq!(answer.headers["x-missing"], "0");
+        assert!(world.replicas.iter().all(|replica| replica.requests().len() == 1));
+        // The node at home has no connection to any of them.
+        let direct = world.home.router.directory.all();
+        assert!(direct.iter().all(|replica| replica.known_trip().is_none()));
+        assert_eq!(header(&world.replicas[0].requests()[0], "x-request-id"), "r1");
+        drop(world.away);
+    });
+}
+
+/// The node beside the replicas is gone, and its address refuses connections. The
+/// replicas are asked from here, and the caller notices nothing.
+#[test]
+fn a_node_that_is_gone_is_replaced_by_asking_from_here() {
+    run(async {
+        let world = TwoRegions::new();
+        world.home.know("a1", "away", nowhere());
+
+        let answer = world.home.get("/a/", "r1").await;
+
+        assert_eq!(answer.status, 200);
+        assert_eq!(answer.headers["x-missing"], "0");
+    });
+}
+
+/// The node beside the replicas takes the request and says nothing any more, not
+/// even to the question whether it has the request. The answer is late, but whole.
+#[test]
+fn a_node_that_falls_silent_is_replaced_late() {
+    run(async {
+        let world = TwoRegions::new();
+        let silent = Scripted::start(|_| vec![Step::Silence]).unwrap();
+        world.home.know("a1", "away", silent.address);
+
+        let answer = world.home.get("/a/", "r1").await;
+
+        assert_eq!(answer.status, 200);
+        assert_eq!(answer.headers["x-missing"], "0");
+    });
+}
+
+/// The connection to the node is lost on the way although the node lives: it has
+/// never got the request, and says so on a new connection.
+#[test]
+fn a_request_that_a_node_never_got_is_asked_for_from_here() {
+    run(async {
+        let world = TwoRegions::new();
+        let forgetful = Scripted::start(|request| match request.path.as_str() {
+            "/v1/running" => vec![answer(404, &[], b"")],
+            PROBE_PATH => vec![answer(200, &[], b"")],
+            _ => vec![Step::Silence],
+        })
+        .unwrap();
+        world.home.know("a1", "away", forgetful.address);
+
+        let start = RuntimeClock.now();
+        let answer = world.home.get("/a/", "r1").await;
+
+        assert_eq!(answer.status, 200);
+        assert!(RuntimeClock.now() - start < Duration::from_millis(600));
+    });
+}
+
+/// A shard has three replicas and its route allows two. The node beside them takes
+/// the request, asks two of them and is lost; asked from here, the third one must
+/// not run the request as well.
+#[test]
+fn a_lost_node_does_not_let_more_replicas_run_a_request_than_its_route_allows() {
+    run(async {
+        let home = Tier::at(100.0, "home");
+        home.put(1, vec![shards(2, 0.6)]);
+        let lost = Scripted::start(|_| vec![Step::Wait(Duration::from_millis(30)), Step::Close]);
+        home.know("a1", "away", lost.as_ref().unwrap().address);
+        let replicas: Vec<Scripted> = (0..6).map(|_| replica("a", TWO)).collect();
+        for (index, replica) in replicas.iter().enumerate() {
+            home.add_in(&format!("s{}", index % 2), replica.address, "away");
+        }
+
+        home.get("/a/", "r1").await;
+
+        let asked = lost.unwrap().requests();
+        let body = &asked[0].body;
+        let message: kumquatnotch_route::relay::RelayRequest =
+            kumquatnotch_core::codec::decode(body).unwrap();
+        for (name, allowed) in &message.shards {
+            assert_eq!(allowed.len(), 2);
+            for replica in home.router.directory.of(&service(name)).iter() {
+                let ran = !replicas
+                    .iter()
+                    .find(|other| other.address == replica.spec().address)
+                    .unwrap()
+                    .requests()
+                    .is_empty();
+                assert!(!ran || allowed.iter().any(|id| id == replica.id.as_str()));
+            }
+        }
+    });
+}
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -221,8 +221,10 @@
         let mut request = http::Request::builder()
             .method(method)
             .uri(path)
-            .header("host", self.address.to_string())
             .header("content-length", body.len());
+        if !headers.iter().any(|(name, _)| *name == "host") {
+            request = request.header("host", self.address.to_string());
+        }
         for (name, value) in headers {
             request = request.header(*name, *value);
         }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,6 +1,6 @@
 //! Small stand-ins for what surrounds the query tier, for tests only.
 //!
-//! Three of them: targets of vendors ([`targets`]), the platform's key-value
+//! Four of them: servers that answer by a script ([`scripted`]), targets of vendors ([`targets`]), the platform's key-value
 //! service ([`platform`]), and a relay that cuts links between processes
 //! ([`relay`]). Each runs on the monoio runtime of the test, or as a process of
 //! its own through the thin binaries. Faults are set while they run, by
@@ -17,6 +17,7 @@
 pub mod platform;
 pub mod records;
 pub mod relay;
+pub mod scripted;
 pub mod signal;
 pub mod slots;
 pub mod target;
--- /dev/null
+++ b/crates/standins/src/scripted.rs
@@ -0,0 +1,161 @@
+//! A server that answers each request by a script, to the byte.
+//!
+//! It stands in for replicas that misbehave: the script sees each request and
+//! says what goes over the connection, whether that is an answer or not.
+
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use futures_util::future::{Either, select};
+use monoio::{
+    io::{AsyncWriteRentExt, OwnedReadHalf, OwnedWriteHalf, Splitable, stream::Stream},
+    net::{TcpListener, TcpStream},
+};
+use monoio_http::{
+    common::body::BodyExt,
+    h1::codec::decoder::{FillPayload, RequestDecoder},
+};
+
+use crate::{http::Request, hub, listen, signal::Signal};
+
+/// What goes over a connection in answer to a request.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// These bytes.
+    Send(Vec<u8>),
+    /// Nothing for a while.
+    Wait(Duration),
+    /// Nothing, for good.
+    Silence,
+    /// The end of the connection.
+    Close,
+}
+
+/// An answer with a length, of a status, headers and a body.
+pub fn answer(status: u16, headers: &[(&str, &str)], body: &[u8]) -> Step {
+    let mut head = format!("HTTP/1.1 {status} X\r\ncontent-length: {}\r\n", body.len());
+    for (name, value) in headers {
+        head.push_str(&format!("{name}: {value}\r\n"));
+    }
+    head.push_str("\r\n");
+    let mut bytes = head.into_bytes();
+    bytes.extend_from_slice(body);
+    Step::Send(bytes)
+}
+
+type Script = dyn Fn(&Request) -> Vec<Step>;
+
+struct Shared {
+    script: Box<Script>,
+    requests: RefCell<Vec<Request>>,
+    cut: Cell<u32>,
+}
+
+/// A server that answers by a script, until it is dropped.
+pub struct Scripted {
+    /// Where it listens.
+    pub address: SocketAddr,
+    shared: Rc<Shared>,
+    stop: Rc<Signal>,
+}
+
+impl Drop for Scripted {
+    fn drop(&mut self) {
+        self.stop.give();
+    }
+}
+
+impl Scripted {
+    /// Starts to answer on a free port of the loopback address.
+    pub fn start(script: impl Fn(&Request) -> Vec<Step> + 'static) -> io::Result<Scripted> {
+        let listener = listen(0)?;
+        let address = listener.local_addr()?;
+        let shared = Rc::new(Shared {
+            script: Box::new(script),
+            requests: RefCell::default(),
+            cut: Cell::new(0),
+        });
+        let stop = Rc::new(Signal::default());
+        monoio::spawn(accept(listener, shared.clone(), stop.clone()));
+        Ok(Scripted { address, shared, stop })
+    }
+
+    /// The requests that came so far.
+    pub fn requests(&self) -> Vec<Request> {
+        self.shared.requests.borrow().clone()
+    }
+
+    /// How often the other side left while the script was at work.
+    pub fn cut(&self) -> u32 {
+        self.shared.cut.get()
+    }
+}
+
+async fn accept(listener: TcpListener, shared: Rc<Shared>, stop: Rc<Signal>) {
+    while let Some(stream) = hub::accept(&listener, &stop).await {
+        let (shared, stop) = (shared.clone(), stop.clone());
+        monoio::spawn(async move {
+            let served = std::pin::pin!(serve(stream, shared));
+            select(served, stop.wait()).await;
+        });
+    }
+}
+
+async fn serve(stream: TcpStream, shared: Rc<Shared>) {
+    let _ = stream.set_nodelay(true);
+    let (reader, mut writer) = stream.into_split();
+    let mut decoder = RequestDecoder::new(reader);
+    let mut next = read(&mut decoder).await;
+    while let Some(request) = next {
+        let steps = (shared.script)(&request);
+        shared.requests.borrow_mut().push(request);
+        // The end of the connection, or the next request, shows while one is in work.
+        let played = std::pin::pin!(play(&mut writer, steps));
+        let coming = std::pin::pin!(read(&mut decoder));
+        next = match select(played, coming).await {
+            Either::Left((true, coming)) => coming.await,
+            Either::Left((false, _)) => return,
+            Either::Right((Some(request), played)) => played.await.then_some(request),
+            Either::Right((None, _)) => {
+                shared.cut.set(shared.cut.get() + 1);
+                return;
+            }
+        };
+    }
+}
+
+/// Reads the next request; `None` at the end of the connection.
+async fn read(decoder: &mut RequestDecoder<OwnedReadHalf<TcpStream>>) -> Option<Request> {
+    let request = decoder.next().await?.ok()?;
+    decoder.fill_payload().await.ok()?;
+    let (parts, body) = request.into_parts();
+    Some(Request {
+        method: parts.method.to_string(),
+        path: parts.uri.path().to_owned(),
+        query: parts.uri.query().unwrap_or_default().to_owned(),
+        headers: parts.headers,
+        body: body.bytes().await.ok()?,
+    })
+}
+
+/// Plays the steps; false if the connection is to be closed.
+async fn play(writer: &mut OwnedWriteHalf<TcpStream>, steps: Vec<Step>) -> bool {
+    for step in steps {
+        match step {
+            Step::Send(bytes) => {
+                if writer.write_all(bytes).await.0.is_err() {
+                    return false;
+                }
+            }
+            Step::Wait(time) => monoio::time::sleep(time).await,
+            Step::Silence => std::future::pending().await,
+            Step::Close => return false,
+        }
+    }
+    true
+}
