Test the platform's adapter and what is believed of the store

A test of lapsed entries failed first: the deletions in the first answer after an outage were taken as departures, as the mirror noted the return of the store only afterwards. It now notes trouble when a call fails, an answer is late, a renewal fails, or many serving entries vanish together.

--- a/crates/kumquatnotch-route/src/announce.rs
+++ b/crates/kumquatnotch-route/src/announce.rs
@@ -99,6 +99,7 @@
                     return;
                 }
                 Err(error) => {
+                    self.mirror.note_trouble();
                     tracing::info!(code = error.code(), "announce: not renewed: {error}");
                 }
                 Ok(()) => {}
--- a/crates/kumquatnotch-route/src/directory.rs
+++ b/crates/kumquatnotch-route/src/directory.rs
@@ -47,6 +47,11 @@
         self.sort(&service);
     }
 
+    /// A replica.
+    pub fn find(&self, id: &ReplicaId) -> Option<Rc<Replica>> {
+        self.replicas.borrow().get(id).cloned()
+    }
+
     /// The replicas of a service, in no order.
     pub fn of(&self, service: &ServiceName) -> Rc<[Rc<Replica>]> {
         self.services.borrow().get(service).cloned().unwrap_or_else(|| Rc::new([]))
--- a/crates/kumquatnotch-route/src/mirror.rs
+++ b/crates/kumquatnotch-route/src/mirror.rs
@@ -93,6 +93,15 @@
     }
 }
 
+/// How late the answer to a watch may be before the store counts as having been away.
+const LATE_ANSWER: Duration = Duration::from_millis(300);
+
+/// How many replicas must vanish in one answer to count as a lapse.
+const LAPSE_COUNT: usize = 4;
+
+/// Which share of all entries they must be.
+const LAPSE_SHARE: f64 = 0.15;
+
 /// Follows the store.
 pub struct Mirror {
     options: MirrorOptions,
@@ -105,6 +114,8 @@
     vanished: RefCell<HashMap<EntryKey, Instant>>,
     /// Until when vanished entries are kept for a while.
     lenient: Cell<Option<Instant>>,
+    /// Whether the store was in trouble since its last answer.
+    trouble: Cell<bool>,
     /// How often the own entry of this node was seen to vanish.
     losses: RefCell<HashMap<NodeName, u64>>,
 }
@@ -125,6 +136,7 @@
             known: RefCell::default(),
             vanished: RefCell::default(),
             lenient: Cell::new(None),
+            trouble: Cell::new(false),
             losses: RefCell::default(),
         })
     }
@@ -157,7 +169,7 @@
             match result {
                 Ok(revision) => {
                     if failures > 0 {
-                        self.note_return(failures);
+                        tracing::info!(failures, "mirror: the store answers again");
                     }
                     failures = 0;
                     after = Some(revision);
@@ -168,6 +180,7 @@
                 }
                 Err(error) => {
                     failures += 1;
+                    self.note_trouble();
                     if failures == 1 {
                         tracing::warn!(code = error.code(), "mirror: the store is away: {error}");
                     }
@@ -179,10 +192,18 @@
         }
     }
 
-    /// Notes that the store answers again.
-    fn note_return(&self, failures: u32) {
-        tracing::info!(failures, "mirror: the store answers again");
-        self.lenient.set(Some(self.router.clock.now() + self.options.keep));
+    /// Notes that the store did not answer, or answered late.
+    ///
+    /// What is seen to vanish in its next answers may have lapsed meanwhile.
+    pub fn note_trouble(&self) {
+        self.trouble.set(true);
+    }
+
+    /// Notes that the store answers, before what it tells is taken over.
+    fn note_answer(&self) {
+        if self.trouble.replace(false) {
+            self.lenient.set(Some(self.router.clock.now() + self.options.keep));
+        }
     }
 
     async fn scan(&self) -> Result<u64> {
@@ -195,7 +216,8 @@
         }
         let lost: Vec<EntryKey> = self.known.borrow().difference(&seen).cloned().collect();
         // Without the history, whether an entry left or lapsed can't be told.
-        self.lenient.set(Some(self.router.clock.now() + self.options.keep));
+        self.note_trouble();
+        self.note_answer();
         lost.into_iter().for_each(|key| self.lose(key));
         self.router.set_synced();
         tracing::info!(
@@ -209,8 +231,14 @@
     }
 
     async fn watch(&self, after: u64) -> Result<u64> {
+        let start = self.router.clock.now();
         let changes = self.store.watch(self.schema.prefix(), after, self.options.wait).await?;
         let StoreChanges { events, revision } = changes;
+        let took = self.router.clock.now().saturating_duration_since(start);
+        if took > self.options.wait + LATE_ANSWER || self.is_lapse(&events) {
+            self.note_trouble();
+        }
+        self.note_answer();
         for event in &events {
             match event {
                 StoreEvent::Written(item) => {
@@ -229,6 +257,31 @@
         Ok(revision)
     }
 
+    /// Whether so many entries vanished at once that they must have lapsed.
+    ///
+    /// The store may have been away between two of its answers. Replicas and nodes
+    /// that leave do so a few at a time, or say so before.
+    fn is_lapse(&self, events: &[StoreEvent]) -> bool {
+        let deleted = events.iter().filter(|event| match event {
+            StoreEvent::Written(_) => false,
+            StoreEvent::Deleted { key, .. } => {
+                self.schema.read_key(key).is_some_and(|key| self.is_serving(&key))
+            }
+        });
+        let deleted = deleted.count();
+        deleted >= LAPSE_COUNT && deleted as f64 >= LAPSE_SHARE * self.known.borrow().len() as f64
+    }
+
+    /// Whether a key is that of a replica that takes requests, as far as is known.
+    fn is_serving(&self, key: &EntryKey) -> bool {
+        match key {
+            EntryKey::Replica(id) => {
+                self.router.directory.find(id).is_some_and(|replica| replica.takes_requests())
+            }
+            EntryKey::Config | EntryKey::Node(_) => false,
+        }
+    }
+
     /// Takes over an item; gives its key if it is something to this tier.
     fn put(&self, item: &StoreItem) -> Option<EntryKey> {
         let key = self.schema.read_key(&item.key)?;
--- a/crates/kumquatnotch-route/tests/common/mod.rs
+++ b/crates/kumquatnotch-route/tests/common/mod.rs
@@ -28,9 +28,7 @@
     names::{ReplicaId, RouteName, ServiceName},
     relay_front::RelayFront,
     replica::ReplicaSpec,
-    route::{
-        Destination, Limits, Route, RouteConfig, RouteKind, RouteTable, Service, ShardSet,
-    },
+    route::{Destination, Limits, Route, RouteConfig, RouteKind, RouteTable, Service, ShardSet},
     router::{Place, Router, RouterOptions},
 };
 use standins::{
--- /dev/null
+++ b/crates/kumquatnotch-route/tests/common/store.rs
@@ -0,0 +1,144 @@
+//! A store in memory, with the faults that tests set.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    time::Duration,
+};
+
+use kumquatnotch_core::{
+    Error, LocalFuture, Result, Store,
+    store::{StoreChanges, StoreEvent, StoreItem, StoreLease, StoreScan, StoreWrite},
+};
+
+#[derive(Default)]
+pub struct FakeStore {
+    pub items: RefCell<BTreeMap<String, StoreItem>>,
+    pub events: RefCell<Vec<StoreEvent>>,
+    pub revision: Cell<u64>,
+    /// Every call fails.
+    pub away: Cell<bool>,
+    /// Watches after an older revision find no history.
+    pub oldest: Cell<u64>,
+    /// Leases that have ended.
+    pub ended: RefCell<Vec<u64>>,
+    pub leases: Cell<u64>,
+    pub calls: Cell<u64>,
+}
+
+fn event_revision(event: &StoreEvent) -> u64 {
+    match event {
+        StoreEvent::Written(item) => item.revision,
+        StoreEvent::Deleted { revision, .. } => *revision,
+    }
+}
+
+impl FakeStore {
+    pub fn put(&self, key: &str, value: &[u8]) {
+        let revision = self.next();
+        let item = StoreItem { key: key.to_owned(), value: value.to_vec(), revision };
+        self.items.borrow_mut().insert(key.to_owned(), item.clone());
+        self.events.borrow_mut().push(StoreEvent::Written(item));
+    }
+
+    pub fn delete(&self, key: &str) {
+        if self.items.borrow_mut().remove(key).is_some() {
+            let revision = self.next();
+            let event = StoreEvent::Deleted { key: key.to_owned(), revision };
+            self.events.borrow_mut().push(event);
+        }
+    }
+
+    /// Drops all history so far.
+    pub fn forget(&self) {
+        self.oldest.set(self.revision.get());
+        self.events.borrow_mut().clear();
+    }
+
+    fn next(&self) -> u64 {
+        self.revision.set(self.revision.get() + 1);
+        self.revision.get()
+    }
+
+    fn check(&self) -> Result<()> {
+        self.calls.set(self.calls.get() + 1);
+        if self.away.get() { Err(Error::PlatformUnavailable) } else { Ok(()) }
+    }
+}
+
+impl Store for FakeStore {
+    fn scan<'a>(&'a self, prefix: &'a str) -> LocalFuture<'a, Result<StoreScan>> {
+        Box::pin(async move {
+            self.check()?;
+            let items = self.items.borrow();
+            let items = items.values().filter(|item| item.key.starts_with(prefix)).cloned();
+            Ok(StoreScan { items: items.collect(), revision: self.revision.get() })
+        })
+    }
+
+    fn watch<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: u64,
+        wait: Duration,
+    ) -> LocalFuture<'a, Result<StoreChanges>> {
+        Box::pin(async move {
+            const STEP: Duration = Duration::from_millis(10);
+            let mut waited = Duration::ZERO;
+            loop {
+                self.check()?;
+                if after < self.oldest.get() {
+                    return Err(Error::VersionUnknown { version: after });
+                }
+                let events: Vec<StoreEvent> = self
+                    .events
+                    .borrow()
+                    .iter()
+                    .filter(|event| event_revision(event) > after)
+                    .filter(|event| match event {
+                        StoreEvent::Written(item) => item.key.starts_with(prefix),
+                        StoreEvent::Deleted { key, .. } => key.starts_with(prefix),
+                    })
+                    .cloned()
+                    .collect();
+                if !events.is_empty() || waited >= wait {
+                    return Ok(StoreChanges { events, revision: self.revision.get() });
+                }
+                monoio::time::sleep(STEP).await;
+                waited += STEP;
+            }
+        })
+    }
+
+    fn write<'a>(&'a self, write: &'a StoreWrite) -> LocalFuture<'a, Result<u64>> {
+        Box::pin(async move {
+            self.check()?;
+            for put in &write.puts {
+                if put.lease.is_some_and(|lease| self.ended.borrow().contains(&lease)) {
+                    return Err(Error::LeaseGone);
+                }
+                self.put(&put.key, &put.value);
+            }
+            write.deletes.iter().for_each(|key| self.delete(key));
+            Ok(self.revision.get())
+        })
+    }
+
+    fn grant(&self, ttl: Duration) -> LocalFuture<'_, Result<StoreLease>> {
+        Box::pin(async move {
+            self.check()?;
+            self.leases.set(self.leases.get() + 1);
+            Ok(StoreLease { id: self.leases.get(), ttl })
+        })
+    }
+
+    fn renew(&self, lease: u64) -> LocalFuture<'_, Result<()>> {
+        Box::pin(async move {
+            self.check()?;
+            if self.ended.borrow().contains(&lease) {
+                return Err(Error::LeaseGone);
+            }
+            Ok(())
+        })
+    }
+}
--- a/crates/kumquatnotch-route/tests/forwarding.rs
+++ b/crates/kumquatnotch-route/tests/forwarding.rs
@@ -6,8 +6,8 @@
 
 use bytes::Bytes;
 use common::*;
-use kumquatnotch_core::clock::RuntimeClock;
 use kumquatnotch_core::Clock;
+use kumquatnotch_core::clock::RuntimeClock;
 use standins::scripted::{Scripted, Step, answer};
 
 #[test]
--- a/crates/kumquatnotch-route/tests/searches.rs
+++ b/crates/kumquatnotch-route/tests/searches.rs
@@ -103,7 +103,10 @@
         for index in 0..4 {
             let answer = tier.get("/a/", &format!("r{index}")).await;
 
-            assert_eq!((answer.status, &answer.headers["x-proofs"]), (200, &"good".parse().unwrap()));
+            assert_eq!(
+                (answer.status, &answer.headers["x-proofs"]),
+                (200, &"good".parse().unwrap())
+            );
         }
     });
 }
--- /dev/null
+++ b/crates/kumquatnotch-route/tests/store.rs
@@ -0,0 +1,277 @@
+//! Following the store, and what is believed while it is away.
+
+mod common;
+#[path = "common/store.rs"]
+mod fake;
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use common::*;
+use fake::FakeStore;
+use kumquatnotch_core::{
+    Error, Result, Store, codec,
+    ids::{DataCentre, NodeName, Region},
+    lifecycle::Stage,
+    store::StoreItem,
+};
+use kumquatnotch_route::{
+    announce::Announcer,
+    fleet::NodeRecord,
+    mirror::{Entry, EntryKey, Mirror, MirrorOptions, Schema},
+    names::ReplicaId,
+};
+
+/// `c` holds the version of the configuration, `r/ID` the address of a replica,
+/// `n/NAME` a node.
+struct TestSchema;
+
+impl Schema for TestSchema {
+    fn prefix(&self) -> &str {
+        ""
+    }
+
+    fn read_key(&self, key: &str) -> Option<EntryKey> {
+        match key.split_once('/') {
+            Some(("r", id)) => Some(EntryKey::Replica(ReplicaId::from(id))),
+            Some(("n", name)) => Some(EntryKey::Node(NodeName::from(name))),
+            _ => (key == "c").then_some(EntryKey::Config),
+        }
+    }
+
+    fn read(&self, item: &StoreItem) -> Result<Option<Entry>> {
+        let text = String::from_utf8_lossy(&item.value).into_owned();
+        Ok(match self.read_key(&item.key) {
+            Some(EntryKey::Config) => {
+                let version = text.parse().map_err(Error::protocol)?;
+                Some(Entry::Config(config(version, vec![single()])))
+            }
+            Some(EntryKey::Replica(id)) => {
+                let draining = text.ends_with('!');
+                let address: SocketAddr = text.trim_end_matches('!').parse().unwrap();
+                Some(Entry::Replica(id, spec("s0", address, "home", draining)))
+            }
+            Some(EntryKey::Node(name)) => Some(Entry::Node(name, codec::decode(&item.value)?)),
+            None => None,
+        })
+    }
+}
+
+struct World {
+    tier: Tier,
+    store: Rc<FakeStore>,
+    mirror: Rc<Mirror>,
+}
+
+fn options() -> MirrorOptions {
+    MirrorOptions {
+        wait: Duration::from_millis(200),
+        collect: Duration::from_millis(10),
+        keep: Duration::from_millis(500),
+        backoff: Duration::from_millis(20),
+        most_backoff: Duration::from_millis(50),
+    }
+}
+
+/// A mirror of a store that holds a configuration and two replicas.
+async fn world() -> World {
+    let tier = Tier::new();
+    let store = Rc::new(FakeStore::default());
+    store.put("c", b"3");
+    store.put("r/one", b"127.0.0.1:1");
+    store.put("r/two", b"127.0.0.1:2");
+    let dyn_store: Rc<dyn Store> = store.clone();
+    let mirror = Mirror::new(options(), tier.router.clone(), dyn_store, Rc::new(TestSchema));
+    mirror.start();
+    pause(50).await;
+    World { tier, store, mirror }
+}
+
+impl World {
+    fn replicas(&self) -> usize {
+        self.tier.router.directory.len()
+    }
+
+    fn version(&self) -> u64 {
+        self.tier.router.table().unwrap().version()
+    }
+}
+
+#[test]
+fn what_the_store_holds_is_known_and_followed() {
+    run(async {
+        let world = world().await;
+        assert!(world.tier.router.is_ready());
+        assert_eq!((world.version(), world.replicas()), (3, 2));
+
+        world.store.put("c", b"9");
+        world.store.put("r/two", b"127.0.0.1:2!");
+        world.store.put("r/three", b"127.0.0.1:3");
+        pause(100).await;
+
+        assert_eq!((world.version(), world.replicas()), (9, 3));
+        let two = world.tier.router.directory.all();
+        let two = two.iter().find(|replica| replica.id.as_str() == "two").unwrap().clone();
+        assert!(!two.takes_requests());
+    });
+}
+
+#[test]
+fn a_replica_that_leaves_the_store_is_dropped_at_once() {
+    run(async {
+        let world = world().await;
+        // The time in which vanished entries are kept after the start must be over.
+        pause(600).await;
+
+        world.store.delete("r/one");
+        pause(60).await;
+
+        assert_eq!(world.replicas(), 1);
+    });
+}
+
+/// The store is away, and the entries of replicas lapse meanwhile. When it is back
+/// they are missing at first, and return when their replicas have renewed them.
+#[test]
+fn entries_that_lapse_while_the_store_is_away_are_kept_until_they_return() {
+    run(async {
+        let world = world().await;
+        pause(600).await;
+
+        world.store.away.set(true);
+        pause(100).await;
+        world.store.delete("r/one");
+        world.store.delete("r/two");
+        world.store.away.set(false);
+        pause(200).await;
+        let kept = world.replicas();
+        world.store.put("r/one", b"127.0.0.1:1");
+        pause(600).await;
+
+        assert_eq!(kept, 2);
+        assert_eq!(world.replicas(), 1);
+    });
+}
+
+/// The store was away only between two answers of a watch, so that no call failed.
+/// That so many replicas vanish together tells that their entries lapsed.
+#[test]
+fn entries_that_vanish_all_together_are_kept_for_a_while() {
+    run(async {
+        let world = world().await;
+        for index in 0..8 {
+            world.store.put(&format!("r/{index}"), b"127.0.0.1:4");
+        }
+        pause(700).await;
+
+        for index in 0..8 {
+            world.store.delete(&format!("r/{index}"));
+        }
+        pause(100).await;
+        let kept = world.replicas();
+        pause(700).await;
+
+        assert_eq!((kept, world.replicas()), (10, 2));
+    });
+}
+
+/// The history is gone, so that the deletions in the gap were never seen.
+#[test]
+fn everything_is_read_anew_when_the_history_is_gone() {
+    run(async {
+        let world = world().await;
+        world.store.away.set(true);
+        pause(100).await;
+        world.store.delete("r/one");
+        world.store.put("r/three", b"127.0.0.1:3");
+        world.store.put("c", b"4");
+        world.store.forget();
+        world.store.away.set(false);
+        pause(300).await;
+
+        assert_eq!((world.version(), world.replicas()), (4, 3));
+        pause(600).await;
+        assert_eq!(world.replicas(), 2);
+    });
+}
+
+#[test]
+fn a_value_that_cannot_be_read_changes_nothing() {
+    run(async {
+        let world = world().await;
+
+        world.store.put("c", b"not a version");
+        world.store.put("c", b"5");
+        pause(100).await;
+
+        assert_eq!(world.version(), 5);
+    });
+}
+
+fn announcer(world: &World) -> Rc<Announcer> {
+    let address: SocketAddr = "127.0.0.1:9".parse().unwrap();
+    let record = NodeRecord {
+        entry: address,
+        peer: address,
+        centre: DataCentre::from("home"),
+        region: Region::from("home"),
+    };
+    let store: Rc<dyn Store> = world.store.clone();
+    Announcer::new(
+        world.tier.router.clone(),
+        store,
+        world.mirror.clone(),
+        NodeName::from("me"),
+        "n/me".to_owned(),
+        codec::encode(&record).unwrap(),
+    )
+}
+
+#[test]
+fn a_node_announces_itself_and_takes_its_entry_away_when_it_leaves() {
+    run(async {
+        let world = world().await;
+        let announcer = announcer(&world);
+        announcer.start();
+        pause(100).await;
+        let announced = world.tier.router.fleet.len();
+
+        world.tier.router.lifecycle.advance(Stage::Leaving);
+        announcer.leave().await;
+        pause(1_000).await;
+
+        assert_eq!(announced, 1);
+        assert!(!world.store.items.borrow().contains_key("n/me"));
+    });
+}
+
+#[test]
+fn a_node_whose_lease_has_ended_announces_itself_anew() {
+    run(async {
+        let world = world().await;
+        announcer(&world).start();
+        pause(100).await;
+
+        world.store.ended.borrow_mut().push(1);
+        world.store.delete("n/me");
+        pause(1_500).await;
+
+        assert!(world.store.items.borrow().contains_key("n/me"));
+        assert_eq!(world.store.leases.get(), 2);
+    });
+}
+
+/// The store takes the entry away although the lease goes on being renewed, so
+/// that no call of the node shows it. Callers would never be advised to use it.
+#[test]
+fn a_node_whose_entry_was_taken_away_announces_itself_anew() {
+    run(async {
+        let world = world().await;
+        announcer(&world).start();
+        pause(700).await;
+
+        world.store.delete("n/me");
+        pause(3_000).await;
+
+        assert!(world.store.items.borrow().contains_key("n/me"));
+    });
+}
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -218,10 +218,8 @@
         headers: &[(&str, &str)],
         body: Bytes,
     ) -> io::Result<Answer> {
-        let mut request = http::Request::builder()
-            .method(method)
-            .uri(path)
-            .header("content-length", body.len());
+        let mut request =
+            http::Request::builder().method(method).uri(path).header("content-length", body.len());
         if !headers.iter().any(|(name, _)| *name == "host") {
             request = request.header("host", self.address.to_string());
         }
