Advise nodes beside the replicas, the large ones first; share budgets among those

Cause: at 87 nodes callers were sent to any node of their region: half of the nodes lie in data centres without replicas, and most have an eighth of a core, on which a search of 90 shards takes 67 ms of time alone.

--- a/crates/kumquatnotch-route/src/budget.rs
+++ b/crates/kumquatnotch-route/src/budget.rs
@@ -40,7 +40,7 @@
     options: BudgetOptions,
     clock: Rc<dyn Clock>,
     start: Instant,
-    nodes: Cell<usize>,
+    part: Cell<f64>,
     windows: RefCell<HashMap<ServiceName, Window>>,
 }
 
@@ -72,13 +72,13 @@
     /// A budget from which nothing was spent.
     pub fn new(options: BudgetOptions, clock: Rc<dyn Clock>) -> Budget {
         let start = clock.now();
-        let nodes = Cell::new(1);
-        Budget { options, clock, start, nodes, windows: RefCell::default() }
+        let part = Cell::new(1.0);
+        Budget { options, clock, start, part, windows: RefCell::default() }
     }
 
-    /// Sets how many nodes share the fixed number.
-    pub fn set_nodes(&self, nodes: usize) {
-        self.nodes.set(nodes.max(1));
+    /// Sets the part of the fixed number that is for this node, from zero to one.
+    pub fn set_part(&self, part: f64) {
+        self.part.set(part);
     }
 
     /// Notes the first sending of a request.
@@ -91,7 +91,7 @@
 
     /// Pays for a repeat; false if the budget is used up.
     pub fn spend(&self, service: &ServiceName) -> bool {
-        let slack = self.options.slack / self.nodes.get() as f64;
+        let slack = self.options.slack * self.part.get();
         let ratio = self.options.ratio;
         self.with_window(service, |window| {
             let firsts: u32 = window.firsts.iter().sum();
--- a/crates/kumquatnotch-route/src/call.rs
+++ b/crates/kumquatnotch-route/src/call.rs
@@ -95,6 +95,7 @@
     };
     let mut over = clock.sleep_until(call.deadline).fuse();
     let mut late = clock::sleep(clock, progress.copy_delay(&first)).fuse();
+    router.budget.set_part(router.own_part());
     if !call.repeat {
         router.budget.note_first(call.service);
     } else if !router.budget.spend(call.service) {
--- a/crates/kumquatnotch-route/src/directory.rs
+++ b/crates/kumquatnotch-route/src/directory.rs
@@ -1,6 +1,10 @@
 //! The replicas that are known, by their service.
 
-use std::{cell::RefCell, rc::Rc, time::Instant};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Instant,
+};
 
 use kumquatnotch_core::collections::HashMap;
 
@@ -14,6 +18,7 @@
 pub struct Directory {
     replicas: RefCell<HashMap<ReplicaId, Rc<Replica>>>,
     services: RefCell<HashMap<ServiceName, Rc<[Rc<Replica>]>>>,
+    generation: Cell<u64>,
 }
 
 impl Directory {
@@ -27,6 +32,7 @@
             };
             if !moved {
                 replica.update(spec);
+                self.note_change();
                 return;
             }
             self.remove(id);
@@ -72,7 +78,17 @@
         self.len() == 0
     }
 
+    /// A number that grows with each change of the directory.
+    pub fn generation(&self) -> u64 {
+        self.generation.get()
+    }
+
+    fn note_change(&self) {
+        self.generation.set(self.generation.get() + 1);
+    }
+
     fn sort(&self, service: &ServiceName) {
+        self.note_change();
         let replicas = self.replicas.borrow();
         let of_service = replicas.values().filter(|replica| replica.spec().service == *service);
         let list: Vec<Rc<Replica>> = of_service.cloned().collect();
--- a/crates/kumquatnotch-route/src/lib.rs
+++ b/crates/kumquatnotch-route/src/lib.rs
@@ -14,6 +14,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod advice;
 pub mod announce;
 pub mod attempt;
 pub mod budget;
--- a/crates/kumquatnotch-route/src/mirror.rs
+++ b/crates/kumquatnotch-route/src/mirror.rs
@@ -320,7 +320,6 @@
             Entry::Node(name, record) => {
                 tracing::info!(node = name.as_str(), revision, "mirror: a node tells of itself");
                 router.fleet.put(name, record, router.clock.now());
-                router.budget.set_nodes(router.fleet.len());
             }
         }
     }
@@ -352,7 +351,6 @@
             EntryKey::Node(name) => {
                 tracing::info!(node = name.as_str(), reason, "mirror: a node is gone");
                 router.fleet.remove(name);
-                router.budget.set_nodes(router.fleet.len());
             }
         }
     }
--- a/crates/kumquatnotch-route/src/relay.rs
+++ b/crates/kumquatnotch-route/src/relay.rs
@@ -152,7 +152,7 @@
         }
     }
     let mut groups = Vec::new();
-    while let Some((peer, region)) = best_region(router, &away) {
+    while let Some((peer, region)) = best_region(router, &route.host, &away) {
         let (taken, rest): (Vec<_>, Vec<_>) =
             away.into_iter().partition(|(_, regions)| regions.contains(&region));
         away = rest;
@@ -165,7 +165,11 @@
 }
 
 /// The region that holds most of the shards `away`, with a node of it.
-fn best_region(router: &Router, away: &[(usize, Vec<Region>)]) -> Option<(Rc<Replica>, Region)> {
+fn best_region(
+    router: &Router,
+    host: &str,
+    away: &[(usize, Vec<Region>)],
+) -> Option<(Rc<Replica>, Region)> {
     let mut regions: Vec<&Region> = away.iter().flat_map(|(_, regions)| regions).collect();
     regions.retain(|region| **region != router.place.region);
     regions.sort_unstable();
@@ -175,7 +179,7 @@
     let count = |region: &Region| away.iter().filter(|(_, all)| all.contains(region)).count();
     regions.sort_by_key(|region| std::cmp::Reverse(count(region)));
     let fitting = regions.into_iter().filter(|region| count(region) >= LEAST_SHARDS);
-    fitting.filter_map(|region| Some((router.fleet.peer_in(region)?, region.clone()))).next()
+    fitting.filter_map(|region| Some((router.peer_in(host, region)?, region.clone()))).next()
 }
 
 /// Asks a node to gather the parts of a group of shards.
--- a/crates/kumquatnotch-route/src/route.rs
+++ b/crates/kumquatnotch-route/src/route.rs
@@ -155,6 +155,14 @@
         self.hosts.get(&name.to_ascii_lowercase()).map_or(&[], Vec::as_slice)
     }
 
+    /// The hosts with a route over shards.
+    pub fn hosts_of_shards(&self) -> impl Iterator<Item = &str> {
+        let over_shards = |routes: &Vec<Rc<Route>>| {
+            routes.iter().any(|route| matches!(route.destination, Destination::Shards(_)))
+        };
+        self.hosts.iter().filter(move |(_, routes)| over_shards(routes)).map(|(host, _)| &**host)
+    }
+
     /// A service.
     pub fn service(&self, name: &ServiceName) -> Option<&Service> {
         self.services.get(name)
--- a/crates/kumquatnotch-route/src/router.rs
+++ b/crates/kumquatnotch-route/src/router.rs
@@ -9,7 +9,8 @@
 
 use kumquatnotch_core::{
     Clock, Result,
-    ids::{DataCentre, Region},
+    collections::HashSet,
+    ids::{DataCentre, NodeName, Region},
     lifecycle::Lifecycle,
     random::Random,
     registry::Registry,
@@ -17,6 +18,7 @@
 };
 
 use crate::{
+    advice::{AdviceCache, Candidate, HostAdvice},
     budget::{Budget, BudgetOptions},
     directory::Directory,
     fleet::{Fleet, PEER_SERVICE},
@@ -53,6 +55,12 @@
 /// The least part of the objective that is waited.
 const LEAST_WAIT: f64 = 0.4;
 
+/// The part of what all nodes share that is for those that callers are advised to use.
+const SERVING_PART: f64 = 0.85;
+
+/// The most hosts that are looked at to find these nodes.
+const MOST_HOSTS: usize = 16;
+
 /// Options of a [`Router`].
 #[derive(Clone, Debug)]
 pub struct RouterOptions {
@@ -64,9 +72,11 @@
     pub place: Place,
 }
 
-/// Where a node is.
+/// Who and where a node is.
 #[derive(Clone, Debug)]
 pub struct Place {
+    /// Its name.
+    pub name: NodeName,
     /// Its data centre.
     pub centre: DataCentre,
     /// Its region.
@@ -95,6 +105,8 @@
     pub budget: Budget,
     table: RefCell<Option<Rc<RouteTable>>>,
     synced: Cell<bool>,
+    advice: RefCell<AdviceCache>,
+    part: Cell<((u64, u64, u64), f64)>,
 }
 
 impl Router {
@@ -113,6 +125,8 @@
             paces: Paces::default(),
             table: RefCell::default(),
             synced: Cell::new(false),
+            advice: RefCell::default(),
+            part: Cell::new(((0, 0, 0), 1.0)),
         }))
     }
 
@@ -154,20 +168,74 @@
         let table = self.table();
         let service = table.as_ref().and_then(|table| table.service(service));
         let all = service.map_or(UNKNOWN_CONNECTIONS, |service| service.connections);
-        let nodes = self.fleet.len().max(1) as f64;
-        let own = (f64::from(all) * SHARED_CONNECTIONS / nodes) as u32;
+        let own = (f64::from(all) * SHARED_CONNECTIONS * self.own_part()) as u32;
         replica.gate.set_limit(own.clamp(1, MOST_CONNECTIONS));
     }
 
+    /// What callers of `host` are advised; `None` without configuration.
+    pub fn advice(&self, host: &str) -> Option<Rc<HostAdvice>> {
+        let table = self.table()?;
+        let valid_for = self.valid_for(&table);
+        let advice = self.advice.borrow_mut().get(host, valid_for, || {
+            let nodes = self.fleet.candidates();
+            HostAdvice::new(host, &table, &self.directory, &nodes, &self.fleet.regions())
+        });
+        Some(advice)
+    }
+
+    /// The node of `region` that is to gather for others, for requests to `host`.
+    pub fn peer_in(&self, host: &str, region: &Region) -> Option<Rc<Replica>> {
+        let advice = self.advice(host)?;
+        let there = advice.nodes_for(region).iter().filter(|(_, node)| node.region == *region);
+        let there: Vec<Candidate> = there.cloned().collect();
+        self.fleet.peer_of(&there)
+    }
+
+    /// The part of what all nodes share that this one may use, from zero to one.
+    ///
+    /// Most of it is for the nodes that callers are advised to use; the others may
+    /// still get requests of callers whose advice is old.
+    pub fn own_part(&self) -> f64 {
+        let Some(table) = self.table() else { return 1.0 };
+        let valid_for = self.valid_for(&table);
+        let (known_for, part) = self.part.get();
+        if known_for == valid_for {
+            return part;
+        }
+        let part = self.work_out_part(&table);
+        self.part.set((valid_for, part));
+        part
+    }
+
+    fn work_out_part(&self, table: &RouteTable) -> f64 {
+        let mut serving: HashSet<NodeName> = HashSet::default();
+        for host in table.hosts_of_shards().take(MOST_HOSTS) {
+            if let Some(advice) = self.advice(host) {
+                serving.extend(advice.serving().cloned());
+            }
+        }
+        let all = self.fleet.len().max(1);
+        if serving.is_empty() || serving.len() >= all {
+            return 1.0 / all as f64;
+        }
+        if serving.contains(&self.place.name) {
+            return SERVING_PART / serving.len() as f64;
+        }
+        (1.0 - SERVING_PART) / (all - serving.len()) as f64
+    }
+
+    fn valid_for(&self, table: &RouteTable) -> (u64, u64, u64) {
+        (table.version(), self.directory.generation(), self.fleet.generation())
+    }
+
     /// For how long after its arrival the answer to a request is worth most.
     ///
     /// Callers count their time from when they sent the request, so both ways come
     /// off the objective. One that was sent here from another region may be as far
     /// away as the farthest replica is.
     pub fn waiting_time(&self, route: &Route) -> Duration {
-        let guests = self.table().is_some_and(|table| {
-            self.fleet.has_guests(&route.host, &self.place.region, &table, &self.directory)
-        });
+        let guests =
+            self.advice(&route.host).is_some_and(|advice| advice.has_guests(&self.place.region));
         let way = if guests { self.farthest_trip() } else { Duration::ZERO };
         let wait = route.objective.saturating_sub(way + ANSWER_TIME);
         wait.max(route.objective.mul_f64(LEAST_WAIT))
--- a/crates/kumquatnotch-route/tests/advice.rs
+++ b/crates/kumquatnotch-route/tests/advice.rs
@@ -5,10 +5,14 @@
     time::{Duration, Instant},
 };
 
-use kumquatnotch_core::ids::{DataCentre, NodeName, Region};
+use kumquatnotch_core::{
+    collections::HashMap,
+    ids::{DataCentre, NodeName, Region},
+};
 use kumquatnotch_route::{
+    advice::{Candidate, HostAdvice},
     directory::Directory,
-    fleet::{Fleet, NodeRecord},
+    fleet::NodeRecord,
     names::{ReplicaId, RouteName, ServiceName},
     replica::ReplicaSpec,
     route::{Destination, Limits, Route, RouteConfig, RouteKind, RouteTable, ShardSet},
@@ -39,27 +43,35 @@
     SocketAddr::from(([10, 0, 0, host], 80))
 }
 
-/// Two nodes in each of three regions.
-fn fleet() -> Fleet {
-    let fleet = Fleet::default();
-    let regions = [("a1", "a"), ("b1", "b"), ("c1", "c")];
-    fleet.set_regions(
-        regions.iter().map(|(c, r)| (DataCentre::from(*c), Region::from(*r))).collect(),
-    );
-    for (index, (centre, region)) in regions.iter().enumerate() {
-        for node in 0..2 {
-            let host = (index * 2 + node) as u8;
-            let entry = address(host);
-            let record = NodeRecord {
-                entry,
-                peer: address(host + 50),
-                centre: DataCentre::from(*centre),
-                region: Region::from(*region),
-            };
-            fleet.put(NodeName::from(format!("n{host}")), record, Instant::now());
-        }
-    }
-    fleet
+fn region(name: &str) -> Region {
+    Region::from(name)
+}
+
+fn node(host: u8, centre: &str, capacity: f64) -> Candidate {
+    let record = NodeRecord {
+        entry: address(host),
+        peer: address(host + 50),
+        centre: DataCentre::from(centre),
+        region: region(&centre[..1]),
+        capacity,
+    };
+    (NodeName::from(format!("n{host}")), record)
+}
+
+/// Two nodes in each of three regions with a data centre each.
+fn nodes() -> Vec<Candidate> {
+    let centres = ["a1", "a1", "b1", "b1", "c1", "c1"];
+    (0..).zip(centres).map(|(host, centre)| node(host, centre, 1.0)).collect()
+}
+
+fn regions() -> HashMap<DataCentre, Region> {
+    let centres = ["a1", "a2", "b1", "b2", "c1"];
+    centres.iter().map(|centre| (DataCentre::from(*centre), region(&centre[..1]))).collect()
+}
+
+fn advice(replicas: &[(&str, &str)], nodes: &[Candidate]) -> HostAdvice {
+    let table = table(&["s1", "s2"]);
+    HostAdvice::new("rooms.example", &table, &directory(replicas), nodes, &regions())
 }
 
 fn directory(replicas: &[(&str, &str)]) -> Directory {
@@ -79,30 +91,52 @@
 
 #[test]
 fn callers_of_a_region_with_all_shards_stay_there() {
-    let replicas = directory(&[("s1", "a1"), ("s2", "a1"), ("s1", "b1"), ("s2", "b1")]);
-
-    let advice =
-        fleet().advise("rooms.example", &Region::from("b"), &table(&["s1", "s2"]), &replicas);
+    let advice = advice(&[("s1", "a1"), ("s2", "a1"), ("s1", "b1"), ("s2", "b1")], &nodes());
 
-    assert_eq!(advice, [address(2), address(3)]);
+    assert_eq!(advice.addresses_for(&region("b")), [address(2), address(3)]);
+    assert!(advice.has_guests(&region("b")) && !advice.has_guests(&region("c")));
 }
 
 #[test]
 fn callers_of_a_region_without_shards_are_sent_to_those_that_have_them() {
-    let replicas = directory(&[("s1", "a1"), ("s2", "a1"), ("s1", "b1"), ("s2", "b1")]);
-
-    let advice =
-        fleet().advise("rooms.example", &Region::from("c"), &table(&["s1", "s2"]), &replicas);
+    let advice = advice(&[("s1", "a1"), ("s2", "a1"), ("s1", "b1"), ("s2", "b1")], &nodes());
 
-    assert_eq!(advice, [address(0), address(1), address(2), address(3)]);
+    let expected = [address(0), address(1), address(2), address(3)];
+    assert_eq!(advice.addresses_for(&region("c")), expected);
 }
 
 #[test]
 fn a_region_that_lost_its_replicas_sends_its_callers_elsewhere() {
-    let replicas = directory(&[("s1", "b1"), ("s2", "b1")]);
+    let advice = advice(&[("s1", "b1"), ("s2", "b1")], &nodes());
 
-    let advice =
-        fleet().advise("rooms.example", &Region::from("a"), &table(&["s1", "s2"]), &replicas);
+    assert_eq!(advice.addresses_for(&region("a")), [address(2), address(3)]);
+}
+
+#[test]
+fn nodes_beside_the_replicas_are_preferred_and_of_these_the_large_ones() {
+    let mut nodes = vec![node(0, "a1", 0.5), node(1, "a1", 0.5), node(2, "a1", 0.1)];
+    nodes.extend([node(3, "a2", 0.5), node(4, "a2", 0.5), node(5, "a2", 0.1)]);
+
+    let advice = advice(&[("s1", "a1"), ("s2", "a1")], &nodes);
+
+    assert_eq!(advice.addresses_for(&region("a")), [address(0), address(1)]);
+    assert_eq!(advice.addresses_for(&region("b")), [address(0), address(1)]);
+}
+
+/// The last but one of the large nodes beside the replicas has ended. Callers are
+/// given the smaller ones there as well: a single address would be a single loss.
+#[test]
+fn a_choice_of_one_node_is_widened() {
+    let nodes = [node(0, "a1", 0.5), node(1, "a1", 0.1), node(2, "a2", 0.5)];
+
+    let advice = advice(&[("s1", "a1"), ("s2", "a1")], &nodes);
+
+    assert_eq!(advice.addresses_for(&region("a")), [address(0), address(1)]);
+}
+
+#[test]
+fn callers_of_an_unknown_region_get_all_nodes() {
+    let advice = advice(&[("s1", "a1"), ("s2", "a1")], &nodes());
 
-    assert_eq!(advice, [address(2), address(3)]);
+    assert_eq!(advice.addresses_for(&region("z")).len(), 6);
 }
--- a/crates/kumquatnotch-route/tests/common/mod.rs
+++ b/crates/kumquatnotch-route/tests/common/mod.rs
@@ -118,7 +118,11 @@
         let options = RouterOptions {
             names: HeaderNames::default(),
             budget: BudgetOptions { ratio: 0.2, slack, window: Duration::from_secs(10) },
-            place: Place { centre: DataCentre::from(centre), region: Region::from(centre) },
+            place: Place {
+                name: NodeName::from("me"),
+                centre: DataCentre::from(centre),
+                region: Region::from(centre),
+            },
         };
         let router = Router::try_new(options, &registry).unwrap();
         let regions = ["home", "away"];
@@ -170,6 +174,7 @@
             peer,
             centre: DataCentre::from(centre),
             region: Region::from(centre),
+            capacity: 1.0,
         };
         self.router.fleet.put(NodeName::from(name), record, Instant::now());
     }
--- a/crates/kumquatnotch-route/tests/rules.rs
+++ b/crates/kumquatnotch-route/tests/rules.rs
@@ -117,7 +117,7 @@
 fn budget(clock: &PausedClock, nodes: usize) -> Budget {
     let options = BudgetOptions { ratio: 0.2, slack: 40.0, window: Duration::from_secs(10) };
     let budget = Budget::new(options, Rc::new(clock.clone()));
-    budget.set_nodes(nodes);
+    budget.set_part(1.0 / nodes as f64);
     budget
 }
 
--- a/crates/kumquatnotch-route/tests/store.rs
+++ b/crates/kumquatnotch-route/tests/store.rs
@@ -214,6 +214,7 @@
         peer: address,
         centre: DataCentre::from("home"),
         region: Region::from("home"),
+        capacity: 1.0,
     };
     let store: Rc<dyn Store> = world.store.clone();
     Announcer::new(
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -11,6 +11,7 @@
 mod nodes;
 mod processes;
 mod processes_layout;
+mod routes;
 mod spread;
 mod spread_storm;
 mod today;
@@ -33,6 +34,7 @@
     Capacity(capacity_command::Args),
     Decisions(decisions::Args),
     Latency(latency::Args),
+    Routes(routes::Args),
     Spread(spread::Args),
     Storm(spread_storm::Args),
     Today(today::Args),
@@ -47,6 +49,7 @@
         }
         Command::Capacity(args) => capacity_command::run(&args),
         Command::Latency(args) => latency::run(&args),
+        Command::Routes(args) => routes::run(&args).map_err(std::io::Error::other),
         Command::Spread(args) => spread::run(&args),
         Command::Storm(args) => spread_storm::run(&args),
         Command::Today(args) => today::run(&args),
