--- a/crates/kumquatnotch-route/src/choice.rs
+++ b/crates/kumquatnotch-route/src/choice.rs
@@ -14,9 +14,6 @@
     replica::{Fitness, Replica},
 };
 
-/// The way there and back to a replica to which no connection was opened yet.
-const UNKNOWN_TRIP: Duration = Duration::from_millis(5);
-
 /// What a failure costs: finding another replica, and a repeat out of the budget.
 const FAILURE_COST: f64 = 0.2;
 
@@ -35,7 +32,7 @@
 /// After which time a reply of `replica` is late.
 pub fn lateness(replica: &Replica, usual: Duration, now: Instant) -> Duration {
     let slowness = replica.slowness(now).clamp(1.0, PATIENT_SLOWNESS);
-    replica.round_trip(UNKNOWN_TRIP) + usual.mul_f64(LATE_TIMES * slowness) + LATE_SLACK
+    replica.round_trip() + usual.mul_f64(LATE_TIMES * slowness) + LATE_SLACK
 }
 
 /// The least part of the usual time after which a copy is sent.
@@ -60,7 +57,7 @@
         return late;
     };
     let slowness = replica.slowness(now).clamp(1.0, PATIENT_SLOWNESS);
-    let soonest = replica.round_trip(UNKNOWN_TRIP) + usual.mul_f64(SOONEST_TIMES * slowness);
+    let soonest = replica.round_trip() + usual.mul_f64(SOONEST_TIMES * slowness);
     let needed = Duration::from_secs_f64(other) + usual.mul_f64(SOONEST_TIMES - 1.0);
     left.saturating_sub(needed).clamp(soonest.min(late), late)
 }
@@ -76,7 +73,7 @@
     let ahead = replica.load(now) + replica.gate.waiting() as f64;
     let queue = ((ahead + 1.0 - slots) / slots).max(0.0);
     let work = usual.as_secs_f64() * replica.slowness(now) * (1.0 + queue);
-    replica.round_trip(UNKNOWN_TRIP).as_secs_f64() + work + FAILURE_COST * replica.failures(now)
+    replica.round_trip().as_secs_f64() + work + FAILURE_COST * replica.failures(now)
 }
 
 /// How readily a replica is taken; less is better.
--- a/crates/kumquatnotch-route/src/directory.rs
+++ b/crates/kumquatnotch-route/src/directory.rs
@@ -9,6 +9,7 @@
 use kumquatnotch_core::collections::HashMap;
 
 use crate::{
+    distances::Distances,
     names::{ReplicaId, ServiceName},
     replica::{Replica, ReplicaSpec},
 };
@@ -19,9 +20,15 @@
     replicas: RefCell<HashMap<ReplicaId, Rc<Replica>>>,
     services: RefCell<HashMap<ServiceName, Rc<[Rc<Replica>]>>>,
     generation: Cell<u64>,
+    distances: Rc<Distances>,
 }
 
 impl Directory {
+    /// A directory without replicas, for a node with these ways to data centres.
+    pub fn new(distances: Rc<Distances>) -> Directory {
+        Directory { distances, ..Default::default() }
+    }
+
     /// Adds a replica, or takes over what it says of itself now.
     pub fn put(&self, id: &ReplicaId, spec: ReplicaSpec, now: Instant) {
         let known = self.replicas.borrow().get(id).cloned();
@@ -38,7 +45,8 @@
             self.remove(id);
         }
         let service = spec.service.clone();
-        let replica = Rc::new(Replica::new(id.clone(), spec, now));
+        let distance = self.distances.to(&spec.centre);
+        let replica = Rc::new(Replica::new(id.clone(), spec, distance, now));
         self.replicas.borrow_mut().insert(id.clone(), replica);
         self.sort(&service);
     }
--- a/crates/kumquatnotch-route/src/fleet.rs
+++ b/crates/kumquatnotch-route/src/fleet.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     advice::Candidate,
+    distances::Distances,
     names::{ReplicaId, ServiceName},
     relay,
     replica::{Replica, ReplicaSpec},
@@ -52,14 +53,19 @@
 #[derive(Default)]
 pub struct Fleet {
     nodes: RefCell<HashMap<NodeName, Node>>,
-    regions: RefCell<HashMap<DataCentre, Region>>,
+    distances: Rc<Distances>,
     generation: Cell<u64>,
 }
 
 impl Fleet {
+    /// A fleet without nodes, for a node with these ways to data centres.
+    pub fn new(distances: Rc<Distances>) -> Fleet {
+        Fleet { distances, ..Default::default() }
+    }
+
     /// Sets in which region each data centre lies.
     pub fn set_regions(&self, regions: HashMap<DataCentre, Region>) {
-        *self.regions.borrow_mut() = regions;
+        self.distances.set_regions(regions);
         self.note_change();
     }
 
@@ -76,7 +82,8 @@
             slots: PEER_SLOTS,
             draining: false,
         };
-        let peer = Rc::new(Replica::new(ReplicaId::from(name.as_str()), spec, now));
+        let distance = self.distances.to(&record.centre);
+        let peer = Rc::new(Replica::new(ReplicaId::from(name.as_str()), spec, distance, now));
         if let Some(old) = nodes.insert(name, Node { record, peer }) {
             old.peer.set_gone();
         }
@@ -93,7 +100,7 @@
 
     /// The region of a data centre.
     pub fn region_of(&self, centre: &DataCentre) -> Option<Region> {
-        self.regions.borrow().get(centre).cloned()
+        self.distances.regions().get(centre).cloned()
     }
 
     /// Of the nodes named, the one that has fewest requests of this one.
@@ -122,7 +129,7 @@
 
     /// In which region each data centre lies.
     pub fn regions(&self) -> std::cell::Ref<'_, HashMap<DataCentre, Region>> {
-        self.regions.borrow()
+        self.distances.regions()
     }
 
     /// A number that grows with each change of the fleet.
--- a/crates/kumquatnotch-route/src/lib.rs
+++ b/crates/kumquatnotch-route/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod call;
 pub mod choice;
 pub mod directory;
+pub mod distances;
 pub mod fleet;
 pub mod front;
 pub mod gate;
--- a/crates/kumquatnotch-route/src/relay.rs
+++ b/crates/kumquatnotch-route/src/relay.rs
@@ -1,15 +1,15 @@
 //! Asking a node beside the replicas for the merged parts of several shards.
 //!
-//! Each part that crosses regions costs its head and its records. A node in the
-//! region of the replicas merges them, so that one short reply crosses instead of
-//! one for each shard: the greatest records of all, and the proofs of the parts.
+//! Each part that leaves its data centre costs its head and its records. A node
+//! beside the replicas merges them, so that one short reply crosses instead of one
+//! for each shard: the greatest records of all, and the proofs of the parts.
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use futures_util::future::{Either, select};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
-use kumquatnotch_core::{Error, Result, clock, codec, ids::Region};
+use kumquatnotch_core::{Error, Result, clock, codec, ids::DataCentre};
 use kumquatnotch_net::message::Request;
 use serde::{Deserialize, Serialize};
 
@@ -38,7 +38,13 @@
 /// How often it is asked.
 const RUNNING_PERIOD: Duration = Duration::from_millis(250);
 
-/// The fewest shards for which a node of another region is asked.
+/// By how much later than the best a replica may be expected to reply, in seconds,
+/// for its data centre to do as well.
+///
+/// More than replicas of one region differ by, less than a way between regions.
+const NEAR_SLACK: f64 = 0.006;
+
+/// The fewest shards for which a node of another data centre is asked.
 ///
 /// For a single one, its message is no shorter than the part itself.
 pub const LEAST_SHARDS: usize = 2;
@@ -131,55 +137,68 @@
 }
 
 /// Parts the shards of a set into those that are asked for here, and groups for
-/// nodes of other regions.
+/// nodes of other data centres.
 pub fn plan(router: &Router, route: &Route, set: &ShardSet) -> (Vec<usize>, Vec<Group>) {
     let usual = router.paces.usual(route);
-    let now = router.clock.now();
     let mut here = Vec::new();
-    let mut away: Vec<(usize, Vec<Region>)> = Vec::new();
+    let mut away: Vec<Away> = Vec::new();
     for (index, shard) in set.shards.iter().enumerate() {
-        let replicas = router.directory.of(shard);
-        let best = choice::best(&replicas, &[], usual, now);
-        let home = best.and_then(|pick| router.fleet.region_of(&pick.replica.spec().centre));
-        match home {
-            Some(home) if home != router.place.region => {
-                let fit = replicas.iter().filter(|replica| choice::is_good(replica, usual, now));
-                let regions =
-                    fit.filter_map(|replica| router.fleet.region_of(&replica.spec().centre));
-                away.push((index, regions.collect()));
-            }
-            _ => here.push(index),
+        let centres = nearest_centres(router, shard, usual);
+        if centres.is_empty() || centres.contains(&router.place.centre) {
+            here.push(index);
+        } else {
+            away.push(Away { index, centres });
         }
     }
     let mut groups = Vec::new();
-    while let Some((peer, region)) = best_region(router, &route.host, &away) {
-        let (taken, rest): (Vec<_>, Vec<_>) =
-            away.into_iter().partition(|(_, regions)| regions.contains(&region));
+    while let Some((peer, centre)) = best_centre(router, &route.host, &away) {
+        let (taken, rest): (Vec<Away>, Vec<Away>) =
+            away.into_iter().partition(|shard| shard.centres.contains(&centre));
         away = rest;
-        let shards: Vec<usize> = taken.into_iter().map(|(index, _)| index).collect();
+        let shards: Vec<usize> = taken.into_iter().map(|shard| shard.index).collect();
         let allowed = shards.iter().map(|index| allowed(router, route, &set.shards[*index]));
         groups.push(Group { peer, allowed: allowed.collect(), shards });
     }
-    here.extend(away.into_iter().map(|(index, _)| index));
+    here.extend(away.into_iter().map(|shard| shard.index));
     (here, groups)
 }
 
-/// The region that holds most of the shards `away`, with a node of it.
-fn best_region(
-    router: &Router,
-    host: &str,
-    away: &[(usize, Vec<Region>)],
-) -> Option<(Rc<Replica>, Region)> {
-    let mut regions: Vec<&Region> = away.iter().flat_map(|(_, regions)| regions).collect();
-    regions.retain(|region| **region != router.place.region);
-    regions.sort_unstable();
-    regions.dedup();
+/// A shard whose nearest replicas are in other data centres.
+struct Away {
+    index: usize,
+    centres: Vec<DataCentre>,
+}
+
+/// The data centres with a replica that is expected to reply about as soon as the best.
+fn nearest_centres(router: &Router, shard: &ServiceName, usual: Duration) -> Vec<DataCentre> {
+    let now = router.clock.now();
+    let replicas = router.directory.of(shard);
+    let Some(best) = choice::best(&replicas, &[], usual, now) else {
+        return Vec::new();
+    };
+    let mut centres = vec![best.replica.spec().centre.clone()];
+    for replica in replicas.iter().filter(|replica| choice::is_good(replica, usual, now)) {
+        let near = choice::expected(replica, usual, now) <= best.expected + NEAR_SLACK;
+        let centre = replica.spec().centre.clone();
+        if near && !centres.contains(&centre) {
+            centres.push(centre);
+        }
+    }
+    centres
+}
+
+/// The data centre that holds most of the shards `away`, with a node of it.
+fn best_centre(router: &Router, host: &str, away: &[Away]) -> Option<(Rc<Replica>, DataCentre)> {
+    let mut centres: Vec<&DataCentre> = away.iter().flat_map(|shard| &shard.centres).collect();
+    centres.sort_unstable();
+    centres.dedup();
     // Of two that hold as many, each is taken in its turn.
-    router.random.shuffle(&mut regions);
-    let count = |region: &Region| away.iter().filter(|(_, all)| all.contains(region)).count();
-    regions.sort_by_key(|region| std::cmp::Reverse(count(region)));
-    let fitting = regions.into_iter().filter(|region| count(region) >= LEAST_SHARDS);
-    fitting.filter_map(|region| Some((router.peer_in(host, region)?, region.clone()))).next()
+    router.random.shuffle(&mut centres);
+    let count =
+        |centre: &DataCentre| away.iter().filter(|shard| shard.centres.contains(centre)).count();
+    centres.sort_by_key(|centre| std::cmp::Reverse(count(centre)));
+    let fitting = centres.into_iter().filter(|centre| count(centre) >= LEAST_SHARDS);
+    fitting.filter_map(|centre| Some((router.peer_in(host, centre)?, centre.clone()))).next()
 }
 
 /// Asks a node to gather the parts of a group of shards.
@@ -310,7 +329,7 @@
     // The reply needs its way back.
     let due = search.due.saturating_duration_since(now);
     let route = search.route;
-    let due = due.saturating_sub(group.peer.known_trip().unwrap_or_default() + MERGE_TIME);
+    let due = due.saturating_sub(group.peer.round_trip() + MERGE_TIME);
     let due = due.max(router.paces.usual(route).mul_f64(LEAST_TIMES));
     let headers = search.request.headers.iter();
     RelayRequest {
--- a/crates/kumquatnotch-route/src/replica.rs
+++ b/crates/kumquatnotch-route/src/replica.rs
@@ -10,6 +10,7 @@
 use kumquatnotch_core::ids::DataCentre;
 
 use crate::{
+    distances::Distance,
     gate::Gate,
     links::Links,
     names::{ReplicaId, ServiceName},
@@ -73,6 +74,8 @@
     gone: Cell<bool>,
     /// The way there and back, from the quickest opening of a connection.
     round_trip: Cell<Option<Duration>>,
+    /// The way to its data centre.
+    distance: Rc<Distance>,
     slowness: Cell<f64>,
     failures: Cell<f64>,
     measured: Cell<Instant>,
@@ -85,7 +88,7 @@
 
 impl Replica {
     /// A replica of which nothing was learned yet.
-    pub fn new(id: ReplicaId, spec: ReplicaSpec, now: Instant) -> Replica {
+    pub fn new(id: ReplicaId, spec: ReplicaSpec, distance: Rc<Distance>, now: Instant) -> Replica {
         Replica {
             id,
             gate: Rc::default(),
@@ -94,6 +97,7 @@
             fitness: Cell::new(Fitness::Fit),
             gone: Cell::new(false),
             round_trip: Cell::new(None),
+            distance,
             slowness: Cell::new(1.0),
             failures: Cell::new(0.0),
             measured: Cell::new(now),
@@ -147,11 +151,13 @@
     pub fn note_connect(&self, took: Duration) {
         let known = self.round_trip.get().unwrap_or(Duration::MAX);
         self.round_trip.set(Some(known.min(took)));
+        self.distance.note(took);
     }
 
-    /// The way there and back; `default` before the first connection.
-    pub fn round_trip(&self, default: Duration) -> Duration {
-        self.round_trip.get().unwrap_or(default)
+    /// The way there and back, by what is known of its data centre before the first
+    /// connection.
+    pub fn round_trip(&self) -> Duration {
+        self.round_trip.get().unwrap_or_else(|| self.distance.trip())
     }
 
     /// The way there and back, if it was measured.
--- a/crates/kumquatnotch-route/src/router.rs
+++ b/crates/kumquatnotch-route/src/router.rs
@@ -21,6 +21,7 @@
     advice::{AdviceCache, Candidate, HostAdvice},
     budget::{Budget, BudgetOptions},
     directory::Directory,
+    distances::Distances,
     fleet::{Fleet, PEER_SERVICE},
     headers::HeaderNames,
     names::ServiceName,
@@ -99,6 +100,8 @@
     pub directory: Directory,
     /// The nodes that are known.
     pub fleet: Fleet,
+    /// The ways to the data centres.
+    pub distances: Rc<Distances>,
     /// How long requests usually take.
     pub paces: Paces,
     /// The budget for repeats.
@@ -113,6 +116,8 @@
     /// A router without configuration and replicas.
     pub fn try_new(options: RouterOptions, registry: &Registry) -> Result<Rc<Router>> {
         let clock = registry.find::<Rc<dyn Clock>>(services::CLOCK)?;
+        let Place { centre, region, .. } = options.place.clone();
+        let distances = Rc::new(Distances::from(centre, region));
         Ok(Rc::new(Router {
             names: options.names,
             place: options.place,
@@ -120,8 +125,9 @@
             clock,
             random: registry.find(services::RANDOM)?,
             lifecycle: registry.find(services::LIFECYCLE)?,
-            directory: Directory::default(),
-            fleet: Fleet::default(),
+            directory: Directory::new(distances.clone()),
+            fleet: Fleet::new(distances.clone()),
+            distances,
             paces: Paces::default(),
             table: RefCell::default(),
             synced: Cell::new(false),
@@ -183,10 +189,13 @@
         Some(advice)
     }
 
-    /// The node of `region` that is to gather for others, for requests to `host`.
-    pub fn peer_in(&self, host: &str, region: &Region) -> Option<Rc<Replica>> {
+    /// The node of `centre` that is to gather for others, for requests to `host`.
+    ///
+    /// It is one that callers are advised to use: the others have few connections.
+    pub fn peer_in(&self, host: &str, centre: &DataCentre) -> Option<Rc<Replica>> {
         let advice = self.advice(host)?;
-        let there = advice.nodes_for(region).iter().filter(|(_, node)| node.region == *region);
+        let region = self.fleet.region_of(centre)?;
+        let there = advice.nodes_for(&region).iter().filter(|(_, node)| node.centre == *centre);
         let there: Vec<Candidate> = there.cloned().collect();
         self.fleet.peer_of(&there)
     }
@@ -236,16 +245,8 @@
     pub fn waiting_time(&self, route: &Route) -> Duration {
         let guests =
             self.advice(&route.host).is_some_and(|advice| advice.has_guests(&self.place.region));
-        let way = if guests { self.farthest_trip() } else { Duration::ZERO };
+        let way = if guests { self.distances.farthest() } else { Duration::ZERO };
         let wait = route.objective.saturating_sub(way + ANSWER_TIME);
         wait.max(route.objective.mul_f64(LEAST_WAIT))
     }
-
-    /// The way there and back to the farthest replica that was reached.
-    ///
-    /// Callers may be as far from this node as its replicas are.
-    pub fn farthest_trip(&self) -> Duration {
-        let trips = self.directory.all().into_iter().filter_map(|replica| replica.known_trip());
-        trips.max().unwrap_or_default()
-    }
 }
