Let a few nodes watch the store and the others follow these

Change: two nodes of each data centre with more than four watch the store; the others follow one of them by the same revisions, and pass over one that has not heard from the store for 2.6 s. If none can be followed, they ask the store. Ruled out: fewer watches that wait longer, as a silent connection would then be found too late.

--- a/crates/kumquatnotch-core/src/store.rs
+++ b/crates/kumquatnotch-core/src/store.rs
@@ -42,6 +42,16 @@
     },
 }
 
+impl StoreEvent {
+    /// The revision of the change.
+    pub fn revision(&self) -> u64 {
+        match self {
+            StoreEvent::Written(item) => item.revision,
+            StoreEvent::Deleted { revision, .. } => *revision,
+        }
+    }
+}
+
 /// What a watch has seen.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct StoreChanges {
--- a/crates/kumquatnotch-route/src/fleet.rs
+++ b/crates/kumquatnotch-route/src/fleet.rs
@@ -98,6 +98,11 @@
         }
     }
 
+    /// The way to a node.
+    pub fn peer(&self, name: &NodeName) -> Option<Rc<Replica>> {
+        self.nodes.borrow().get(name).map(|node| node.peer.clone())
+    }
+
     /// The region of a data centre.
     pub fn region_of(&self, centre: &DataCentre) -> Option<Region> {
         self.distances.regions().get(centre).cloned()
--- /dev/null
+++ b/crates/kumquatnotch-route/src/journal.rs
@@ -0,0 +1,135 @@
+//! What this node knows of the store, for other nodes to follow.
+//!
+//! Each call to the store counts, a waiting watch too, and its rates grow more
+//! slowly than the fleet. So a few nodes watch the store, and the others watch
+//! one of these by the same revisions ([`follow`](crate::follow)).
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, VecDeque},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use futures_channel::oneshot;
+use futures_util::future::select;
+use kumquatnotch_core::{
+    Clock, clock,
+    store::{StoreChanges, StoreEvent, StoreItem, StoreScan},
+};
+
+/// How many changes are kept for those that follow.
+///
+/// A follower is a few seconds behind at most; one that is further behind gets
+/// everything anew.
+const MOST_EVENTS: usize = 2_000;
+
+/// What this node knows of the store.
+pub struct Journal {
+    clock: Rc<dyn Clock>,
+    items: RefCell<BTreeMap<String, StoreItem>>,
+    events: RefCell<VecDeque<StoreEvent>>,
+    /// The revision up to which everything is known; zero before the first scan.
+    revision: Cell<u64>,
+    /// The revision after which all changes are kept.
+    oldest: Cell<u64>,
+    /// When the store last said that this is all there is.
+    confirmed: Cell<Instant>,
+    waiting: RefCell<Vec<oneshot::Sender<()>>>,
+}
+
+/// What a follower gets.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Passage {
+    /// The changes since its revision.
+    Changes(StoreChanges),
+    /// Everything, as the changes are not kept any more.
+    Whole(StoreScan),
+}
+
+impl Journal {
+    /// A journal of nothing.
+    pub fn new(clock: Rc<dyn Clock>) -> Journal {
+        let confirmed = Cell::new(clock.now());
+        Journal {
+            clock,
+            items: RefCell::default(),
+            events: RefCell::default(),
+            revision: Cell::new(0),
+            oldest: Cell::new(0),
+            confirmed,
+            waiting: RefCell::default(),
+        }
+    }
+
+    /// Whether there is anything to follow.
+    pub fn is_filled(&self) -> bool {
+        self.revision.get() > 0
+    }
+
+    /// How long ago the store last said that this is all there is.
+    pub fn age(&self) -> Duration {
+        self.clock.now().saturating_duration_since(self.confirmed.get())
+    }
+
+    /// Starts anew with everything that the store holds, as of `confirmed`.
+    pub fn reset(&self, scan: &StoreScan, confirmed: Instant) {
+        let items = scan.items.iter().map(|item| (item.key.clone(), item.clone()));
+        *self.items.borrow_mut() = items.collect();
+        self.events.borrow_mut().clear();
+        self.oldest.set(scan.revision);
+        self.note(scan.revision, confirmed);
+    }
+
+    /// Adds changes, which may be none, as of `confirmed`.
+    pub fn extend(&self, changes: &StoreChanges, confirmed: Instant) {
+        {
+            let mut items = self.items.borrow_mut();
+            let mut events = self.events.borrow_mut();
+            for event in &changes.events {
+                match event {
+                    StoreEvent::Written(item) => items.insert(item.key.clone(), item.clone()),
+                    StoreEvent::Deleted { key, .. } => items.remove(key),
+                };
+                events.push_back(event.clone());
+            }
+            while events.len() > MOST_EVENTS {
+                let first = events.pop_front();
+                self.oldest.set(first.map_or(self.oldest.get(), |event| event.revision()));
+            }
+        }
+        self.note(changes.revision, confirmed);
+    }
+
+    fn note(&self, revision: u64, confirmed: Instant) {
+        let grew = revision > self.revision.get();
+        self.revision.set(revision.max(self.revision.get()));
+        self.confirmed.set(confirmed.max(self.confirmed.get()));
+        if grew {
+            // Those that have gone away don't hear it.
+            for waiter in self.waiting.borrow_mut().drain(..) {
+                let _ = waiter.send(());
+            }
+        }
+    }
+
+    /// What there is after a revision, once there is something or `wait` is over.
+    pub async fn after(&self, revision: u64, wait: Duration) -> Passage {
+        if self.revision.get() <= revision {
+            let (sender, receiver) = oneshot::channel();
+            {
+                let mut waiting = self.waiting.borrow_mut();
+                waiting.retain(|waiter| !waiter.is_canceled());
+                waiting.push(sender);
+            }
+            select(receiver, clock::sleep(&*self.clock, wait)).await;
+        }
+        if revision < self.oldest.get() {
+            let items = self.items.borrow().values().cloned().collect();
+            return Passage::Whole(StoreScan { items, revision: self.revision.get() });
+        }
+        let events = self.events.borrow();
+        let newer = events.iter().filter(|event| event.revision() > revision).cloned();
+        Passage::Changes(StoreChanges { events: newer.collect(), revision: self.revision.get() })
+    }
+}
--- a/crates/kumquatnotch-route/src/lib.rs
+++ b/crates/kumquatnotch-route/src/lib.rs
@@ -9,7 +9,8 @@
 //! is kept with it ([`replica`]), and one that is silent is probed ([`probe`]).
 //!
 //! Configuration, replicas and other nodes come from the platform's store
-//! ([`mirror`]), in which each node announces itself ([`announce`]). All that is
+//! ([`mirror`]), which a few nodes watch and the others hear of from them
+//! ([`follow`]); each node announces itself there ([`announce`]). All that is
 //! kept here can be read or learned again after a restart.
 
 #![forbid(unsafe_code)]
@@ -23,10 +24,12 @@
 pub mod directory;
 pub mod distances;
 pub mod fleet;
+pub mod follow;
 pub mod front;
 pub mod gate;
 pub mod gather;
 pub mod headers;
+pub mod journal;
 pub mod links;
 pub mod merge;
 pub mod mirror;
--- a/crates/kumquatnotch-route/src/mirror.rs
+++ b/crates/kumquatnotch-route/src/mirror.rs
@@ -1,6 +1,7 @@
 //! Following the platform's store: what it holds is mirrored by every node.
 //!
-//! One scan, then one watch after another. When the store is away, what was
+//! One scan, then one watch after another; of many nodes, most follow one that
+//! watches the store instead ([`follow`](crate::follow)). When the store is away, what was
 //! known last goes on being used. Replicas and nodes renew their entries, so
 //! entries may lapse while the store is away although those behind them live;
 //! they come back soon after its return. So what vanishes around an outage is
@@ -21,8 +22,11 @@
 
 use crate::{
     fleet::NodeRecord,
+    follow::{self, Followed},
+    journal::Passage,
     names::ReplicaId,
-    replica::ReplicaSpec,
+    probe,
+    replica::{Replica, ReplicaSpec},
     route::{RouteConfig, RouteTable},
     router::Router,
 };
@@ -69,6 +73,9 @@
     /// A watch whose connection has gone silent is noticed only when it is over,
     /// so it must stay below the time in which changes have to be seen.
     pub wait: Duration,
+    /// The same if other nodes follow this one, which must hear soon that it has
+    /// lost the store.
+    pub followed_wait: Duration,
     /// The pause after changes came, in which more of them collect.
     ///
     /// Each return of a watch is a call that counts, and changes come in series.
@@ -85,6 +92,7 @@
     fn default() -> MirrorOptions {
         MirrorOptions {
             wait: Duration::from_millis(2_500),
+            followed_wait: Duration::from_millis(1_800),
             collect: Duration::from_millis(300),
             keep: Duration::from_millis(2_600),
             backoff: Duration::from_millis(150),
@@ -96,6 +104,9 @@
 /// How late the answer to a watch may be before the store counts as having been away.
 const LATE_ANSWER: Duration = Duration::from_millis(300);
 
+/// How many nodes are tried before the store itself is asked.
+const MOST_PEERS: usize = 4;
+
 /// How many replicas must vanish in one answer to count as a lapse.
 const LAPSE_COUNT: usize = 4;
 
@@ -112,8 +123,8 @@
     known: RefCell<HashSet<EntryKey>>,
     /// The keys that vanished around an outage, and when they are dropped.
     vanished: RefCell<HashMap<EntryKey, Instant>>,
-    /// Until when vanished entries are kept for a while.
-    lenient: Cell<Option<Instant>>,
+    /// The revision up to which everything is known.
+    after: Cell<Option<u64>>,
     /// Whether the store was in trouble since its last answer.
     trouble: Cell<bool>,
     /// How often the own entry of this node was seen to vanish.
@@ -135,7 +146,7 @@
             schema,
             known: RefCell::default(),
             vanished: RefCell::default(),
-            lenient: Cell::new(None),
+            after: Cell::new(None),
             trouble: Cell::new(false),
             losses: RefCell::default(),
         })
@@ -143,7 +154,7 @@
 
     /// Starts to follow the store.
     pub fn start(self: &Rc<Mirror>) {
-        monoio::spawn(self.clone().follow());
+        monoio::spawn(self.clone().run());
         monoio::spawn(self.clone().sweep());
     }
 
@@ -157,26 +168,25 @@
         self.losses.borrow().get(name).copied().unwrap_or_default()
     }
 
-    async fn follow(self: Rc<Mirror>) {
+    async fn run(self: Rc<Mirror>) {
         let clock = self.router.clock.clone();
-        let mut after = None;
         let mut failures = 0;
         loop {
-            let result = match after {
-                None => self.scan().await,
-                Some(revision) => self.watch(revision).await,
-            };
-            match result {
-                Ok(revision) => {
+            let peers = follow::followed(&self.router);
+            if !peers.is_empty() && self.follow(&peers).await {
+                failures = 0;
+                continue;
+            }
+            match self.read().await {
+                Ok(()) => {
                     if failures > 0 {
                         tracing::info!(failures, "mirror: the store answers again");
                     }
                     failures = 0;
-                    after = Some(revision);
                 }
                 Err(Error::VersionUnknown { .. }) => {
                     tracing::info!("mirror: the history is gone, reading everything anew");
-                    after = None;
+                    self.after.set(None);
                 }
                 Err(error) => {
                     failures += 1;
@@ -192,6 +202,49 @@
         }
     }
 
+    /// Takes over what one of `peers` tells; false if the store must be asked.
+    ///
+    /// One that has not heard from the store for long may be cut off from it, and
+    /// is passed over. If a few of them are, the store itself shows who is right.
+    async fn follow(&self, peers: &[Rc<Replica>]) -> bool {
+        for peer in peers.iter().take(MOST_PEERS) {
+            let followed = follow::follow(&self.router, peer, self.after.get().unwrap_or(0)).await;
+            let Followed { passage, age, lenient } = match followed {
+                Ok(followed) => followed,
+                Err(error) => {
+                    let node = peer.id.as_str();
+                    tracing::info!(
+                        node,
+                        code = error.code(),
+                        "mirror: can't follow a node: {error}"
+                    );
+                    probe::suspect(&self.router, peer, "no news of the store");
+                    continue;
+                }
+            };
+            if age > follow::MOST_AGE {
+                let node = peer.id.as_str();
+                tracing::info!(
+                    node,
+                    age_ms = age.as_millis() as u64,
+                    "mirror: a node is out of touch"
+                );
+                continue;
+            }
+            if lenient > Duration::ZERO {
+                self.router.be_lenient(lenient);
+            }
+            let confirmed = self.router.clock.now().checked_sub(age);
+            let confirmed = confirmed.unwrap_or_else(|| self.router.clock.now());
+            match passage {
+                Passage::Whole(scan) => self.take_scan(&scan, confirmed),
+                Passage::Changes(changes) => self.take_changes(&changes, confirmed),
+            }
+            return true;
+        }
+        false
+    }
+
     /// Notes that the store did not answer, or answered late.
     ///
     /// What is seen to vanish in its next answers may have lapsed meanwhile.
@@ -202,14 +255,48 @@
     /// Notes that the store answers, before what it tells is taken over.
     fn note_answer(&self) {
         if self.trouble.replace(false) {
-            self.lenient.set(Some(self.router.clock.now() + self.options.keep));
+            self.router.be_lenient(self.options.keep);
         }
     }
 
-    async fn scan(&self) -> Result<u64> {
-        let StoreScan { items, revision } = self.store.scan(self.schema.prefix()).await?;
+    /// Asks the store for everything, or for what has changed.
+    async fn read(&self) -> Result<()> {
+        match self.after.get() {
+            None => self.scan().await,
+            Some(revision) => self.watch(revision).await,
+        }
+    }
+
+    async fn scan(&self) -> Result<()> {
+        let start = self.router.clock.now();
+        let scan = self.store.scan(self.schema.prefix()).await?;
+        self.take_scan(&scan, start);
+        Ok(())
+    }
+
+    async fn watch(&self, after: u64) -> Result<()> {
+        let clock = &*self.router.clock;
+        let start = clock.now();
+        let is_followed = follow::is_followed(&self.router);
+        let wait = if is_followed { self.options.followed_wait } else { self.options.wait };
+        let changes = self.store.watch(self.schema.prefix(), after, wait).await?;
+        let now = clock.now();
+        let took = now.saturating_duration_since(start);
+        if took > wait + LATE_ANSWER || self.is_lapse(&changes.events) {
+            self.note_trouble();
+        }
+        self.note_answer();
+        self.take_changes(&changes, now);
+        if !changes.events.is_empty() {
+            clock::sleep(clock, self.options.collect).await;
+        }
+        Ok(())
+    }
+
+    /// Takes over everything that the store holds.
+    fn take_scan(&self, scan: &StoreScan, confirmed: Instant) {
         let mut seen = HashSet::default();
-        for item in &items {
+        for item in &scan.items {
             if let Some(key) = self.put(item) {
                 seen.insert(key);
             }
@@ -219,27 +306,22 @@
         self.note_trouble();
         self.note_answer();
         lost.into_iter().for_each(|key| self.lose(key));
+        self.router.journal.reset(scan, confirmed);
+        self.after.set(Some(scan.revision));
         self.router.set_synced();
         tracing::info!(
-            revision,
-            items = items.len(),
+            revision = scan.revision,
+            items = scan.items.len(),
             replicas = self.router.directory.len(),
             nodes = self.router.fleet.len(),
             "mirror: read everything"
         );
-        Ok(revision)
     }
 
-    async fn watch(&self, after: u64) -> Result<u64> {
-        let start = self.router.clock.now();
-        let changes = self.store.watch(self.schema.prefix(), after, self.options.wait).await?;
-        let StoreChanges { events, revision } = changes;
-        let took = self.router.clock.now().saturating_duration_since(start);
-        if took > self.options.wait + LATE_ANSWER || self.is_lapse(&events) {
-            self.note_trouble();
-        }
-        self.note_answer();
-        for event in &events {
+    /// Takes over changes, of which some may be known.
+    fn take_changes(&self, changes: &StoreChanges, confirmed: Instant) {
+        let after = self.after.get().unwrap_or(0);
+        for event in changes.events.iter().filter(|event| event.revision() > after) {
             match event {
                 StoreEvent::Written(item) => {
                     self.put(item);
@@ -251,10 +333,8 @@
                 }
             }
         }
-        if !events.is_empty() {
-            clock::sleep(&*self.router.clock, self.options.collect).await;
-        }
-        Ok(revision)
+        self.router.journal.extend(changes, confirmed);
+        self.after.set(Some(after.max(changes.revision)));
     }
 
     /// Whether so many entries vanished at once that they must have lapsed.
@@ -330,13 +410,12 @@
         if let EntryKey::Node(name) = &key {
             *self.losses.borrow_mut().entry(name.clone()).or_default() += 1;
         }
-        let now = self.router.clock.now();
-        match self.lenient.get() {
-            Some(until) if now < until => {
-                self.vanished.borrow_mut().insert(key, now + self.options.keep);
-            }
-            _ => self.drop_entry(&key, "left the store"),
+        if self.router.lenient_for() == Duration::ZERO {
+            self.drop_entry(&key, "left the store");
+            return;
         }
+        let until = self.router.clock.now() + self.options.keep;
+        self.vanished.borrow_mut().insert(key, until);
     }
 
     fn drop_entry(&self, key: &EntryKey, reason: &'static str) {
--- a/crates/kumquatnotch-route/src/relay_front.rs
+++ b/crates/kumquatnotch-route/src/relay_front.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     call::CallTrace,
+    follow::{self, FOLLOW_PATH},
     gather::{self, Search},
     names::ReplicaId,
     relay::{PROBE_PATH, RELAY_PATH, RUNNING_PATH, RelayReply, RelayRequest},
@@ -120,6 +121,13 @@
     fn start(&self, request: Request) -> Work<'_> {
         match request.path.as_str() {
             RELAY_PATH => Work::new(self.gather(request)),
+            FOLLOW_PATH => Work::new(async move {
+                let lenient = self.router.lenient_for();
+                match follow::tell(&self.router.journal, &request, lenient).await {
+                    Ok(message) => Reply::new(StatusCode::OK, "application/msgpack", message),
+                    Err(error) => Reply::error(&error),
+                }
+            }),
             RUNNING_PATH => {
                 let identity = request.field("request").unwrap_or_default();
                 let running = self.running.borrow();
--- a/crates/kumquatnotch-route/src/router.rs
+++ b/crates/kumquatnotch-route/src/router.rs
@@ -4,7 +4,7 @@
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use kumquatnotch_core::{
@@ -24,6 +24,7 @@
     distances::Distances,
     fleet::{Fleet, PEER_SERVICE},
     headers::HeaderNames,
+    journal::Journal,
     names::ServiceName,
     pace::Paces,
     relay::PROBE_PATH,
@@ -98,6 +99,10 @@
     pub lifecycle: Lifecycle,
     /// The replicas that are known.
     pub directory: Directory,
+    /// What is known of the store, for other nodes to follow.
+    pub journal: Journal,
+    /// Until when entries that vanish are kept for a while.
+    pub lenient: Cell<Option<Instant>>,
     /// The nodes that are known.
     pub fleet: Fleet,
     /// The ways to the data centres.
@@ -121,6 +126,7 @@
         Ok(Rc::new(Router {
             names: options.names,
             place: options.place,
+            journal: Journal::new(clock.clone()),
             budget: Budget::new(options.budget, clock.clone()),
             clock,
             random: registry.find(services::RANDOM)?,
@@ -128,6 +134,7 @@
             directory: Directory::new(distances.clone()),
             fleet: Fleet::new(distances.clone()),
             distances,
+            lenient: Cell::new(None),
             paces: Paces::default(),
             table: RefCell::default(),
             synced: Cell::new(false),
@@ -151,6 +158,18 @@
         true
     }
 
+    /// For how much longer entries that vanish are kept for a while.
+    pub fn lenient_for(&self) -> Duration {
+        let until = self.lenient.get();
+        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(self.clock.now()))
+    }
+
+    /// Keeps entries that vanish for a while, from now on for `span` at least.
+    pub fn be_lenient(&self, span: Duration) {
+        let until = self.clock.now() + span;
+        self.lenient.set(Some(self.lenient.get().map_or(until, |known| known.max(until))));
+    }
+
     /// Notes that the directory was read in full once.
     pub fn set_synced(&self) {
         self.synced.set(true);
--- a/crates/kumquatnotch-route/tests/store.rs
+++ b/crates/kumquatnotch-route/tests/store.rs
@@ -65,6 +65,7 @@
 fn options() -> MirrorOptions {
     MirrorOptions {
         wait: Duration::from_millis(200),
+        followed_wait: Duration::from_millis(100),
         collect: Duration::from_millis(10),
         keep: Duration::from_millis(500),
         backoff: Duration::from_millis(20),
