Count the way to another region a fifth of the objective at least

Cause: where regions are 8 ms apart, a replica nearby that was a little busy lost to one of another region, whose bytes are dear; an answer within its objective is as good as a quicker one.

--- a/crates/kumquatnotch-route/src/call.rs
+++ b/crates/kumquatnotch-route/src/call.rs
@@ -163,14 +163,14 @@
         let router = self.router;
         let replicas = router.directory.of(self.call.service);
         let allowed = &self.call.allowed;
-        let usual = router.paces.usual(self.call.route);
+        let need = router.paces.need(self.call.route);
         let now = router.clock.now();
         if allowed.is_empty() {
-            return choice::best(&replicas, &self.tried, usual, now);
+            return choice::best(&replicas, &self.tried, need, now);
         }
         let allowed = replicas.iter().filter(|replica| allowed.contains(&replica.id));
         let allowed: Vec<Rc<Replica>> = allowed.cloned().collect();
-        choice::best(&allowed, &self.tried, usual, now)
+        choice::best(&allowed, &self.tried, need, now)
     }
 
     /// The replica that gets the next attempt.
--- a/crates/kumquatnotch-route/src/choice.rs
+++ b/crates/kumquatnotch-route/src/choice.rs
@@ -29,6 +29,21 @@
 /// The most slowness that is waited for before a reply counts as late.
 const PATIENT_SLOWNESS: f64 = 2.0;
 
+/// What the way to another region counts at least, as a part of the objective.
+///
+/// Bytes between regions are dear, and a reply within the objective is as good as
+/// a quicker one.
+const FAR_PART: f64 = 0.2;
+
+/// What is known of a request for the choice of its replica.
+#[derive(Clone, Copy, Debug)]
+pub struct Need {
+    /// How long it usually takes, without the way.
+    pub usual: Duration,
+    /// The time within which an answer is worth most.
+    pub objective: Duration,
+}
+
 /// After which time a reply of `replica` is late.
 pub fn lateness(replica: &Replica, usual: Duration, now: Instant) -> Duration {
     let slowness = replica.slowness(now).clamp(1.0, PATIENT_SLOWNESS);
@@ -76,6 +91,16 @@
     replica.round_trip().as_secs_f64() + work + FAILURE_COST * replica.failures(now)
 }
 
+/// The expected time to a reply, with what the distance costs besides time.
+pub fn cost(replica: &Replica, need: Need, now: Instant) -> f64 {
+    let expected = expected(replica, need.usual, now);
+    if !replica.is_far() {
+        return expected;
+    }
+    let least = FAR_PART * need.objective.as_secs_f64();
+    expected + (least - replica.round_trip().as_secs_f64()).max(0.0)
+}
+
 /// How readily a replica is taken; less is better.
 fn reluctance(replica: &Replica, usual: Duration, now: Instant) -> u8 {
     match replica.fitness() {
@@ -94,19 +119,20 @@
 pub fn best(
     replicas: &[Rc<Replica>],
     tried: &[ReplicaId],
-    usual: Duration,
+    need: Need,
     now: Instant,
 ) -> Option<Pick> {
     let open = replicas.iter().filter(|replica| replica.takes_requests());
     let open = open.filter(|replica| !tried.contains(&replica.id));
     let rated = open.map(|replica| Pick {
         replica: replica.clone(),
-        reluctance: reluctance(replica, usual, now),
-        expected: expected(replica, usual, now),
+        reluctance: reluctance(replica, need.usual, now),
+        expected: expected(replica, need.usual, now),
+        cost: cost(replica, need, now),
     });
     rated.min_by(|one, other| {
         let order = one.reluctance.cmp(&other.reluctance);
-        order.then(one.expected.total_cmp(&other.expected))
+        order.then(one.cost.total_cmp(&other.cost))
     })
 }
 
@@ -118,4 +144,6 @@
     pub reluctance: u8,
     /// The expected time to its reply, in seconds.
     pub expected: f64,
+    /// The same, with what its distance costs besides time.
+    pub cost: f64,
 }
--- a/crates/kumquatnotch-route/src/distances.rs
+++ b/crates/kumquatnotch-route/src/distances.rs
@@ -28,11 +28,17 @@
 /// The way to one data centre and back.
 #[derive(Debug)]
 pub struct Distance {
+    is_far: Cell<bool>,
     guess: Cell<Duration>,
     measured: Cell<Option<Duration>>,
 }
 
 impl Distance {
+    /// Whether it leads to another region.
+    pub fn is_far(&self) -> bool {
+        self.is_far.get()
+    }
+
     /// The way there and back.
     pub fn trip(&self) -> Duration {
         self.measured.get().unwrap_or(self.guess.get())
@@ -63,7 +69,9 @@
     pub fn set_regions(&self, regions: HashMap<DataCentre, Region>) {
         *self.regions.borrow_mut() = regions;
         for (centre, way) in self.ways.borrow().iter() {
-            way.guess.set(self.guess(centre));
+            let guess = self.guess(centre);
+            way.guess.set(guess);
+            way.is_far.set(guess >= OTHER_REGION);
         }
     }
 
@@ -77,8 +85,12 @@
         if let Some(way) = self.ways.borrow().get(centre) {
             return way.clone();
         }
-        let guess = Cell::new(self.guess(centre));
-        let way = Rc::new(Distance { guess, measured: Cell::new(None) });
+        let guess = self.guess(centre);
+        let way = Rc::new(Distance {
+            is_far: Cell::new(guess >= OTHER_REGION),
+            guess: Cell::new(guess),
+            measured: Cell::new(None),
+        });
         self.ways.borrow_mut().insert(centre.clone(), way.clone());
         way
     }
--- a/crates/kumquatnotch-route/src/pace.rs
+++ b/crates/kumquatnotch-route/src/pace.rs
@@ -4,7 +4,7 @@
 
 use kumquatnotch_core::collections::HashMap;
 
-use crate::{names::RouteName, route::Route};
+use crate::{choice::Need, names::RouteName, route::Route};
 
 /// The part of the objective that is assumed before anything was measured.
 const FIRST_PART: f64 = 0.125;
@@ -31,6 +31,11 @@
         Duration::from_secs_f64(seconds)
     }
 
+    /// What is known of a request of `route` for the choice of its replica.
+    pub fn need(&self, route: &Route) -> Need {
+        Need { usual: self.usual(route), objective: route.objective }
+    }
+
     /// Notes how long a request took, without its way to the replica.
     pub fn note(&self, route: &Route, took: Duration) {
         let mut usual = self.usual.borrow_mut();
--- a/crates/kumquatnotch-route/src/relay.rs
+++ b/crates/kumquatnotch-route/src/relay.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    choice,
+    choice::{self, Need},
     gather::Search,
     names::{ReplicaId, RouteName, ServiceName},
     probe,
@@ -139,11 +139,11 @@
 /// Parts the shards of a set into those that are asked for here, and groups for
 /// nodes of other data centres.
 pub fn plan(router: &Router, route: &Route, set: &ShardSet) -> (Vec<usize>, Vec<Group>) {
-    let usual = router.paces.usual(route);
+    let need = router.paces.need(route);
     let mut here = Vec::new();
     let mut away: Vec<Away> = Vec::new();
     for (index, shard) in set.shards.iter().enumerate() {
-        let centres = nearest_centres(router, shard, usual);
+        let centres = nearest_centres(router, shard, need);
         if centres.is_empty() || centres.contains(&router.place.centre) {
             here.push(index);
         } else {
@@ -170,15 +170,15 @@
 }
 
 /// The data centres with a replica that is expected to reply about as soon as the best.
-fn nearest_centres(router: &Router, shard: &ServiceName, usual: Duration) -> Vec<DataCentre> {
+fn nearest_centres(router: &Router, shard: &ServiceName, need: Need) -> Vec<DataCentre> {
     let now = router.clock.now();
     let replicas = router.directory.of(shard);
-    let Some(best) = choice::best(&replicas, &[], usual, now) else {
+    let Some(best) = choice::best(&replicas, &[], need, now) else {
         return Vec::new();
     };
     let mut centres = vec![best.replica.spec().centre.clone()];
-    for replica in replicas.iter().filter(|replica| choice::is_good(replica, usual, now)) {
-        let near = choice::expected(replica, usual, now) <= best.expected + NEAR_SLACK;
+    for replica in replicas.iter().filter(|replica| choice::is_good(replica, need.usual, now)) {
+        let near = choice::cost(replica, need, now) <= best.cost + NEAR_SLACK;
         let centre = replica.spec().centre.clone();
         if near && !centres.contains(&centre) {
             centres.push(centre);
@@ -375,11 +375,11 @@
     if replicas.len() <= route.attempts as usize {
         return Vec::new();
     }
-    let usual = router.paces.usual(route);
+    let need = router.paces.need(route);
     let now = router.clock.now();
     let mut allowed: Vec<ReplicaId> = Vec::new();
     while allowed.len() < route.attempts as usize {
-        match choice::best(&replicas, &allowed, usual, now) {
+        match choice::best(&replicas, &allowed, need, now) {
             Some(pick) => allowed.push(pick.replica.id.clone()),
             None => break,
         }
--- a/crates/kumquatnotch-route/src/replica.rs
+++ b/crates/kumquatnotch-route/src/replica.rs
@@ -160,6 +160,11 @@
         self.round_trip.get().unwrap_or_else(|| self.distance.trip())
     }
 
+    /// Whether it is in another region.
+    pub fn is_far(&self) -> bool {
+        self.distance.is_far()
+    }
+
     /// The way there and back, if it was measured.
     pub fn known_trip(&self) -> Option<Duration> {
         self.round_trip.get()
