Leave out late shards, and refuse searches that crowded replicas can't answer

Change: a search asks only the shards whose parts can be in time, and of the others as few as it needs. If it needs one whose replicas are crowded, it is refused before anything runs, with the time to come back. Work at a replica is learned without the time in its queue; copies are sent only where they help.

--- a/crates/kumquatnotch-route/src/attempt.rs
+++ b/crates/kumquatnotch-route/src/attempt.rs
@@ -214,13 +214,20 @@
     reply.headers.get(&router.names.request).is_none_or(|identity| identity == call.identity)
 }
 
-/// The requests that run and wait at a replica, by its own word.
-fn told_load(names: &HeaderNames, reply: &Reply) -> Option<u32> {
+/// The load of a replica.
+#[derive(Clone, Copy)]
+struct Load {
+    running: u32,
+    waiting: u32,
+}
+
+/// The load of a replica, by its own word.
+fn told_load(names: &HeaderNames, reply: &Reply) -> Option<Load> {
     let text = reply.headers.get(&names.load)?.to_str().ok()?;
     let mut figures = text.split(',').map(|figure| figure.trim().parse::<u32>());
     let running = figures.next()?.ok()?;
     let waiting = figures.next()?.ok()?;
-    Some(running + waiting)
+    Some(Load { running, waiting })
 }
 
 /// What a reply says of the request and of its replica.
@@ -232,8 +239,9 @@
     took: Duration,
 ) -> Ended {
     let now = router.clock.now();
-    if let Some(load) = told_load(&router.names, &reply) {
-        replica.note_load(load, now);
+    let load = told_load(&router.names, &reply);
+    if let Some(Load { running, waiting }) = load {
+        replica.note_load(running + waiting, now);
     }
     if reply.status.as_u16() == 421 {
         // Another replica has the address by now. Its own entry is, or will be,
@@ -249,7 +257,11 @@
     replica.note_outcome(reply.status.is_server_error(), now);
     if reply.status.is_success() {
         let way = replica.known_trip().unwrap_or_default();
-        let work = took.saturating_sub(way);
+        let queue = load.map_or(0.0, |load| f64::from(load.waiting));
+        // What waits there now waited before this request when it came.
+        let slots = f64::from(replica.spec().slots.max(1));
+        let work = took.saturating_sub(way).div_f64(1.0 + queue / slots);
+        replica.note_work(work);
         replica.note_speed(work, router.paces.usual(call.route), now);
         router.paces.note(call.route, work);
     }
--- a/crates/kumquatnotch-route/src/call.rs
+++ b/crates/kumquatnotch-route/src/call.rs
@@ -182,14 +182,29 @@
 
     /// The replica that gets a copy; only one against which nothing speaks.
     fn copy_target(&mut self) -> Option<Rc<Replica>> {
-        let Pick { replica, reluctance, .. } = self.best()?;
-        if reluctance > 0 {
+        let Pick { replica, reluctance, expected, .. } = self.best()?;
+        if reluctance > 0 || !self.helps(expected) {
             return None;
         }
         self.tried.push(replica.id.clone());
         Some(replica)
     }
 
+    /// Whether a copy whose reply is expected after so many seconds is worth sending.
+    ///
+    /// It is if it can still be in time. Later, only if what was sent so far seems
+    /// lost: where replicas are slow or crowded, copies make them more so.
+    fn helps(&self, expected: f64) -> bool {
+        let now = self.router.clock.now();
+        let left = self.call.due.saturating_duration_since(now).as_secs_f64();
+        if expected <= left {
+            return true;
+        }
+        let usual = self.router.paces.usual(self.call.route);
+        let sent = self.tried.iter().filter_map(|id| self.router.directory.find(id));
+        left == 0.0 && sent.into_iter().all(|replica| choice::is_silent(&replica, usual, now))
+    }
+
     fn copy_delay(&self, replica: &Replica) -> Duration {
         let now = self.router.clock.now();
         let usual = self.router.paces.usual(self.call.route);
--- a/crates/kumquatnotch-route/src/choice.rs
+++ b/crates/kumquatnotch-route/src/choice.rs
@@ -86,11 +86,38 @@
 pub fn expected(replica: &Replica, usual: Duration, now: Instant) -> f64 {
     let slots = f64::from(replica.spec().slots.max(1)).min(f64::from(replica.gate.limit().max(1)));
     let ahead = replica.load(now) + replica.gate.waiting() as f64;
-    let queue = ((ahead + 1.0 - slots) / slots).max(0.0);
-    let work = usual.as_secs_f64() * replica.slowness(now) * (1.0 + queue);
-    replica.round_trip().as_secs_f64() + work + FAILURE_COST * replica.failures(now)
+    let queue = ((ahead + 1.0 - slots) / slots).max(0.0) * replica.work();
+    unqueued(replica, usual, now) + queue + FAILURE_COST * replica.failures(now)
 }
 
+/// The same if nothing waited there, in seconds.
+fn unqueued(replica: &Replica, usual: Duration, now: Instant) -> f64 {
+    replica.round_trip().as_secs_f64() + usual.as_secs_f64() * replica.slowness(now)
+}
+
+/// What is to be expected of a request to a service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Outlook {
+    /// Its reply is expected in time.
+    Fine,
+    /// Its reply is expected too late, as its replicas are slow or answer nothing.
+    Hopeless,
+    /// Its reply is expected too late, as too many requests wait at its replicas.
+    Congested,
+}
+
+/// What is to be expected of a request that is due in `left`, and of a reply at all.
+pub fn outlook(pick: &Pick, need: Need, left: Duration, now: Instant) -> Outlook {
+    let left = left.as_secs_f64();
+    if pick.reluctance >= SUSPECT || unqueued(&pick.replica, need.usual, now) > left {
+        return Outlook::Hopeless;
+    }
+    if pick.expected > left { Outlook::Congested } else { Outlook::Fine }
+}
+
+/// The reluctance to take a replica that broke connections or answered nothing.
+const SUSPECT: u8 = 2;
+
 /// The expected time to a reply, with what the distance costs besides time.
 pub fn cost(replica: &Replica, need: Need, now: Instant) -> f64 {
     let expected = expected(replica, need.usual, now);
@@ -106,7 +133,7 @@
     match replica.fitness() {
         Fitness::Fit if !is_silent(replica, usual, now) => 0,
         Fitness::Fit => 1,
-        Fitness::Suspect | Fitness::Replaced => 2,
+        Fitness::Suspect | Fitness::Replaced => SUSPECT,
     }
 }
 
--- /dev/null
+++ b/crates/kumquatnotch-route/src/forecast.rs
@@ -0,0 +1,90 @@
+//! Which shards of a search are worth asking, and whether the search is.
+//!
+//! A shard whose replicas are all slow, silent or crowded is missing in the answer
+//! whether it is asked or not. Asking it only takes what little its replicas can do
+//! from the searches that can't do without it. And a search that can't be answered
+//! in time because replicas are crowded makes all others late as well: it is
+//! refused before anything has run, and told when to come back.
+
+use std::time::{Duration, Instant};
+
+use crate::{
+    choice::{self, Outlook},
+    gather::Search,
+    router::Router,
+};
+
+/// The part of the time left that a late part may be expected to take.
+const LATE_PART: f64 = 0.7;
+
+/// The bounds of the time after which a refused search may come back.
+const RETRY: (Duration, Duration) = (Duration::from_millis(40), Duration::from_millis(400));
+
+/// What is to become of a search.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Forecast {
+    /// These shards are asked, and the others left out.
+    Ask {
+        /// The shards to ask, by their place in the set.
+        shards: Vec<usize>,
+        /// The shards to leave out.
+        skipped: Vec<usize>,
+    },
+    /// It is refused, as replicas are crowded.
+    Refuse {
+        /// When to come back.
+        retry: Duration,
+    },
+}
+
+/// A shard that is expected to be late.
+struct Late {
+    index: usize,
+    expected: f64,
+    is_crowded: bool,
+}
+
+/// Foretells what becomes of a search.
+pub fn forecast(router: &Router, search: &Search<'_>) -> Forecast {
+    let now = router.clock.now();
+    let need = router.paces.need(search.route);
+    let left = search.due.saturating_duration_since(now);
+    let mut shards = Vec::new();
+    let mut late: Vec<Late> = Vec::new();
+    for (index, shard) in search.set.shards.iter().enumerate() {
+        let replicas = router.directory.of(shard);
+        let Some(pick) = choice::best(&replicas, &[], need, now) else {
+            late.push(Late { index, expected: f64::MAX, is_crowded: false });
+            continue;
+        };
+        match choice::outlook(&pick, need, left, now) {
+            Outlook::Fine => shards.push(index),
+            outlook => {
+                let is_crowded = outlook == Outlook::Congested;
+                late.push(Late { index, expected: pick.expected, is_crowded });
+            }
+        }
+    }
+    late.sort_by(|one, other| one.expected.total_cmp(&other.expected));
+    let missing = search.set.least_parts().saturating_sub(shards.len());
+    let needed = &late[..missing.min(late.len())];
+    if let Some(retry) = refusal(needed, left, search.deadline, now) {
+        return Forecast::Refuse { retry };
+    }
+    shards.extend(needed.iter().map(|late| late.index));
+    let skipped = late[needed.len()..].iter().map(|late| late.index).collect();
+    Forecast::Ask { shards, skipped }
+}
+
+/// When to come back, if a search that needs these late shards is to be refused.
+fn refusal(needed: &[Late], left: Duration, deadline: Instant, now: Instant) -> Option<Duration> {
+    let slowest = needed.last()?.expected;
+    let time = deadline.saturating_duration_since(now).as_secs_f64();
+    let is_crowded = needed.iter().any(|late| late.is_crowded);
+    // A shard without replicas has no time at all; its absence is found by asking.
+    if slowest == f64::MAX || (!is_crowded && slowest < LATE_PART * time) {
+        return None;
+    }
+    let over = (slowest - left.as_secs_f64()).max(0.0);
+    Some(Duration::from_secs_f64(over.min(1.0)).clamp(RETRY.0, RETRY.1))
+}
--- a/crates/kumquatnotch-route/src/front.rs
+++ b/crates/kumquatnotch-route/src/front.rs
@@ -83,6 +83,7 @@
     parts: Cell<usize>,
     missing: Cell<usize>,
     relayed: Cell<usize>,
+    skipped: Cell<usize>,
     written: Cell<bool>,
 }
 
@@ -189,11 +190,12 @@
             due: asked.due,
             deadline: asked.deadline,
         };
-        let Gathered { answer, parts, missing, relayed } =
+        let Gathered { answer, parts, missing, relayed, skipped } =
             gather::gather(&self.router, &search, &log.trace).await;
         log.parts.set(parts);
         log.missing.set(missing);
         log.relayed.set(relayed);
+        log.skipped.set(skipped);
         answer
     }
 }
@@ -238,6 +240,7 @@
             parts: Cell::new(0),
             missing: Cell::new(0),
             relayed: Cell::new(0),
+            skipped: Cell::new(0),
             written: Cell::new(false),
         }
     }
@@ -267,6 +270,7 @@
             parts = self.parts.get(),
             missing = self.missing.get(),
             relayed = self.relayed.get(),
+            skipped = self.skipped.get(),
             hedges = self.trace.hedges.get(),
             retries = self.trace.retries.get(),
             "front: answered"
--- a/crates/kumquatnotch-route/src/gather.rs
+++ b/crates/kumquatnotch-route/src/gather.rs
@@ -22,9 +22,10 @@
 use crate::{
     attempt::Call,
     call::{self, CallFault, CallTrace},
+    forecast::{self, Forecast},
     merge,
     names::ReplicaId,
-    relay::{self, Group, RelayReply, Relayed},
+    relay::{self, Group, Plan, RelayReply, Relayed},
     route::{Route, ShardSet},
     router::Router,
 };
@@ -67,6 +68,8 @@
     pub missing: usize,
     /// The shards that were asked for through other nodes.
     pub relayed: usize,
+    /// The shards that were not asked, as their parts would have come too late.
+    pub skipped: usize,
 }
 
 /// What comes of a part of a search.
@@ -93,8 +96,17 @@
     let total = search.set.shards.len();
     let least = search.set.least_parts();
     let mut running = Running::default();
-    let (here, groups) = relay::plan(router, search.route, search.set);
-    let relayed = total - here.len();
+    let (shards, mut skipped) = match forecast::forecast(router, search) {
+        Forecast::Ask { shards, skipped } => (shards, skipped),
+        Forecast::Refuse { retry } => {
+            let answer = Err(CallFault::NotRun { retry, reason: "replicas are crowded" });
+            return Gathered { answer, parts: 0, missing: total, relayed: 0, skipped: 0 };
+        }
+    };
+    let mut outstanding = shards.len();
+    let left_out = skipped.len();
+    let Plan { here, groups } = relay::plan(router, search, shards);
+    let relayed = outstanding - here.len();
     for group in groups {
         running.push(Box::pin(async move {
             let ended = relay::relay(router, search, &group).await;
@@ -109,7 +121,6 @@
     let mut progress = Progress::default();
     let mut stopping = false;
     let mut is_late = false;
-    let mut outstanding = total;
     let mut timed_out = false;
     while progress.parts.len() < total {
         if stopping && progress.parts.len() >= least {
@@ -145,7 +156,14 @@
                         running.push(ask(router, search, index, allowed, repeat, trace));
                     }
                 }
-                None => break,
+                None if progress.parts.len() >= least || skipped.is_empty() => break,
+                // Others failed, so the shards that were left out are needed after all.
+                None => {
+                    for index in skipped.drain(..) {
+                        outstanding += 1;
+                        running.push(ask(router, search, index, Vec::new(), false, trace));
+                    }
+                }
             },
             () = stop => {
                 stopping = true;
@@ -169,7 +187,7 @@
     } else {
         Err(CallFault::NotRun { retry: progress.retry, reason: "no shard took it" })
     };
-    Gathered { answer, parts: covered, missing: total - covered, relayed }
+    Gathered { answer, parts: covered, missing: total - covered, relayed, skipped: left_out }
 }
 
 /// Asks a replica of each shard from here, until all parts are in, or the answer is
--- a/crates/kumquatnotch-route/src/lib.rs
+++ b/crates/kumquatnotch-route/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod distances;
 pub mod fleet;
 pub mod follow;
+pub mod forecast;
 pub mod front;
 pub mod gate;
 pub mod gather;
--- a/crates/kumquatnotch-route/src/relay.rs
+++ b/crates/kumquatnotch-route/src/relay.rs
@@ -136,14 +136,22 @@
     pub allowed: Vec<Vec<ReplicaId>>,
 }
 
-/// Parts the shards of a set into those that are asked for here, and groups for
-/// nodes of other data centres.
-pub fn plan(router: &Router, route: &Route, set: &ShardSet) -> (Vec<usize>, Vec<Group>) {
+/// Which shards of a search are asked for, and by whom.
+pub struct Plan {
+    /// The shards that are asked for from here, by their place in the set.
+    pub here: Vec<usize>,
+    /// The shards that are asked for through nodes of other data centres.
+    pub groups: Vec<Group>,
+}
+
+/// Plans a search over `shards`, by their place in the set.
+pub fn plan(router: &Router, search: &Search<'_>, shards: Vec<usize>) -> Plan {
+    let Search { route, set, .. } = search;
     let need = router.paces.need(route);
     let mut here = Vec::new();
     let mut away: Vec<Away> = Vec::new();
-    for (index, shard) in set.shards.iter().enumerate() {
-        let centres = nearest_centres(router, shard, need);
+    for index in shards {
+        let centres = nearest_centres(router, &set.shards[index], need);
         if centres.is_empty() || centres.contains(&router.place.centre) {
             here.push(index);
         } else {
@@ -160,7 +168,7 @@
         groups.push(Group { peer, allowed: allowed.collect(), shards });
     }
     here.extend(away.into_iter().map(|shard| shard.index));
-    (here, groups)
+    Plan { here, groups }
 }
 
 /// A shard whose nearest replicas are in other data centres.
--- a/crates/kumquatnotch-route/src/replica.rs
+++ b/crates/kumquatnotch-route/src/replica.rs
@@ -53,10 +53,11 @@
 /// A slow replica gets no requests, so it could never show that it has recovered.
 const SLOWNESS_AGE: Duration = Duration::from_secs(3);
 
-/// The time after which only a third of a told load is believed.
-///
-/// About the time in which a replica works off what waits.
-const LOAD_AGE: Duration = Duration::from_millis(60);
+/// The work on a request that is assumed before any was measured, in seconds.
+const FIRST_WORK: f64 = 0.01;
+
+/// The weight of a new measurement of the work on a request.
+const WORK_WEIGHT: f64 = 0.1;
 
 /// The weight of a new failure or success.
 const FAILURE_WEIGHT: f64 = 0.15;
@@ -84,6 +85,8 @@
     last_reply: Cell<Instant>,
     asked: Cell<u64>,
     load: Cell<(u32, Instant)>,
+    /// How long it works on a request of the usual mixture, in seconds.
+    work: Cell<f64>,
 }
 
 impl Replica {
@@ -105,6 +108,7 @@
             last_reply: Cell::new(now),
             asked: Cell::new(0),
             load: Cell::new((0, now)),
+            work: Cell::new(FIRST_WORK),
         }
     }
 
@@ -215,6 +219,12 @@
         self.measured.set(now);
     }
 
+    /// Notes how long the replica worked on a request.
+    pub fn note_work(&self, took: Duration) {
+        let before = self.work.get();
+        self.work.set(before + WORK_WEIGHT * (took.as_secs_f64() - before));
+    }
+
     /// Notes that a request was given up after `took` without a reply.
     ///
     /// It would have taken longer still, so it counts only against the replica.
@@ -241,12 +251,19 @@
 
     /// The requests that run and wait there, as far as is known.
     ///
-    /// What it told includes those of other nodes, but is soon out of date.
+    /// What it told includes those of other nodes. It is taken to have worked off as
+    /// many since as it can; that more have come will show in its next reply.
     pub fn load(&self, now: Instant) -> f64 {
         let own = self.unanswered() as f64;
         let (told, at) = self.load.get();
-        let age = now.saturating_duration_since(at).as_secs_f64() / LOAD_AGE.as_secs_f64();
-        own.max(f64::from(told) * (-age).exp())
+        let age = now.saturating_duration_since(at).as_secs_f64();
+        let done = age * f64::from(self.spec.borrow().slots.max(1)) / self.work.get().max(1e-4);
+        own.max(f64::from(told) - done)
+    }
+
+    /// How long it works on a request of the usual mixture, in seconds.
+    pub fn work(&self) -> f64 {
+        self.work.get()
     }
 
     /// How long it has answered nothing although requests wait.
