Tell the story of a request from the logs of several processes

Each search that leaves shards out, each copy and each refusal for want of time writes a line with what decided it.

--- a/crates/kumquatnotch-ctl/src/main.rs
+++ b/crates/kumquatnotch-ctl/src/main.rs
@@ -10,6 +10,7 @@
 mod context;
 mod options;
 mod status_command;
+mod story_command;
 
 use std::process::ExitCode;
 
@@ -57,6 +58,7 @@
         Command::Drain(args) => config_commands::drain(context, args).await,
         Command::Collect(args) => config_commands::collect(context, args).await,
         Command::Status(args) => status_command::status(context, args).await,
+        Command::Story(args) => story_command::story(args),
         Command::KeyDigest(_) => caller_commands::key_digest(),
         Command::Entry(args) => caller_commands::entry(context, args).await,
         Command::Search(args) => caller_commands::search(context, args).await,
--- a/crates/kumquatnotch-ctl/src/options.rs
+++ b/crates/kumquatnotch-ctl/src/options.rs
@@ -49,12 +49,30 @@
     Drain(DrainArgs),
     Collect(CollectArgs),
     Status(StatusArgs),
+    Story(StoryArgs),
     KeyDigest(KeyDigestArgs),
     Entry(EntryArgs),
     Search(SearchArgs),
     Exclusive(ExclusiveArgs),
 }
 
+/// Tell what became of a request, from the logs of several processes.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "story")]
+pub struct StoryArgs {
+    /// the identity of the request
+    #[argh(positional)]
+    pub request: String,
+
+    /// how many lines on what each process believed are told before it
+    #[argh(option, default = "5")]
+    pub beliefs: usize,
+
+    /// files with logs, one for each process or of all together
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
+
 /// Check a document, and report every fault.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "check")]
--- a/crates/kumquatnotch-route/src/call.rs
+++ b/crates/kumquatnotch-route/src/call.rs
@@ -132,6 +132,7 @@
                 }
                 match progress.copy_target() {
                     Some(next) if router.budget.spend(call.service) => {
+                        progress.tell_copy(&next);
                         trace.hedges.set(trace.hedges.get() + 1);
                         running.push(run(router, call, next, &sent));
                     }
@@ -190,6 +191,22 @@
         Some(replica)
     }
 
+    /// Writes a line for a copy, with what decided it.
+    fn tell_copy(&self, next: &Replica) {
+        let now = self.router.clock.now();
+        let usual = self.router.paces.usual(self.call.route);
+        tracing::info!(
+            request = self.call.identity.to_str().unwrap_or_default(),
+            service = self.call.service.as_str(),
+            late = self.tried.first().map(ReplicaId::as_str),
+            replica = next.id.as_str(),
+            usual_ms = usual.as_millis() as u64,
+            expected_ms = (choice::expected(next, usual, now) * 1e3) as u64,
+            due_ms = self.call.due.saturating_duration_since(now).as_millis() as u64,
+            "call: a copy is sent"
+        );
+    }
+
     /// Whether a copy whose reply is expected after so many seconds is worth sending.
     ///
     /// It is if it can still be in time. Later, only if what was sent so far seems
--- a/crates/kumquatnotch-route/src/forecast.rs
+++ b/crates/kumquatnotch-route/src/forecast.rs
@@ -69,6 +69,18 @@
     let missing = search.set.least_parts().saturating_sub(shards.len());
     let needed = &late[..missing.min(late.len())];
     if let Some(retry) = refusal(needed, left, search.deadline, now) {
+        let slowest = needed.last();
+        tracing::info!(
+            request = search.identity.to_str().unwrap_or_default(),
+            late = late.len(),
+            needed = needed.len(),
+            service = slowest.map(|late| search.set.shards[late.index].as_str()),
+            expected_ms = slowest.map(|late| (late.expected * 1e3) as u64),
+            crowded = needed.iter().filter(|late| late.is_crowded).count(),
+            due_ms = left.as_millis() as u64,
+            retry_ms = retry.as_millis() as u64,
+            "forecast: refused"
+        );
         return Forecast::Refuse { retry };
     }
     shards.extend(needed.iter().map(|late| late.index));
--- a/crates/kumquatnotch-route/src/gather.rs
+++ b/crates/kumquatnotch-route/src/gather.rs
@@ -16,7 +16,7 @@
 use bytes::Bytes;
 use futures_util::{FutureExt, StreamExt, select_biased, stream::FuturesUnordered};
 use http::{HeaderMap, HeaderValue, StatusCode, header};
-use kumquatnotch_core::{LocalFuture, clock};
+use kumquatnotch_core::{LocalFuture, clock, collections::HashSet};
 use kumquatnotch_net::message::{Reply, Request};
 
 use crate::{
@@ -88,6 +88,8 @@
     ran: bool,
     /// When to come back, by the replicas that did not take it.
     retry: Duration,
+    /// The shards whose parts are in, by their place in the set.
+    covered: HashSet<usize>,
 }
 
 /// Asks a replica of each shard and merges their parts.
@@ -104,7 +106,7 @@
         }
     };
     let mut outstanding = shards.len();
-    let left_out = skipped.len();
+    let left_out = skipped.clone();
     let Plan { here, groups } = relay::plan(router, search, shards);
     let relayed = outstanding - here.len();
     for group in groups {
@@ -134,9 +136,9 @@
         }
         select_biased! {
             piece = running.next() => match piece {
-                Some(Piece::Shard(_, result)) => {
+                Some(Piece::Shard(index, result)) => {
                     outstanding -= 1;
-                    progress.add(router, result);
+                    progress.add(router, index, result);
                 }
                 Some(Piece::Group(group, ended)) => {
                     outstanding -= group.shards.len();
@@ -177,6 +179,7 @@
     }
     progress.ran |= !running.is_empty();
     drop(running);
+    progress.tell_missing(search, &left_out);
     let covered = progress.parts.len();
     let answer = if covered >= least {
         Ok(progress.parts.merge(router, search.set))
@@ -187,7 +190,7 @@
     } else {
         Err(CallFault::NotRun { retry: progress.retry, reason: "no shard took it" })
     };
-    Gathered { answer, parts: covered, missing: total - covered, relayed, skipped: left_out }
+    Gathered { answer, parts: covered, missing: total - covered, relayed, skipped: left_out.len() }
 }
 
 /// Asks a replica of each shard from here, until all parts are in, or the answer is
@@ -218,7 +221,7 @@
             piece = running.next() => match piece {
                 Some(Piece::Shard(index, result)) => {
                     let before = progress.parts.len();
-                    progress.add(router, result);
+                    progress.add(router, index, result);
                     if progress.parts.len() > before {
                         missing.retain(|other| *other != index);
                     }
@@ -259,12 +262,34 @@
 }
 
 impl Progress {
+    /// Writes a line that names the shards which are missing, if there are any.
+    fn tell_missing(&self, search: &Search<'_>, skipped: &[usize]) {
+        let names = |skip: bool| {
+            let shards = search.set.shards.iter().enumerate();
+            let missing = shards.filter(|(index, _)| !self.covered.contains(index));
+            let missing = missing.filter(|(index, _)| skipped.contains(index) == skip);
+            missing.map(|(_, shard)| shard.as_str()).collect::<Vec<&str>>().join(" ")
+        };
+        let (late, skipped) = (names(false), names(true));
+        if late.is_empty() && skipped.is_empty() {
+            return;
+        }
+        tracing::info!(
+            request = search.identity.to_str().unwrap_or_default(),
+            late,
+            skipped,
+            "gather: shards are missing"
+        );
+    }
+
     /// Notes what came of a shard.
-    fn add(&mut self, router: &Router, result: Result<Reply, CallFault>) {
+    fn add(&mut self, router: &Router, index: usize, result: Result<Reply, CallFault>) {
         match result {
             Ok(reply) => {
                 self.ran = true;
-                self.parts.add(router, reply);
+                if self.parts.add(router, reply) {
+                    self.covered.insert(index);
+                }
             }
             Err(CallFault::NotRun { retry, .. }) => self.retry = self.retry.max(retry),
             Err(_) => self.ran = true,
@@ -279,6 +304,9 @@
                 self.parts.bodies.push(records);
                 let proofs = proofs.iter().filter_map(|proof| HeaderValue::from_bytes(proof).ok());
                 self.parts.proofs.extend(proofs);
+                let came = |place: &usize| !missing.contains(place);
+                let places = (0..group.shards.len()).filter(came);
+                self.covered.extend(places.map(|place| group.shards[place]));
                 missing.into_iter().filter(|place| *place < group.shards.len()).collect()
             }
             Relayed::NotRun => (0..group.shards.len()).collect(),
@@ -311,15 +339,16 @@
         merge::greatest(&self.bodies, top)
     }
 
-    /// Adds a part; a reply that is none leaves its shard out.
-    fn add(&mut self, router: &Router, reply: Reply) {
+    /// Adds a part; false if the reply is none.
+    fn add(&mut self, router: &Router, reply: Reply) -> bool {
         let proof = reply.headers.get(&router.names.proof);
         let (true, Some(proof)) = (reply.status.is_success(), proof) else {
             tracing::warn!(status = reply.status.as_u16(), "gather: a reply is no part");
-            return;
+            return false;
         };
         self.proofs.push(proof.clone());
         self.bodies.push(reply.body);
+        true
     }
 
     fn merge(&self, router: &Router, set: &ShardSet) -> Reply {
--- a/crates/measure/src/routes.rs
+++ b/crates/measure/src/routes.rs
@@ -121,8 +121,8 @@
     registry.register::<Rc<dyn Clock>>(services::CLOCK, clock.clone());
     registry.register(services::RANDOM, Random::with_seed(1));
     registry.register(services::LIFECYCLE, Lifecycle::default());
-    let name = NodeName::from("node");
-    let place = Place { name, centre: DataCentre::from("c"), region: Region::from("r") };
+    let node = NodeName::from("node");
+    let place = Place { name: node, centre: DataCentre::from("c"), region: Region::from("r") };
     let budget = BudgetOptions { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) };
     let options = RouterOptions { names: HeaderNames::default(), budget, place };
     let router = Router::try_new(options, &registry)?;
