--- a/crates/kumquatnotch-route/src/follow.rs
+++ b/crates/kumquatnotch-route/src/follow.rs
@@ -13,13 +13,7 @@
 use kumquatnotch_net::message::Request;
 use serde::{Deserialize, Serialize};
 
-use crate::{
-    advice::Candidate,
-    journal::{Journal, Passage},
-    relay,
-    replica::Replica,
-    router::Router,
-};
+use crate::{advice::Candidate, journal::Passage, relay, replica::Replica, router::Router};
 
 /// Where nodes are followed.
 pub const FOLLOW_PATH: &str = "/v1/follow";
@@ -78,7 +72,8 @@
 }
 
 /// Answers a node that follows this one.
-pub async fn tell(journal: &Journal, request: &Request, lenient: Duration) -> Result<Vec<u8>> {
+pub async fn tell(router: &Router, request: &Request) -> Result<Vec<u8>> {
+    let journal = &router.journal;
     let field = |name| request.field(name).and_then(|text| text.parse::<u64>().ok());
     let after = field("after").unwrap_or_default();
     let wait = Duration::from_millis(field("wait_ms").unwrap_or_default()).min(FOLLOW_WAIT);
@@ -96,7 +91,8 @@
         ),
     };
     let age_us = journal.age().as_micros() as u64;
-    let lenient_us = lenient.as_micros() as u64;
+    // As of now: the wait may have been longer than the rest of that time.
+    let lenient_us = router.lenient_for().as_micros() as u64;
     codec::encode(&FollowReply { whole, changes, revision, age_us, lenient_us })
 }
 
--- a/crates/kumquatnotch-route/src/relay_front.rs
+++ b/crates/kumquatnotch-route/src/relay_front.rs
@@ -122,8 +122,7 @@
         match request.path.as_str() {
             RELAY_PATH => Work::new(self.gather(request)),
             FOLLOW_PATH => Work::new(async move {
-                let lenient = self.router.lenient_for();
-                match follow::tell(&self.router.journal, &request, lenient).await {
+                match follow::tell(&self.router, &request).await {
                     Ok(message) => Reply::new(StatusCode::OK, "application/msgpack", message),
                     Err(error) => Reply::error(&error),
                 }
--- a/crates/kumquatnotch-route/tests/common/mod.rs
+++ b/crates/kumquatnotch-route/tests/common/mod.rs
@@ -110,6 +110,11 @@
 
     /// In data centre `centre`, which is a region of the same name.
     pub fn at(slack: f64, centre: &str) -> Tier {
+        Tier::named("me", slack, centre)
+    }
+
+    /// The same under a name of its own.
+    pub fn named(name: &str, slack: f64, centre: &str) -> Tier {
         let registry = Registry::default();
         let clock: Rc<dyn Clock> = Rc::new(RuntimeClock);
         registry.register::<Rc<dyn Clock>>(services::CLOCK, clock.clone());
@@ -119,7 +124,7 @@
             names: HeaderNames::default(),
             budget: BudgetOptions { ratio: 0.2, slack, window: Duration::from_secs(10) },
             place: Place {
-                name: NodeName::from("me"),
+                name: NodeName::from(name),
                 centre: DataCentre::from(centre),
                 region: Region::from(centre),
             },
--- /dev/null
+++ b/crates/kumquatnotch-route/tests/common/schema.rs
@@ -0,0 +1,57 @@
+//! How the fake store's keys and values are read.
+
+use std::{net::SocketAddr, time::Duration};
+
+use kumquatnotch_core::{Error, Result, codec, ids::NodeName, store::StoreItem};
+use kumquatnotch_route::{
+    mirror::{Entry, EntryKey, MirrorOptions, Schema},
+    names::ReplicaId,
+};
+
+use crate::common::{config, single, spec};
+
+/// `c` holds the version of the configuration, `r/ID` the address of a replica,
+/// `n/NAME` a node.
+pub struct TestSchema;
+
+impl Schema for TestSchema {
+    fn prefix(&self) -> &str {
+        ""
+    }
+
+    fn read_key(&self, key: &str) -> Option<EntryKey> {
+        match key.split_once('/') {
+            Some(("r", id)) => Some(EntryKey::Replica(ReplicaId::from(id))),
+            Some(("n", name)) => Some(EntryKey::Node(NodeName::from(name))),
+            _ => (key == "c").then_some(EntryKey::Config),
+        }
+    }
+
+    fn read(&self, item: &StoreItem) -> Result<Option<Entry>> {
+        let text = String::from_utf8_lossy(&item.value).into_owned();
+        Ok(match self.read_key(&item.key) {
+            Some(EntryKey::Config) => {
+                let version = text.parse().map_err(Error::protocol)?;
+                Some(Entry::Config(config(version, vec![single()])))
+            }
+            Some(EntryKey::Replica(id)) => {
+                let draining = text.ends_with('!');
+                let address: SocketAddr = text.trim_end_matches('!').parse().unwrap();
+                Some(Entry::Replica(id, spec("s0", address, "home", draining)))
+            }
+            Some(EntryKey::Node(name)) => Some(Entry::Node(name, codec::decode(&item.value)?)),
+            None => None,
+        })
+    }
+}
+
+pub fn options() -> MirrorOptions {
+    MirrorOptions {
+        wait: Duration::from_millis(200),
+        followed_wait: Duration::from_millis(100),
+        collect: Duration::from_millis(10),
+        keep: Duration::from_millis(500),
+        backoff: Duration::from_millis(20),
+        most_backoff: Duration::from_millis(50),
+    }
+}
--- /dev/null
+++ b/crates/kumquatnotch-route/tests/follow.rs
@@ -0,0 +1,120 @@
+//! Following a node that watches the store, in place of the store.
+
+mod common;
+#[path = "common/store.rs"]
+mod fake;
+#[path = "common/schema.rs"]
+mod schema;
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use common::*;
+use fake::FakeStore;
+use kumquatnotch_core::{
+    Store, codec,
+    ids::{DataCentre, Region},
+};
+use kumquatnotch_route::{fleet::NodeRecord, mirror::Mirror};
+use schema::{TestSchema, options};
+
+/// A node with a mirror and a store of its own view.
+struct Node {
+    tier: Tier,
+    store: Rc<FakeStore>,
+}
+
+fn record(peer: SocketAddr, capacity: f64) -> Vec<u8> {
+    let record = NodeRecord {
+        entry: peer,
+        peer,
+        centre: DataCentre::from("home"),
+        region: Region::from("home"),
+        capacity,
+    };
+    codec::encode(&record).unwrap()
+}
+
+/// Six nodes of one data centre, of which `r1` and `r2`, the largest, watch the
+/// store, and `z` follows them. Each has its own way to the store.
+fn nodes() -> (Node, Node, Node) {
+    let node = |name| {
+        let (tier, store) = (Tier::named(name, 100.0, "home"), Rc::new(FakeStore::default()));
+        Node { tier, store }
+    };
+    let (r1, r2, z) = (node("r1"), node("r2"), node("z"));
+    for store in [&r1.store, &r2.store, &z.store] {
+        store.put("c", b"3");
+        store.put("r/one", b"127.0.0.1:1");
+        store.put("n/r1", &record(r1.tier.peer.address(), 2.0));
+        store.put("n/r2", &record(r2.tier.peer.address(), 2.0));
+        for name in ["u", "v", "w"] {
+            store.put(&format!("n/{name}"), &record(nowhere(), 1.0));
+        }
+        store.put("n/z", &record(z.tier.peer.address(), 1.0));
+    }
+    for node in [&r1, &r2, &z] {
+        let store: Rc<dyn Store> = node.store.clone();
+        Mirror::new(options(), node.tier.router.clone(), store, Rc::new(TestSchema)).start();
+    }
+    (r1, r2, z)
+}
+
+impl Node {
+    fn version(&self) -> u64 {
+        self.tier.router.table().map_or(0, |table| table.version())
+    }
+}
+
+#[test]
+fn a_node_follows_one_that_watches_the_store_and_asks_the_store_no_more() {
+    run(async {
+        let (r1, r2, z) = nodes();
+        // The time in which vanished entries are kept after the start must be over.
+        pause(800).await;
+        let calls = z.store.calls.get();
+
+        for reader in [&r1, &r2] {
+            reader.store.put("c", b"9");
+            reader.store.put("r/two", b"127.0.0.1:2");
+            reader.store.delete("r/one");
+        }
+        pause(400).await;
+
+        assert_eq!((z.version(), z.tier.router.directory.len()), (9, 1));
+        assert_eq!(z.store.calls.get(), calls);
+    });
+}
+
+/// One of the two nodes that watch is turned away by the store, and goes on
+/// answering with what it knew. The follower must notice and go elsewhere.
+#[test]
+fn a_node_that_lost_the_store_is_not_followed_for_long() {
+    run(async {
+        let (r1, r2, z) = nodes();
+        pause(300).await;
+
+        r1.store.away.set(true);
+        pause(2_700).await;
+        r2.store.put("c", b"9");
+        pause(2_500).await;
+
+        assert_eq!((r1.version(), r2.version(), z.version()), (3, 9, 9));
+    });
+}
+
+/// Both nodes that watch are gone. The follower asks the store itself.
+#[test]
+fn without_a_node_to_follow_the_store_is_asked() {
+    run(async {
+        let (r1, r2, z) = nodes();
+        pause(300).await;
+
+        for reader in [&r1, &r2] {
+            reader.tier.peer.close(std::time::Instant::now() + Duration::from_secs(2)).await;
+        }
+        z.store.put("c", b"9");
+        pause(3_000).await;
+
+        assert_eq!(z.version(), 9);
+    });
+}
--- a/crates/kumquatnotch-route/tests/store.rs
+++ b/crates/kumquatnotch-route/tests/store.rs
@@ -3,58 +3,20 @@
 mod common;
 #[path = "common/store.rs"]
 mod fake;
+#[path = "common/schema.rs"]
+mod schema;
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc};
 
 use common::*;
 use fake::FakeStore;
 use kumquatnotch_core::{
-    Error, Result, Store, codec,
+    Store, codec,
     ids::{DataCentre, NodeName, Region},
     lifecycle::Stage,
-    store::StoreItem,
 };
-use kumquatnotch_route::{
-    announce::Announcer,
-    fleet::NodeRecord,
-    mirror::{Entry, EntryKey, Mirror, MirrorOptions, Schema},
-    names::ReplicaId,
-};
-
-/// `c` holds the version of the configuration, `r/ID` the address of a replica,
-/// `n/NAME` a node.
-struct TestSchema;
-
-impl Schema for TestSchema {
-    fn prefix(&self) -> &str {
-        ""
-    }
-
-    fn read_key(&self, key: &str) -> Option<EntryKey> {
-        match key.split_once('/') {
-            Some(("r", id)) => Some(EntryKey::Replica(ReplicaId::from(id))),
-            Some(("n", name)) => Some(EntryKey::Node(NodeName::from(name))),
-            _ => (key == "c").then_some(EntryKey::Config),
-        }
-    }
-
-    fn read(&self, item: &StoreItem) -> Result<Option<Entry>> {
-        let text = String::from_utf8_lossy(&item.value).into_owned();
-        Ok(match self.read_key(&item.key) {
-            Some(EntryKey::Config) => {
-                let version = text.parse().map_err(Error::protocol)?;
-                Some(Entry::Config(config(version, vec![single()])))
-            }
-            Some(EntryKey::Replica(id)) => {
-                let draining = text.ends_with('!');
-                let address: SocketAddr = text.trim_end_matches('!').parse().unwrap();
-                Some(Entry::Replica(id, spec("s0", address, "home", draining)))
-            }
-            Some(EntryKey::Node(name)) => Some(Entry::Node(name, codec::decode(&item.value)?)),
-            None => None,
-        })
-    }
-}
+use kumquatnotch_route::{announce::Announcer, fleet::NodeRecord, mirror::Mirror};
+use schema::{TestSchema, options};
 
 struct World {
     tier: Tier,
@@ -62,17 +24,6 @@
     mirror: Rc<Mirror>,
 }
 
-fn options() -> MirrorOptions {
-    MirrorOptions {
-        wait: Duration::from_millis(200),
-        followed_wait: Duration::from_millis(100),
-        collect: Duration::from_millis(10),
-        keep: Duration::from_millis(500),
-        backoff: Duration::from_millis(20),
-        most_backoff: Duration::from_millis(50),
-    }
-}
-
 /// A mirror of a store that holds a configuration and two replicas.
 async fn world() -> World {
     let tier = Tier::new();
