--- a/crates/kumquatnotch-route/tests/common/store.rs
+++ b/crates/kumquatnotch-route/tests/common/store.rs
@@ -1,5 +1,7 @@
 //! A store in memory, with the faults that tests set.
 
+#![allow(dead_code)]
+
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
--- a/crates/kumquatnotch-route/tests/forecasts.rs
+++ b/crates/kumquatnotch-route/tests/forecasts.rs
@@ -58,60 +58,72 @@
 
 #[test]
 fn all_shards_are_asked_while_nothing_is_wrong() {
-    let (tier, _) = tier(4);
+    run(async {
+        let (tier, _) = tier(4);
 
-    assert_eq!(foretell(&tier, &shards(4, 0.5)), ask(&[0, 1, 2, 3], &[]));
+        assert_eq!(foretell(&tier, &shards(4, 0.5)), ask(&[0, 1, 2, 3], &[]));
+    });
 }
 
 /// A shard's only replica is twenty times slower than usual. Its part would be
 /// missing in any case, and asking it would keep it from those who need it.
 #[test]
 fn a_shard_that_would_be_late_is_left_out() {
-    let (tier, ids) = tier(4);
-    slow(&tier, &ids[1], 20);
+    run(async {
+        let (tier, ids) = tier(4);
+        slow(&tier, &ids[1], 20);
 
-    assert_eq!(foretell(&tier, &shards(4, 0.5)), ask(&[0, 2, 3], &[1]));
+        assert_eq!(foretell(&tier, &shards(4, 0.5)), ask(&[0, 2, 3], &[1]));
+    });
 }
 
 #[test]
 fn no_more_late_shards_are_asked_than_the_answer_needs() {
-    let (tier, ids) = tier(4);
-    slow(&tier, &ids[1], 30);
-    slow(&tier, &ids[2], 20);
+    run(async {
+        let (tier, ids) = tier(4);
+        slow(&tier, &ids[1], 30);
+        slow(&tier, &ids[2], 20);
 
-    assert_eq!(foretell(&tier, &shards(4, 0.75)), ask(&[0, 3, 2], &[1]));
+        assert_eq!(foretell(&tier, &shards(4, 0.75)), ask(&[0, 3, 2], &[1]));
+    });
 }
 
 #[test]
 fn a_shard_whose_replicas_answer_nothing_is_left_out() {
-    let (tier, ids) = tier(4);
-    tier.router.directory.find(&ids[0]).unwrap().set_fitness(Fitness::Suspect);
+    run(async {
+        let (tier, ids) = tier(4);
+        tier.router.directory.find(&ids[0]).unwrap().set_fitness(Fitness::Suspect);
 
-    assert_eq!(foretell(&tier, &shards(4, 0.5)), ask(&[1, 2, 3], &[0]));
+        assert_eq!(foretell(&tier, &shards(4, 0.5)), ask(&[1, 2, 3], &[0]));
+    });
 }
 
 /// Too many shards are crowded for an answer in time. Starting the search would make
 /// the ones that wait later still; it is refused while that is true of it.
 #[test]
 fn a_search_that_needs_a_crowded_shard_is_refused() {
-    let (tier, ids) = tier(4);
-    crowd(&tier, &ids[0], 40);
-    crowd(&tier, &ids[1], 40);
-
-    let needed = foretell(&tier, &shards(4, 0.75));
-    let spared = foretell(&tier, &shards(4, 0.5));
-
-    let Forecast::Refuse { retry } = needed else { panic!("{needed:?}") };
-    assert!(retry >= Duration::from_millis(40) && retry <= Duration::from_millis(400));
-    assert_eq!(spared, ask(&[2, 3], &[0, 1]));
+    run(async {
+        let (tier, ids) = tier(4);
+        crowd(&tier, &ids[0], 40);
+        crowd(&tier, &ids[1], 40);
+
+        let needed = foretell(&tier, &shards(4, 0.75));
+        let spared = foretell(&tier, &shards(4, 0.5));
+
+        let Forecast::Refuse { retry } = needed else { panic!("{needed:?}") };
+        assert!(retry >= Duration::from_millis(40) && retry <= Duration::from_millis(400));
+        assert_eq!(spared, ask(&[2, 3], &[0, 1]));
+    });
 }
 
 /// A slow shard that is needed is asked, late as its part will be: callers get a late
 /// answer rather than none, as long as there is time for it.
 #[test]
 fn a_search_that_needs_a_slow_shard_is_served_late() {
-    let (tier, ids) = tier(2);
-    slow(&tier, &ids[1], 20);
+    run(async {
+        let (tier, ids) = tier(2);
+        slow(&tier, &ids[1], 20);
 
-    assert_eq!(foretell(&tier, &shards(2, 1.0)), ask(&[0, 1], &[]));
+        assert_eq!(foretell(&tier, &shards(2, 1.0)), ask(&[0, 1], &[]));
+    });
 }
