--- a/crates/kumquatnotch-route/src/router.rs
+++ b/crates/kumquatnotch-route/src/router.rs
@@ -65,6 +65,17 @@
 /// The part of what all nodes share that is for those that callers are advised to use.
 const SERVING_PART: f64 = 0.85;
 
+/// How long after its start a node doesn't trust that it knows all others.
+///
+/// When all start at once, each knows only those that were announced before it. If
+/// it took what they share for its own, all together would open several times the
+/// connections that a replica takes, and have most of their requests reset. Nodes
+/// are announced within a second, and heard of within another one.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+
+/// The most that a node takes of what all share until then.
+const NEW_PART: f64 = 0.1;
+
 /// The most hosts that are looked at to find these nodes.
 const MOST_HOSTS: usize = 16;
 
@@ -117,7 +128,8 @@
     /// The budget for repeats.
     pub budget: Budget,
     table: RefCell<Option<Rc<RouteTable>>>,
-    synced: Cell<bool>,
+    /// When the directory was read in full first.
+    synced: Cell<Option<Instant>>,
     advice: RefCell<AdviceCache>,
     part: Cell<((u64, u64, u64), f64)>,
 }
@@ -142,7 +154,7 @@
             lenient: Cell::new(None),
             paces: Paces::default(),
             table: RefCell::default(),
-            synced: Cell::new(false),
+            synced: Cell::new(None),
             advice: RefCell::default(),
             part: Cell::new(((0, 0, 0), 1.0)),
         }))
@@ -177,12 +189,14 @@
 
     /// Notes that the directory was read in full once.
     pub fn set_synced(&self) {
-        self.synced.set(true);
+        if self.synced.get().is_none() {
+            self.synced.set(Some(self.clock.now()));
+        }
     }
 
     /// Whether the node knows enough to serve.
     pub fn is_ready(&self) -> bool {
-        self.synced.get() && self.table.borrow().is_some()
+        self.synced.get().is_some() && self.table.borrow().is_some()
     }
 
     /// Where replicas of a service, or the nodes of this tier, answer probes.
@@ -229,6 +243,13 @@
     /// Most of it is for the nodes that callers are advised to use; the others may
     /// still get requests of callers whose advice is old.
     pub fn own_part(&self) -> f64 {
+        let part = self.settled_part();
+        let now = self.clock.now();
+        let is_new = |at: Instant| now.saturating_duration_since(at) < SETTLE_TIME;
+        if self.synced.get().is_none_or(is_new) { part.min(NEW_PART) } else { part }
+    }
+
+    fn settled_part(&self) -> f64 {
         let Some(table) = self.table() else { return 1.0 };
         let valid_for = self.valid_for(&table);
         let (known_for, part) = self.part.get();
--- a/crates/kumquatnotch-route/tests/forwarding.rs
+++ b/crates/kumquatnotch-route/tests/forwarding.rs
@@ -278,6 +278,19 @@
     });
 }
 
+/// All nodes start at once, and each has heard of no other yet. If each took all
+/// connections of a replica for itself, the replica would reset most of them.
+#[test]
+fn a_node_that_has_just_started_leaves_room_for_others() {
+    run(async {
+        let tier = Tier::serving(single());
+
+        assert!(tier.router.own_part() <= 0.1);
+        pause(3_100).await;
+        assert_eq!(tier.router.own_part(), 1.0);
+    });
+}
+
 /// The caller goes away while a replica is at work. The replica learns it by the
 /// end of its connection, as soon as the node does.
 #[test]
