Let late searches wait for room, or refuse them

Cause: after an outage all callers come at once, most of them again and late in any case, and make those late that come for the first time; in overload the same goes on for as long as callers come again. Change: a caller that has less time left than others of its route has waited; if its answer is late anyhow, its search waits until replicas have room, for 40 % of its time at most, and is refused with the time to come back if they have none.

--- a/crates/kumquatnotch-route/src/forecast.rs
+++ b/crates/kumquatnotch-route/src/forecast.rs
@@ -8,9 +8,12 @@
 
 use std::time::{Duration, Instant};
 
+use kumquatnotch_core::clock;
+
 use crate::{
     choice::{self, Outlook},
     gather::Search,
+    names::ServiceName,
     router::Router,
 };
 
@@ -20,6 +23,12 @@
 /// The bounds of the time after which a refused search may come back.
 const RETRY: (Duration, Duration) = (Duration::from_millis(40), Duration::from_millis(400));
 
+/// The part of its time left that a late search waits for room at most.
+const ROOM_PART: f64 = 0.4;
+
+/// How often it looks for room, before jitter.
+const ROOM_PERIOD: Duration = Duration::from_millis(30);
+
 /// What is to become of a search.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Forecast {
@@ -44,6 +53,49 @@
     is_crowded: bool,
 }
 
+/// Waits until replicas have room; false if a part of the time left is over first.
+///
+/// This is for a search whose caller has waited for so long that its answer is late
+/// in any case. After an outage such callers come all at once; were they let in, they
+/// would make those late that come for the first time.
+pub async fn await_room(router: &Router, search: &Search<'_>) -> bool {
+    let clock = &*router.clock;
+    let start = clock.now();
+    let time = search.deadline.saturating_duration_since(start);
+    let until = start + time.mul_f64(ROOM_PART);
+    let mut is_free = !is_busy(router, search);
+    while !is_free && clock.now() < until {
+        clock::sleep(clock, router.random.jitter(ROOM_PERIOD)).await;
+        is_free = !is_busy(router, search);
+    }
+    let waited = clock.now().saturating_duration_since(start);
+    if waited > Duration::ZERO {
+        tracing::info!(
+            request = search.identity.to_str().unwrap_or_default(),
+            ms = waited.as_millis() as u64,
+            is_free,
+            "forecast: a late search waited for room"
+        );
+    }
+    is_free
+}
+
+/// Whether requests wait at the replicas of more shards than an answer may leave out.
+fn is_busy(router: &Router, search: &Search<'_>) -> bool {
+    let now = router.clock.now();
+    let need = router.paces.need(search.route);
+    let is_full = |shard: &&ServiceName| {
+        let replicas = router.directory.of(shard);
+        let pick = choice::best(&replicas, &[], need, now);
+        pick.is_some_and(|pick| {
+            let replica = &pick.replica;
+            replica.load(now) >= f64::from(replica.spec().slots) || replica.gate.waiting() > 0
+        })
+    };
+    let full = search.set.shards.iter().filter(is_full).count();
+    full > search.set.shards.len() - search.set.least_parts().min(search.set.shards.len())
+}
+
 /// Foretells what becomes of a search.
 pub fn forecast(router: &Router, search: &Search<'_>) -> Forecast {
     let now = router.clock.now();
--- a/crates/kumquatnotch-route/src/front.rs
+++ b/crates/kumquatnotch-route/src/front.rs
@@ -16,8 +16,10 @@
 use crate::{
     attempt::Call,
     call::{self, CallFault, CallTrace},
+    forecast,
     gather::{self, Gathered, Search},
     names::ServiceName,
+    patience::Patience,
     route::{Destination, Route, RouteTable, ShardSet},
     router::Router,
     weights::Weights,
@@ -26,10 +28,14 @@
 /// When to come back to a node that knows no configuration yet.
 const NOT_READY_RETRY: Duration = Duration::from_millis(400);
 
+/// When to come back if there was no room for a search that was late already.
+const NO_ROOM_RETRY: Duration = Duration::from_millis(300);
+
 /// What callers reach.
 pub struct RouteFront {
     router: Rc<Router>,
     weights: Weights,
+    patience: Patience,
 }
 
 /// A refusal or failure of the node's own.
@@ -90,7 +96,7 @@
 impl RouteFront {
     /// A front for what `router` knows.
     pub fn new(router: Rc<Router>) -> RouteFront {
-        RouteFront { router, weights: Weights::default() }
+        RouteFront { router, weights: Weights::default(), patience: Patience::default() }
     }
 
     async fn answer(&self, request: Request, arrival: Instant) -> Reply {
@@ -147,9 +153,11 @@
             return Err(Refusal::new(StatusCode::NOT_FOUND, "no route"));
         };
         let told = text(&request.headers, &names.deadline).and_then(|text| text.parse().ok());
-        let told = told.map_or(Duration::MAX, Duration::from_millis);
-        let deadline = arrival + told.min(route.timeout);
-        let due = arrival + self.router.waiting_time(&route, request.is_first);
+        let told = told.map(Duration::from_millis);
+        let deadline = arrival + told.unwrap_or(Duration::MAX).min(route.timeout);
+        let waited = told.map_or(Duration::ZERO, |told| self.patience.waited(&route, told));
+        let waiting = self.router.waiting_time(&route, request.is_first);
+        let due = arrival + waiting.saturating_sub(waited);
         let version = table.version();
         let asked = Asked { identity, route, version, arrival, due, deadline };
         Ok((asked, table))
@@ -190,6 +198,12 @@
             due: asked.due,
             deadline: asked.deadline,
         };
+        if asked.due <= asked.arrival && !forecast::await_room(&self.router, &search).await {
+            return Err(CallFault::NotRun {
+                retry: NO_ROOM_RETRY,
+                reason: "no room for a late search",
+            });
+        }
         let Gathered { answer, parts, missing, relayed, skipped } =
             gather::gather(&self.router, &search, &log.trace).await;
         log.parts.set(parts);
--- a/crates/kumquatnotch-route/src/lib.rs
+++ b/crates/kumquatnotch-route/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod mirror;
 pub mod names;
 pub mod pace;
+pub mod patience;
 pub mod probe;
 pub mod relay;
 pub mod relay_front;
--- a/crates/kumquatnotch-route/tests/forecasts.rs
+++ b/crates/kumquatnotch-route/tests/forecasts.rs
@@ -12,12 +12,13 @@
     forecast::{self, Forecast},
     gather::Search,
     names::ReplicaId,
+    patience::Patience,
     replica::Fitness,
     route::{Destination, Route},
 };
 
-/// What a tier foretells of a search that has just come.
-fn foretell(tier: &Tier, route: &Route) -> Forecast {
+/// Does something with a search that has just come.
+async fn with_search<T>(route: &Route, work: impl AsyncFnOnce(&Search<'_>) -> T) -> T {
     let Destination::Shards(set) = &route.destination else { panic!() };
     let now = RuntimeClock.now();
     let search = Search {
@@ -28,7 +29,12 @@
         due: now + Duration::from_millis(150),
         deadline: now + Duration::from_secs(2),
     };
-    forecast::forecast(&tier.router, &search)
+    work(&search).await
+}
+
+/// What a tier foretells of a search that has just come.
+async fn foretell(tier: &Tier, route: &Route) -> Forecast {
+    with_search(route, async |search| forecast::forecast(&tier.router, search)).await
 }
 
 /// A tier with a replica for each of `count` shards.
@@ -61,7 +67,7 @@
     run(async {
         let (tier, _) = tier(4);
 
-        assert_eq!(foretell(&tier, &shards(4, 0.5)), ask(&[0, 1, 2, 3], &[]));
+        assert_eq!(foretell(&tier, &shards(4, 0.5)).await, ask(&[0, 1, 2, 3], &[]));
     });
 }
 
@@ -73,7 +79,7 @@
         let (tier, ids) = tier(4);
         slow(&tier, &ids[1], 20);
 
-        assert_eq!(foretell(&tier, &shards(4, 0.5)), ask(&[0, 2, 3], &[1]));
+        assert_eq!(foretell(&tier, &shards(4, 0.5)).await, ask(&[0, 2, 3], &[1]));
     });
 }
 
@@ -84,7 +90,7 @@
         slow(&tier, &ids[1], 30);
         slow(&tier, &ids[2], 20);
 
-        assert_eq!(foretell(&tier, &shards(4, 0.75)), ask(&[0, 3, 2], &[1]));
+        assert_eq!(foretell(&tier, &shards(4, 0.75)).await, ask(&[0, 3, 2], &[1]));
     });
 }
 
@@ -94,7 +100,7 @@
         let (tier, ids) = tier(4);
         tier.router.directory.find(&ids[0]).unwrap().set_fitness(Fitness::Suspect);
 
-        assert_eq!(foretell(&tier, &shards(4, 0.5)), ask(&[1, 2, 3], &[0]));
+        assert_eq!(foretell(&tier, &shards(4, 0.5)).await, ask(&[1, 2, 3], &[0]));
     });
 }
 
@@ -107,8 +113,8 @@
         crowd(&tier, &ids[0], 40);
         crowd(&tier, &ids[1], 40);
 
-        let needed = foretell(&tier, &shards(4, 0.75));
-        let spared = foretell(&tier, &shards(4, 0.5));
+        let needed = foretell(&tier, &shards(4, 0.75)).await;
+        let spared = foretell(&tier, &shards(4, 0.5)).await;
 
         let Forecast::Refuse { retry } = needed else { panic!("{needed:?}") };
         assert!(retry >= Duration::from_millis(40) && retry <= Duration::from_millis(400));
@@ -124,6 +130,54 @@
         let (tier, ids) = tier(2);
         slow(&tier, &ids[1], 20);
 
-        assert_eq!(foretell(&tier, &shards(2, 1.0)), ask(&[0, 1], &[]));
+        assert_eq!(foretell(&tier, &shards(2, 1.0)).await, ask(&[0, 1], &[]));
+    });
+}
+
+/// A search whose caller has waited for long waits here while replicas are busy, so
+/// that it makes none late that comes in time. It is let in when they have room.
+#[test]
+fn a_late_search_waits_until_replicas_have_room() {
+    run(async {
+        let (tier, ids) = tier(2);
+        ids.iter().for_each(|id| crowd(&tier, id, 8));
+
+        let start = RuntimeClock.now();
+        let route = shards(2, 1.0);
+        let has_room =
+            with_search(&route, async |search| forecast::await_room(&tier.router, search).await)
+                .await;
+        let took = RuntimeClock.now() - start;
+
+        // Each works off eight requests of 20 ms two at a time.
+        assert!(has_room);
+        assert!(took > Duration::from_millis(20) && took < Duration::from_millis(700));
     });
 }
+
+#[test]
+fn a_late_search_finds_no_room_while_replicas_stay_busy() {
+    run(async {
+        let (tier, ids) = tier(2);
+        ids.iter().for_each(|id| crowd(&tier, id, 800));
+
+        let route = shards(2, 1.0);
+        let has_room =
+            with_search(&route, async |search| forecast::await_room(&tier.router, search).await)
+                .await;
+
+        assert!(!has_room);
+    });
+}
+
+#[test]
+fn a_caller_that_has_less_time_than_others_has_waited() {
+    let patience = Patience::default();
+    let route = shards(2, 1.0);
+    let (first, again) = (Duration::from_secs(4), Duration::from_millis(2_500));
+
+    let waited = [first, again, first].map(|left| patience.waited(&route, left));
+
+    let expected = [Duration::ZERO, Duration::from_millis(1_480), Duration::ZERO];
+    assert_eq!(waited, expected);
+}
