--- a/crates/kumquatnotch-core/src/ids.rs
+++ b/crates/kumquatnotch-core/src/ids.rs
@@ -57,6 +57,12 @@
 }
 
 name_types! {
+    /// A route: which services requests of a host and prefix may reach.
+    RouteName,
+    /// A service: one shard of an index, or a service without shards.
+    ServiceName,
+    /// One incarnation of a replica, from its start to its end.
+    ReplicaId,
     /// A node of the tier, by the name in its settings.
     NodeName,
     /// A target: one replica process of a vendor.
--- a/crates/kumquatnotch-route/src/gather.rs
+++ b/crates/kumquatnotch-route/src/gather.rs
@@ -25,7 +25,9 @@
     forecast::{self, Forecast},
     merge,
     names::ReplicaId,
-    relay::{self, Group, Plan, RelayReply, Relayed},
+    plan::{self, Group, Plan},
+    relay::{self, Relayed},
+    relay_message::RelayReply,
     route::{Route, ShardSet},
     router::Router,
 };
@@ -107,7 +109,7 @@
     };
     let mut outstanding = shards.len();
     let left_out = skipped.clone();
-    let Plan { here, groups } = relay::plan(router, search, shards);
+    let Plan { here, groups } = plan::plan(router, search, shards);
     let relayed = outstanding - here.len();
     for group in groups {
         running.push(Box::pin(async move {
--- a/crates/kumquatnotch-route/src/mirror.rs
+++ b/crates/kumquatnotch-route/src/mirror.rs
@@ -21,50 +21,15 @@
 };
 
 use crate::{
-    fleet::NodeRecord,
     follow::{self, Followed},
     journal::Passage,
-    names::ReplicaId,
     probe,
-    replica::{Replica, ReplicaSpec},
-    route::{RouteConfig, RouteTable},
+    replica::Replica,
+    route::RouteTable,
     router::Router,
+    schema::{Entry, EntryKey, Schema},
 };
 
-/// What a key of the store holds.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Entry {
-    /// The operators' configuration.
-    Config(RouteConfig),
-    /// A replica.
-    Replica(ReplicaId, ReplicaSpec),
-    /// A node of this tier.
-    Node(NodeName, NodeRecord),
-}
-
-/// What a key is about.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub enum EntryKey {
-    /// The operators' configuration.
-    Config,
-    /// A replica.
-    Replica(ReplicaId),
-    /// A node of this tier.
-    Node(NodeName),
-}
-
-/// How keys and values of the store are to be read.
-pub trait Schema {
-    /// The prefix under which all that is mirrored lies.
-    fn prefix(&self) -> &str;
-
-    /// What a key is about; `None` if it is nothing to this tier.
-    fn read_key(&self, key: &str) -> Option<EntryKey>;
-
-    /// What an item holds; `None` if it is nothing to this tier.
-    fn read(&self, item: &StoreItem) -> Result<Option<Entry>>;
-}
-
 /// Options of a [`Mirror`].
 #[derive(Clone, Copy, Debug)]
 pub struct MirrorOptions {
--- a/crates/kumquatnotch-route/src/relay.rs
+++ b/crates/kumquatnotch-route/src/relay.rs
@@ -8,18 +8,17 @@
 
 use bytes::Bytes;
 use futures_util::future::{Either, select};
-use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
-use kumquatnotch_core::{Error, Result, clock, codec, ids::DataCentre};
+use http::{HeaderValue, StatusCode};
+use kumquatnotch_core::{Error, Result, clock, codec};
 use kumquatnotch_net::message::Request;
-use serde::{Deserialize, Serialize};
 
 use crate::{
-    choice::{self, Need},
     gather::Search,
-    names::{ReplicaId, RouteName, ServiceName},
+    plan::Group,
     probe,
+    relay_message::{RelayReply, RelayRequest},
     replica::{Fitness, Replica},
-    route::{Destination, Route, RouteKind, ShardSet},
+    route::ShardSet,
     router::Router,
 };
 
@@ -38,17 +37,6 @@
 /// How often it is asked.
 const RUNNING_PERIOD: Duration = Duration::from_millis(250);
 
-/// By how much later than the best a replica may be expected to reply, in seconds,
-/// for its data centre to do as well.
-///
-/// More than replicas of one region differ by, less than a way between regions.
-const NEAR_SLACK: f64 = 0.006;
-
-/// The fewest shards for which a node of another data centre is asked.
-///
-/// For a single one, its message is no shorter than the part itself.
-pub const LEAST_SHARDS: usize = 2;
-
 /// How long a connection between nodes may be idle.
 const PEER_IDLE: Duration = Duration::from_secs(30);
 
@@ -65,52 +53,6 @@
 /// Then it is asked whether it works on the request at all.
 const REPLY_SLACK: Duration = Duration::from_millis(40);
 
-/// What a node asks another one to gather.
-#[derive(Debug, Serialize, Deserialize)]
-pub struct RelayRequest {
-    /// The route.
-    pub route: String,
-    /// The most replicas that may run the request, for each shard.
-    pub attempts: u32,
-    /// The rank of the request.
-    pub priority: u32,
-    /// The time within which an answer is worth most, in microseconds.
-    pub objective_us: u64,
-    /// The part of that which is left here, in microseconds.
-    pub due_us: u64,
-    /// The time left in all, in microseconds.
-    pub left_us: u64,
-    /// How many of the greatest records are wanted.
-    pub top: usize,
-    /// How many parts are enough once the time in which they are worth most is over.
-    pub enough: usize,
-    /// The shards, each with the replicas that may be asked; none means any.
-    pub shards: Vec<(String, Vec<String>)>,
-    /// The method of the caller's request.
-    pub method: String,
-    /// Its path and query.
-    pub target: String,
-    /// Its headers.
-    pub headers: Vec<(String, Bytes)>,
-    /// Its body.
-    pub body: Bytes,
-}
-
-/// What the other node has gathered.
-#[derive(Debug, Default, Serialize, Deserialize)]
-pub struct RelayReply {
-    /// The greatest records, falling.
-    pub records: Bytes,
-    /// The proofs of the parts.
-    pub proofs: Vec<Bytes>,
-    /// The shards that are missing, by their place in the request.
-    pub missing: Vec<usize>,
-    /// Whether a replica may have run the request.
-    pub ran: bool,
-    /// How long the gathering took, in microseconds.
-    pub took_us: u64,
-}
-
 /// How a relayed group of shards ended.
 #[derive(Debug)]
 pub enum Relayed {
@@ -122,93 +64,6 @@
     Lost,
 }
 
-/// A group of shards, and the node that is asked for them.
-pub struct Group {
-    /// The node.
-    pub peer: Rc<Replica>,
-    /// The shards, by their place in the set.
-    pub shards: Vec<usize>,
-    /// The replicas of each shard that may be asked; none means any.
-    ///
-    /// If the other node is lost, the shards are asked for from here again. Both
-    /// must keep to the same few replicas then, or more of them than the route
-    /// allows would run the request.
-    pub allowed: Vec<Vec<ReplicaId>>,
-}
-
-/// Which shards of a search are asked for, and by whom.
-pub struct Plan {
-    /// The shards that are asked for from here, by their place in the set.
-    pub here: Vec<usize>,
-    /// The shards that are asked for through nodes of other data centres.
-    pub groups: Vec<Group>,
-}
-
-/// Plans a search over `shards`, by their place in the set.
-pub fn plan(router: &Router, search: &Search<'_>, shards: Vec<usize>) -> Plan {
-    let Search { route, set, .. } = search;
-    let need = router.paces.need(route);
-    let mut here = Vec::new();
-    let mut away: Vec<Away> = Vec::new();
-    for index in shards {
-        let centres = nearest_centres(router, &set.shards[index], need);
-        if centres.is_empty() || centres.contains(&router.place.centre) {
-            here.push(index);
-        } else {
-            away.push(Away { index, centres });
-        }
-    }
-    let mut groups = Vec::new();
-    while let Some((peer, centre)) = best_centre(router, &route.host, &away) {
-        let (taken, rest): (Vec<Away>, Vec<Away>) =
-            away.into_iter().partition(|shard| shard.centres.contains(&centre));
-        away = rest;
-        let shards: Vec<usize> = taken.into_iter().map(|shard| shard.index).collect();
-        let allowed = shards.iter().map(|index| allowed(router, route, &set.shards[*index]));
-        groups.push(Group { peer, allowed: allowed.collect(), shards });
-    }
-    here.extend(away.into_iter().map(|shard| shard.index));
-    Plan { here, groups }
-}
-
-/// A shard whose nearest replicas are in other data centres.
-struct Away {
-    index: usize,
-    centres: Vec<DataCentre>,
-}
-
-/// The data centres with a replica that is expected to reply about as soon as the best.
-fn nearest_centres(router: &Router, shard: &ServiceName, need: Need) -> Vec<DataCentre> {
-    let now = router.clock.now();
-    let replicas = router.directory.of(shard);
-    let Some(best) = choice::best(&replicas, &[], need, now) else {
-        return Vec::new();
-    };
-    let mut centres = vec![best.replica.spec().centre.clone()];
-    for replica in replicas.iter().filter(|replica| choice::is_good(replica, need.usual, now)) {
-        let near = choice::cost(replica, need, now) <= best.cost + NEAR_SLACK;
-        let centre = replica.spec().centre.clone();
-        if near && !centres.contains(&centre) {
-            centres.push(centre);
-        }
-    }
-    centres
-}
-
-/// The data centre that holds most of the shards `away`, with a node of it.
-fn best_centre(router: &Router, host: &str, away: &[Away]) -> Option<(Rc<Replica>, DataCentre)> {
-    let mut centres: Vec<&DataCentre> = away.iter().flat_map(|shard| &shard.centres).collect();
-    centres.sort_unstable();
-    centres.dedup();
-    // Of two that hold as many, each is taken in its turn.
-    router.random.shuffle(&mut centres);
-    let count =
-        |centre: &DataCentre| away.iter().filter(|shard| shard.centres.contains(centre)).count();
-    centres.sort_by_key(|centre| std::cmp::Reverse(count(centre)));
-    let fitting = centres.into_iter().filter(|centre| count(centre) >= LEAST_SHARDS);
-    fitting.filter_map(|centre| Some((router.peer_in(host, centre)?, centre.clone()))).next()
-}
-
 /// Asks a node to gather the parts of a group of shards.
 pub async fn relay(router: &Rc<Router>, search: &Search<'_>, group: &Group) -> Relayed {
     let peer = &group.peer;
@@ -377,58 +232,6 @@
     group.shards.len().saturating_sub(most_missing).max(1)
 }
 
-/// The replicas of a shard that one search may ask; none means any.
-fn allowed(router: &Router, route: &Route, shard: &ServiceName) -> Vec<ReplicaId> {
-    let replicas = router.directory.of(shard);
-    if replicas.len() <= route.attempts as usize {
-        return Vec::new();
-    }
-    let need = router.paces.need(route);
-    let now = router.clock.now();
-    let mut allowed: Vec<ReplicaId> = Vec::new();
-    while allowed.len() < route.attempts as usize {
-        match choice::best(&replicas, &allowed, need, now) {
-            Some(pick) => allowed.push(pick.replica.id.clone()),
-            None => break,
-        }
-    }
-    allowed
-}
-
-impl RelayRequest {
-    /// The route, as far as the gathering needs it.
-    pub fn route(&self) -> Route {
-        let shards = self.shards.iter().map(|(name, _)| ServiceName::from(&**name));
-        let set = ShardSet { shards: shards.collect(), top: self.top, least: 0.0 };
-        Route {
-            name: RouteName::from(&*self.route),
-            host: String::new(),
-            prefix: String::new(),
-            kind: RouteKind::Idempotent,
-            timeout: Duration::from_micros(self.left_us),
-            objective: Duration::from_micros(self.objective_us),
-            attempts: self.attempts,
-            priority: self.priority,
-            destination: Destination::Shards(set),
-        }
-    }
-
-    /// The caller's request.
-    pub fn request(&self) -> Result<Request> {
-        let method = Method::from_bytes(self.method.as_bytes()).map_err(Error::bad_request)?;
-        let mut request = Request::new(method, &self.target);
-        let mut headers = HeaderMap::new();
-        for (name, value) in &self.headers {
-            let name = HeaderName::from_bytes(name.as_bytes()).map_err(Error::bad_request)?;
-            let value = HeaderValue::from_bytes(value).map_err(Error::bad_request)?;
-            headers.append(name, value);
-        }
-        request.headers = headers;
-        request.body = self.body.clone();
-        Ok(request)
-    }
-}
-
 /// Whether a node can be asked.
 pub(crate) fn is_usable(peer: &Replica) -> bool {
     peer.fitness() == Fitness::Fit && peer.takes_requests()
--- a/crates/kumquatnotch-route/src/relay_front.rs
+++ b/crates/kumquatnotch-route/src/relay_front.rs
@@ -15,7 +15,8 @@
     follow::{self, FOLLOW_PATH},
     gather::{self, Search},
     names::ReplicaId,
-    relay::{PROBE_PATH, RELAY_PATH, RUNNING_PATH, RelayReply, RelayRequest},
+    relay::{PROBE_PATH, RELAY_PATH, RUNNING_PATH},
+    relay_message::{RelayReply, RelayRequest},
     route::Destination,
     router::Router,
 };
--- a/crates/kumquatnotch-route/tests/common/schema.rs
+++ b/crates/kumquatnotch-route/tests/common/schema.rs
@@ -4,8 +4,9 @@
 
 use kumquatnotch_core::{Error, Result, codec, ids::NodeName, store::StoreItem};
 use kumquatnotch_route::{
-    mirror::{Entry, EntryKey, MirrorOptions, Schema},
+    mirror::MirrorOptions,
     names::ReplicaId,
+    schema::{Entry, EntryKey, Schema},
 };
 
 use crate::common::{config, single, spec};
--- a/crates/kumquatnotch-route/tests/searches.rs
+++ b/crates/kumquatnotch-route/tests/searches.rs
@@ -242,7 +242,7 @@
 
         let asked = lost.unwrap().requests();
         let body = &asked[0].body;
-        let message: kumquatnotch_route::relay::RelayRequest =
+        let message: kumquatnotch_route::relay_message::RelayRequest =
             kumquatnotch_core::codec::decode(body).unwrap();
         for (name, allowed) in &message.shards {
             assert_eq!(allowed.len(), 2);
