--- a/crates/kumquatnotch-route/tests/common/mod.rs
+++ b/crates/kumquatnotch-route/tests/common/mod.rs
@@ -239,9 +239,11 @@
 }
 
 /// An address at which nothing listens.
+///
+/// No server of a test gets this port, which a port that was free a moment ago could
+/// be given to.
 pub fn nowhere() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+    SocketAddr::from(([127, 0, 0, 1], 1))
 }
 
 /// A record of 16 bytes.
