Settings that change without a signal are taken over; one start for both daemons

Cause: the platform may write other settings and send no signal; only SIGHUP was heeded, and of what it brought only the regions were taken over. The two daemons also had the same start and exit codes twice.

Change: the file is read once a second and counts once two readings agree, so that a half-written one changes nothing. Budget, grace time and the validity of advice are taken over as well; the line tells what waits for a restart.

Ruled out: watching by inotify, which needs a thread or a descriptor of its own for a file that changes a few times a year.

--- a/crates/kumquatnotch-daemon/src/lib.rs
+++ b/crates/kumquatnotch-daemon/src/lib.rs
@@ -1,8 +1,10 @@
-//! What every daemon of the project needs from its process: metrics, signals,
-//! and logs that never hold it up.
+//! What every daemon of the project needs from its process: its start and end,
+//! metrics, signals, settings that change, and logs that never hold it up.
 
 #![forbid(unsafe_code)]
 
 pub mod logs;
 pub mod meters;
+pub mod process;
 pub mod signals;
+pub mod watched_file;
--- a/crates/kumquatnotch-route/src/budget.rs
+++ b/crates/kumquatnotch-route/src/budget.rs
@@ -37,7 +37,7 @@
 
 /// The budget for repeats, by service.
 pub struct Budget {
-    options: BudgetOptions,
+    options: Cell<BudgetOptions>,
     clock: Rc<dyn Clock>,
     start: Instant,
     part: Cell<f64>,
@@ -73,6 +73,7 @@
     pub fn new(options: BudgetOptions, clock: Rc<dyn Clock>) -> Budget {
         let start = clock.now();
         let part = Cell::new(1.0);
+        let options = Cell::new(options);
         Budget { options, clock, start, part, windows: RefCell::default() }
     }
 
@@ -81,6 +82,11 @@
         self.part.set(part);
     }
 
+    /// Sets the repeats allowed for each request, and those allowed besides.
+    pub fn set_allowance(&self, ratio: f64, slack: f64) {
+        self.options.set(BudgetOptions { ratio, slack, ..self.options.get() });
+    }
+
     /// Notes the first sending of a request.
     pub fn note_first(&self, service: &ServiceName) {
         self.with_window(service, |window| {
@@ -91,8 +97,8 @@
 
     /// Pays for a repeat; false if the budget is used up.
     pub fn spend(&self, service: &ServiceName) -> bool {
-        let slack = self.options.slack * self.part.get();
-        let ratio = self.options.ratio;
+        let BudgetOptions { ratio, slack, .. } = self.options.get();
+        let slack = slack * self.part.get();
         self.with_window(service, |window| {
             let firsts: u32 = window.firsts.iter().sum();
             let repeats: u32 = window.repeats.iter().sum();
@@ -108,7 +114,8 @@
 
     fn with_window<T>(&self, service: &ServiceName, work: impl FnOnce(&mut Window) -> T) -> T {
         let passed = self.clock.now().saturating_duration_since(self.start);
-        let step = (passed.as_nanos() * STEPS as u128 / self.options.window.as_nanos()) as u64;
+        let step =
+            (passed.as_nanos() * STEPS as u128 / self.options.get().window.as_nanos()) as u64;
         let mut windows = self.windows.borrow_mut();
         let window = windows.entry(service.clone()).or_default();
         window.advance(step);
--- a/crates/kumquatnotchd/src/main.rs
+++ b/crates/kumquatnotchd/src/main.rs
@@ -11,20 +11,11 @@
 use std::process::ExitCode;
 
 use futures_util::future::{Either, select};
-use kumquatnotch::{
-    Node, NodeOptions, Shutdown,
-    config::settings::Settings,
-    core::{Error, Result},
-};
-use kumquatnotch_daemon::{meters, signals::Signals};
-use monoio::{LegacyDriver, RuntimeBuilder};
+use kumquatnotch::{Node, NodeOptions, Shutdown, config::settings::Settings, core::Result};
+use kumquatnotch_daemon::{meters, process, signals::Signals};
 
 use crate::options::Options;
 
-/// The exit code of a start that failed.
-const FAILED: u8 = 1;
-/// The exit code if requests were still in flight when the time to leave was over.
-const CUT: u8 = 3;
 /// The exit code after a second signal.
 const HURRIED: u8 = 4;
 /// The exit code if another process has this node's name or address.
@@ -32,13 +23,7 @@
 
 fn main() -> ExitCode {
     let options: Options = argh::from_env();
-    match start(&options) {
-        Ok(code) => code,
-        Err(error) => {
-            eprintln!("error {}: {error}", error.code());
-            ExitCode::from(FAILED)
-        }
-    }
+    process::exit_code(start(&options))
 }
 
 fn start(options: &Options) -> Result<ExitCode> {
@@ -48,13 +33,7 @@
         return Ok(ExitCode::SUCCESS);
     }
     logs::install(options.log_format.unwrap_or(settings.log.format), &settings.log)?;
-    // The epoll driver by name: the default one may choose io_uring, which the
-    // machines do not allow.
-    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
-        .enable_timer()
-        .build()
-        .map_err(|error| Error::internal(format!("the runtime can't start: {error}")))?;
-    runtime.block_on(run(settings))
+    process::block_on(run(settings))
 }
 
 async fn run(settings: Settings) -> Result<ExitCode> {
@@ -73,7 +52,7 @@
             tracing::info!("node: left");
             Ok(ExitCode::SUCCESS)
         }
-        Either::Left((Shutdown::Cut, _)) => Ok(ExitCode::from(CUT)),
+        Either::Left((Shutdown::Cut, _)) => Ok(ExitCode::from(process::CUT)),
         Either::Left((Shutdown::Outlived, _)) => Ok(ExitCode::from(OUTLIVED)),
         Either::Right(_) => {
             tracing::warn!("node: told twice to stop, ending at once");
