One client and one stand-in for the platform's store

Cause: the product's own interface had a client, a trait and a stand-in of its own for compare and swap of single keys, beside the store's client that the platform needs: two copies of timeouts, retries, limits and faults.

Change: the documents of the operators go through core::Store and the client in platform/; the list of VMs is a key of that store; one stand-in, in platform/standin, serves the tests of both, scripts/run-local, history and measure. core::Platform, net::PlatformClient, its pool option and the key-value state of the stand-ins are gone. The publisher of documents is DocumentStore now, so that one word has one meaning.

Ruled out: a second crate for the client: only daemons and tools choose it, and they may depend on the adapter.

Collecting unused parts reads values now, as the store lists no keys alone.

--- a/crates/history/src/cluster.rs
+++ b/crates/history/src/cluster.rs
@@ -14,13 +14,13 @@
 };
 use kumquatnotch_core::{
     ids::{DataCentre, NodeName},
-    platform::Vm,
+    vms::Vm,
 };
 use serde::{Deserialize, Serialize};
+use standin_store::faults::StoreChange;
 use standins::{
     faults::FaultChange,
     http::Client,
-    platform::PlatformChange,
     relay::{LinkChange, RelayPorts},
     targets::FleetPorts,
 };
@@ -90,7 +90,7 @@
     pub fn start(count: usize, seed: u64, folder: &Path) -> io::Result<Cluster> {
         fs::create_dir_all(folder)?;
         let log = folder.join("standins.log");
-        let mut platform = Process::start("standin-platform", &[], &log)?;
+        let mut platform = Process::start("standin-store", &[], &log)?;
         let PlatformPort { address } = platform.ports()?;
 
         let plan = folder.join("targets.toml");
@@ -166,7 +166,7 @@
     }
 
     /// Changes faults of the platform.
-    pub async fn change_platform(&self, change: &PlatformChange) -> io::Result<()> {
+    pub async fn change_platform(&self, change: &StoreChange) -> io::Result<()> {
         control(self.platform, "/standin/faults", change).await
     }
 
--- a/crates/history/src/operators.rs
+++ b/crates/history/src/operators.rs
@@ -3,16 +3,16 @@
 use std::{cell::RefCell, collections::BTreeSet, rc::Rc, time::Duration};
 
 use futures_util::future::join_all;
-use kumquatnotch_config::store::{Authorship, Store, set_drain};
+use kumquatnotch_config::document_store::{Authorship, DocumentStore, set_drain};
 use kumquatnotch_core::{
-    Error, Platform, Result,
+    Error, Result,
     clock::RuntimeClock,
     document::Document,
     ids::{ConfigVersion, TargetName, TenantName},
     member::Confirmation,
     random::Random,
 };
-use kumquatnotch_net::{PlatformClient, platform_client::PlatformOptions};
+use kumquatnotch_platform::store_client::{StoreClient, StoreOptions};
 use serde::Deserialize;
 use standins::{data::OWNERS, http::Client, now_us};
 
@@ -36,7 +36,7 @@
 pub struct Operator {
     pub(crate) run: Rc<Run>,
     pub(crate) random: Random,
-    store: Store,
+    store: DocumentStore,
     name: String,
 }
 
@@ -55,12 +55,10 @@
     /// The operator of that number, who reaches the platform directly.
     pub fn new(run: &Rc<Run>, number: usize) -> Operator {
         let address = run.cluster.platform;
-        let options = PlatformOptions { address, ..PlatformOptions::default() };
         let random = run.generator();
         let clock = Rc::new(RuntimeClock);
-        let client = PlatformClient::new(options, clock.clone(), random.clone());
-        let platform: Rc<dyn Platform> = Rc::new(client);
-        let store = Store::new(platform, clock, random.clone());
+        let client = StoreClient::new(StoreOptions::new(address), clock.clone());
+        let store = DocumentStore::new(Rc::new(client), clock, random.clone());
         Operator { run: run.clone(), random, store, name: format!("operator-{number}") }
     }
 
--- a/crates/history/src/runner.rs
+++ b/crates/history/src/runner.rs
@@ -5,12 +5,8 @@
 use futures_util::future::{LocalBoxFuture, join_all};
 use kumquatnotch_core::ids::{IndexVersion, ShardName};
 use monoio::time::Instant;
-use standins::{
-    http::Client,
-    platform::{Calls, PlatformChange},
-    records::RunLog,
-    relay::LinkChange,
-};
+use standin_store::faults::{Calls, StoreChange};
+use standins::{http::Client, records::RunLog, relay::LinkChange};
 
 use crate::{
     callers::Caller,
@@ -141,12 +137,12 @@
         ..LinkChange::default()
     };
     run.cluster.change_links(&whole).await?;
-    let mend = PlatformChange {
+    let mend = StoreChange {
         outage: Some(false),
         hang: Some(false),
         lose_replies: Some(0),
         delay_ms: Some(2),
-        ..PlatformChange::default()
+        ..StoreChange::default()
     };
     run.cluster.change_platform(&mend).await?;
     monoio::time::sleep(Duration::from_millis(SETTLE_MS)).await;
--- a/crates/kumquatnotch-config/src/store.rs
+++ b/crates/kumquatnotch-config/src/document_store.rs
@@ -1,4 +1,4 @@
-//! Publishes documents to the platform's service.
+//! Publishes documents through the platform's store.
 //!
 //! The head is the only value that changes, and it changes by compare-and-swap.
 //! Each write of it carries a number that its writer drew, so that a write
@@ -8,15 +8,15 @@
 use std::{collections::hash_map::Entry, rc::Rc, time::Duration};
 
 use kumquatnotch_core::{
-    Clock, Error, Platform, Result,
+    Clock, Error, Result, Store,
     clock::sleep,
     codec,
     collections::HashMap,
     document::Document,
     ids::{ConfigVersion, Digest, TargetName},
     peer::StoredValue,
-    platform::{self, Expect},
     random::Random,
+    store::{StoreItem, StoreWrite},
     stored::{
         self, HEAD_KEY, HISTORY_LENGTH, Head, Manifest, Past, Stored, check_value, value_key,
     },
@@ -30,9 +30,9 @@
 /// How long to wait after the first failed try; it doubles with each.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 
-/// The operators' side of the platform's service.
-pub struct Store {
-    platform: Rc<dyn Platform>,
+/// The operators' side of the platform's store.
+pub struct DocumentStore {
+    store: Rc<dyn Store>,
     clock: Rc<dyn Clock>,
     random: Random,
 }
@@ -42,7 +42,7 @@
 pub struct Current {
     /// The head; `None` before the first document.
     pub head: Option<Head>,
-    /// The revision of the head.
+    /// The revision of the head; zero before the first.
     pub revision: u64,
     /// The document; empty before the first.
     pub document: Document,
@@ -57,10 +57,10 @@
     pub note: &'a str,
 }
 
-impl Store {
-    /// A store on `platform`.
-    pub fn new(platform: Rc<dyn Platform>, clock: Rc<dyn Clock>, random: Random) -> Store {
-        Store { platform, clock, random }
+impl DocumentStore {
+    /// The documents in `store`.
+    pub fn new(store: Rc<dyn Store>, clock: Rc<dyn Clock>, random: Random) -> DocumentStore {
+        DocumentStore { store, clock, random }
     }
 
     /// Reads the head and its document.
@@ -140,12 +140,13 @@
     /// it: a writer stores its values before its head, and a collector that did
     /// not wait would delete them in between.
     pub async fn collect(&self, grace: Duration) -> Result<usize> {
-        let keys = self.platform.list(stored::VALUE_PREFIX).await?;
+        // The store has no call for keys alone; an operator collects now and then.
+        let stored = self.store.scan(stored::VALUE_PREFIX).await?;
         sleep(&*self.clock, grace).await;
         let used = self.used_keys().await?;
         let mut count = 0;
-        for key in keys.iter().filter(|key| !used.contains_key(*key)) {
-            self.platform.delete(key, Expect::Any).await?;
+        for item in stored.items.iter().filter(|item| !used.contains_key(&item.key)) {
+            self.store.write(&StoreWrite::delete(&item.key)).await?;
             count += 1;
         }
         Ok(count)
@@ -194,23 +195,23 @@
         Ok(value.value)
     }
 
-    async fn get(&self, key: &str) -> Result<Option<platform::Entry>> {
+    async fn get(&self, key: &str) -> Result<Option<StoreItem>> {
         let mut pause = FIRST_PAUSE;
         for _ in 1..TRY_LIMIT {
-            match self.platform.get(key).await {
+            match self.store.read(key).await {
                 Err(Error::PlatformUnavailable | Error::PlatformBusy) => {}
                 result => return result,
             }
             sleep(&*self.clock, self.random.jitter(pause)).await;
             pause *= 2;
         }
-        self.platform.get(key).await
+        self.store.read(key).await
     }
 
     /// Stores a value under its digest; to store it twice does no harm.
     async fn put_value(&self, value: &StoredValue) -> Result<()> {
         let key = value_key(value.digest);
-        match self.put(&key, &value.value, Expect::Absent).await {
+        match self.put(&key, &value.value, 0).await {
             // It is there already, by an earlier version or a try of ours.
             Ok(_) | Err(Error::CompareFailed) => Ok(()),
             Err(error) => Err(error),
@@ -224,11 +225,7 @@
         by: Authorship<'_>,
     ) -> Result<ConfigVersion> {
         let head = self.next_head(base, manifest, by);
-        let expect = match base.head {
-            Some(_) => Expect::Revision(base.revision),
-            None => Expect::Absent,
-        };
-        match self.put(HEAD_KEY, &codec::encode(&head)?, expect).await {
+        match self.put(HEAD_KEY, &codec::encode(&head)?, base.revision).await {
             Ok(_) => Ok(head.version),
             // Either another operator was first, or a try of ours took effect
             // and its reply was lost. The number in the head tells which.
@@ -277,11 +274,12 @@
     /// A write whose reply was lost may also take effect later. Writing the same
     /// again under the same expectation settles it: one of the two takes effect,
     /// and the other finds another revision.
-    async fn put(&self, key: &str, value: &[u8], expect: Expect) -> Result<u64> {
+    async fn put(&self, key: &str, value: &[u8], expect: u64) -> Result<u64> {
+        let write = StoreWrite::put(key, value, expect);
         let mut pause = FIRST_PAUSE;
         let mut unknown = false;
         for _ in 0..TRY_LIMIT {
-            match self.platform.put(key, value, expect).await {
+            match self.store.write(&write).await {
                 Err(Error::WriteUnknown) => unknown = true,
                 Err(Error::PlatformUnavailable | Error::PlatformBusy) => {}
                 result => return result,
--- a/crates/kumquatnotch-config/src/lib.rs
+++ b/crates/kumquatnotch-config/src/lib.rs
@@ -8,8 +8,8 @@
 
 pub mod check;
 pub mod diff;
+pub mod document_store;
 pub mod fault;
 pub mod files;
 pub mod reader;
 pub mod settings;
-pub mod store;
--- a/crates/kumquatnotch-config/tests/store.rs
+++ b/crates/kumquatnotch-config/tests/document_store.rs
@@ -7,65 +7,78 @@
     time::Duration,
 };
 
-use kumquatnotch_config::store::{Authorship, Current, Store, keep_drains, set_drain};
+use kumquatnotch_config::document_store::{
+    Authorship, Current, DocumentStore, keep_drains, set_drain,
+};
 use kumquatnotch_core::{
-    Clock, Error, LocalFuture, Platform, Result,
+    Clock, Error, LocalFuture, Result, Store,
     clock::PausedClock,
     document::{Document, TargetSpec},
     ids::{ConfigVersion, TargetName},
-    platform::{Entry, Expect, Vm},
     random::Random,
+    store::{StoreChanges, StoreItem, StoreLease, StorePut, StoreScan, StoreWrite},
     stored::HEAD_KEY,
 };
 
 const BY: Authorship<'_> = Authorship { author: "huda", note: "test" };
 
-/// A platform in memory that can lose replies of writes.
+/// A store in memory that can lose replies of writes.
 #[derive(Default)]
-struct FakePlatform {
-    values: RefCell<BTreeMap<String, Entry>>,
+struct FakeStore {
+    items: RefCell<BTreeMap<String, StoreItem>>,
     revision: Cell<u64>,
     lost_replies: Cell<usize>,
     lost_writes: Cell<usize>,
 }
 
-impl FakePlatform {
-    fn write(&self, key: &str, value: &[u8], expect: Expect) -> Result<u64> {
-        let mut values = self.values.borrow_mut();
-        let now = values.get(key).map(|entry| entry.revision);
-        let matches = match expect {
-            Expect::Any => true,
-            Expect::Absent => now.is_none(),
-            Expect::Revision(revision) => now == Some(revision),
-        };
-        if !matches {
+impl FakeStore {
+    fn apply(&self, write: &StoreWrite) -> Result<u64> {
+        let mut items = self.items.borrow_mut();
+        let found = |key: &String| items.get(key).map_or(0, |item| item.revision);
+        if write.expect.iter().any(|(key, revision)| found(key) != *revision) {
             return Err(Error::CompareFailed);
         }
-        self.revision.set(self.revision.get() + 1);
-        let revision = self.revision.get();
-        values.insert(key.to_owned(), Entry { revision, value: value.to_owned() });
+        let revision = self.revision.get() + 1;
+        self.revision.set(revision);
+        for StorePut { key, value, .. } in write.puts.iter().cloned() {
+            items.insert(key.clone(), StoreItem { key, value, revision });
+        }
+        write.deletes.iter().for_each(|key| drop(items.remove(key)));
         Ok(revision)
     }
 }
 
-impl Platform for FakePlatform {
-    fn get<'a>(&'a self, key: &'a str) -> LocalFuture<'a, Result<Option<Entry>>> {
-        Box::pin(async move { Ok(self.values.borrow().get(key).cloned()) })
+impl Store for FakeStore {
+    fn read<'a>(&'a self, key: &'a str) -> LocalFuture<'a, Result<Option<StoreItem>>> {
+        Box::pin(async move { Ok(self.items.borrow().get(key).cloned()) })
+    }
+
+    fn scan<'a>(&'a self, prefix: &'a str) -> LocalFuture<'a, Result<StoreScan>> {
+        Box::pin(async move {
+            let items = self.items.borrow();
+            let items = items.values().filter(|item| item.key.starts_with(prefix)).cloned();
+            Ok(StoreScan { items: items.collect(), revision: self.revision.get() })
+        })
     }
 
-    fn put<'a>(
+    fn watch<'a>(
         &'a self,
-        key: &'a str,
-        value: &'a [u8],
-        expect: Expect,
-    ) -> LocalFuture<'a, Result<u64>> {
+        _: &'a str,
+        _: u64,
+        _: Duration,
+    ) -> LocalFuture<'a, Result<StoreChanges>> {
+        unimplemented!("operators watch nothing")
+    }
+
+    fn write<'a>(&'a self, write: &'a StoreWrite) -> LocalFuture<'a, Result<u64>> {
         Box::pin(async move {
-            if self.lost_writes.get() > 0 {
+            if !write.puts.is_empty() && self.lost_writes.get() > 0 {
                 self.lost_writes.set(self.lost_writes.get() - 1);
                 return Err(Error::WriteUnknown);
             }
-            let result = self.write(key, value, expect);
-            if key == HEAD_KEY && self.lost_replies.get() > 0 {
+            let result = self.apply(write);
+            let is_head = write.puts.iter().any(|put| put.key == HEAD_KEY);
+            if is_head && self.lost_replies.get() > 0 {
                 self.lost_replies.set(self.lost_replies.get() - 1);
                 return Err(Error::WriteUnknown);
             }
@@ -73,46 +86,27 @@
         })
     }
 
-    fn delete<'a>(&'a self, key: &'a str, _: Expect) -> LocalFuture<'a, Result<()>> {
-        Box::pin(async move {
-            self.values.borrow_mut().remove(key);
-            Ok(())
-        })
-    }
-
-    fn list<'a>(&'a self, prefix: &'a str) -> LocalFuture<'a, Result<Vec<String>>> {
-        Box::pin(async move {
-            let values = self.values.borrow();
-            Ok(values.keys().filter(|key| key.starts_with(prefix)).cloned().collect())
-        })
-    }
-
-    fn watch<'a>(
-        &'a self,
-        key: &'a str,
-        _: u64,
-        _: Duration,
-    ) -> LocalFuture<'a, Result<Option<Entry>>> {
-        self.get(key)
+    fn grant(&self, _: Duration) -> LocalFuture<'_, Result<StoreLease>> {
+        unimplemented!("operators ask for no lease")
     }
 
-    fn vms(&self) -> LocalFuture<'_, Result<Vec<Vm>>> {
-        Box::pin(async { Ok(Vec::new()) })
+    fn renew(&self, _: u64) -> LocalFuture<'_, Result<()>> {
+        unimplemented!("operators renew no lease")
     }
 }
 
 struct Bench {
-    platform: Rc<FakePlatform>,
+    platform: Rc<FakeStore>,
     clock: PausedClock,
-    store: Store,
+    store: DocumentStore,
 }
 
 impl Bench {
     fn new() -> Bench {
-        let platform = Rc::new(FakePlatform::default());
+        let platform = Rc::new(FakeStore::default());
         let clock = PausedClock::default();
         let shared: Rc<dyn Clock> = Rc::new(clock.clone());
-        let store = Store::new(platform.clone(), shared, Random::with_seed(7));
+        let store = DocumentStore::new(platform.clone(), shared, Random::with_seed(7));
         Bench { platform, clock, store }
     }
 
@@ -199,8 +193,11 @@
     bench.publish(&bench.current(), &document(1)).unwrap();
     let base = bench.current();
     bench.platform.lost_replies.set(1);
-    let rival =
-        Store::new(bench.platform.clone(), Rc::new(bench.clock.clone()), Random::with_seed(8));
+    let rival = DocumentStore::new(
+        bench.platform.clone(),
+        Rc::new(bench.clock.clone()),
+        Random::with_seed(8),
+    );
 
     let (two, three) = (document(2), document(3));
 
@@ -236,11 +233,11 @@
     let bench = Bench::new();
     bench.publish(&bench.current(), &document(1_000)).unwrap();
     let base = bench.current();
-    let before = bench.platform.values.borrow().len();
+    let before = bench.platform.items.borrow().len();
 
     bench.publish(&base, &document(1_001)).unwrap();
 
-    let after = bench.platform.values.borrow().len();
+    let after = bench.platform.items.borrow().len();
     assert_eq!(after - before, 2, "one part and the manifest");
 }
 
--- a/crates/kumquatnotch-core/src/lib.rs
+++ b/crates/kumquatnotch-core/src/lib.rs
@@ -4,7 +4,7 @@
 //! selectors, the operators' document, queries and answers with their
 //! coverage, numbered errors, the clock, the seeded generator, and the
 //! registry in which services find each other by name. The borders of the
-//! system are traits here ([`Platform`], [`Targets`], [`Peers`], [`Clock`]), so
+//! system are traits here ([`Store`], [`Targets`], [`Peers`], [`Clock`]), so
 //! that a test or a bench can put its own implementation behind any of them.
 
 #![forbid(unsafe_code)]
@@ -22,7 +22,6 @@
 pub mod marks;
 pub mod member;
 pub mod peer;
-pub mod platform;
 pub mod query;
 pub mod random;
 pub mod registry;
@@ -32,6 +31,7 @@
 pub mod stored;
 pub mod target;
 pub mod ticket;
+pub mod vms;
 
 use std::{future::Future, pin::Pin};
 
@@ -39,7 +39,6 @@
     clock::Clock,
     errors::{Error, Result},
     peer::Peers,
-    platform::Platform,
     store::Store,
     target::Targets,
 };
--- a/crates/kumquatnotch-core/src/services.rs
+++ b/crates/kumquatnotch-core/src/services.rs
@@ -8,8 +8,8 @@
 pub const TARGETS: &str = "targets";
 /// The way to other nodes, an `Rc<dyn Peers>`.
 pub const PEERS: &str = "peers";
-/// The platform's service, an `Rc<dyn Platform>`.
-pub const PLATFORM: &str = "platform";
+/// The platform's store, an `Rc<dyn Store>`.
+pub const STORE: &str = "store";
 /// The nodes of the tier, an `Rc<dyn Members>`.
 pub const MEMBERS: &str = "members";
 /// The shared marks, an `Rc<dyn Marks>`.
--- a/crates/kumquatnotch-core/src/store.rs
+++ b/crates/kumquatnotch-core/src/store.rs
@@ -8,6 +8,9 @@
 
 use crate::{LocalFuture, Result};
 
+/// The largest value that the store takes, in bytes.
+pub const VALUE_LIMIT: usize = 1 << 20;
+
 /// A key with its value.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoreItem {
@@ -72,6 +75,20 @@
     pub deletes: Vec<String>,
 }
 
+impl StoreWrite {
+    /// A write of one key without a lease, if it has the revision `expect`; zero if
+    /// it must not exist.
+    pub fn put(key: &str, value: &[u8], expect: u64) -> StoreWrite {
+        let put = StorePut { key: key.to_owned(), value: value.to_owned(), lease: None };
+        StoreWrite { expect: vec![(key.to_owned(), expect)], puts: vec![put], deletes: Vec::new() }
+    }
+
+    /// A write that deletes one key, whatever its revision.
+    pub fn delete(key: &str) -> StoreWrite {
+        StoreWrite { deletes: vec![key.to_owned()], ..Default::default() }
+    }
+}
+
 /// A value to put.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StorePut {
@@ -102,6 +119,9 @@
 /// [`Error::PlatformBusy`]: crate::Error::PlatformBusy
 /// [`Error::WriteUnknown`]: crate::Error::WriteUnknown
 pub trait Store {
+    /// The item under `key`.
+    fn read<'a>(&'a self, key: &'a str) -> LocalFuture<'a, Result<Option<StoreItem>>>;
+
     /// All keys under `prefix`.
     fn scan<'a>(&'a self, prefix: &'a str) -> LocalFuture<'a, Result<StoreScan>>;
 
--- a/crates/kumquatnotch-ctl/src/config_commands.rs
+++ b/crates/kumquatnotch-ctl/src/config_commands.rs
@@ -5,8 +5,8 @@
 use kumquatnotch::{
     config::{
         diff::{self, to_text},
+        document_store::{Current, DocumentStore, keep_drains, set_drain},
         files,
-        store::{Current, keep_drains, set_drain},
     },
     core::{
         Error, Result,
@@ -142,11 +142,7 @@
     Ok(document)
 }
 
-async fn stale_base(
-    store: &kumquatnotch::config::store::Store,
-    now: &Current,
-    base: ConfigVersion,
-) -> Error {
+async fn stale_base(store: &DocumentStore, now: &Current, base: ConfigVersion) -> Error {
     let version = version_of(now).0;
     let detail = match earlier(store, now, base).await {
         Ok(before) => to_text(&diff::diff(&before, &now.document)),
@@ -156,7 +152,7 @@
 }
 
 async fn earlier(
-    store: &kumquatnotch::config::store::Store,
+    store: &DocumentStore,
     current: &Current,
     version: ConfigVersion,
 ) -> Result<Document> {
--- a/crates/kumquatnotch-ctl/src/context.rs
+++ b/crates/kumquatnotch-ctl/src/context.rs
@@ -3,14 +3,14 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use kumquatnotch::{
-    config::store::{Authorship, Store},
-    core::{Clock, Error, Platform, Result, clock::RuntimeClock, random::Random},
+    config::document_store::{Authorship, DocumentStore},
+    core::{Clock, Error, Result, clock::RuntimeClock, random::Random},
     net::{
-        CallerClient, PlatformClient,
+        CallerClient,
         message::{Reply, Request},
-        platform_client::PlatformOptions,
     },
 };
+use kumquatnotch_platform::store_client::{StoreClient, StoreOptions};
 
 /// How long one call to a node may take beyond what the request itself may.
 const CALL_SLACK: Duration = Duration::from_secs(5);
@@ -38,14 +38,12 @@
     }
 
     /// The store of documents.
-    pub fn store(&self) -> Result<Store> {
+    pub fn store(&self) -> Result<DocumentStore> {
         let Some(address) = self.platform else {
             return Err(Error::bad_request("this command needs --platform ADDRESS"));
         };
-        let options = PlatformOptions { address, ..PlatformOptions::default() };
-        let client = PlatformClient::new(options, self.clock.clone(), self.random.clone());
-        let client: Rc<dyn Platform> = Rc::new(client);
-        Ok(Store::new(client, self.clock.clone(), self.random.clone()))
+        let client = Rc::new(StoreClient::new(StoreOptions::new(address), self.clock.clone()));
+        Ok(DocumentStore::new(client, self.clock.clone(), self.random.clone()))
     }
 
     /// Whether a node was named.
--- a/crates/kumquatnotch-member/src/config_service.rs
+++ b/crates/kumquatnotch-member/src/config_service.rs
@@ -13,7 +13,7 @@
 };
 
 use kumquatnotch_core::{
-    Clock, Error, LocalFuture, Platform, Result, clock,
+    Clock, Error, LocalFuture, Result, Store, clock,
     collections::{HashMap, HashSet},
     document::{Document, Documents},
     ids::{ConfigVersion, Digest},
@@ -42,7 +42,7 @@
     pub(crate) options: ConfigOptions,
     pub(crate) clock: Rc<dyn Clock>,
     pub(crate) random: Random,
-    pub(crate) platform: Rc<dyn Platform>,
+    pub(crate) store: Rc<dyn Store>,
     pub(crate) members: Rc<MembershipService>,
     pub(crate) wanted: RefCell<Wanted>,
     pub(crate) values: RefCell<HashMap<Digest, Rc<StoredValue>>>,
@@ -63,7 +63,7 @@
 impl ConfigService {
     /// Puts the service together and registers it.
     ///
-    /// Needs the platform and a [`MembershipService`] in the registry.
+    /// Needs the store and a [`MembershipService`] in the registry.
     pub fn try_new(options: ConfigOptions, registry: &Registry) -> Result<Rc<ConfigService>> {
         if options.readers == 0 || options.read_period.is_zero() {
             let detail = "configuration needs a reader and a period".to_owned();
@@ -71,12 +71,12 @@
         }
         let clock: Rc<dyn Clock> = registry.find(services::CLOCK)?;
         let members: Rc<MembershipService> = registry.find(MEMBERSHIP)?;
-        let platform: Rc<dyn Platform> = registry.find(services::PLATFORM)?;
+        let store: Rc<dyn Store> = registry.find(services::STORE)?;
         let random: Random = registry.find(services::RANDOM)?;
         let now = clock.now();
         let service = Rc::new_cyclic(|me: &Weak<ConfigService>| ConfigService {
             random,
-            platform,
+            store,
             members: members.clone(),
             wanted: RefCell::default(),
             values: RefCell::default(),
--- a/crates/kumquatnotch-member/src/exchange.rs
+++ b/crates/kumquatnotch-member/src/exchange.rs
@@ -12,7 +12,9 @@
     ids::stable_hash,
     member::{NodeRecord, NodeState},
     peer::{Exchange, Gossip, PeerMessage, PeerReply},
+    vms::read_vms,
 };
+use tracing::debug;
 
 use crate::{
     membership_service::MembershipService,
@@ -166,7 +168,7 @@
     async fn join_round(&self, addresses: &[SocketAddr]) -> bool {
         let mut others: Vec<SocketAddr> =
             addresses.iter().copied().filter(|address| *address != self.options.peer).collect();
-        if others.is_empty() && self.platform.is_none() {
+        if others.is_empty() && self.store.is_none() {
             return true;
         }
         self.random.shuffle(&mut others);
@@ -181,10 +183,13 @@
 
     /// The addresses on the platform's list, which lags.
     async fn listed(&self) -> Vec<SocketAddr> {
-        let Some(platform) = &self.platform else {
+        let Some(store) = &self.store else {
             return Vec::new();
         };
-        let vms = platform.vms().await.unwrap_or_default();
+        let vms = read_vms(&**store).await.unwrap_or_else(|error| {
+            debug!("membership: the list of VMs can't be read: {error}");
+            Vec::new()
+        });
         vms.into_iter().map(|vm| vm.peer).collect()
     }
 
--- a/crates/kumquatnotch-member/src/fetch.rs
+++ b/crates/kumquatnotch-member/src/fetch.rs
@@ -199,7 +199,7 @@
     async fn complete_from_platform(&self, digests: &[Digest]) -> Result<()> {
         for digest in self.lacking(digests) {
             metrics::counter!("kumquatnotch_value_readings_total").increment(1);
-            let entry = self.platform.get(&stored::value_key(digest)).await?;
+            let entry = self.store.read(&stored::value_key(digest)).await?;
             if let Some(entry) = entry {
                 self.keep(vec![StoredValue { digest, value: entry.value }]);
             }
--- a/crates/kumquatnotch-member/src/membership_service.rs
+++ b/crates/kumquatnotch-member/src/membership_service.rs
@@ -12,7 +12,7 @@
 };
 
 use kumquatnotch_core::{
-    Clock, LocalFuture, Peers, Platform, Result, clock,
+    Clock, LocalFuture, Peers, Result, Store, clock,
     ids::NodeName,
     lifecycle::{Lifecycle, Stage},
     marks::{Mark, MarkKind, Marks},
@@ -56,7 +56,7 @@
     pub(crate) clock: Rc<dyn Clock>,
     pub(crate) random: Random,
     pub(crate) peers: Rc<dyn Peers>,
-    pub(crate) platform: Option<Rc<dyn Platform>>,
+    pub(crate) store: Option<Rc<dyn Store>>,
     pub(crate) board: HeadBoard,
     pub(crate) table: RefCell<Table>,
     pub(crate) deltas: RefCell<Deltas>,
@@ -99,7 +99,7 @@
             health: Cell::new(0),
             announced: Cell::new(false),
             outlived: Cell::new(false),
-            platform: registry.find(services::PLATFORM).ok(),
+            store: registry.find(services::STORE).ok(),
             lifecycle,
             clock,
             random,
--- a/crates/kumquatnotch-member/src/readers.rs
+++ b/crates/kumquatnotch-member/src/readers.rs
@@ -70,7 +70,7 @@
     pub(crate) async fn read_head(&self) -> Result<Option<HeadNews>> {
         // The reading took place after this moment, whenever the reply comes.
         let asked = self.clock.now();
-        let result = self.platform.get(HEAD_KEY).await;
+        let result = self.store.read(HEAD_KEY).await;
         metrics::counter!("kumquatnotch_head_readings_total").increment(1);
         let now = self.clock.now();
         let (period, limit) = (self.options.read_period, self.options.backoff_limit);
--- a/crates/kumquatnotch-net/src/caller_client.rs
+++ b/crates/kumquatnotch-net/src/caller_client.rs
@@ -29,8 +29,7 @@
         clock: Rc<dyn Clock>,
         random: Random,
     ) -> CallerClient {
-        let options =
-            PoolOptions { control: 0, work: connections, idle: IDLE, body: BODY, patient: false };
+        let options = PoolOptions { control: 0, work: connections, idle: IDLE, body: BODY };
         CallerClient { pool: Pool::new(address, options, clock, random) }
     }
 
--- a/crates/kumquatnotch-net/src/lib.rs
+++ b/crates/kumquatnotch-net/src/lib.rs
@@ -3,9 +3,9 @@
 //! The server side takes connections from callers, operators and peers, one
 //! task each, and hands whole requests to a [`server::Handler`]. The client side
 //! keeps bounded pools of connections, one task each, and offers the borders of
-//! the core crate over them: [`PeerLinks`], [`TargetLinks`] and
-//! [`PlatformClient`]. Requests of others pass unchanged over an [`OpaqueLink`]. What is done about connections that go silent is told in
-//! [`silence`].
+//! the core crate over them: [`PeerLinks`] and [`TargetLinks`].
+//! Requests of others pass unchanged over an [`OpaqueLink`]. What is done about
+//! connections that go silent is told in [`silence`].
 
 #![forbid(unsafe_code)]
 
@@ -15,7 +15,6 @@
 pub mod opaque_link;
 pub mod peer_links;
 pub mod peer_route;
-pub mod platform_client;
 pub mod server;
 pub mod silence;
 pub mod target_links;
@@ -31,6 +30,6 @@
 mod target_reply;
 
 pub use crate::{
-    caller_client::CallerClient, opaque_link::OpaqueLink, peer_links::PeerLinks,
-    platform_client::PlatformClient, server::Server, target_links::TargetLinks,
+    caller_client::CallerClient, opaque_link::OpaqueLink, peer_links::PeerLinks, server::Server,
+    target_links::TargetLinks,
 };
--- a/crates/kumquatnotch-net/src/peer_links.rs
+++ b/crates/kumquatnotch-net/src/peer_links.rs
@@ -75,7 +75,7 @@
             pools.retain(|_, pool| pool.open_count() > 0);
         }
         let PeerLinkOptions { work, control, body, idle } = self.options;
-        let options = PoolOptions { control, work, idle, body, patient: false };
+        let options = PoolOptions { control, work, idle, body };
         let pool = Pool::new(address, options, self.clock.clone(), self.random.clone());
         pools.insert(address, pool.clone());
         pool
--- a/crates/kumquatnotch-net/src/pool.rs
+++ b/crates/kumquatnotch-net/src/pool.rs
@@ -53,10 +53,6 @@
     pub(crate) idle: Duration,
     /// The largest body of a reply, in bytes.
     pub(crate) body: usize,
-    /// Whether a caller waits out a pause after failures instead of failing at once.
-    ///
-    /// It is for addresses that have no replica to turn to.
-    pub(crate) patient: bool,
 }
 
 /// The connections to one address.
@@ -267,7 +263,7 @@
 
     /// Whether no connection may be opened now, and callers are told so.
     fn is_refusing(&self) -> bool {
-        !self.options.patient && self.clock.now() < self.pause_end.get()
+        self.clock.now() < self.pause_end.get()
     }
 
     /// Starts to open connections if someone waits for one and the bounds allow it.
@@ -338,9 +334,7 @@
             _ => {
                 pool.lane(lane).borrow_mut().open -= 1;
                 pool.note_failure();
-                if !pool.options.patient {
-                    break;
-                }
+                break;
             }
         }
     }
--- a/crates/kumquatnotch-net/src/target_links.rs
+++ b/crates/kumquatnotch-net/src/target_links.rs
@@ -72,7 +72,7 @@
     fn pool(&self) -> PoolOptions {
         let work = self.connections.saturating_sub(1).max(1);
         let control = self.connections.saturating_sub(work);
-        PoolOptions { control, work, idle: self.idle, body: self.body, patient: false }
+        PoolOptions { control, work, idle: self.idle, body: self.body }
     }
 
     /// The lane of probes and cancellations; a single connection is shared.
--- a/crates/kumquatnotch-route/tests/common/store.rs
+++ b/crates/kumquatnotch-route/tests/common/store.rs
@@ -69,6 +69,13 @@
 }
 
 impl Store for FakeStore {
+    fn read<'a>(&'a self, key: &'a str) -> LocalFuture<'a, Result<Option<StoreItem>>> {
+        Box::pin(async move {
+            self.check()?;
+            Ok(self.items.borrow().get(key).cloned())
+        })
+    }
+
     fn scan<'a>(&'a self, prefix: &'a str) -> LocalFuture<'a, Result<StoreScan>> {
         Box::pin(async move {
             self.check()?;
--- a/crates/kumquatnotch/src/node.rs
+++ b/crates/kumquatnotch/src/node.rs
@@ -9,7 +9,7 @@
 use futures_util::future::{Either, select};
 use kumquatnotch_config::settings::{AdviceSettings, DecisionSettings, Settings};
 use kumquatnotch_core::{
-    Clock, LocalFuture, Result,
+    Clock, LocalFuture, Result, Store,
     clock::{self, RuntimeClock},
     ids::{DataCentre, NodeName, Region},
     lifecycle::{Lifecycle, Stage},
@@ -20,11 +20,10 @@
 use kumquatnotch_holder::{Decisions, HolderOptions, HolderService};
 use kumquatnotch_member::{ConfigOptions, ConfigService, MembershipOptions, MembershipService};
 use kumquatnotch_net::{
-    PeerLinks, PlatformClient, Server, TargetLinks,
+    PeerLinks, Server, TargetLinks,
     entry::{EntryRoute, OPERATOR, Operator},
     peer_links::PeerLinkOptions,
     peer_route::PeerRoute,
-    platform_client::PlatformOptions,
     server::ServerOptions,
     silence::INTERIM_PERIOD,
     target_links::TargetLinkOptions,
@@ -59,14 +58,16 @@
 pub struct NodeOptions {
     /// The settings.
     pub settings: Settings,
+    /// The platform's store.
+    pub store: Rc<dyn Store>,
     /// Renders the metrics of the process in Prometheus' text form.
     pub metrics: Box<dyn Fn() -> String>,
 }
 
 impl NodeOptions {
     /// Options without metrics.
-    pub fn new(settings: Settings) -> NodeOptions {
-        NodeOptions { settings, metrics: Box::new(String::new) }
+    pub fn new(settings: Settings, store: Rc<dyn Store>) -> NodeOptions {
+        NodeOptions { settings, store, metrics: Box::new(String::new) }
     }
 }
 
@@ -101,7 +102,7 @@
     ///
     /// This must run inside a runtime.
     pub fn try_new(options: NodeOptions) -> Result<Node> {
-        let NodeOptions { settings, metrics } = options;
+        let NodeOptions { settings, store, metrics } = options;
         let registry = Registry::default();
         let clock: Rc<dyn Clock> = Rc::new(RuntimeClock);
         let lifecycle = Lifecycle::default();
@@ -112,7 +113,7 @@
         // The way out.
         TargetLinks::try_new(target_options(&settings), &registry)?;
         PeerLinks::try_new(PeerLinkOptions { body: PEER_BODY, ..Default::default() }, &registry)?;
-        PlatformClient::try_new(platform_options(&settings), &registry)?;
+        registry.register(services::STORE, store);
 
         // The way in, which comes first because membership tells its addresses.
         let route = Rc::new(EntryRoute::new(registry.clone(), settings.limits.requests));
@@ -246,11 +247,6 @@
     TargetLinkOptions { connections: settings.limits.connections, ..Default::default() }
 }
 
-fn platform_options(settings: &Settings) -> PlatformOptions {
-    let platform = &settings.platform;
-    PlatformOptions { address: platform.address, timeout: platform.timeout, ..Default::default() }
-}
-
 fn entry_options(settings: &Settings) -> ServerOptions {
     ServerOptions {
         address: settings.listen.entry,
--- a/crates/kumquatnotch/tests/node.rs
+++ b/crates/kumquatnotch/tests/node.rs
@@ -10,12 +10,12 @@
 use kumquatnotch::{
     Node, NodeOptions, Shutdown,
     config::{
+        document_store::{Authorship, DocumentStore},
         files::{self, FileText},
         settings::Settings,
-        store::{Authorship, Store},
     },
     core::{
-        Platform,
+        Store,
         clock::RuntimeClock,
         front::{EntryAdvice, key_digest},
         peer,
@@ -26,8 +26,10 @@
     policy::{hedge::HedgeOptions, retry::RetryOptions},
     query::{FrontOptions, RouterOptions},
 };
+use kumquatnotch_platform::store_client::{StoreClient, StoreOptions};
 use serde_json::{Value, json};
-use standins::{http::Client, plan::Plan, platform::PlatformServer, targets::Fleet};
+use standin_store::StoreServer;
+use standins::{http::Client, plan::Plan, targets::Fleet};
 
 const KEY: &str = "a caller's key";
 
@@ -52,9 +54,14 @@
     Settings::parse("settings", &text).expect("the settings are fine")
 }
 
+fn options(name: &str, platform: SocketAddr, seeds: &[SocketAddr]) -> NodeOptions {
+    let store = StoreClient::new(StoreOptions::new(platform), Rc::new(RuntimeClock));
+    NodeOptions::new(settings(name, platform, seeds), Rc::new(store))
+}
+
 fn node(name: &str, platform: SocketAddr, seeds: &[SocketAddr]) -> Rc<Node> {
-    let options = NodeOptions::new(settings(name, platform, seeds));
-    let node = Rc::new(Node::try_new(options).expect("the node is put together"));
+    let node =
+        Rc::new(Node::try_new(options(name, platform, seeds)).expect("the node is put together"));
     node.start();
     node
 }
@@ -80,8 +87,8 @@
 async fn publish(node: &Node, text: String) {
     let files = [FileText { name: "all.toml".to_owned(), text }];
     let document = files::parse(&files).expect("the document is fine");
-    let platform: Rc<dyn Platform> = node.registry.find(services::PLATFORM).unwrap();
-    let store = Store::new(platform, Rc::new(RuntimeClock), Random::with_seed(2));
+    let store: Rc<dyn Store> = node.registry.find(services::STORE).unwrap();
+    let store = DocumentStore::new(store, Rc::new(RuntimeClock), Random::with_seed(2));
     let base = store.current().await.expect("the platform answers");
     let author = Authorship { author: "test", note: "" };
     store.publish(&base, &document, author).await.expect("it is accepted");
@@ -139,7 +146,7 @@
 #[test]
 fn every_service_is_registered_by_its_name() {
     run(async {
-        let platform = PlatformServer::start(0).expect("a free port is found");
+        let platform = StoreServer::start(0).expect("a free port is found");
         let node = node("n1", platform.address, &[]);
 
         let names = node.registry.names();
@@ -149,7 +156,7 @@
             services::RANDOM,
             services::TARGETS,
             services::PEERS,
-            services::PLATFORM,
+            services::STORE,
             services::MEMBERS,
             services::MARKS,
             services::DOCUMENTS,
@@ -173,7 +180,7 @@
 #[test]
 fn a_node_that_leaves_costs_no_coverage() {
     run(async {
-        let platform = PlatformServer::start(0).expect("a free port is found");
+        let platform = StoreServer::start(0).expect("a free port is found");
         let fleet = Fleet::start(&Plan::uniform(0, 8, 4)).expect("free ports are found");
         let first = node("n1", platform.address, &[]);
         let seeds = [first.servers().1.address()];
@@ -226,9 +233,9 @@
 #[test]
 fn a_node_that_was_outlived_leaves() {
     run(async {
-        let platform = PlatformServer::start(0).expect("a free port is found");
+        let platform = StoreServer::start(0).expect("a free port is found");
         let fleet = Fleet::start(&Plan::uniform(0, 8, 4)).expect("free ports are found");
-        let earlier = Node::try_new(NodeOptions::new(settings("n1", platform.address, &[])));
+        let earlier = Node::try_new(options("n1", platform.address, &[]));
         let earlier = Rc::new(earlier.expect("the node is put together"));
         let running = earlier.clone();
         let ended = monoio::spawn(async move { running.run(Box::pin(pending())).await });
--- a/crates/kumquatnotchd/src/main.rs
+++ b/crates/kumquatnotchd/src/main.rs
@@ -8,11 +8,16 @@
 mod logs;
 mod options;
 
-use std::process::ExitCode;
+use std::{process::ExitCode, rc::Rc};
 
 use futures_util::future::{Either, select};
-use kumquatnotch::{Node, NodeOptions, Shutdown, config::settings::Settings, core::Result};
+use kumquatnotch::{
+    Node, NodeOptions, Shutdown,
+    config::settings::Settings,
+    core::{Result, clock::RuntimeClock},
+};
 use kumquatnotch_daemon::{meters, process, signals::Signals};
+use kumquatnotch_platform::store_client::{StoreClient, StoreOptions};
 
 use crate::options::Options;
 
@@ -39,7 +44,10 @@
 async fn run(settings: Settings) -> Result<ExitCode> {
     let mut signals = Signals::stops()?;
     let metrics = meters::install()?;
-    let node = Node::try_new(NodeOptions { settings, metrics })?;
+    let platform = &settings.platform;
+    let options = StoreOptions { address: platform.address, timeout: platform.timeout };
+    let store = Rc::new(StoreClient::new(options, Rc::new(RuntimeClock)));
+    let node = Node::try_new(NodeOptions { settings, store, metrics })?;
     // The tests and scripts that let the system choose ports read this line.
     let (entry, peer) = node.servers();
     tracing::info!("node: callers at {}, peers at {}", entry.address(), peer.address());
--- a/crates/kumquatnotchd/tests/common/mod.rs
+++ b/crates/kumquatnotchd/tests/common/mod.rs
@@ -18,17 +18,17 @@
 
 use kumquatnotch::{
     config::{
+        document_store::{Authorship, DocumentStore},
         files::{self, FileText},
-        store::{Authorship, Store},
     },
-    core::{Platform, clock::RuntimeClock, front::key_digest, random::Random},
-    net::{PlatformClient, platform_client::PlatformOptions},
+    core::{clock::RuntimeClock, front::key_digest, random::Random},
 };
+use kumquatnotch_platform::store_client::{StoreClient, StoreOptions};
 use rustix::process::{Pid, Signal, kill_process};
+use standin_store::StoreServer;
 use standins::{
     http::{Answer, Client},
     plan::Plan,
-    platform::PlatformServer,
     targets::Fleet,
 };
 
@@ -61,7 +61,7 @@
 
 /// The stand-ins around a daemon.
 pub struct Around {
-    pub platform: PlatformServer,
+    pub platform: StoreServer,
     pub fleet: Fleet,
 }
 
@@ -72,7 +72,7 @@
         target.service_ms = service_ms;
         target.spread = 0.0;
     });
-    let platform = PlatformServer::start(0).expect("a free port is found");
+    let platform = StoreServer::start(0).expect("a free port is found");
     Around { platform, fleet: Fleet::start(&plan).expect("free ports are found") }
 }
 
@@ -99,13 +99,11 @@
     pub async fn publish(&self) {
         let files = [FileText { name: "all.toml".to_owned(), text: self.document() }];
         let document = files::parse(&files).expect("the document is fine");
-        let options =
-            PlatformOptions { address: self.platform.address, ..PlatformOptions::default() };
+        let options = StoreOptions::new(self.platform.address);
         let clock = Rc::new(RuntimeClock);
         let random = Random::with_seed(3);
-        let client: Rc<dyn Platform> =
-            Rc::new(PlatformClient::new(options, clock.clone(), random.clone()));
-        let store = Store::new(client, clock, random);
+        let client = Rc::new(StoreClient::new(options, clock.clone()));
+        let store = DocumentStore::new(client, clock, random);
         let author = Authorship { author: "test", note: "" };
         let current = store.current().await.expect("the platform answers");
         store.publish(&current, &document, author).await.expect("it is accepted");
--- a/crates/measure/src/capacity_control.rs
+++ b/crates/measure/src/capacity_control.rs
@@ -128,7 +128,7 @@
             amount: inputs.value("change_calls"),
             unit: "calls",
             allowed: Some(budget.reads),
-            carrier: "member/src/fetch.rs, config/src/store.rs",
+            carrier: "member/src/fetch.rs, config/src/document_store.rs",
             from: "change_calls",
         },
         Row {
--- a/crates/measure/src/processes.rs
+++ b/crates/measure/src/processes.rs
@@ -15,12 +15,12 @@
         GroupSettings, JoinSettings, LimitSettings, ListenSettings, NodeSettings, PlatformSettings,
         Settings,
     },
-    core::{ids::DataCentre, platform::Vm},
+    core::{ids::DataCentre, vms::Vm},
 };
 use serde::de::DeserializeOwned;
+use standin_store::faults::Calls;
 use standins::{
     http::Client,
-    platform::Calls,
     records::RunLog,
     targets::{FleetPorts, TargetPort},
 };
@@ -103,7 +103,7 @@
     pub async fn start(spec: Spec) -> io::Result<World> {
         let folder = Folder::create(&spec.name)?;
         let log = folder.0.join("standins.log");
-        let mut platform = Process::start("standin-platform", &[], &log)?;
+        let mut platform = Process::start("standin-store", &[], &log)?;
         let PlatformPort { address } = platform.ports()?;
         let mut standins = vec![platform];
         let mut controls = Vec::new();
--- a/crates/measure/src/processes_layout.rs
+++ b/crates/measure/src/processes_layout.rs
@@ -3,9 +3,9 @@
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use kumquatnotch::{
-    config::store::{Authorship, Store},
+    config::document_store::{Authorship, DocumentStore},
     core::{
-        Clock, Platform,
+        Clock,
         answer::Answer,
         clock::RuntimeClock,
         document::{Class, Document, Rules, SelectorSpec, TargetSpec, TenantSpec},
@@ -16,11 +16,11 @@
         target::HeldVersion,
     },
     net::{
-        CallerClient, PlatformClient,
+        CallerClient,
         message::{JSON, Request},
-        platform_client::PlatformOptions,
     },
 };
+use kumquatnotch_platform::store_client::{StoreClient, StoreOptions};
 use serde_json::json;
 use standins::plan::{Plan, TargetPlan};
 
@@ -119,17 +119,14 @@
 }
 
 /// The operators' side of the platform of `world`.
-pub fn store(world: &World) -> Store {
+pub fn store(world: &World) -> DocumentStore {
     let clock: Rc<dyn Clock> = Rc::new(RuntimeClock);
-    let random = Random::with_seed(1);
-    let options = PlatformOptions { address: world.platform, ..PlatformOptions::default() };
-    let client: Rc<dyn Platform> =
-        Rc::new(PlatformClient::new(options, clock.clone(), random.clone()));
-    Store::new(client, clock, random)
+    let client = Rc::new(StoreClient::new(StoreOptions::new(world.platform), clock.clone()));
+    DocumentStore::new(client, clock, Random::with_seed(1))
 }
 
 /// Publishes `document` in place of what is in force; returns its version.
-pub async fn publish(store: &Store, document: &Document) -> io::Result<u64> {
+pub async fn publish(store: &DocumentStore, document: &Document) -> io::Result<u64> {
     let base = store.current().await.map_err(io::Error::other)?;
     let by = Authorship { author: "measure", note: "measure" };
     let version = store.publish(&base, document, by).await.map_err(io::Error::other)?;
--- a/crates/measure/src/spread_storm.rs
+++ b/crates/measure/src/spread_storm.rs
@@ -10,7 +10,8 @@
 };
 
 use argh::FromArgs;
-use standins::{block_on, http::Client, plan::TargetPlan, platform::Calls};
+use standin_store::faults::Calls;
+use standins::{block_on, http::Client, plan::TargetPlan};
 
 use crate::{
     processes::{Spec, World, load_average},
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,8 +1,7 @@
 //! Small stand-ins for what surrounds the query tier, for tests only.
 //!
-//! Four of them: servers that answer by a script ([`scripted`]), targets of vendors ([`targets`]), the platform's key-value
-//! service ([`platform`]), and a relay that cuts links between processes
-//! ([`relay`]). Each runs on the monoio runtime of the test, or as a process of
+//! Three of them: servers that answer by a script ([`scripted`]), targets of vendors
+//! ([`targets`]), and a relay that cuts links between processes ([`relay`]). Each runs on the monoio runtime of the test, or as a process of
 //! its own through the thin binaries. Faults are set while they run, by
 //! `POST /standin/faults`. Nothing here is shipped.
 
@@ -12,9 +11,7 @@
 pub mod faults;
 pub mod http;
 pub mod hub;
-pub mod kv;
 pub mod plan;
-pub mod platform;
 pub mod records;
 pub mod relay;
 pub mod scripted;
--- a/crates/standins/tests/relay.rs
+++ b/crates/standins/tests/relay.rs
@@ -8,8 +8,8 @@
 use standins::{
     block_on,
     http::Client,
-    platform::PlatformServer,
     relay::{LinkChange, Relay},
+    scripted::{Scripted, answer},
 };
 use yare::parameterized;
 
@@ -19,27 +19,27 @@
     link
 }
 
-fn relayed() -> (PlatformServer, Relay, Client) {
-    let platform = PlatformServer::start(0).unwrap();
-    let relay = Relay::start(0, &[(0, platform.address)]).unwrap();
+fn relayed() -> (Scripted, Relay, Client) {
+    let server = Scripted::start(|_| vec![answer(200, &[], b"")]).unwrap();
+    let relay = Relay::start(0, &[(0, server.address)]).unwrap();
     let client = Client::new(relay.ports.links[0], Duration::from_millis(200));
-    (platform, relay, client)
+    (server, relay, client)
 }
 
 #[parameterized(
     up = { LinkChange { cut_up: Some(true), ..Default::default() }, 1 },
     down = { LinkChange { cut_down: Some(true), ..Default::default() }, 2 },
 )]
-fn a_cut_link_carries_nothing_until_it_is_whole(cut: LinkChange, arrived: u64) {
+fn a_cut_link_carries_nothing_until_it_is_whole(cut: LinkChange, arrived: usize) {
     block_on(async {
-        let (platform, relay, client) = relayed();
-        client.get("/v1/keys").await.unwrap();
+        let (server, relay, client) = relayed();
+        client.get("/").await.unwrap();
 
         relay.apply(&cut);
-        let error = client.get("/v1/keys").await.unwrap_err();
-        let calls = platform.calls().total;
+        let error = client.get("/").await.unwrap_err();
+        let calls = server.requests().len();
         relay.apply(&link(|link| (link.cut_up, link.cut_down) = (Some(false), Some(false))));
-        let healed = client.get("/v1/keys").await.unwrap();
+        let healed = client.get("/").await.unwrap();
 
         assert_eq!(error.kind(), io::ErrorKind::TimedOut);
         assert_eq!(calls, arrived);
@@ -50,26 +50,26 @@
 #[test]
 fn open_connections_go_silent_while_new_ones_work() {
     block_on(async {
-        let (_platform, relay, client) = relayed();
-        client.get("/v1/keys").await.unwrap();
+        let (_server, relay, client) = relayed();
+        client.get("/").await.unwrap();
 
         relay.apply(&link(|link| link.silence = true));
 
-        assert_eq!(client.get("/v1/keys").await.unwrap_err().kind(), io::ErrorKind::TimedOut);
-        assert_eq!(client.get("/v1/keys").await.unwrap().status, 200);
+        assert_eq!(client.get("/").await.unwrap_err().kind(), io::ErrorKind::TimedOut);
+        assert_eq!(client.get("/").await.unwrap().status, 200);
     });
 }
 
 #[test]
 fn closed_connections_break_at_once() {
     block_on(async {
-        let (_platform, relay, client) = relayed();
-        client.get("/v1/keys").await.unwrap();
+        let (_server, relay, client) = relayed();
+        client.get("/").await.unwrap();
 
         relay.apply(&link(|link| link.close = true));
         let start = Instant::now();
 
-        assert!(client.get("/v1/keys").await.is_err());
+        assert!(client.get("/").await.is_err());
         assert!(start.elapsed() < Duration::from_millis(150));
     });
 }
@@ -77,11 +77,11 @@
 #[test]
 fn a_delayed_link_is_late_both_ways() {
     block_on(async {
-        let (_platform, relay, client) = relayed();
+        let (_server, relay, client) = relayed();
         relay.apply(&link(|link| link.delay_ms = Some(30)));
         let start = Instant::now();
 
-        client.get("/v1/keys").await.unwrap();
+        client.get("/").await.unwrap();
 
         assert!(start.elapsed() >= Duration::from_millis(60));
     });
