Let searches in by what became of the last ones; no copies to full replicas

Each node lets a search in if its slowest part is expected in time, from queues that are a little old; all nodes together let in more than can be answered, and a search waits for the slowest of twenty queues. 3,900 copies went to replicas whose slots were taken.

Change: the expected time at a full replica counts 1.6 to 3 times, by the share of searches that were let in and late all the same. Refused callers come again the later, the longer the crowd stays. Callers that come again after the objective have a whole objective again, are let in three at a time where there is twice the room, and not while others are refused. A copy goes to a replica without a free slot only if what was sent is silent.

--- a/crates/kumquatnotch-route/src/call.rs
+++ b/crates/kumquatnotch-route/src/call.rs
@@ -184,7 +184,7 @@
     /// The replica that gets a copy; only one against which nothing speaks.
     fn copy_target(&mut self) -> Option<Rc<Replica>> {
         let Pick { replica, reluctance, expected, .. } = self.best()?;
-        if reluctance > 0 || !self.helps(expected) {
+        if reluctance > 0 || !self.helps(&replica, expected) {
             return None;
         }
         self.tried.push(replica.id.clone());
@@ -207,19 +207,22 @@
         );
     }
 
-    /// Whether a copy whose reply is expected after so many seconds is worth sending.
+    /// Whether a copy to `replica`, whose reply is expected after so many seconds, is
+    /// worth sending.
     ///
-    /// It is if it can still be in time. Later, only if what was sent so far seems
-    /// lost: where replicas are slow or crowded, copies make them more so.
-    fn helps(&self, expected: f64) -> bool {
+    /// It is if it can still be in time and takes nothing from others, as a slot is
+    /// free. Otherwise only if what was sent so far seems lost: where replicas are
+    /// slow or crowded, copies make them more so.
+    fn helps(&self, replica: &Replica, expected: f64) -> bool {
         let now = self.router.clock.now();
         let left = self.call.due.saturating_duration_since(now).as_secs_f64();
-        if expected <= left {
+        if expected <= left && !replica.is_full(now) {
             return true;
         }
         let usual = self.router.paces.usual(self.call.route);
         let sent = self.tried.iter().filter_map(|id| self.router.directory.find(id));
-        left == 0.0 && sent.into_iter().all(|replica| choice::is_silent(&replica, usual, now))
+        let all_silent = sent.into_iter().all(|replica| choice::is_silent(&replica, usual, now));
+        (expected <= left || left == 0.0) && all_silent
     }
 
     fn copy_delay(&self, replica: &Replica) -> Duration {
--- a/crates/kumquatnotch-route/src/choice.rs
+++ b/crates/kumquatnotch-route/src/choice.rs
@@ -107,12 +107,15 @@
 }
 
 /// What is to be expected of a request that is due in `left`, and of a reply at all.
-pub fn outlook(pick: &Pick, need: Need, left: Duration, now: Instant) -> Outlook {
+///
+/// If all slots of the replica are taken, its expected time counts `margin` times.
+pub fn outlook(pick: &Pick, need: Need, left: Duration, margin: f64, now: Instant) -> Outlook {
     let left = left.as_secs_f64();
     if pick.reluctance >= SUSPECT || unqueued(&pick.replica, need.usual, now) > left {
         return Outlook::Hopeless;
     }
-    if pick.expected > left { Outlook::Congested } else { Outlook::Fine }
+    let times = if pick.replica.is_full(now) { margin } else { 1.0 };
+    if pick.expected * times > left { Outlook::Congested } else { Outlook::Fine }
 }
 
 /// The reluctance to take a replica that broke connections or answered nothing.
--- a/crates/kumquatnotch-route/src/forecast.rs
+++ b/crates/kumquatnotch-route/src/forecast.rs
@@ -6,15 +6,19 @@
 //! in time because replicas are crowded makes all others late as well: it is
 //! refused before anything has run, and told when to come back.
 
-use std::time::{Duration, Instant};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use kumquatnotch_core::clock;
 
 use crate::{
     choice::{self, Outlook},
+    gate::{Gate, Permit},
     gather::Search,
-    names::ServiceName,
     router::Router,
+    strain::Fate,
 };
 
 /// The part of the time left that a late part may be expected to take.
@@ -23,7 +27,12 @@
 /// The bounds of the time after which a refused search may come back.
 const RETRY: (Duration, Duration) = (Duration::from_millis(40), Duration::from_millis(400));
 
-/// The part of its time left that a late search waits for room at most.
+/// By how much more room there must be for a search whose caller comes again.
+///
+/// Its answer is worth less than one that is in time.
+const RETURNING_TIMES: f64 = 2.0;
+
+/// The part of its time that such a search waits for room at most.
 const ROOM_PART: f64 = 0.4;
 
 /// How often it looks for room, before jitter.
@@ -53,55 +62,96 @@
     is_crowded: bool,
 }
 
-/// Waits until replicas have room; false if a part of the time left is over first.
+/// The shards of a search, by when their parts are expected.
+struct Sorted {
+    /// Those expected in time.
+    fine: Vec<usize>,
+    /// Those without which there are too few for an answer, the soonest first.
+    needed: Vec<Late>,
+    /// The other late ones.
+    spared: Vec<Late>,
+}
+
+/// Waits until replicas have room; `None` if there is none.
+///
+/// This is for a search whose caller comes again after the objective, so that its
+/// answer is late in any case. It waits for a part of its time, but not while searches
+/// that come for the first time are refused: it would only make more of them late.
 ///
-/// This is for a search whose caller has waited for so long that its answer is late
-/// in any case. After an outage such callers come all at once; were they let in, they
-/// would make those late that come for the first time.
-pub async fn await_room(router: &Router, search: &Search<'_>) -> bool {
+/// After an outage such callers come all at once. If all that wait were let in as soon
+/// as there is room, there would be none for those that come first; so `gate` lets in
+/// a few at a time, each for as long as its permit is held.
+pub async fn await_room(
+    router: &Router,
+    gate: &Rc<Gate>,
+    search: &mut Search<'_>,
+) -> Option<Permit> {
     let clock = &*router.clock;
     let start = clock.now();
+    let wait = search.due.saturating_duration_since(start);
     let time = search.deadline.saturating_duration_since(start);
     let until = start + time.mul_f64(ROOM_PART);
-    let mut is_free = !is_busy(router, search);
-    while !is_free && clock.now() < until {
+    let mut permit = None;
+    if !router.strains.is_refusing(&search.route.name) {
+        let acquire = gate.acquire(search.route.priority);
+        permit = clock::timeout_at(clock, until, acquire).await.ok();
+    }
+    while permit.is_some() {
+        let now = clock.now();
+        search.due = now + wait;
+        if retry(search, &sort(router, search, now).needed, now).is_none() {
+            break;
+        }
+        if now >= until || router.strains.is_refusing(&search.route.name) {
+            permit = None;
+            break;
+        }
         clock::sleep(clock, router.random.jitter(ROOM_PERIOD)).await;
-        is_free = !is_busy(router, search);
     }
-    let waited = clock.now().saturating_duration_since(start);
-    if waited > Duration::ZERO {
+    tracing::info!(
+        request = search.identity.to_str().unwrap_or_default(),
+        ms = clock.now().saturating_duration_since(start).as_millis() as u64,
+        has_room = permit.is_some(),
+        "forecast: a caller came again"
+    );
+    permit
+}
+
+/// Foretells what becomes of a search.
+pub fn forecast(router: &Router, search: &Search<'_>) -> Forecast {
+    let now = router.clock.now();
+    let Sorted { fine: mut shards, needed, spared } = sort(router, search, now);
+    if let Some(retry) = retry(search, &needed, now) {
+        let route = &search.route.name;
+        router.strains.note(route, Fate::Refused);
+        let time = search.deadline.saturating_duration_since(now);
+        let retry = retry.max(router.random.jitter(router.strains.retry(route, time)));
+        let slowest = needed.last();
         tracing::info!(
             request = search.identity.to_str().unwrap_or_default(),
-            ms = waited.as_millis() as u64,
-            is_free,
-            "forecast: a late search waited for room"
+            late = needed.len() + spared.len(),
+            needed = needed.len(),
+            service = slowest.map(|late| search.set.shards[late.index].as_str()),
+            expected_ms = slowest.map(|late| (late.expected * 1e3) as u64),
+            crowded = needed.iter().filter(|late| late.is_crowded).count(),
+            margin = margin(router, search),
+            due_ms = search.due.saturating_duration_since(now).as_millis() as u64,
+            retry_ms = retry.as_millis() as u64,
+            "forecast: refused"
         );
+        return Forecast::Refuse { retry };
     }
-    is_free
-}
-
-/// Whether requests wait at the replicas of more shards than an answer may leave out.
-fn is_busy(router: &Router, search: &Search<'_>) -> bool {
-    let now = router.clock.now();
-    let need = router.paces.need(search.route);
-    let is_full = |shard: &&ServiceName| {
-        let replicas = router.directory.of(shard);
-        let pick = choice::best(&replicas, &[], need, now);
-        pick.is_some_and(|pick| {
-            let replica = &pick.replica;
-            replica.load(now) >= f64::from(replica.spec().slots) || replica.gate.waiting() > 0
-        })
-    };
-    let full = search.set.shards.iter().filter(is_full).count();
-    full > search.set.shards.len() - search.set.least_parts().min(search.set.shards.len())
+    shards.extend(needed.iter().map(|late| late.index));
+    let skipped = spared.iter().map(|late| late.index).collect();
+    Forecast::Ask { shards, skipped }
 }
 
-/// Foretells what becomes of a search.
-pub fn forecast(router: &Router, search: &Search<'_>) -> Forecast {
-    let now = router.clock.now();
+/// Sorts the shards of a search by when their parts are expected.
+fn sort(router: &Router, search: &Search<'_>, now: Instant) -> Sorted {
     let need = router.paces.need(search.route);
     let left = search.due.saturating_duration_since(now);
-    let mut shards = Vec::new();
+    let margin = margin(router, search);
+    let mut fine = Vec::new();
     let mut late: Vec<Late> = Vec::new();
     for (index, shard) in search.set.shards.iter().enumerate() {
         let replicas = router.directory.of(shard);
@@ -109,8 +159,8 @@
             late.push(Late { index, expected: f64::MAX, is_crowded: false });
             continue;
         };
-        match choice::outlook(&pick, need, left, now) {
-            Outlook::Fine => shards.push(index),
+        match choice::outlook(&pick, need, left, margin, now) {
+            Outlook::Fine => fine.push(index),
             outlook => {
                 let is_crowded = outlook == Outlook::Congested;
                 late.push(Late { index, expected: pick.expected, is_crowded });
@@ -118,32 +168,22 @@
         }
     }
     late.sort_by(|one, other| one.expected.total_cmp(&other.expected));
-    let missing = search.set.least_parts().saturating_sub(shards.len());
-    let needed = &late[..missing.min(late.len())];
-    if let Some(retry) = refusal(needed, left, search.deadline, now) {
-        let slowest = needed.last();
-        tracing::info!(
-            request = search.identity.to_str().unwrap_or_default(),
-            late = late.len(),
-            needed = needed.len(),
-            service = slowest.map(|late| search.set.shards[late.index].as_str()),
-            expected_ms = slowest.map(|late| (late.expected * 1e3) as u64),
-            crowded = needed.iter().filter(|late| late.is_crowded).count(),
-            due_ms = left.as_millis() as u64,
-            retry_ms = retry.as_millis() as u64,
-            "forecast: refused"
-        );
-        return Forecast::Refuse { retry };
-    }
-    shards.extend(needed.iter().map(|late| late.index));
-    let skipped = late[needed.len()..].iter().map(|late| late.index).collect();
-    Forecast::Ask { shards, skipped }
+    let missing = search.set.least_parts().saturating_sub(fine.len());
+    let spared = late.split_off(missing.min(late.len()));
+    Sorted { fine, needed: late, spared }
+}
+
+/// By what the expected time at a full replica is multiplied for this search.
+fn margin(router: &Router, search: &Search<'_>) -> f64 {
+    let margin = router.strains.margin(&search.route.name);
+    if search.returning { margin * RETURNING_TIMES } else { margin }
 }
 
 /// When to come back, if a search that needs these late shards is to be refused.
-fn refusal(needed: &[Late], left: Duration, deadline: Instant, now: Instant) -> Option<Duration> {
+fn retry(search: &Search<'_>, needed: &[Late], now: Instant) -> Option<Duration> {
     let slowest = needed.last()?.expected;
-    let time = deadline.saturating_duration_since(now).as_secs_f64();
+    let left = search.due.saturating_duration_since(now);
+    let time = search.deadline.saturating_duration_since(now).as_secs_f64();
     let is_crowded = needed.iter().any(|late| late.is_crowded);
     // A shard without replicas has no time at all; its absence is found by asking.
     if slowest == f64::MAX || (!is_crowded && slowest < LATE_PART * time) {
--- a/crates/kumquatnotch-route/src/front.rs
+++ b/crates/kumquatnotch-route/src/front.rs
@@ -17,11 +17,13 @@
     attempt::Call,
     call::{self, CallFault, CallTrace},
     forecast,
+    gate::Gate,
     gather::{self, Gathered, Search},
     names::ServiceName,
     patience::Patience,
     route::{Destination, Route, RouteTable, ShardSet},
     router::Router,
+    strain::Fate,
     weights::Weights,
 };
 
@@ -31,11 +33,29 @@
 /// When to come back if there was no room for a search that was late already.
 const NO_ROOM_RETRY: Duration = Duration::from_millis(300);
 
+/// How many searches of callers that come again run at once.
+///
+/// Measured on days of outages and of crowds: without a bound, one in a hundred of the
+/// searches that come first is late for them; with one instead of three, one in a
+/// hundred of all is refused that could be answered late.
+const RETURNING_AT_ONCE: u32 = 3;
+
+/// The part of the time for an answer that must be left for it to be in time.
+///
+/// A part that is asked for now takes about half of it when replicas are busy. With less,
+/// the answer is late, and the whole time is given to it again.
+const LEAST_REST: f64 = 0.5;
+
+/// How much later than due an answer may be given and still count as in time.
+const IN_TIME_SLACK: Duration = Duration::from_millis(10);
+
 /// What callers reach.
 pub struct RouteFront {
     router: Rc<Router>,
     weights: Weights,
     patience: Patience,
+    /// Lets in searches of callers that come again.
+    returning: Rc<Gate>,
 }
 
 /// A refusal or failure of the node's own.
@@ -79,6 +99,8 @@
     /// Until when an answer is worth most.
     due: Instant,
     deadline: Instant,
+    /// Whether the caller comes again, so late that the answer can't be in time.
+    returning: bool,
 }
 
 /// Writes one line for a request, also if its caller goes away.
@@ -96,7 +118,9 @@
 impl RouteFront {
     /// A front for what `router` knows.
     pub fn new(router: Rc<Router>) -> RouteFront {
-        RouteFront { router, weights: Weights::default(), patience: Patience::default() }
+        let returning = Rc::new(Gate::default());
+        returning.set_limit(RETURNING_AT_ONCE);
+        RouteFront { router, weights: Weights::default(), patience: Patience::default(), returning }
     }
 
     async fn answer(&self, request: Request, arrival: Instant) -> Reply {
@@ -157,9 +181,11 @@
         let deadline = arrival + told.unwrap_or(Duration::MAX).min(route.timeout);
         let waited = told.map_or(Duration::ZERO, |told| self.patience.waited(&route, told));
         let waiting = self.router.waiting_time(&route, request.is_first);
-        let due = arrival + waiting.saturating_sub(waited);
+        let rest = waiting.saturating_sub(waited);
+        let returning = rest < waiting.mul_f64(LEAST_REST);
+        let due = arrival + if returning { waiting } else { rest };
         let version = table.version();
-        let asked = Asked { identity, route, version, arrival, due, deadline };
+        let asked = Asked { identity, route, version, arrival, due, deadline, returning };
         Ok((asked, table))
     }
 
@@ -190,22 +216,31 @@
         request: &Request,
         log: &RequestLog<'_>,
     ) -> Result<Reply, CallFault> {
-        let search = Search {
+        let mut search = Search {
             route: &asked.route,
             set,
             request,
             identity: &asked.identity,
             due: asked.due,
             deadline: asked.deadline,
+            returning: asked.returning,
         };
-        if asked.due <= asked.arrival && !forecast::await_room(&self.router, &search).await {
-            return Err(CallFault::NotRun {
-                retry: NO_ROOM_RETRY,
-                reason: "no room for a late search",
-            });
+        let mut permit = None;
+        if asked.returning {
+            permit = forecast::await_room(&self.router, &self.returning, &mut search).await;
+            if permit.is_none() {
+                return Err(CallFault::NotRun {
+                    retry: NO_ROOM_RETRY,
+                    reason: "no room for a late search",
+                });
+            }
         }
         let Gathered { answer, parts, missing, relayed, skipped } =
             gather::gather(&self.router, &search, &log.trace).await;
+        drop(permit);
+        if !asked.returning {
+            self.note_fate(asked, &answer);
+        }
         log.parts.set(parts);
         log.missing.set(missing);
         log.relayed.set(relayed);
@@ -214,6 +249,20 @@
     }
 }
 
+impl RouteFront {
+    /// Notes whether a search that was let in was answered in time.
+    fn note_fate(&self, asked: &Asked, answer: &Result<Reply, CallFault>) {
+        let in_time = self.router.clock.now() <= asked.due + IN_TIME_SLACK;
+        let fate = match answer {
+            Ok(_) if in_time => Fate::InTime,
+            // It says nothing of those that were let in.
+            Err(CallFault::NotRun { .. }) => return,
+            _ => Fate::Late,
+        };
+        self.router.strains.note(&asked.route.name, fate);
+    }
+}
+
 impl Handler for RouteFront {
     fn start(&self, request: Request) -> Work<'_> {
         let arrival = self.router.clock.now();
--- a/crates/kumquatnotch-route/src/gather.rs
+++ b/crates/kumquatnotch-route/src/gather.rs
@@ -51,6 +51,8 @@
     pub due: Instant,
     /// When its time is over.
     pub deadline: Instant,
+    /// Whether its caller comes again, so late that the answer can't be in time.
+    pub returning: bool,
 }
 
 /// The parts that have come.
--- a/crates/kumquatnotch-route/src/lib.rs
+++ b/crates/kumquatnotch-route/src/lib.rs
@@ -46,4 +46,5 @@
 pub mod route;
 pub mod router;
 pub mod schema;
+pub mod strain;
 pub mod weights;
--- a/crates/kumquatnotch-route/src/relay_front.rs
+++ b/crates/kumquatnotch-route/src/relay_front.rs
@@ -91,6 +91,7 @@
             identity: &identity,
             due: now + Duration::from_micros(asked.due_us),
             deadline: now + Duration::from_micros(asked.left_us),
+            returning: false,
         };
         let trace = CallTrace::default();
         let (parts, missing, ran) =
--- a/crates/kumquatnotch-route/src/replica.rs
+++ b/crates/kumquatnotch-route/src/replica.rs
@@ -261,6 +261,11 @@
         own.max(f64::from(told) - done)
     }
 
+    /// Whether all its slots are taken, as far as is known.
+    pub fn is_full(&self, now: Instant) -> bool {
+        self.load(now) >= f64::from(self.spec.borrow().slots.max(1))
+    }
+
     /// How long it works on a request of the usual mixture, in seconds.
     pub fn work(&self) -> f64 {
         self.work.get()
--- a/crates/kumquatnotch-route/src/router.rs
+++ b/crates/kumquatnotch-route/src/router.rs
@@ -30,6 +30,7 @@
     relay::PROBE_PATH,
     replica::Replica,
     route::{Route, RouteTable},
+    strain::Strains,
 };
 
 /// The part of a replica's connections that the nodes share out among them.
@@ -125,6 +126,8 @@
     pub distances: Rc<Distances>,
     /// How long requests usually take.
     pub paces: Paces,
+    /// How hard pressed replicas are.
+    pub strains: Strains,
     /// The budget for repeats.
     pub budget: Budget,
     table: RefCell<Option<Rc<RouteTable>>>,
@@ -153,6 +156,7 @@
             distances,
             lenient: Cell::new(None),
             paces: Paces::default(),
+            strains: Strains::default(),
             table: RefCell::default(),
             synced: Cell::new(None),
             advice: RefCell::default(),
--- a/crates/kumquatnotch-route/tests/forecasts.rs
+++ b/crates/kumquatnotch-route/tests/forecasts.rs
@@ -2,39 +2,58 @@
 
 mod common;
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 use common::*;
+use futures_util::future::join;
 use http::HeaderValue;
 use kumquatnotch_core::{Clock, clock::RuntimeClock};
 use kumquatnotch_net::message::Request;
 use kumquatnotch_route::{
     forecast::{self, Forecast},
+    gate::{Gate, Permit},
     gather::Search,
     names::ReplicaId,
     patience::Patience,
     replica::Fitness,
     route::{Destination, Route},
+    strain::Fate,
 };
 
-/// Does something with a search that has just come.
-async fn with_search<T>(route: &Route, work: impl AsyncFnOnce(&Search<'_>) -> T) -> T {
+/// A search that has just come, of a caller that comes for the first time.
+fn search<'a>(route: &'a Route, request: &'a Request, identity: &'a HeaderValue) -> Search<'a> {
     let Destination::Shards(set) = &route.destination else { panic!() };
     let now = RuntimeClock.now();
-    let search = Search {
-        route,
-        set,
-        request: &Request::get("/a/"),
-        identity: &HeaderValue::from_static("r1"),
-        due: now + Duration::from_millis(150),
-        deadline: now + Duration::from_secs(2),
-    };
-    work(&search).await
+    let due = now + Duration::from_millis(150);
+    let deadline = now + Duration::from_secs(2);
+    Search { route, set, request, identity, due, deadline, returning: false }
 }
 
 /// What a tier foretells of a search that has just come.
 async fn foretell(tier: &Tier, route: &Route) -> Forecast {
-    with_search(route, async |search| forecast::forecast(&tier.router, search)).await
+    let (request, identity) = (Request::get("/a/"), HeaderValue::from_static("r1"));
+    forecast::forecast(&tier.router, &search(route, &request, &identity))
+}
+
+/// A gate that lets in one at a time.
+fn gate() -> Rc<Gate> {
+    let gate = Rc::new(Gate::default());
+    gate.set_limit(1);
+    gate
+}
+
+/// Whether a tier lets in a search whose caller comes again, and how long it waited.
+async fn await_room(tier: &Tier, route: &Route) -> (bool, Duration) {
+    let (permit, took) = await_permit(tier, &gate(), route).await;
+    (permit.is_some(), took)
+}
+
+async fn await_permit(tier: &Tier, gate: &Rc<Gate>, route: &Route) -> (Option<Permit>, Duration) {
+    let (request, identity) = (Request::get("/a/"), HeaderValue::from_static("r1"));
+    let start = RuntimeClock.now();
+    let mut search = Search { returning: true, ..search(route, &request, &identity) };
+    let permit = forecast::await_room(&tier.router, gate, &mut search).await;
+    (permit, RuntimeClock.now() - start)
 }
 
 /// A tier with a replica for each of `count` shards.
@@ -134,39 +153,117 @@
     });
 }
 
-/// A search whose caller has waited for long waits here while replicas are busy, so
-/// that it makes none late that comes in time. It is let in when they have room.
+/// The caller of a search comes again long after the objective while replicas are
+/// busy. It waits here, so that it makes none late that comes in time, and is let in
+/// when they have room to spare.
 #[test]
-fn a_late_search_waits_until_replicas_have_room() {
+fn a_search_that_comes_again_waits_until_replicas_have_room() {
     run(async {
         let (tier, ids) = tier(2);
-        ids.iter().for_each(|id| crowd(&tier, id, 8));
+        ids.iter().for_each(|id| crowd(&tier, id, 12));
 
-        let start = RuntimeClock.now();
-        let route = shards(2, 1.0);
-        let has_room =
-            with_search(&route, async |search| forecast::await_room(&tier.router, search).await)
-                .await;
-        let took = RuntimeClock.now() - start;
+        let (has_room, took) = await_room(&tier, &shards(2, 1.0)).await;
 
-        // Each works off eight requests of 20 ms two at a time.
+        // Each works off twelve requests of 20 ms two at a time.
         assert!(has_room);
         assert!(took > Duration::from_millis(20) && took < Duration::from_millis(700));
     });
 }
 
 #[test]
-fn a_late_search_finds_no_room_while_replicas_stay_busy() {
+fn a_search_that_comes_again_finds_no_room_while_replicas_stay_busy() {
     run(async {
         let (tier, ids) = tier(2);
         ids.iter().for_each(|id| crowd(&tier, id, 800));
 
+        let (has_room, took) = await_room(&tier, &shards(2, 1.0)).await;
+
+        assert!(!has_room);
+        assert!(took > Duration::from_millis(600));
+    });
+}
+
+/// Replicas are crowded, and searches that come for the first time are refused. One
+/// that comes again is refused as well, at once: it would wait for what isn't there.
+#[test]
+fn a_search_that_comes_again_does_not_wait_while_others_are_refused() {
+    run(async {
+        let (tier, ids) = tier(2);
+        ids.iter().for_each(|id| crowd(&tier, id, 800));
         let route = shards(2, 1.0);
-        let has_room =
-            with_search(&route, async |search| forecast::await_room(&tier.router, search).await)
-                .await;
+        (0..3).for_each(|_| tier.router.strains.note(&route.name, Fate::Refused));
+
+        let (has_room, took) = await_room(&tier, &route).await;
 
         assert!(!has_room);
+        assert!(took < Duration::from_millis(20));
+    });
+}
+
+/// Two callers come again while replicas have room. The second one waits until the
+/// answer of the first one is given, and is refused if that takes too long.
+#[test]
+fn searches_that_come_again_are_let_in_one_after_the_other() {
+    run(async {
+        let (tier, _) = tier(2);
+        let (gate, route) = (gate(), shards(2, 1.0));
+
+        let (first, _) = await_permit(&tier, &gate, &route).await;
+        let (second, waited) = await_permit(&tier, &gate, &route).await;
+        let is_refused = second.is_none();
+        let end = async {
+            monoio::time::sleep(Duration::from_millis(100)).await;
+            drop(first);
+        };
+        let ((third, took), ()) = join(await_permit(&tier, &gate, &route), end).await;
+
+        assert!(is_refused && waited > Duration::from_millis(700));
+        assert!(third.is_some() && took >= Duration::from_millis(100));
+    });
+}
+
+/// The queues at the replicas would just let a search be in time. It is let in while
+/// searches are in time, and refused once many that were let in were late: other nodes
+/// send to the same replicas, and what is known of their queues is old.
+#[test]
+fn searches_are_let_in_with_more_caution_while_many_are_late() {
+    run(async {
+        let (tier, ids) = tier(2);
+        let route = shards(2, 1.0);
+        let note = |count, fate| {
+            (0..count).for_each(|_| tier.router.strains.note(&route.name, fate));
+        };
+        let crowd_all = || ids.iter().for_each(|id| crowd(&tier, id, 3));
+
+        crowd_all();
+        let before = foretell(&tier, &route).await;
+        note(20, Fate::Late);
+        crowd_all();
+        let pressed = foretell(&tier, &route).await;
+        note(100, Fate::InTime);
+        crowd_all();
+        let after = foretell(&tier, &route).await;
+
+        assert_eq!(before, ask(&[0, 1], &[]));
+        assert!(matches!(pressed, Forecast::Refuse { .. }), "{pressed:?}");
+        assert_eq!(after, before);
+    });
+}
+
+/// Nearly all searches have been refused for a while. Callers come again later than
+/// after a single refusal, but sooner than a third of their time.
+#[test]
+fn the_longer_a_crowd_stays_the_later_callers_come_again() {
+    run(async {
+        let (tier, ids) = tier(2);
+        ids.iter().for_each(|id| crowd(&tier, id, 40));
+        let route = shards(2, 1.0);
+        (0..80).for_each(|_| tier.router.strains.note(&route.name, Fate::Refused));
+
+        let forecast = foretell(&tier, &route).await;
+
+        let Forecast::Refuse { retry } = forecast else { panic!("{forecast:?}") };
+        assert!(retry > Duration::from_millis(300) && retry < Duration::from_secs(1), "{retry:?}");
     });
 }
 
--- a/crates/kumquatnotch-route/tests/forwarding.rs
+++ b/crates/kumquatnotch-route/tests/forwarding.rs
@@ -6,8 +6,10 @@
 
 use bytes::Bytes;
 use common::*;
+use futures_util::future::join;
 use kumquatnotch_core::Clock;
 use kumquatnotch_core::clock::RuntimeClock;
+use kumquatnotch_route::route::Route;
 use standins::scripted::{Scripted, Step, answer};
 
 #[test]
@@ -258,6 +260,38 @@
     });
 }
 
+/// A reply is late at a replica that answers others, and the one that could run a copy
+/// has its slots taken. A copy would make others wait longer; none is sent.
+#[test]
+fn a_late_request_gets_no_copy_at_a_replica_without_a_free_slot() {
+    run(async {
+        let route = Route { objective: Duration::from_secs(1), ..single() };
+        let tier = Tier::serving(route.clone());
+        (0..200).for_each(|_| tier.router.paces.note(&route, Duration::from_millis(5)));
+        let slow = playing(move |request| {
+            let wait = if request.headers["x-request-id"] == "r1" { 200 } else { 1 };
+            vec![Step::Wait(Duration::from_millis(wait)), sound(request, "p", b"late")]
+        });
+        let full = replica("q", b"whole");
+        tier.add("s0", slow.address);
+        let id = tier.add("s0", full.address);
+        let other = tier.router.directory.find(&id).unwrap();
+        (0..60).for_each(|_| other.note_work(Duration::from_millis(10)));
+        other.note_load(60, RuntimeClock.now());
+
+        let others = async {
+            for index in 0..20 {
+                monoio::time::sleep(Duration::from_millis(10)).await;
+                tier.get("/a/", &format!("o{index}")).await;
+            }
+        };
+        let (answer, ()) = join(tier.get("/a/", "r1"), others).await;
+
+        assert_eq!((answer.status, &answer.body[..]), (200, &b"late"[..]));
+        assert_eq!(full.requests().len(), 0);
+    });
+}
+
 /// Without budget, a late request gets no copy: the caller waits for its time.
 #[test]
 fn a_request_is_not_repeated_without_budget() {
