A node that starts while the store is away learns from another one

Cause: a node that restarts during an outage of the store knows nothing and refuses all requests until the store is back, while all others serve by what they know.

Change: the settings name up to three nodes (the platform's seeds); if the first scan fails, they are asked for everything they know, however old. The address for other nodes is the one that the platform tells the others.

Ruled out: asking them before the store on each start, which saves two calls a node and takes an old view where a new one can be had.

Test a_node_that_starts_without_the_store_learns_from_another.

--- a/crates/kumquatnotch-route/src/fleet.rs
+++ b/crates/kumquatnotch-route/src/fleet.rs
@@ -75,13 +75,7 @@
         if nodes.get(&name).is_some_and(|node| node.record == record) {
             return;
         }
-        let spec = ReplicaSpec {
-            service: ServiceName::from(PEER_SERVICE),
-            address: record.peer,
-            centre: record.centre.clone(),
-            slots: PEER_SLOTS,
-            draining: false,
-        };
+        let spec = peer_spec(record.peer, &record.centre);
         let distance = self.distances.to(&record.centre);
         let peer = Rc::new(Replica::new(ReplicaId::from(name.as_str()), spec, distance, now));
         if let Some(old) = nodes.insert(name, Node { record, peer }) {
@@ -98,6 +92,13 @@
         }
     }
 
+    /// The way to a node of which nothing but the address is known.
+    pub fn stranger(&self, peer: SocketAddr, now: Instant) -> Replica {
+        let centre = DataCentre::from("");
+        let distance = self.distances.to(&centre);
+        Replica::new(ReplicaId::from(&*peer.to_string()), peer_spec(peer, &centre), distance, now)
+    }
+
     /// The way to a node.
     pub fn peer(&self, name: &NodeName) -> Option<Rc<Replica>> {
         self.nodes.borrow().get(name).map(|node| node.peer.clone())
@@ -146,3 +147,13 @@
         self.generation.set(self.generation.get() + 1);
     }
 }
+
+fn peer_spec(address: SocketAddr, centre: &DataCentre) -> ReplicaSpec {
+    ReplicaSpec {
+        service: ServiceName::from(PEER_SERVICE),
+        address,
+        centre: centre.clone(),
+        slots: PEER_SLOTS,
+        draining: false,
+    }
+}
--- a/crates/kumquatnotch-route/src/mirror.rs
+++ b/crates/kumquatnotch-route/src/mirror.rs
@@ -9,6 +9,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -31,7 +32,7 @@
 };
 
 /// Options of a [`Mirror`].
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct MirrorOptions {
     /// How long a watch waits for changes.
     ///
@@ -51,6 +52,8 @@
     pub backoff: Duration,
     /// The longest pause after a failed call, before jitter.
     pub most_backoff: Duration,
+    /// Where nodes may be that know more than this one while the store is away.
+    pub seeds: Vec<SocketAddr>,
 }
 
 impl Default for MirrorOptions {
@@ -62,6 +65,7 @@
             keep: Duration::from_millis(2_600),
             backoff: Duration::from_millis(150),
             most_backoff: Duration::from_millis(900),
+            seeds: Vec::new(),
         }
     }
 }
@@ -159,6 +163,9 @@
                     if failures == 1 {
                         tracing::warn!(code = error.code(), "mirror: the store is away: {error}");
                     }
+                    if self.after.get().is_none() && self.ask_seeds().await {
+                        continue;
+                    }
                     let backoff = self.options.backoff * 2u32.pow(failures.min(6) - 1);
                     let pause = backoff.min(self.options.most_backoff);
                     clock::sleep(&*clock, self.router.random.jitter(pause)).await;
@@ -174,7 +181,7 @@
     async fn follow(&self, peers: &[Rc<Replica>]) -> bool {
         for peer in peers.iter().take(MOST_PEERS) {
             let followed = follow::follow(&self.router, peer, self.after.get().unwrap_or(0)).await;
-            let Followed { passage, age, lenient } = match followed {
+            let followed = match followed {
                 Ok(followed) => followed,
                 Err(error) => {
                     let node = peer.id.as_str();
@@ -187,29 +194,61 @@
                     continue;
                 }
             };
-            if age > follow::MOST_AGE {
+            if followed.age > follow::MOST_AGE {
                 let node = peer.id.as_str();
                 tracing::info!(
                     node,
-                    age_ms = age.as_millis() as u64,
+                    age_ms = followed.age.as_millis() as u64,
                     "mirror: a node is out of touch"
                 );
                 continue;
             }
-            if lenient > Duration::ZERO {
-                self.router.be_lenient(lenient);
-            }
-            let confirmed = self.router.clock.now().checked_sub(age);
-            let confirmed = confirmed.unwrap_or_else(|| self.router.clock.now());
-            match passage {
-                Passage::Whole(scan) => self.take_scan(&scan, confirmed),
-                Passage::Changes(changes) => self.take_changes(&changes, confirmed),
-            }
+            self.take_followed(followed);
             return true;
         }
         false
     }
 
+    /// Learns what another node knows, however old that is; false if none tells.
+    ///
+    /// A node that starts while the store is away knows nothing, and would refuse all
+    /// requests until the store is back. What the others serve by is as good for it.
+    async fn ask_seeds(&self) -> bool {
+        let mut seeds = self.options.seeds.clone();
+        self.router.random.shuffle(&mut seeds);
+        for seed in seeds {
+            let peer = self.router.fleet.stranger(seed, self.router.clock.now());
+            match follow::follow(&self.router, &peer, 0).await {
+                Ok(followed) => {
+                    tracing::info!(
+                        node = %seed,
+                        age_ms = followed.age.as_millis() as u64,
+                        "mirror: learned from a node while the store is away"
+                    );
+                    self.take_followed(followed);
+                    return true;
+                }
+                Err(error) => {
+                    tracing::info!(node = %seed, code = error.code(), "mirror: no news: {error}");
+                }
+            }
+        }
+        false
+    }
+
+    fn take_followed(&self, followed: Followed) {
+        let Followed { passage, age, lenient } = followed;
+        if lenient > Duration::ZERO {
+            self.router.be_lenient(lenient);
+        }
+        let now = self.router.clock.now();
+        let confirmed = now.checked_sub(age).unwrap_or(now);
+        match passage {
+            Passage::Whole(scan) => self.take_scan(&scan, confirmed),
+            Passage::Changes(changes) => self.take_changes(&changes, confirmed),
+        }
+    }
+
     /// Notes that the store did not answer, or answered late.
     ///
     /// What is seen to vanish in its next answers may have lapsed meanwhile.
--- a/crates/kumquatnotch-route/tests/follow.rs
+++ b/crates/kumquatnotch-route/tests/follow.rs
@@ -14,7 +14,10 @@
     Store, codec,
     ids::{DataCentre, Region},
 };
-use kumquatnotch_route::{fleet::NodeRecord, mirror::Mirror};
+use kumquatnotch_route::{
+    fleet::NodeRecord,
+    mirror::{Mirror, MirrorOptions},
+};
 use schema::{TestSchema, options};
 
 /// A node with a mirror and a store of its own view.
@@ -118,3 +121,30 @@
         assert_eq!(z.version(), 9);
     });
 }
+
+/// A node starts while the store is away, and knows no other node but by an address.
+/// It serves by what that one knows, and follows the store as soon as it is back.
+#[test]
+fn a_node_that_starts_without_the_store_learns_from_another() {
+    run(async {
+        let (r1, _, _) = nodes();
+        pause(300).await;
+        let (tier, store) = (Tier::named("new", 100.0, "home"), Rc::new(FakeStore::default()));
+        store.away.set(true);
+        let dyn_store: Rc<dyn Store> = store.clone();
+        let seeds = vec![nowhere(), r1.tier.peer.address()];
+        let options = MirrorOptions { seeds, ..options() };
+        Mirror::new(options, tier.router.clone(), dyn_store, Rc::new(TestSchema)).start();
+        pause(700).await;
+        let early = tier.router.table().map(|table| table.version());
+        let ready = tier.router.is_ready();
+
+        store.revision.set(r1.store.revision.get());
+        store.put("c", b"9");
+        store.away.set(false);
+        pause(1_500).await;
+
+        assert_eq!((ready, early), (true, Some(3)));
+        assert_eq!(tier.router.table().unwrap().version(), 9);
+    });
+}
