Callers of a node that waits for the store come again late

Cause: when all nodes are killed while the store is away, a caller that is refused comes again after 400 ms, once, and finds the node still without configuration.

Change: a node that isn't ready a second after its start names a third of the caller's time, the longest for which callers wait.

Ruled out: naming it from the start on: a node that starts with the store answering is ready within 100 ms, and others may be already.

Test callers_of_a_node_that_waits_for_the_store_come_again_late.

--- a/crates/kumquatnotch-route/src/front.rs
+++ b/crates/kumquatnotch-route/src/front.rs
@@ -27,8 +27,8 @@
     weights::Weights,
 };
 
-/// When to come back to a node that knows no configuration yet.
-const NOT_READY_RETRY: Duration = Duration::from_millis(400);
+/// When to come back if the configuration leads nowhere.
+const NO_WEIGHT_RETRY: Duration = Duration::from_millis(400);
 
 /// When to come back if there was no room for a search that was late already.
 const NO_ROOM_RETRY: Duration = Duration::from_millis(300);
@@ -148,7 +148,7 @@
                 match self.weights.pick(&asked.route.name, services) {
                     Some(service) => self.call(&asked, service, &request, &log).await,
                     None => Err(CallFault::NotRun {
-                        retry: NOT_READY_RETRY,
+                        retry: NO_WEIGHT_RETRY,
                         reason: "no service has a weight",
                     }),
                 }
@@ -162,13 +162,14 @@
 
     /// Finds the route and the time of a request.
     fn ask(&self, request: &Request, arrival: Instant) -> Result<(Asked, Rc<RouteTable>), Refusal> {
-        if !self.router.is_ready() {
-            return Err(Refusal::not_run("no configuration yet", NOT_READY_RETRY));
-        }
-        let Some(table) = self.router.table() else {
-            return Err(Refusal::not_run("no configuration yet", NOT_READY_RETRY));
-        };
         let names = &self.router.names;
+        let told = text(&request.headers, &names.deadline).and_then(|text| text.parse().ok());
+        let told = told.map(Duration::from_millis);
+        let table = self.router.table().filter(|_| self.router.is_ready());
+        let Some(table) = table else {
+            let retry = self.router.ready_retry(told.unwrap_or_default());
+            return Err(Refusal::not_run("no configuration yet", retry));
+        };
         let Some(identity) = request.headers.get(&names.request).cloned() else {
             return Err(Refusal::new(StatusCode::BAD_REQUEST, "the request has no identity"));
         };
@@ -176,8 +177,6 @@
         let Some(route) = table.find(host, &request.path).cloned() else {
             return Err(Refusal::new(StatusCode::NOT_FOUND, "no route"));
         };
-        let told = text(&request.headers, &names.deadline).and_then(|text| text.parse().ok());
-        let told = told.map(Duration::from_millis);
         let deadline = arrival + told.unwrap_or(Duration::MAX).min(route.timeout);
         let waited = told.map_or(Duration::ZERO, |told| self.patience.waited(&route, told));
         let waiting = self.router.waiting_time(&route, request.is_first);
--- a/crates/kumquatnotch-route/src/router.rs
+++ b/crates/kumquatnotch-route/src/router.rs
@@ -77,6 +77,17 @@
 /// The most that a node takes of what all share until then.
 const NEW_PART: f64 = 0.1;
 
+/// When callers come again to a node that has just started.
+const NOT_READY_RETRY: Duration = Duration::from_millis(400);
+
+/// How long a start takes at most while the store answers.
+const STARTING_TIME: Duration = Duration::from_secs(1);
+
+/// The part of the time left after which callers come again at the latest.
+///
+/// They don't wait for longer than a third of it.
+pub(crate) const RETRY_PART: f64 = 1.0 / 3.0;
+
 /// The most hosts that are looked at to find these nodes.
 const MOST_HOSTS: usize = 16;
 
@@ -131,6 +142,8 @@
     /// The budget for repeats.
     pub budget: Budget,
     table: RefCell<Option<Rc<RouteTable>>>,
+    /// When the node started.
+    started: Instant,
     /// When the directory was read in full first.
     synced: Cell<Option<Instant>>,
     advice: RefCell<AdviceCache>,
@@ -148,6 +161,7 @@
             place: options.place,
             journal: Journal::new(clock.clone()),
             budget: Budget::new(options.budget, clock.clone()),
+            started: clock.now(),
             clock,
             random: registry.find(services::RANDOM)?,
             lifecycle: registry.find(services::LIFECYCLE)?,
@@ -203,6 +217,17 @@
         self.synced.get().is_some() && self.table.borrow().is_some()
     }
 
+    /// When a caller with `left` is to come again while the node isn't ready.
+    ///
+    /// A node that has just started is ready in a moment, and others may be already. One
+    /// that isn't for longer waits for the store, and so do those that started with it:
+    /// the later its callers come again, the more of them are served then.
+    pub(crate) fn ready_retry(&self, left: Duration) -> Duration {
+        let age = self.clock.now().saturating_duration_since(self.started);
+        let later = if age > STARTING_TIME { left.mul_f64(RETRY_PART) } else { Duration::ZERO };
+        later.max(NOT_READY_RETRY)
+    }
+
     /// Where replicas of a service, or the nodes of this tier, answer probes.
     pub(crate) fn probe_path(&self, service: &ServiceName) -> Option<String> {
         if service.as_str() == PEER_SERVICE {
--- a/crates/kumquatnotch-route/src/strain.rs
+++ b/crates/kumquatnotch-route/src/strain.rs
@@ -11,7 +11,7 @@
 
 use kumquatnotch_core::collections::HashMap;
 
-use crate::names::RouteName;
+use crate::{names::RouteName, router::RETRY_PART};
 
 /// The weight of a new search, so that about the last twenty count.
 const WEIGHT: f64 = 0.05;
@@ -27,12 +27,6 @@
 /// By how much this grows with the share of late searches: at a fifth it is at its most.
 const MARGIN_GAIN: f64 = 7.0;
 
-/// The part of the time left after which the caller of a refused search comes again,
-/// if all searches are refused.
-///
-/// Callers wait for up to a third of it.
-const RETRY_PART: f64 = 1.0 / 3.0;
-
 /// The share of refused searches from which on those that come again aren't let in.
 const REFUSING: f64 = 0.05;
 
@@ -81,7 +75,7 @@
     /// When a search with `time` left is to come again after a refusal.
     ///
     /// A crowd that comes in a moment has gone in a moment. The longer it stays, the
-    /// later it is worth another try.
+    /// later it is worth another try: at most [`RETRY_PART`] of the time.
     pub fn retry(&self, route: &RouteName, time: Duration) -> Duration {
         time.mul_f64(RETRY_PART * self.of(route).refused)
     }
--- a/crates/kumquatnotch-route/tests/forwarding.rs
+++ b/crates/kumquatnotch-route/tests/forwarding.rs
@@ -389,3 +389,24 @@
         assert_eq!(tier.get("/a/", "r1").await.status, 200);
     });
 }
+
+/// A node has been without a configuration for over a second, as the store is away.
+/// Callers come again at the latest moment for which they wait: a third of their time.
+#[test]
+fn callers_of_a_node_that_waits_for_the_store_come_again_late() {
+    run(async {
+        let tier = Tier::new();
+        let ask = async |identity: &str| {
+            let headers = [("host", HOST), ("x-request-id", identity), ("x-deadline-ms", "3000")];
+            let answer = tier.client().send("GET", "/a/", &headers, Bytes::new()).await.unwrap();
+            let retry: f64 = answer.headers["retry-after"].to_str().unwrap().parse().unwrap();
+            (answer.status, retry)
+        };
+
+        let first = ask("r1").await;
+        pause(1_050).await;
+        let later = ask("r2").await;
+
+        assert_eq!((first, later), ((503, 0.4), (503, 1.0)));
+    });
+}
