Use what replicas tell of the speed of their machines

Cause: replicas that share machines tell how long work takes there at this moment, many times a second; it was read over, and a replica counted as slow only after its replies had come late.

Change: the expected time of a replica is multiplied by what it told, a third of which is believed after 0.3 s; what was measured of it is kept without that.

Ruled out: believing it for as long as what was measured (3 s), as it changes sooner.

--- a/crates/kumquatnotch-route/src/attempt.rs
+++ b/crates/kumquatnotch-route/src/attempt.rs
@@ -219,6 +219,8 @@
 struct Load {
     running: u32,
     waiting: u32,
+    /// How many times as long as usual its machine takes for all work, if it tells.
+    burden: Option<f64>,
 }
 
 /// The load of a replica, by its own word.
@@ -227,7 +229,9 @@
     let mut figures = text.split(',').map(|figure| figure.trim().parse::<u32>());
     let running = figures.next()?.ok()?;
     let waiting = figures.next()?.ok()?;
-    Some(Load { running, waiting })
+    // After the slots comes a percentage, from replicas that share their machine.
+    let burden = figures.nth(1).and_then(|percent| percent.ok());
+    Some(Load { running, waiting, burden: burden.map(|percent| f64::from(percent) / 100.0) })
 }
 
 /// What a reply says of the request and of its replica.
@@ -240,8 +244,9 @@
 ) -> Ended {
     let now = router.clock.now();
     let load = told_load(&router.names, &reply);
-    if let Some(Load { running, waiting }) = load {
+    if let Some(Load { running, waiting, burden }) = load {
         replica.note_load(running + waiting, now);
+        replica.note_burden(burden.unwrap_or(1.0), now);
     }
     if reply.status.as_u16() == 421 {
         // Another replica has the address by now. Its own entry is, or will be,
@@ -262,6 +267,8 @@
         let slots = f64::from(replica.spec().slots.max(1));
         let work = took.saturating_sub(way).div_f64(1.0 + queue / slots);
         replica.note_work(work);
+        // What comes of its machine is told anew with each reply; the rest is its own.
+        let work = work.div_f64(replica.burden(now));
         replica.note_speed(work, router.paces.usual(call.route), now);
         router.paces.note(call.route, work);
     }
--- a/crates/kumquatnotch-route/src/headers.rs
+++ b/crates/kumquatnotch-route/src/headers.rs
@@ -24,7 +24,8 @@
     pub incarnation: HeaderName,
     /// Present if a replica did not run the request.
     pub rejected: HeaderName,
-    /// The load of a replica: running, waiting, slots.
+    /// The load of a replica: running, waiting, slots, and of some the speed of the
+    /// machine, in percent of the usual time for work.
     pub load: HeaderName,
 }
 
--- a/crates/kumquatnotch-route/src/replica.rs
+++ b/crates/kumquatnotch-route/src/replica.rs
@@ -53,6 +53,16 @@
 /// A slow replica gets no requests, so it could never show that it has recovered.
 const SLOWNESS_AGE: Duration = Duration::from_secs(3);
 
+/// The bounds of how many times as long as usual a machine is believed to take.
+const BURDEN: (f64, f64) = (0.25, 60.0);
+
+/// The time after which only a third of what a machine told is believed.
+///
+/// Measured on replicas that share machines: what was told up to 0.2 s ago goes with the
+/// time of the next request (correlation 0.7), after half a second hardly. To use it
+/// leaves out a tenth fewer parts.
+const BURDEN_AGE: Duration = Duration::from_millis(300);
+
 /// The work on a request that is assumed before any was measured, in seconds.
 const FIRST_WORK: f64 = 0.01;
 
@@ -85,6 +95,7 @@
     last_reply: Cell<Instant>,
     asked: Cell<u64>,
     load: Cell<(u32, Instant)>,
+    burden: Cell<(f64, Instant)>,
     /// How long it works on a request of the usual mixture, in seconds.
     work: Cell<f64>,
 }
@@ -108,6 +119,7 @@
             last_reply: Cell::new(now),
             asked: Cell::new(0),
             load: Cell::new((0, now)),
+            burden: Cell::new((1.0, now)),
             work: Cell::new(FIRST_WORK),
         }
     }
@@ -174,13 +186,30 @@
         self.round_trip.get()
     }
 
-    /// How many times longer than usual it takes, by what was measured lately.
+    /// How many times longer than usual it takes, by what was measured and told lately.
     pub fn slowness(&self, now: Instant) -> f64 {
+        self.own_slowness(now) * self.burden(now)
+    }
+
+    /// The same without what comes of its machine.
+    fn own_slowness(&self, now: Instant) -> f64 {
         let age = now.saturating_duration_since(self.measured.get()).as_secs_f64();
         let faded = (-age / SLOWNESS_AGE.as_secs_f64()).exp();
         1.0 + (self.slowness.get() - 1.0) * faded
     }
 
+    /// Notes how many times as long as usual its machine takes, by its own word.
+    pub fn note_burden(&self, times: f64, now: Instant) {
+        self.burden.set((times.clamp(BURDEN.0, BURDEN.1), now));
+    }
+
+    /// How many times as long as usual its machine takes, as far as is known.
+    pub fn burden(&self, now: Instant) -> f64 {
+        let (told, at) = self.burden.get();
+        let age = now.saturating_duration_since(at).as_secs_f64();
+        1.0 + (told - 1.0) * (-age / BURDEN_AGE.as_secs_f64()).exp()
+    }
+
     /// The share of requests that failed lately.
     pub fn failures(&self, now: Instant) -> f64 {
         let age = now.saturating_duration_since(self.measured.get()).as_secs_f64();
@@ -213,7 +242,7 @@
     pub fn note_speed(&self, took: Duration, usual: Duration, now: Instant) {
         let sample = took.as_secs_f64() / usual.as_secs_f64().max(1e-4);
         let sample = sample.clamp(SLOWNESS.0, SLOWNESS.1);
-        let before = self.slowness(now);
+        let before = self.own_slowness(now);
         self.slowness.set(before + SPEED_WEIGHT * (sample - before));
         self.failures.set(self.failures(now));
         self.measured.set(now);
@@ -239,7 +268,7 @@
     pub fn note_outcome(&self, failed: bool, now: Instant) {
         let sample = if failed { 1.0 } else { 0.0 };
         let before = self.failures(now);
-        self.slowness.set(self.slowness(now));
+        self.slowness.set(self.own_slowness(now));
         self.failures.set(before + FAILURE_WEIGHT * (sample - before));
         self.measured.set(now);
     }
--- a/crates/kumquatnotch-route/tests/forwarding.rs
+++ b/crates/kumquatnotch-route/tests/forwarding.rs
@@ -9,7 +9,7 @@
 use futures_util::future::join;
 use kumquatnotch_core::Clock;
 use kumquatnotch_core::clock::RuntimeClock;
-use kumquatnotch_route::route::Route;
+use kumquatnotch_route::{choice, route::Route};
 use standins::scripted::{Scripted, Step, answer};
 
 #[test]
@@ -410,3 +410,33 @@
         assert_eq!((first, later), ((503, 0.4), (503, 1.0)));
     });
 }
+
+/// A replica tells that all work takes nine times as long as usual on its machine at
+/// this moment. The next requests go to another one, until that is some time ago.
+#[test]
+fn a_replica_on_a_slow_machine_is_avoided_by_its_own_word() {
+    run(async {
+        let route = single();
+        let tier = Tier::serving(route.clone());
+        let telling = playing(|request| {
+            let identity = request.headers["x-request-id"].to_str().unwrap().to_owned();
+            let headers =
+                [("x-request-id", identity.as_str()), ("x-proof", "p"), ("x-load", "0,0,2,900")];
+            vec![answer(200, &headers, b"whole")]
+        });
+        let slow = tier.add("s0", telling.address);
+        assert_eq!(tier.get("/a/", "r1").await.status, 200);
+        let other = tier.add("s0", nowhere());
+        let pick = || {
+            let replicas = tier.router.directory.of(&service("s0"));
+            let need = tier.router.paces.need(&route);
+            choice::best(&replicas, &[], need, RuntimeClock.now()).unwrap().replica.id.clone()
+        };
+
+        let at_once = pick();
+        pause(2_500).await;
+        let later = pick();
+
+        assert_eq!((at_once, later), (other, slow));
+    });
+}
