Split what is known of entries off the mirror; seeds are asked by new nodes only

Read over as a newcomer, one case of the seeds was wrong as well: after the history of the store was dropped and the store then went away, a node that had served for long would have asked them and could have taken an older view of the replicas.

Only a node that never read everything asks the seeds.

--- a/crates/kumquatnotch-route/src/announce.rs
+++ b/crates/kumquatnotch-route/src/announce.rs
@@ -89,7 +89,7 @@
     /// Renews the lease until it or the entry is lost.
     async fn hold(&self, lease: StoreLease) {
         let clock = &*self.router.clock;
-        let losses = self.mirror.losses_of(&self.name);
+        let losses = self.mirror.entries.losses_of(&self.name);
         let mut missing = 0;
         while self.router.lifecycle.stage() < Stage::Leaving {
             clock::sleep(clock, RENEW_PERIOD).await;
@@ -105,8 +105,8 @@
                 Ok(()) => {}
             }
             // The write may not have reached the mirror yet, so it has some time.
-            let lost = self.mirror.losses_of(&self.name) != losses;
-            missing = if self.mirror.has_node(&self.name) { 0 } else { missing + 1 };
+            let lost = self.mirror.entries.losses_of(&self.name) != losses;
+            missing = if self.mirror.entries.has_node(&self.name) { 0 } else { missing + 1 };
             if lost && missing >= MISSING_PERIODS {
                 tracing::warn!(lease = lease.id, "announce: the entry was taken away");
                 return;
--- /dev/null
+++ b/crates/kumquatnotch-route/src/entries.rs
@@ -0,0 +1,211 @@
+//! The entries of the store, as every node knows them.
+//!
+//! Replicas and nodes renew their entries, so entries may lapse while the store is away
+//! although those behind them live; they come back soon after its return. So what
+//! vanishes around an outage is kept for a while, and dropped if it is still missing
+//! then.
+
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use kumquatnotch_core::{
+    clock,
+    collections::{HashMap, HashSet},
+    ids::NodeName,
+    store::{StoreEvent, StoreItem},
+};
+
+use crate::{
+    route::RouteTable,
+    router::Router,
+    schema::{Entry, EntryKey, Schema},
+};
+
+/// How many replicas must vanish in one answer to count as a lapse.
+const LAPSE_COUNT: usize = 4;
+
+/// Which share of all entries they must be.
+const LAPSE_SHARE: f64 = 0.15;
+
+/// How often it is looked for entries to drop.
+const SWEEP_PERIOD: Duration = Duration::from_millis(200);
+
+/// The entries that are known.
+pub struct Entries {
+    router: Rc<Router>,
+    schema: Rc<dyn Schema>,
+    /// How long an entry that vanished around an outage is kept.
+    keep: Duration,
+    /// The keys that are known to exist.
+    known: RefCell<HashSet<EntryKey>>,
+    /// The keys that vanished around an outage, and when they are dropped.
+    vanished: RefCell<HashMap<EntryKey, Instant>>,
+    /// How often the entry of each node was seen to vanish.
+    losses: RefCell<HashMap<NodeName, u64>>,
+}
+
+impl Entries {
+    /// No entries, of which those that vanish around an outage are kept for `keep`.
+    pub fn new(router: Rc<Router>, schema: Rc<dyn Schema>, keep: Duration) -> Entries {
+        Entries {
+            router,
+            schema,
+            keep,
+            known: RefCell::default(),
+            vanished: RefCell::default(),
+            losses: RefCell::default(),
+        }
+    }
+
+    /// The prefix of all keys that mean something to this tier.
+    pub fn prefix(&self) -> &str {
+        self.schema.prefix()
+    }
+
+    /// Whether the entry of node `name` is in the store, as far as is known.
+    pub fn has_node(&self, name: &NodeName) -> bool {
+        self.known.borrow().contains(&EntryKey::Node(name.clone()))
+    }
+
+    /// How often the entry of node `name` has vanished.
+    pub fn losses_of(&self, name: &NodeName) -> u64 {
+        self.losses.borrow().get(name).copied().unwrap_or_default()
+    }
+
+    /// Takes over everything that the store holds; what is missing is lost.
+    pub fn put_all(&self, items: &[StoreItem]) {
+        let seen: HashSet<EntryKey> = items.iter().filter_map(|item| self.put(item)).collect();
+        let lost: Vec<EntryKey> = self.known.borrow().difference(&seen).cloned().collect();
+        lost.into_iter().for_each(|key| self.lose(key));
+    }
+
+    /// Takes over a change.
+    pub fn take(&self, event: &StoreEvent) {
+        match event {
+            StoreEvent::Written(item) => {
+                self.put(item);
+            }
+            StoreEvent::Deleted { key, .. } => {
+                if let Some(key) = self.schema.read_key(key) {
+                    self.lose(key);
+                }
+            }
+        }
+    }
+
+    /// Whether so many entries vanished at once that they must have lapsed.
+    ///
+    /// The store may have been away between two of its answers. Replicas and nodes
+    /// that leave do so a few at a time, or say so before.
+    pub fn is_lapse(&self, events: &[StoreEvent]) -> bool {
+        let deleted = events.iter().filter(|event| match event {
+            StoreEvent::Written(_) => false,
+            StoreEvent::Deleted { key, .. } => {
+                self.schema.read_key(key).is_some_and(|key| self.is_serving(&key))
+            }
+        });
+        let deleted = deleted.count();
+        deleted >= LAPSE_COUNT && deleted as f64 >= LAPSE_SHARE * self.known.borrow().len() as f64
+    }
+
+    /// Whether a key is that of a replica that takes requests, as far as is known.
+    fn is_serving(&self, key: &EntryKey) -> bool {
+        match key {
+            EntryKey::Replica(id) => {
+                self.router.directory.find(id).is_some_and(|replica| replica.takes_requests())
+            }
+            EntryKey::Config | EntryKey::Node(_) => false,
+        }
+    }
+
+    /// Takes over an item; gives its key if it is something to this tier.
+    fn put(&self, item: &StoreItem) -> Option<EntryKey> {
+        let key = self.schema.read_key(&item.key)?;
+        let entry = match self.schema.read(item) {
+            Ok(entry) => entry?,
+            Err(error) => {
+                tracing::warn!(key = item.key, code = error.code(), "mirror: can't read: {error}");
+                return None;
+            }
+        };
+        self.known.borrow_mut().insert(key.clone());
+        self.vanished.borrow_mut().remove(&key);
+        self.apply(entry, item.revision);
+        Some(key)
+    }
+
+    fn apply(&self, entry: Entry, revision: u64) {
+        let router = &self.router;
+        match entry {
+            Entry::Config(config) => {
+                let version = config.version;
+                let in_force = router.put_in_force(RouteTable::new(config));
+                tracing::info!(version, revision, in_force, "mirror: a configuration came");
+            }
+            Entry::Replica(id, spec) => {
+                tracing::info!(
+                    replica = id.as_str(),
+                    service = spec.service.as_str(),
+                    address = %spec.address,
+                    draining = spec.draining,
+                    revision,
+                    "mirror: a replica tells of itself"
+                );
+                router.directory.put(&id, spec, router.clock.now());
+            }
+            Entry::Node(name, record) => {
+                tracing::info!(node = name.as_str(), revision, "mirror: a node tells of itself");
+                router.fleet.put(name, record, router.clock.now());
+            }
+        }
+    }
+
+    /// Notes that a key is not in the store any more.
+    fn lose(&self, key: EntryKey) {
+        self.known.borrow_mut().remove(&key);
+        if let EntryKey::Node(name) = &key {
+            *self.losses.borrow_mut().entry(name.clone()).or_default() += 1;
+        }
+        if self.router.lenient_for() == Duration::ZERO {
+            self.drop_entry(&key, "left the store");
+            return;
+        }
+        let until = self.router.clock.now() + self.keep;
+        self.vanished.borrow_mut().insert(key, until);
+    }
+
+    fn drop_entry(&self, key: &EntryKey, reason: &'static str) {
+        let router = &self.router;
+        match key {
+            // The operators never take the configuration away.
+            EntryKey::Config => {}
+            EntryKey::Replica(id) => {
+                tracing::info!(replica = id.as_str(), reason, "mirror: a replica is gone");
+                router.directory.remove(id);
+            }
+            EntryKey::Node(name) => {
+                tracing::info!(node = name.as_str(), reason, "mirror: a node is gone");
+                router.fleet.remove(name);
+            }
+        }
+    }
+
+    /// Drops the entries that have been missing for too long, from now on.
+    pub async fn sweep(self: Rc<Entries>) {
+        loop {
+            clock::sleep(&*self.router.clock, SWEEP_PERIOD).await;
+            let now = self.router.clock.now();
+            let due: Vec<EntryKey> = {
+                let vanished = self.vanished.borrow();
+                vanished.iter().filter(|(_, at)| **at <= now).map(|(key, _)| key.clone()).collect()
+            };
+            for key in due {
+                self.vanished.borrow_mut().remove(&key);
+                self.drop_entry(&key, "did not come back");
+            }
+        }
+    }
+}
--- a/crates/kumquatnotch-route/src/lib.rs
+++ b/crates/kumquatnotch-route/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod choice;
 pub mod directory;
 pub mod distances;
+pub mod entries;
 pub mod fleet;
 pub mod follow;
 pub mod forecast;
--- a/crates/kumquatnotch-route/src/mirror.rs
+++ b/crates/kumquatnotch-route/src/mirror.rs
@@ -2,13 +2,10 @@
 //!
 //! One scan, then one watch after another; of many nodes, most follow one that
 //! watches the store instead ([`follow`](crate::follow)). When the store is away, what was
-//! known last goes on being used. Replicas and nodes renew their entries, so
-//! entries may lapse while the store is away although those behind them live;
-//! they come back soon after its return. So what vanishes around an outage is
-//! kept for a while, and dropped if it is still missing then.
+//! known last goes on being used; a node that knows nothing yet asks others.
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::Cell,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -16,19 +13,17 @@
 
 use kumquatnotch_core::{
     Error, Result, Store, clock,
-    collections::{HashMap, HashSet},
-    ids::NodeName,
-    store::{StoreChanges, StoreEvent, StoreItem, StoreScan},
+    store::{StoreChanges, StoreScan},
 };
 
 use crate::{
+    entries::Entries,
     follow::{self, Followed},
     journal::Passage,
     probe,
     replica::Replica,
-    route::RouteTable,
     router::Router,
-    schema::{Entry, EntryKey, Schema},
+    schema::Schema,
 };
 
 /// Options of a [`Mirror`].
@@ -76,28 +71,17 @@
 /// How many nodes are tried before the store itself is asked.
 const MOST_PEERS: usize = 4;
 
-/// How many replicas must vanish in one answer to count as a lapse.
-const LAPSE_COUNT: usize = 4;
-
-/// Which share of all entries they must be.
-const LAPSE_SHARE: f64 = 0.15;
-
 /// Follows the store.
 pub struct Mirror {
     options: MirrorOptions,
     router: Rc<Router>,
     store: Rc<dyn Store>,
-    schema: Rc<dyn Schema>,
-    /// The keys that are known to exist.
-    known: RefCell<HashSet<EntryKey>>,
-    /// The keys that vanished around an outage, and when they are dropped.
-    vanished: RefCell<HashMap<EntryKey, Instant>>,
+    /// What it holds, as far as is known.
+    pub entries: Rc<Entries>,
     /// The revision up to which everything is known.
     after: Cell<Option<u64>>,
     /// Whether the store was in trouble since its last answer.
     trouble: Cell<bool>,
-    /// How often the own entry of this node was seen to vanish.
-    losses: RefCell<HashMap<NodeName, u64>>,
 }
 
 impl Mirror {
@@ -108,33 +92,21 @@
         store: Rc<dyn Store>,
         schema: Rc<dyn Schema>,
     ) -> Rc<Mirror> {
+        let entries = Rc::new(Entries::new(router.clone(), schema, options.keep));
         Rc::new(Mirror {
             options,
             router,
             store,
-            schema,
-            known: RefCell::default(),
-            vanished: RefCell::default(),
+            entries,
             after: Cell::new(None),
             trouble: Cell::new(false),
-            losses: RefCell::default(),
         })
     }
 
     /// Starts to follow the store.
     pub fn start(self: &Rc<Mirror>) {
         monoio::spawn(self.clone().run());
-        monoio::spawn(self.clone().sweep());
-    }
-
-    /// Whether the entry of node `name` is in the store, as far as is known.
-    pub fn has_node(&self, name: &NodeName) -> bool {
-        self.known.borrow().contains(&EntryKey::Node(name.clone()))
-    }
-
-    /// How often the entry of node `name` has vanished.
-    pub fn losses_of(&self, name: &NodeName) -> u64 {
-        self.losses.borrow().get(name).copied().unwrap_or_default()
+        monoio::spawn(self.entries.clone().sweep());
     }
 
     async fn run(self: Rc<Mirror>) {
@@ -163,7 +135,8 @@
                     if failures == 1 {
                         tracing::warn!(code = error.code(), "mirror: the store is away: {error}");
                     }
-                    if self.after.get().is_none() && self.ask_seeds().await {
+                    // Later, what another node knows may be older than what this one does.
+                    if !self.router.is_synced() && self.ask_seeds().await {
                         continue;
                     }
                     let backoff = self.options.backoff * 2u32.pow(failures.min(6) - 1);
@@ -273,7 +246,7 @@
 
     async fn scan(&self) -> Result<()> {
         let start = self.router.clock.now();
-        let scan = self.store.scan(self.schema.prefix()).await?;
+        let scan = self.store.scan(self.entries.prefix()).await?;
         self.take_scan(&scan, start);
         Ok(())
     }
@@ -283,10 +256,10 @@
         let start = clock.now();
         let is_followed = follow::is_followed(&self.router);
         let wait = if is_followed { self.options.followed_wait } else { self.options.wait };
-        let changes = self.store.watch(self.schema.prefix(), after, wait).await?;
+        let changes = self.store.watch(self.entries.prefix(), after, wait).await?;
         let now = clock.now();
         let took = now.saturating_duration_since(start);
-        if took > wait + LATE_ANSWER || self.is_lapse(&changes.events) {
+        if took > wait + LATE_ANSWER || self.entries.is_lapse(&changes.events) {
             self.note_trouble();
         }
         self.note_answer();
@@ -299,17 +272,10 @@
 
     /// Takes over everything that the store holds.
     fn take_scan(&self, scan: &StoreScan, confirmed: Instant) {
-        let mut seen = HashSet::default();
-        for item in &scan.items {
-            if let Some(key) = self.put(item) {
-                seen.insert(key);
-            }
-        }
-        let lost: Vec<EntryKey> = self.known.borrow().difference(&seen).cloned().collect();
         // Without the history, whether an entry left or lapsed can't be told.
         self.note_trouble();
         self.note_answer();
-        lost.into_iter().for_each(|key| self.lose(key));
+        self.entries.put_all(&scan.items);
         self.router.journal.reset(scan, confirmed);
         self.after.set(Some(scan.revision));
         self.router.set_synced();
@@ -326,132 +292,9 @@
     fn take_changes(&self, changes: &StoreChanges, confirmed: Instant) {
         let after = self.after.get().unwrap_or(0);
         for event in changes.events.iter().filter(|event| event.revision() > after) {
-            match event {
-                StoreEvent::Written(item) => {
-                    self.put(item);
-                }
-                StoreEvent::Deleted { key, .. } => {
-                    if let Some(key) = self.schema.read_key(key) {
-                        self.lose(key);
-                    }
-                }
-            }
+            self.entries.take(event);
         }
         self.router.journal.extend(changes, confirmed);
         self.after.set(Some(after.max(changes.revision)));
     }
-
-    /// Whether so many entries vanished at once that they must have lapsed.
-    ///
-    /// The store may have been away between two of its answers. Replicas and nodes
-    /// that leave do so a few at a time, or say so before.
-    fn is_lapse(&self, events: &[StoreEvent]) -> bool {
-        let deleted = events.iter().filter(|event| match event {
-            StoreEvent::Written(_) => false,
-            StoreEvent::Deleted { key, .. } => {
-                self.schema.read_key(key).is_some_and(|key| self.is_serving(&key))
-            }
-        });
-        let deleted = deleted.count();
-        deleted >= LAPSE_COUNT && deleted as f64 >= LAPSE_SHARE * self.known.borrow().len() as f64
-    }
-
-    /// Whether a key is that of a replica that takes requests, as far as is known.
-    fn is_serving(&self, key: &EntryKey) -> bool {
-        match key {
-            EntryKey::Replica(id) => {
-                self.router.directory.find(id).is_some_and(|replica| replica.takes_requests())
-            }
-            EntryKey::Config | EntryKey::Node(_) => false,
-        }
-    }
-
-    /// Takes over an item; gives its key if it is something to this tier.
-    fn put(&self, item: &StoreItem) -> Option<EntryKey> {
-        let key = self.schema.read_key(&item.key)?;
-        let entry = match self.schema.read(item) {
-            Ok(entry) => entry?,
-            Err(error) => {
-                tracing::warn!(key = item.key, code = error.code(), "mirror: can't read: {error}");
-                return None;
-            }
-        };
-        self.known.borrow_mut().insert(key.clone());
-        self.vanished.borrow_mut().remove(&key);
-        self.apply(entry, item.revision);
-        Some(key)
-    }
-
-    fn apply(&self, entry: Entry, revision: u64) {
-        let router = &self.router;
-        match entry {
-            Entry::Config(config) => {
-                let version = config.version;
-                let in_force = router.put_in_force(RouteTable::new(config));
-                tracing::info!(version, revision, in_force, "mirror: a configuration came");
-            }
-            Entry::Replica(id, spec) => {
-                tracing::info!(
-                    replica = id.as_str(),
-                    service = spec.service.as_str(),
-                    address = %spec.address,
-                    draining = spec.draining,
-                    revision,
-                    "mirror: a replica tells of itself"
-                );
-                router.directory.put(&id, spec, router.clock.now());
-            }
-            Entry::Node(name, record) => {
-                tracing::info!(node = name.as_str(), revision, "mirror: a node tells of itself");
-                router.fleet.put(name, record, router.clock.now());
-            }
-        }
-    }
-
-    /// Notes that a key is not in the store any more.
-    fn lose(&self, key: EntryKey) {
-        self.known.borrow_mut().remove(&key);
-        if let EntryKey::Node(name) = &key {
-            *self.losses.borrow_mut().entry(name.clone()).or_default() += 1;
-        }
-        if self.router.lenient_for() == Duration::ZERO {
-            self.drop_entry(&key, "left the store");
-            return;
-        }
-        let until = self.router.clock.now() + self.options.keep;
-        self.vanished.borrow_mut().insert(key, until);
-    }
-
-    fn drop_entry(&self, key: &EntryKey, reason: &'static str) {
-        let router = &self.router;
-        match key {
-            // The operators never take the configuration away.
-            EntryKey::Config => {}
-            EntryKey::Replica(id) => {
-                tracing::info!(replica = id.as_str(), reason, "mirror: a replica is gone");
-                router.directory.remove(id);
-            }
-            EntryKey::Node(name) => {
-                tracing::info!(node = name.as_str(), reason, "mirror: a node is gone");
-                router.fleet.remove(name);
-            }
-        }
-    }
-
-    /// Drops the entries that have been missing for too long.
-    async fn sweep(self: Rc<Mirror>) {
-        const PERIOD: Duration = Duration::from_millis(200);
-        loop {
-            clock::sleep(&*self.router.clock, PERIOD).await;
-            let now = self.router.clock.now();
-            let due: Vec<EntryKey> = {
-                let vanished = self.vanished.borrow();
-                vanished.iter().filter(|(_, at)| **at <= now).map(|(key, _)| key.clone()).collect()
-            };
-            for key in due {
-                self.vanished.borrow_mut().remove(&key);
-                self.drop_entry(&key, "did not come back");
-            }
-        }
-    }
 }
--- a/crates/kumquatnotch-route/src/router.rs
+++ b/crates/kumquatnotch-route/src/router.rs
@@ -212,9 +212,14 @@
         }
     }
 
+    /// Whether the directory was read in full once.
+    pub fn is_synced(&self) -> bool {
+        self.synced.get().is_some()
+    }
+
     /// Whether the node knows enough to serve.
     pub fn is_ready(&self) -> bool {
-        self.synced.get().is_some() && self.table.borrow().is_some()
+        self.is_synced() && self.table.borrow().is_some()
     }
 
     /// When a caller with `left` is to come again while the node isn't ready.
