Keep requests that crash replicas from them, on all nodes

Cause: the caller of a request that crashes the replicas which run it sends it again, to any node, and each time takes replicas from everyone else for seconds. On the platform nothing stopped it; the product's own interface has its containment.

Change: when a connection breaks under a request and the replica neither answers others nor takes a connection 150 ms later, the node notes the request's fingerprint and the caller's attempt, and tells the others in an entry under its lease, at most once with each renewal. A request that was there in three attempts is refused as not run, for 15 s and twice as long after each further crash; a whole answer clears it.

Ruled out: policy::containment, which runs suspects alone on their replica: nodes here share replicas without a common queue. A connection opened at once after each loss (150 ms spare nearly all of them). Counting crashes by replica: one search meets all shards, and a rack that is lost takes many.

--- a/crates/kumquatnotch-route/src/announce.rs
+++ b/crates/kumquatnotch-route/src/announce.rs
@@ -8,13 +8,13 @@
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use kumquatnotch_core::{
-    Error, Result, Store, clock,
+    Error, Result, Store, clock, codec,
     ids::NodeName,
     lifecycle::Stage,
     store::{StoreLease, StorePut, StoreWrite},
 };
 
-use crate::{mirror::Mirror, router::Router};
+use crate::{crashes::Crash, mirror::Mirror, router::Router};
 
 /// How long the entry of a node outlives it.
 ///
@@ -37,23 +37,32 @@
     store: Rc<dyn Store>,
     mirror: Rc<Mirror>,
     name: NodeName,
-    key: String,
+    keys: NodeKeys,
     value: Vec<u8>,
     lease: RefCell<Option<StoreLease>>,
 }
 
+/// Where the entries of a node lie.
+#[derive(Clone, Debug)]
+pub struct NodeKeys {
+    /// What it tells of itself.
+    pub record: String,
+    /// The crashes that it has seen.
+    pub crashes: String,
+}
+
 impl Announcer {
-    /// An announcer that writes `value` at `key`.
+    /// An announcer that writes `value` as the record of the node.
     pub fn new(
         router: Rc<Router>,
         store: Rc<dyn Store>,
         mirror: Rc<Mirror>,
         name: NodeName,
-        key: String,
+        keys: NodeKeys,
         value: Vec<u8>,
     ) -> Rc<Announcer> {
         let lease = RefCell::default();
-        Rc::new(Announcer { router, store, mirror, name, key, value, lease })
+        Rc::new(Announcer { router, store, mirror, name, keys, value, lease })
     }
 
     /// Starts to announce the node, until it leaves.
@@ -77,8 +86,11 @@
 
     async fn announce(&self) -> Result<StoreLease> {
         let lease = self.store.grant(LEASE_TIME).await?;
-        let put =
-            StorePut { key: self.key.clone(), value: self.value.clone(), lease: Some(lease.id) };
+        let put = StorePut {
+            key: self.keys.record.clone(),
+            value: self.value.clone(),
+            lease: Some(lease.id),
+        };
         let write = StoreWrite { puts: vec![put], ..Default::default() };
         let revision = self.store.write(&write).await?;
         *self.lease.borrow_mut() = Some(lease);
@@ -91,6 +103,7 @@
         let clock = &*self.router.clock;
         let losses = self.mirror.entries.losses_of(&self.name);
         let mut missing = 0;
+        let mut told = Vec::new();
         while self.router.lifecycle.stage() < Stage::Leaving {
             clock::sleep(clock, RENEW_PERIOD).await;
             match self.store.renew(lease.id).await {
@@ -104,6 +117,7 @@
                 }
                 Ok(()) => {}
             }
+            self.tell_crashes(lease, &mut told).await;
             // The write may not have reached the mirror yet, so it has some time.
             let lost = self.mirror.entries.losses_of(&self.name) != losses;
             missing = if self.mirror.entries.has_node(&self.name) { 0 } else { missing + 1 };
@@ -114,9 +128,31 @@
         }
     }
 
+    /// Tells the other nodes of crashes, if there are others than those `told`.
+    async fn tell_crashes(&self, lease: StoreLease, told: &mut Vec<Crash>) {
+        let crashes = self.router.crashes.told();
+        if crashes == *told {
+            return;
+        }
+        match self.write_crashes(lease, &crashes).await {
+            Ok(()) => *told = crashes,
+            // They are told with the next renewal.
+            Err(error) => {
+                tracing::info!(code = error.code(), "announce: crashes not told: {error}");
+            }
+        }
+    }
+
+    async fn write_crashes(&self, lease: StoreLease, crashes: &[Crash]) -> Result<()> {
+        let value = codec::encode(&crashes)?;
+        let put = StorePut { key: self.keys.crashes.clone(), value, lease: Some(lease.id) };
+        let write = StoreWrite { puts: vec![put], ..Default::default() };
+        self.store.write(&write).await.map(|_| ())
+    }
+
     /// Takes the entry away, so that callers are advised to use other nodes.
     pub async fn leave(&self) {
-        let write = StoreWrite { deletes: vec![self.key.clone()], ..Default::default() };
+        let write = StoreWrite { deletes: vec![self.keys.record.clone()], ..Default::default() };
         if let Err(error) = self.store.write(&write).await {
             // It ends with its lease then.
             tracing::warn!(
--- a/crates/kumquatnotch-route/src/attempt.rs
+++ b/crates/kumquatnotch-route/src/attempt.rs
@@ -15,7 +15,7 @@
 };
 
 use crate::{
-    choice,
+    choice, crashes,
     headers::HeaderNames,
     names::{ReplicaId, ServiceName},
     probe,
@@ -159,6 +159,7 @@
             replica.note_outcome(true, clock.now());
             // Whatever broke this connection has broken idle ones as well.
             replica.links.drop_idle();
+            crashes::check(router, call, replica);
             Ended::Lost(error)
         }
     }
--- /dev/null
+++ b/crates/kumquatnotch-route/src/crashes.rs
@@ -0,0 +1,200 @@
+//! Requests that crash the replicas that run them.
+//!
+//! The caller of such a request sends it again, to any node, and each time it takes a
+//! replica from everyone else for seconds. So each node notes which requests were with
+//! a replica when it crashed, and tells the others through the store. A request that was
+//! there in several attempts is refused for a while, by all nodes.
+//!
+//! A replica that crashes for another reason takes innocent requests along. Those are
+//! answered whole when they come again, which clears them; at the latest when the first
+//! one is let in after a while. An answer without some parts clears nothing, as the
+//! other shards of a search answer well all the while.
+
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use http::header;
+use kumquatnotch_core::{
+    clock,
+    collections::HashMap,
+    ids::{Fingerprint, stable_hash},
+};
+use kumquatnotch_net::message::Request;
+use serde::{Deserialize, Serialize};
+
+use crate::{attempt::Call, replica::Replica, router::Router};
+
+/// The attempts of callers that must have crashed a replica for the next to be refused.
+///
+/// Two may be chance: a caller that comes again after a crash can meet another one.
+const MOST_ATTEMPTS: usize = 3;
+
+/// How long such a request is refused at first; it doubles with each further crash.
+///
+/// One attempt is let in after it, so that a request that was there by chance is
+/// refused no longer, and one that does crash replicas does so only a few times more.
+const FIRST_SPAN: Duration = Duration::from_secs(15);
+
+/// How long a request is refused at most.
+const MOST_SPAN: Duration = Duration::from_secs(600);
+
+/// The most requests that are suspected; the oldest suspicion goes first.
+const MOST_SUSPECTS: usize = 1_024;
+
+/// The most crashes that a node tells the others of: the latest.
+const MOST_TOLD: usize = 64;
+
+/// How long after a broken connection it is looked whether the replica has crashed.
+///
+/// One that is busy answers another request meanwhile, which spares it a connection.
+const CHECK_PAUSE: Duration = Duration::from_millis(150);
+
+/// How long a replica that lives takes at most to take a connection.
+const CHECK_TIME: Duration = Duration::from_millis(400);
+
+/// How long the connection by which it was found to live is kept for the next request.
+const CHECK_KEEP: Duration = Duration::from_secs(2);
+
+/// A crash of a replica while it had a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crash {
+    /// The content of the request.
+    pub print: Fingerprint,
+    /// The attempt of the caller, by a hash of its identity.
+    pub attempt: u64,
+}
+
+/// The requests that were with replicas when these crashed.
+#[derive(Debug, Default)]
+pub struct Crashes {
+    suspects: RefCell<HashMap<Fingerprint, Suspect>>,
+    /// The crashes that this node has seen itself, the latest last.
+    told: RefCell<Vec<Crash>>,
+}
+
+#[derive(Debug)]
+struct Suspect {
+    attempts: Vec<u64>,
+    last: Instant,
+    /// Until when it is refused.
+    until: Option<Instant>,
+    span: Duration,
+}
+
+impl Crashes {
+    /// Notes a crash that this node has seen.
+    pub fn note(&self, crash: Crash, now: Instant) {
+        let mut told = self.told.borrow_mut();
+        if told.contains(&crash) {
+            return;
+        }
+        if told.len() == MOST_TOLD {
+            told.remove(0);
+        }
+        told.push(crash);
+        self.suspect(crash, now);
+    }
+
+    /// Takes over the crashes that another node has seen.
+    pub fn merge(&self, crashes: &[Crash], now: Instant) {
+        crashes.iter().for_each(|crash| self.suspect(*crash, now));
+    }
+
+    /// Clears a request that was answered whole.
+    pub fn clear(&self, request: &Request) {
+        // Nearly always there is no suspect.
+        if !self.suspects.borrow().is_empty() {
+            self.suspects.borrow_mut().remove(&fingerprint(request));
+        }
+    }
+
+    /// For how long a request is kept from replicas; `None` if it isn't.
+    pub fn refused_for(&self, request: &Request, now: Instant) -> Option<Duration> {
+        let suspects = self.suspects.borrow();
+        if suspects.is_empty() {
+            return None;
+        }
+        let until = suspects.get(&fingerprint(request))?.until?;
+        until.checked_duration_since(now).filter(|left| !left.is_zero())
+    }
+
+    /// In how many attempts a request was with a replica that crashed.
+    pub fn attempts_of(&self, print: Fingerprint) -> usize {
+        self.suspects.borrow().get(&print).map_or(0, |suspect| suspect.attempts.len())
+    }
+
+    /// What this node tells the others.
+    pub fn told(&self) -> Vec<Crash> {
+        self.told.borrow().clone()
+    }
+
+    fn suspect(&self, crash: Crash, now: Instant) {
+        let mut suspects = self.suspects.borrow_mut();
+        if suspects.len() >= MOST_SUSPECTS && !suspects.contains_key(&crash.print) {
+            let oldest = suspects.iter().min_by_key(|(_, suspect)| suspect.last);
+            if let Some(print) = oldest.map(|(print, _)| *print) {
+                suspects.remove(&print);
+            }
+        }
+        let suspect = suspects.entry(crash.print).or_insert_with(|| Suspect::new(now));
+        if suspect.attempts.contains(&crash.attempt) {
+            return;
+        }
+        suspect.attempts.push(crash.attempt);
+        suspect.last = now;
+        if suspect.attempts.len() >= MOST_ATTEMPTS {
+            tracing::warn!(
+                print = %crash.print,
+                attempts = suspect.attempts.len(),
+                refused_ms = suspect.span.as_millis() as u64,
+                "crashes: a request is kept from replicas"
+            );
+            suspect.until = Some(now + suspect.span);
+            suspect.span = (suspect.span * 2).min(MOST_SPAN);
+        }
+    }
+}
+
+impl Suspect {
+    fn new(now: Instant) -> Suspect {
+        Suspect { attempts: Vec::new(), last: now, until: None, span: FIRST_SPAN }
+    }
+}
+
+/// Finds out whether `replica` has crashed, after its connection broke under a request.
+///
+/// One that only lost an answer takes the next connection.
+pub fn check(router: &Rc<Router>, call: &Call<'_>, replica: &Rc<Replica>) {
+    let attempt = stable_hash(&[call.identity.as_bytes()]);
+    let crash = Crash { print: fingerprint(call.request), attempt };
+    let (router, replica) = (router.clone(), replica.clone());
+    monoio::spawn(async move {
+        let clock = &*router.clock;
+        let broke = clock.now();
+        clock::sleep(clock, CHECK_PAUSE).await;
+        if replica.has_replied_since(broke) {
+            return;
+        }
+        if let Ok(link) = replica.links.open(clock, clock.now() + CHECK_TIME).await {
+            replica.links.put(link, clock.now(), CHECK_KEEP);
+            return;
+        }
+        tracing::info!(
+            replica = replica.id.as_str(),
+            print = %crash.print,
+            "crashes: a replica crashed with a request"
+        );
+        router.crashes.note(crash, clock.now());
+    });
+}
+
+/// What the same request has in common when it is sent again.
+pub fn fingerprint(request: &Request) -> Fingerprint {
+    let host = request.headers.get(header::HOST).map_or(&b""[..], |host| host.as_bytes());
+    let Request { method, path, query, body, .. } = request;
+    let parts = [method.as_str().as_bytes(), host, path.as_bytes(), query.as_bytes(), body];
+    Fingerprint(stable_hash(&parts))
+}
--- a/crates/kumquatnotch-route/src/entries.rs
+++ b/crates/kumquatnotch-route/src/entries.rs
@@ -117,7 +117,7 @@
             EntryKey::Replica(id) => {
                 self.router.directory.find(id).is_some_and(|replica| replica.takes_requests())
             }
-            EntryKey::Config | EntryKey::Node(_) => false,
+            EntryKey::Config | EntryKey::Node(_) | EntryKey::Crashes(_) => false,
         }
     }
 
@@ -160,6 +160,15 @@
                 tracing::info!(node = name.as_str(), revision, "mirror: a node tells of itself");
                 router.fleet.put(name, record, router.clock.now());
             }
+            Entry::Crashes(name, crashes) => {
+                tracing::info!(
+                    node = name.as_str(),
+                    count = crashes.len(),
+                    revision,
+                    "mirror: a node tells of crashes"
+                );
+                router.crashes.merge(&crashes, router.clock.now());
+            }
         }
     }
 
@@ -180,8 +189,9 @@
     fn drop_entry(&self, key: &EntryKey, reason: &'static str) {
         let router = &self.router;
         match key {
-            // The operators never take the configuration away.
-            EntryKey::Config => {}
+            // The operators never take the configuration away, and what was seen of
+            // crashes stays true when the node that saw them ends.
+            EntryKey::Config | EntryKey::Crashes(_) => {}
             EntryKey::Replica(id) => {
                 tracing::info!(replica = id.as_str(), reason, "mirror: a replica is gone");
                 router.directory.remove(id);
--- a/crates/kumquatnotch-route/src/front.rs
+++ b/crates/kumquatnotch-route/src/front.rs
@@ -142,6 +142,11 @@
         }
         let log = RequestLog::new(&self.router, &asked);
         let request = strip(request);
+        if let Some(span) = self.router.crashes.refused_for(&request, arrival) {
+            let refusal = Refusal::not_run("the request has crashed replicas", span);
+            log.write(refusal.status, refusal.reason);
+            return refusal.reply();
+        }
         let outcome = match &asked.route.destination {
             Destination::Service(service) => self.call(&asked, service, &request, &log).await,
             Destination::Weighted(services) => {
@@ -156,6 +161,9 @@
             Destination::Shards(set) => self.search(&asked, set, &request, &log).await,
         };
         let (reply, reason) = finish(outcome);
+        if reply.status.is_success() && log.missing.get() == 0 {
+            self.router.crashes.clear(&request);
+        }
         log.write(reply.status, reason);
         reply
     }
--- a/crates/kumquatnotch-route/src/lib.rs
+++ b/crates/kumquatnotch-route/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod budget;
 pub mod call;
 pub mod choice;
+pub mod crashes;
 pub mod directory;
 pub mod distances;
 pub mod entries;
--- a/crates/kumquatnotch-route/src/replica.rs
+++ b/crates/kumquatnotch-route/src/replica.rs
@@ -309,6 +309,11 @@
         now.saturating_duration_since((*oldest).max(self.last_reply.get()))
     }
 
+    /// Whether it has answered a request since then.
+    pub fn has_replied_since(&self, then: Instant) -> bool {
+        self.last_reply.get() > then
+    }
+
     /// How many requests it has not answered yet.
     pub fn unanswered(&self) -> usize {
         self.sent.borrow().len()
--- a/crates/kumquatnotch-route/src/router.rs
+++ b/crates/kumquatnotch-route/src/router.rs
@@ -20,6 +20,7 @@
 use crate::{
     advice::{AdviceCache, Candidate, HostAdvice},
     budget::{Budget, BudgetOptions},
+    crashes::Crashes,
     directory::Directory,
     distances::Distances,
     fleet::{Fleet, PEER_SERVICE},
@@ -137,6 +138,8 @@
     pub distances: Rc<Distances>,
     /// How long requests usually take.
     pub paces: Paces,
+    /// The requests that were with replicas when these crashed.
+    pub crashes: Crashes,
     /// How hard pressed replicas are.
     pub strains: Strains,
     /// The budget for repeats.
@@ -170,6 +173,7 @@
             distances,
             lenient: Cell::new(None),
             paces: Paces::default(),
+            crashes: Crashes::default(),
             strains: Strains::default(),
             table: RefCell::default(),
             synced: Cell::new(None),
--- a/crates/kumquatnotch-route/src/schema.rs
+++ b/crates/kumquatnotch-route/src/schema.rs
@@ -2,7 +2,9 @@
 
 use kumquatnotch_core::{Result, ids::NodeName, store::StoreItem};
 
-use crate::{fleet::NodeRecord, names::ReplicaId, replica::ReplicaSpec, route::RouteConfig};
+use crate::{
+    crashes::Crash, fleet::NodeRecord, names::ReplicaId, replica::ReplicaSpec, route::RouteConfig,
+};
 
 /// What a key of the store holds.
 #[derive(Clone, Debug, PartialEq)]
@@ -13,6 +15,8 @@
     Replica(ReplicaId, ReplicaSpec),
     /// A node of this tier.
     Node(NodeName, NodeRecord),
+    /// The crashes that a node has seen.
+    Crashes(NodeName, Vec<Crash>),
 }
 
 /// What a key is about.
@@ -24,6 +28,8 @@
     Replica(ReplicaId),
     /// A node of this tier.
     Node(NodeName),
+    /// The crashes that a node has seen.
+    Crashes(NodeName),
 }
 
 /// How keys and values of the store are to be read.
--- a/crates/kumquatnotch-route/tests/common/schema.rs
+++ b/crates/kumquatnotch-route/tests/common/schema.rs
@@ -12,7 +12,7 @@
 use crate::common::{config, single, spec};
 
 /// `c` holds the version of the configuration, `r/ID` the address of a replica,
-/// `n/NAME` a node.
+/// `n/NAME` a node, `x/NAME` the crashes that it has seen.
 pub struct TestSchema;
 
 impl Schema for TestSchema {
@@ -23,6 +23,7 @@
     fn read_key(&self, key: &str) -> Option<EntryKey> {
         match key.split_once('/') {
             Some(("r", id)) => Some(EntryKey::Replica(ReplicaId::from(id))),
+            Some(("x", name)) => Some(EntryKey::Crashes(NodeName::from(name))),
             Some(("n", name)) => Some(EntryKey::Node(NodeName::from(name))),
             _ => (key == "c").then_some(EntryKey::Config),
         }
@@ -41,6 +42,9 @@
                 Some(Entry::Replica(id, spec("s0", address, "home", draining)))
             }
             Some(EntryKey::Node(name)) => Some(Entry::Node(name, codec::decode(&item.value)?)),
+            Some(EntryKey::Crashes(name)) => {
+                Some(Entry::Crashes(name, codec::decode(&item.value)?))
+            }
             None => None,
         })
     }
--- a/crates/kumquatnotch-route/tests/store.rs
+++ b/crates/kumquatnotch-route/tests/store.rs
@@ -12,10 +12,15 @@
 use fake::FakeStore;
 use kumquatnotch_core::{
     Store, codec,
-    ids::{DataCentre, NodeName, Region},
+    ids::{DataCentre, Fingerprint, NodeName, Region},
     lifecycle::Stage,
 };
-use kumquatnotch_route::{announce::Announcer, fleet::NodeRecord, mirror::Mirror};
+use kumquatnotch_route::{
+    announce::{Announcer, NodeKeys},
+    crashes::Crash,
+    fleet::NodeRecord,
+    mirror::Mirror,
+};
 use schema::{TestSchema, options};
 
 struct World {
@@ -174,7 +179,7 @@
         store,
         world.mirror.clone(),
         NodeName::from("me"),
-        "n/me".to_owned(),
+        NodeKeys { record: "n/me".to_owned(), crashes: "x/me".to_owned() },
         codec::encode(&record).unwrap(),
     )
 }
@@ -228,3 +233,25 @@
         assert!(world.store.items.borrow().contains_key("n/me"));
     });
 }
+
+/// A node sees a replica crash with a request. It tells the others through the store,
+/// and what they tell counts here like what it has seen itself.
+#[test]
+fn crashes_are_told_to_other_nodes_and_heard_from_them() {
+    run(async {
+        let world = world().await;
+        announcer(&world).start();
+        pause(100).await;
+        let crash = |attempt| Crash { print: Fingerprint(7), attempt };
+        let now = std::time::Instant::now();
+
+        world.tier.router.crashes.note(crash(1), now);
+        pause(1_100).await;
+        let told = world.store.items.borrow()["x/me"].value.clone();
+        world.store.put("x/other", &codec::encode(&vec![crash(2), crash(3)]).unwrap());
+        pause(300).await;
+
+        assert_eq!(codec::decode::<Vec<Crash>>(&told).unwrap(), [crash(1)]);
+        assert_eq!(world.tier.router.crashes.attempts_of(Fingerprint(7)), 3);
+    });
+}
