--- a/crates/kumquatnotch-route/tests/forwarding.rs
+++ b/crates/kumquatnotch-route/tests/forwarding.rs
@@ -6,10 +6,7 @@
 
 use bytes::Bytes;
 use common::*;
-use futures_util::future::join;
-use kumquatnotch_core::Clock;
-use kumquatnotch_core::clock::RuntimeClock;
-use kumquatnotch_route::{choice, route::Route};
+use kumquatnotch_core::{Clock, clock::RuntimeClock};
 use standins::scripted::{Scripted, Step, answer};
 
 #[test]
@@ -241,77 +238,6 @@
     });
 }
 
-/// A replica stands still. Its caller gets the answer of another one, and while
-/// it is silent the next requests go there at once.
-#[test]
-fn a_silent_replica_costs_one_copy_and_is_then_avoided() {
-    run(async {
-        let tier = Tier::serving(single());
-        let silent = playing(|_| vec![Step::Silence]);
-        let other = replica("q", b"whole");
-        tier.add("s0", silent.address);
-        tier.add("s0", other.address);
-
-        for index in 0..6 {
-            assert_eq!(tier.get("/a/", &format!("r{index}")).await.status, 200);
-        }
-
-        assert!(silent.requests().len() <= 1);
-    });
-}
-
-/// A reply is late at a replica that answers others, and the one that could run a copy
-/// has its slots taken. A copy would make others wait longer; none is sent.
-#[test]
-fn a_late_request_gets_no_copy_at_a_replica_without_a_free_slot() {
-    run(async {
-        let route = Route { objective: Duration::from_secs(1), ..single() };
-        let tier = Tier::serving(route.clone());
-        (0..200).for_each(|_| tier.router.paces.note(&route, Duration::from_millis(5)));
-        let slow = playing(move |request| {
-            let wait = if request.headers["x-request-id"] == "r1" { 200 } else { 1 };
-            vec![Step::Wait(Duration::from_millis(wait)), sound(request, "p", b"late")]
-        });
-        let full = replica("q", b"whole");
-        tier.add("s0", slow.address);
-        let id = tier.add("s0", full.address);
-        let other = tier.router.directory.find(&id).unwrap();
-        (0..60).for_each(|_| other.note_work(Duration::from_millis(10)));
-        other.note_load(60, RuntimeClock.now());
-
-        let others = async {
-            for index in 0..20 {
-                monoio::time::sleep(Duration::from_millis(10)).await;
-                tier.get("/a/", &format!("o{index}")).await;
-            }
-        };
-        let (answer, ()) = join(tier.get("/a/", "r1"), others).await;
-
-        assert_eq!((answer.status, &answer.body[..]), (200, &b"late"[..]));
-        assert_eq!(full.requests().len(), 0);
-    });
-}
-
-/// Without budget, a late request gets no copy: the caller waits for its time.
-#[test]
-fn a_request_is_not_repeated_without_budget() {
-    run(async {
-        let tier = Tier::with_slack(0.0);
-        let mut route = single();
-        route.timeout = Duration::from_millis(400);
-        tier.put(1, vec![route]);
-        let silent = [playing(|_| vec![Step::Silence]), playing(|_| vec![Step::Silence])];
-        silent.iter().for_each(|replica| {
-            tier.add("s0", replica.address);
-        });
-
-        let answer = tier.get("/a/", "r1").await;
-
-        assert_eq!(answer.status, 504);
-        assert_eq!(silent.iter().map(|replica| replica.requests().len()).sum::<usize>(), 1);
-    });
-}
-
 /// All nodes start at once, and each has heard of no other yet. If each took all
 /// connections of a replica for itself, the replica would reset most of them.
 #[test]
@@ -410,33 +336,3 @@
         assert_eq!((first, later), ((503, 0.4), (503, 1.0)));
     });
 }
-
-/// A replica tells that all work takes nine times as long as usual on its machine at
-/// this moment. The next requests go to another one, until that is some time ago.
-#[test]
-fn a_replica_on_a_slow_machine_is_avoided_by_its_own_word() {
-    run(async {
-        let route = single();
-        let tier = Tier::serving(route.clone());
-        let telling = playing(|request| {
-            let identity = request.headers["x-request-id"].to_str().unwrap().to_owned();
-            let headers =
-                [("x-request-id", identity.as_str()), ("x-proof", "p"), ("x-load", "0,0,2,900")];
-            vec![answer(200, &headers, b"whole")]
-        });
-        let slow = tier.add("s0", telling.address);
-        assert_eq!(tier.get("/a/", "r1").await.status, 200);
-        let other = tier.add("s0", nowhere());
-        let pick = || {
-            let replicas = tier.router.directory.of(&service("s0"));
-            let need = tier.router.paces.need(&route);
-            choice::best(&replicas, &[], need, RuntimeClock.now()).unwrap().replica.id.clone()
-        };
-
-        let at_once = pick();
-        pause(2_500).await;
-        let later = pick();
-
-        assert_eq!((at_once, later), (other, slow));
-    });
-}
