A node that starts while the store is away learns from those that probe it

Change: no seeds. Nodes that knew the earlier life of a node probe it until it is ready, and say in each probe where they are; the new one asks up to three of them.

--- a/crates/kumquatnotch-route/src/fleet.rs
+++ b/crates/kumquatnotch-route/src/fleet.rs
@@ -92,6 +92,11 @@
         }
     }
 
+    /// Where a node takes other nodes, if it is known.
+    pub fn peer_address(&self, name: &NodeName) -> Option<SocketAddr> {
+        self.nodes.borrow().get(name).map(|node| node.record.peer)
+    }
+
     /// The way to a node of which nothing but the address is known.
     pub fn stranger(&self, peer: SocketAddr, now: Instant) -> Replica {
         let centre = DataCentre::from("");
--- a/crates/kumquatnotch-route/src/mirror.rs
+++ b/crates/kumquatnotch-route/src/mirror.rs
@@ -6,7 +6,6 @@
 
 use std::{
     cell::Cell,
-    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -27,7 +26,7 @@
 };
 
 /// Options of a [`Mirror`].
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct MirrorOptions {
     /// How long a watch waits for changes.
     ///
@@ -47,8 +46,6 @@
     pub backoff: Duration,
     /// The longest pause after a failed call, before jitter.
     pub most_backoff: Duration,
-    /// Where nodes may be that know more than this one while the store is away.
-    pub seeds: Vec<SocketAddr>,
 }
 
 impl Default for MirrorOptions {
@@ -60,7 +57,6 @@
             keep: Duration::from_millis(2_600),
             backoff: Duration::from_millis(150),
             most_backoff: Duration::from_millis(900),
-            seeds: Vec::new(),
         }
     }
 }
@@ -136,7 +132,7 @@
                         tracing::warn!(code = error.code(), "mirror: the store is away: {error}");
                     }
                     // Later, what another node knows may be older than what this one does.
-                    if !self.router.is_synced() && self.ask_seeds().await {
+                    if !self.router.is_synced() && self.ask_visitors().await {
                         continue;
                     }
                     let backoff = self.options.backoff * 2u32.pow(failures.min(6) - 1);
@@ -184,17 +180,19 @@
 
     /// Learns what another node knows, however old that is; false if none tells.
     ///
-    /// A node that starts while the store is away knows nothing, and would refuse all
-    /// requests until the store is back. What the others serve by is as good for it.
-    async fn ask_seeds(&self) -> bool {
-        let mut seeds = self.options.seeds.clone();
-        self.router.random.shuffle(&mut seeds);
-        for seed in seeds {
-            let peer = self.router.fleet.stranger(seed, self.router.clock.now());
+    /// A node that starts while the store is away knows nothing, not even where other
+    /// nodes are, and would refuse all requests until the store is back. But those that
+    /// knew its earlier life ask it whether it is back, and what they serve by is as
+    /// good for it.
+    async fn ask_visitors(&self) -> bool {
+        let mut visitors = self.router.visitors();
+        self.router.random.shuffle(&mut visitors);
+        for visitor in visitors {
+            let peer = self.router.fleet.stranger(visitor, self.router.clock.now());
             match follow::follow(&self.router, &peer, 0).await {
                 Ok(followed) => {
                     tracing::info!(
-                        node = %seed,
+                        node = %visitor,
                         age_ms = followed.age.as_millis() as u64,
                         "mirror: learned from a node while the store is away"
                     );
@@ -202,7 +200,7 @@
                     return true;
                 }
                 Err(error) => {
-                    tracing::info!(node = %seed, code = error.code(), "mirror: no news: {error}");
+                    tracing::info!(node = %visitor, code = error.code(), "mirror: no news: {error}");
                 }
             }
         }
--- a/crates/kumquatnotch-route/src/probe.rs
+++ b/crates/kumquatnotch-route/src/probe.rs
@@ -11,6 +11,8 @@
 use kumquatnotch_net::message::{Reply, Request};
 
 use crate::{
+    fleet::PEER_SERVICE,
+    relay::VISITOR_HEADER,
     replica::{Fitness, Replica},
     router::Router,
 };
@@ -73,6 +75,12 @@
     let mut request = Request::get(&path);
     let host = replica.spec().address.to_string();
     request.headers.insert(http::header::HOST, HeaderValue::from_str(&host).ok()?);
+    // A node that starts while the store is away knows no other but those that ask it.
+    let own = router.fleet.peer_address(&router.place.name);
+    if let (PEER_SERVICE, Some(own)) = (service.as_str(), own) {
+        let own = HeaderValue::from_str(&own.to_string()).ok()?;
+        request.headers.insert(VISITOR_HEADER, own);
+    }
     metrics::counter!("kumquatnotch_probes_total").increment(1);
     link.send(&request).await.ok()?;
     let answer = link.receive(&|_| true).await.ok()?;
--- a/crates/kumquatnotch-route/src/relay.rs
+++ b/crates/kumquatnotch-route/src/relay.rs
@@ -31,6 +31,9 @@
 /// Where nodes tell whether they have a request.
 pub const RUNNING_PATH: &str = "/v1/running";
 
+/// In which a node tells another one where it takes other nodes itself.
+pub const VISITOR_HEADER: &str = "x-kumquatnotch-node";
+
 /// How long a node may take to tell whether it has a request.
 const RUNNING_TIME: Duration = Duration::from_millis(250);
 
--- a/crates/kumquatnotch-route/src/relay_front.rs
+++ b/crates/kumquatnotch-route/src/relay_front.rs
@@ -15,7 +15,7 @@
     follow::{self, FOLLOW_PATH},
     gather::{self, Search},
     names::ReplicaId,
-    relay::{PROBE_PATH, RELAY_PATH, RUNNING_PATH},
+    relay::{PROBE_PATH, RELAY_PATH, RUNNING_PATH, VISITOR_HEADER},
     relay_message::{RelayReply, RelayRequest},
     route::Destination,
     router::Router,
@@ -121,6 +121,10 @@
 
 impl Handler for RelayFront {
     fn start(&self, request: Request) -> Work<'_> {
+        let visitor = request.headers.get(VISITOR_HEADER).and_then(|value| value.to_str().ok());
+        if let Some(address) = visitor.and_then(|text| text.parse().ok()) {
+            self.router.note_visitor(address);
+        }
         match request.path.as_str() {
             RELAY_PATH => Work::new(self.gather(request)),
             FOLLOW_PATH => Work::new(async move {
--- a/crates/kumquatnotch-route/src/router.rs
+++ b/crates/kumquatnotch-route/src/router.rs
@@ -3,6 +3,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -81,6 +82,9 @@
 /// When callers come again to a node that has just started.
 const NOT_READY_RETRY: Duration = Duration::from_millis(400);
 
+/// The most visitors that are remembered.
+const MOST_VISITORS: usize = 3;
+
 /// How long a start takes at most while the store answers.
 const STARTING_TIME: Duration = Duration::from_secs(1);
 
@@ -145,6 +149,8 @@
     /// The budget for repeats.
     pub budget: Budget,
     table: RefCell<Option<Rc<RouteTable>>>,
+    /// Nodes that asked this one something before it knew any, by their addresses.
+    visitors: RefCell<Vec<SocketAddr>>,
     /// When the node started.
     started: Instant,
     /// When the directory was read in full first.
@@ -164,6 +170,7 @@
             place: options.place,
             journal: Journal::new(clock.clone()),
             budget: Budget::new(options.budget, clock.clone()),
+            visitors: RefCell::default(),
             started: clock.now(),
             clock,
             random: registry.find(services::RANDOM)?,
@@ -226,6 +233,19 @@
         self.is_synced() && self.table.borrow().is_some()
     }
 
+    /// Notes that the node at `address` asked something; only as long as none is known.
+    pub(crate) fn note_visitor(&self, address: SocketAddr) {
+        let mut visitors = self.visitors.borrow_mut();
+        if !self.is_synced() && visitors.len() < MOST_VISITORS && !visitors.contains(&address) {
+            visitors.push(address);
+        }
+    }
+
+    /// The nodes that asked this one something before it knew any.
+    pub(crate) fn visitors(&self) -> Vec<SocketAddr> {
+        self.visitors.borrow().clone()
+    }
+
     /// When a caller with `left` is to come again while the node isn't ready.
     ///
     /// A node that has just started is ready in a moment, and others may be already. One
