Count the crashes with a request by their time, each once

The logs: one replica crashed, five callers waited there for the same request, which counted as five attempts; and each time a node told of its crashes anew, those that an answer had cleared counted again.

Change: crashes within 2.5 s count once, as the same moment; a crash that was counted is not counted again; a suspicion ends 120 s after the last crash.

Ruled out: the return of the store and of nodes (the nodes were ready, other routes were served); counting replicas, which a lost rack takes many of.

--- a/crates/kumquatnotch-route/src/crashes.rs
+++ b/crates/kumquatnotch-route/src/crashes.rs
@@ -3,7 +3,7 @@
 //! The caller of such a request sends it again, to any node, and each time it takes a
 //! replica from everyone else for seconds. So each node notes which requests were with
 //! a replica when it crashed, and tells the others through the store. A request that was
-//! there in several attempts is refused for a while, by all nodes.
+//! there several times, some seconds apart, is refused for a while by all nodes.
 //!
 //! A replica that crashes for another reason takes innocent requests along. Those are
 //! answered whole when they come again, which clears them; at the latest when the first
@@ -19,7 +19,7 @@
 use http::header;
 use kumquatnotch_core::{
     clock,
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     ids::{Fingerprint, stable_hash},
 };
 use kumquatnotch_net::message::Request;
@@ -27,10 +27,20 @@
 
 use crate::{attempt::Call, replica::Replica, router::Router};
 
-/// The attempts of callers that must have crashed a replica for the next to be refused.
+/// How often a request must have been there when replicas crashed to be refused.
 ///
 /// Two may be chance: a caller that comes again after a crash can meet another one.
-const MOST_ATTEMPTS: usize = 3;
+const MOST_STRIKES: u32 = 3;
+
+/// The time within which all crashes with a request count once.
+///
+/// A request that many callers send is with a replica several times when that crashes,
+/// and a rack that is lost takes many replicas. Other nodes tell of the same moment up to
+/// a renewal, the return of a watch and a connection's time later, 2 s in all.
+const STRIKE_GAP: Duration = Duration::from_millis(2_500);
+
+/// How long after the last crash a request is suspected.
+const SUSPECT_SPAN: Duration = Duration::from_secs(120);
 
 /// How long such a request is refused at first; it doubles with each further crash.
 ///
@@ -44,6 +54,11 @@
 /// The most requests that are suspected; the oldest suspicion goes first.
 const MOST_SUSPECTS: usize = 1_024;
 
+/// The most crashes that are remembered as counted, about half a megabyte.
+///
+/// What is told again after they were forgotten counts once more, as one crash.
+const MOST_COUNTED: usize = 32_768;
+
 /// The most crashes that a node tells the others of: the latest.
 const MOST_TOLD: usize = 64;
 
@@ -59,7 +74,7 @@
 const CHECK_KEEP: Duration = Duration::from_secs(2);
 
 /// A crash of a replica while it had a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Crash {
     /// The content of the request.
     pub print: Fingerprint,
@@ -71,13 +86,17 @@
 #[derive(Debug, Default)]
 pub struct Crashes {
     suspects: RefCell<HashMap<Fingerprint, Suspect>>,
+    /// The crashes that were counted: nodes tell of each many times, also after an
+    /// answer has cleared the request.
+    counted: RefCell<HashSet<Crash>>,
     /// The crashes that this node has seen itself, the latest last.
     told: RefCell<Vec<Crash>>,
 }
 
 #[derive(Debug)]
 struct Suspect {
-    attempts: Vec<u64>,
+    strikes: u32,
+    /// When the last of them was.
     last: Instant,
     /// Until when it is refused.
     until: Option<Instant>,
@@ -121,9 +140,9 @@
         until.checked_duration_since(now).filter(|left| !left.is_zero())
     }
 
-    /// In how many attempts a request was with a replica that crashed.
-    pub fn attempts_of(&self, print: Fingerprint) -> usize {
-        self.suspects.borrow().get(&print).map_or(0, |suspect| suspect.attempts.len())
+    /// How often a request was there when replicas crashed.
+    pub fn strikes_of(&self, print: Fingerprint) -> u32 {
+        self.suspects.borrow().get(&print).map_or(0, |suspect| suspect.strikes)
     }
 
     /// What this node tells the others.
@@ -132,6 +151,13 @@
     }
 
     fn suspect(&self, crash: Crash, now: Instant) {
+        let mut counted = self.counted.borrow_mut();
+        if counted.len() >= MOST_COUNTED {
+            counted.clear();
+        }
+        if !counted.insert(crash) {
+            return;
+        }
         let mut suspects = self.suspects.borrow_mut();
         if suspects.len() >= MOST_SUSPECTS && !suspects.contains_key(&crash.print) {
             let oldest = suspects.iter().min_by_key(|(_, suspect)| suspect.last);
@@ -140,15 +166,19 @@
             }
         }
         let suspect = suspects.entry(crash.print).or_insert_with(|| Suspect::new(now));
-        if suspect.attempts.contains(&crash.attempt) {
+        let since = now.saturating_duration_since(suspect.last);
+        if suspect.strikes > 0 && since < STRIKE_GAP {
             return;
         }
-        suspect.attempts.push(crash.attempt);
+        if since > SUSPECT_SPAN {
+            *suspect = Suspect::new(now);
+        }
+        suspect.strikes += 1;
         suspect.last = now;
-        if suspect.attempts.len() >= MOST_ATTEMPTS {
+        if suspect.strikes >= MOST_STRIKES {
             tracing::warn!(
                 print = %crash.print,
-                attempts = suspect.attempts.len(),
+                strikes = suspect.strikes,
                 refused_ms = suspect.span.as_millis() as u64,
                 "crashes: a request is kept from replicas"
             );
@@ -160,7 +190,7 @@
 
 impl Suspect {
     fn new(now: Instant) -> Suspect {
-        Suspect { attempts: Vec::new(), last: now, until: None, span: FIRST_SPAN }
+        Suspect { strikes: 0, last: now, until: None, span: FIRST_SPAN }
     }
 }
 
