--- a/crates/kumquatnotch-route/src/budget.rs
+++ b/crates/kumquatnotch-policy/src/budget.rs
@@ -7,13 +7,10 @@
 
 use std::{
     cell::{Cell, RefCell},
-    rc::Rc,
     time::{Duration, Instant},
 };
 
-use kumquatnotch_core::{Clock, collections::HashMap};
-
-use crate::names::ServiceName;
+use kumquatnotch_core::{collections::HashMap, ids::ServiceName};
 
 /// Into how many steps a window is cut.
 const STEPS: usize = 10;
@@ -38,7 +35,6 @@
 /// The budget for repeats, by service.
 pub struct Budget {
     options: Cell<BudgetOptions>,
-    clock: Rc<dyn Clock>,
     start: Instant,
     part: Cell<f64>,
     windows: RefCell<HashMap<ServiceName, Window>>,
@@ -70,11 +66,10 @@
 
 impl Budget {
     /// A budget from which nothing was spent.
-    pub fn new(options: BudgetOptions, clock: Rc<dyn Clock>) -> Budget {
-        let start = clock.now();
+    pub fn new(options: BudgetOptions, start: Instant) -> Budget {
         let part = Cell::new(1.0);
         let options = Cell::new(options);
-        Budget { options, clock, start, part, windows: RefCell::default() }
+        Budget { options, start, part, windows: RefCell::default() }
     }
 
     /// Sets the part of the fixed number that is for this node, from zero to one.
@@ -88,18 +83,18 @@
     }
 
     /// Notes the first sending of a request.
-    pub fn note_first(&self, service: &ServiceName) {
-        self.with_window(service, |window| {
+    pub fn note_first(&self, service: &ServiceName, now: Instant) {
+        self.with_window(service, now, |window| {
             let index = window.index();
             window.firsts[index] += 1;
         });
     }
 
     /// Pays for a repeat; false if the budget is used up.
-    pub fn spend(&self, service: &ServiceName) -> bool {
+    pub fn spend(&self, service: &ServiceName, now: Instant) -> bool {
         let BudgetOptions { ratio, slack, .. } = self.options.get();
         let slack = slack * self.part.get();
-        self.with_window(service, |window| {
+        self.with_window(service, now, |window| {
             let firsts: u32 = window.firsts.iter().sum();
             let repeats: u32 = window.repeats.iter().sum();
             let allowance = USED_PART * (ratio * f64::from(firsts) + slack);
@@ -112,8 +107,13 @@
         })
     }
 
-    fn with_window<T>(&self, service: &ServiceName, work: impl FnOnce(&mut Window) -> T) -> T {
-        let passed = self.clock.now().saturating_duration_since(self.start);
+    fn with_window<T>(
+        &self,
+        service: &ServiceName,
+        now: Instant,
+        work: impl FnOnce(&mut Window) -> T,
+    ) -> T {
+        let passed = now.saturating_duration_since(self.start);
         let step =
             (passed.as_nanos() * STEPS as u128 / self.options.get().window.as_nanos()) as u64;
         let mut windows = self.windows.borrow_mut();
--- a/crates/kumquatnotch-route/src/crashes.rs
+++ b/crates/kumquatnotch-policy/src/crashes.rs
@@ -12,21 +12,15 @@
 
 use std::{
     cell::RefCell,
-    rc::Rc,
     time::{Duration, Instant},
 };
 
-use http::header;
 use kumquatnotch_core::{
-    clock,
     collections::{HashMap, HashSet},
-    ids::{Fingerprint, stable_hash},
+    ids::Fingerprint,
 };
-use kumquatnotch_net::message::Request;
 use serde::{Deserialize, Serialize};
 
-use crate::{attempt::Call, replica::Replica, router::Router};
-
 /// How often a request must have been there when replicas crashed to be refused.
 ///
 /// Two may be chance: a caller that comes again after a crash can meet another one.
@@ -62,17 +56,6 @@
 /// The most crashes that a node tells the others of: the latest.
 const MOST_TOLD: usize = 64;
 
-/// How long after a broken connection it is looked whether the replica has crashed.
-///
-/// One that is busy answers another request meanwhile, which spares it a connection.
-const CHECK_PAUSE: Duration = Duration::from_millis(150);
-
-/// How long a replica that lives takes at most to take a connection.
-const CHECK_TIME: Duration = Duration::from_millis(400);
-
-/// How long the connection by which it was found to live is kept for the next request.
-const CHECK_KEEP: Duration = Duration::from_secs(2);
-
 /// A crash of a replica while it had a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Crash {
@@ -82,6 +65,17 @@
     pub attempt: u64,
 }
 
+/// A request that is kept from replicas from now on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refused {
+    /// Its content.
+    pub print: Fingerprint,
+    /// How often it was there when replicas crashed.
+    pub strikes: u32,
+    /// For how long it is refused.
+    pub span: Duration,
+}
+
 /// The requests that were with replicas when these crashed.
 #[derive(Debug, Default)]
 pub struct Crashes {
@@ -104,39 +98,38 @@
 }
 
 impl Crashes {
-    /// Notes a crash that this node has seen.
-    pub fn note(&self, crash: Crash, now: Instant) {
+    /// Notes a crash that this node has seen; tells if the request is refused by now.
+    pub fn note(&self, crash: Crash, now: Instant) -> Option<Refused> {
         let mut told = self.told.borrow_mut();
         if told.contains(&crash) {
-            return;
+            return None;
         }
         if told.len() == MOST_TOLD {
             told.remove(0);
         }
         told.push(crash);
-        self.suspect(crash, now);
+        self.suspect(crash, now)
     }
 
-    /// Takes over the crashes that another node has seen.
-    pub fn merge(&self, crashes: &[Crash], now: Instant) {
-        crashes.iter().for_each(|crash| self.suspect(*crash, now));
+    /// Takes over the crashes that another node has seen; tells which requests are
+    /// refused by now.
+    pub fn merge(&self, crashes: &[Crash], now: Instant) -> Vec<Refused> {
+        crashes.iter().filter_map(|crash| self.suspect(*crash, now)).collect()
     }
 
     /// Clears a request that was answered whole.
-    pub fn clear(&self, request: &Request) {
-        // Nearly always there is no suspect.
-        if !self.suspects.borrow().is_empty() {
-            self.suspects.borrow_mut().remove(&fingerprint(request));
-        }
+    pub fn clear(&self, print: Fingerprint) {
+        self.suspects.borrow_mut().remove(&print);
+    }
+
+    /// Whether no request is suspected, as nearly always.
+    pub fn is_empty(&self) -> bool {
+        self.suspects.borrow().is_empty()
     }
 
     /// For how long a request is kept from replicas; `None` if it isn't.
-    pub fn refused_for(&self, request: &Request, now: Instant) -> Option<Duration> {
-        let suspects = self.suspects.borrow();
-        if suspects.is_empty() {
-            return None;
-        }
-        let until = suspects.get(&fingerprint(request))?.until?;
+    pub fn refused_for(&self, print: Fingerprint, now: Instant) -> Option<Duration> {
+        let until = self.suspects.borrow().get(&print)?.until?;
         until.checked_duration_since(now).filter(|left| !left.is_zero())
     }
 
@@ -150,13 +143,13 @@
         self.told.borrow().clone()
     }
 
-    fn suspect(&self, crash: Crash, now: Instant) {
+    fn suspect(&self, crash: Crash, now: Instant) -> Option<Refused> {
         let mut counted = self.counted.borrow_mut();
         if counted.len() >= MOST_COUNTED {
             counted.clear();
         }
         if !counted.insert(crash) {
-            return;
+            return None;
         }
         let mut suspects = self.suspects.borrow_mut();
         if suspects.len() >= MOST_SUSPECTS && !suspects.contains_key(&crash.print) {
@@ -168,23 +161,20 @@
         let suspect = suspects.entry(crash.print).or_insert_with(|| Suspect::new(now));
         let since = now.saturating_duration_since(suspect.last);
         if suspect.strikes > 0 && since < STRIKE_GAP {
-            return;
+            return None;
         }
         if since > SUSPECT_SPAN {
             *suspect = Suspect::new(now);
         }
         suspect.strikes += 1;
         suspect.last = now;
-        if suspect.strikes >= MOST_STRIKES {
-            tracing::warn!(
-                print = %crash.print,
-                strikes = suspect.strikes,
-                refused_ms = suspect.span.as_millis() as u64,
-                "crashes: a request is kept from replicas"
-            );
-            suspect.until = Some(now + suspect.span);
-            suspect.span = (suspect.span * 2).min(MOST_SPAN);
+        if suspect.strikes < MOST_STRIKES {
+            return None;
         }
+        let span = suspect.span;
+        suspect.until = Some(now + span);
+        suspect.span = (span * 2).min(MOST_SPAN);
+        Some(Refused { print: crash.print, strikes: suspect.strikes, span })
     }
 }
 
@@ -193,38 +183,3 @@
         Suspect { strikes: 0, last: now, until: None, span: FIRST_SPAN }
     }
 }
-
-/// Finds out whether `replica` has crashed, after its connection broke under a request.
-///
-/// One that only lost an answer takes the next connection.
-pub fn check(router: &Rc<Router>, call: &Call<'_>, replica: &Rc<Replica>) {
-    let attempt = stable_hash(&[call.identity.as_bytes()]);
-    let crash = Crash { print: fingerprint(call.request), attempt };
-    let (router, replica) = (router.clone(), replica.clone());
-    monoio::spawn(async move {
-        let clock = &*router.clock;
-        let broke = clock.now();
-        clock::sleep(clock, CHECK_PAUSE).await;
-        if replica.has_replied_since(broke) {
-            return;
-        }
-        if let Ok(link) = replica.links.open(clock, clock.now() + CHECK_TIME).await {
-            replica.links.put(link, clock.now(), CHECK_KEEP);
-            return;
-        }
-        tracing::info!(
-            replica = replica.id.as_str(),
-            print = %crash.print,
-            "crashes: a replica crashed with a request"
-        );
-        router.crashes.note(crash, clock.now());
-    });
-}
-
-/// What the same request has in common when it is sent again.
-pub fn fingerprint(request: &Request) -> Fingerprint {
-    let host = request.headers.get(header::HOST).map_or(&b""[..], |host| host.as_bytes());
-    let Request { method, path, query, body, .. } = request;
-    let parts = [method.as_str().as_bytes(), host, path.as_bytes(), query.as_bytes(), body];
-    Fingerprint(stable_hash(&parts))
-}
--- a/crates/kumquatnotch-route/src/pace.rs
+++ b/crates/kumquatnotch-policy/src/pace.rs
@@ -2,9 +2,9 @@
 
 use std::{cell::RefCell, time::Duration};
 
-use kumquatnotch_core::collections::HashMap;
+use kumquatnotch_core::{collections::HashMap, ids::RouteName};
 
-use crate::{choice::Need, names::RouteName, route::Route};
+use crate::quickest::Need;
 
 /// The part of the objective that is assumed before anything was measured.
 const FIRST_PART: f64 = 0.125;
@@ -25,26 +25,26 @@
 
 impl Paces {
     /// How long a request usually takes, without its way to the replica.
-    pub fn usual(&self, route: &Route) -> Duration {
+    pub fn usual(&self, route: &RouteName, objective: Duration) -> Duration {
         let usual = self.usual.borrow();
-        let seconds = usual.get(&route.name).copied().unwrap_or_else(|| first(route));
+        let seconds = usual.get(route).copied().unwrap_or_else(|| first(objective));
         Duration::from_secs_f64(seconds)
     }
 
     /// What is known of a request of `route` for the choice of its replica.
-    pub fn need(&self, route: &Route) -> Need {
-        Need { usual: self.usual(route), objective: route.objective }
+    pub fn need(&self, route: &RouteName, objective: Duration) -> Need {
+        Need { usual: self.usual(route, objective), objective }
     }
 
     /// Notes how long a request took, without its way to the replica.
-    pub fn note(&self, route: &Route, took: Duration) {
+    pub fn note(&self, route: &RouteName, objective: Duration, took: Duration) {
         let mut usual = self.usual.borrow_mut();
-        let seconds = usual.entry(route.name.clone()).or_insert_with(|| first(route));
+        let seconds = usual.entry(route.clone()).or_insert_with(|| first(objective));
         let sample = took.as_secs_f64().clamp(1e-4, *seconds * MOST);
         *seconds += WEIGHT * (sample - *seconds);
     }
 }
 
-fn first(route: &Route) -> f64 {
-    (route.objective.as_secs_f64() * FIRST_PART).max(0.002)
+fn first(objective: Duration) -> f64 {
+    (objective.as_secs_f64() * FIRST_PART).max(0.002)
 }
--- a/crates/kumquatnotch-route/src/patience.rs
+++ b/crates/kumquatnotch-policy/src/patience.rs
@@ -6,9 +6,7 @@
 
 use std::{cell::RefCell, time::Duration};
 
-use kumquatnotch_core::collections::HashMap;
-
-use crate::{names::RouteName, route::Route};
+use kumquatnotch_core::{collections::HashMap, ids::RouteName};
 
 /// What of the missing time may have been spent on the way.
 const WAY_SLACK: Duration = Duration::from_millis(20);
@@ -21,9 +19,9 @@
 
 impl Patience {
     /// How long a caller that has `left` has waited, as far as can be told.
-    pub fn waited(&self, route: &Route, left: Duration) -> Duration {
+    pub fn waited(&self, route: &RouteName, left: Duration) -> Duration {
         let mut most = self.most.borrow_mut();
-        let known = most.entry(route.name.clone()).or_insert(left);
+        let known = most.entry(route.clone()).or_insert(left);
         *known = left.max(*known);
         known.saturating_sub(left + WAY_SLACK)
     }
--- /dev/null
+++ b/crates/kumquatnotch-policy/src/quickest.rs
@@ -0,0 +1,123 @@
+//! From which replica of a service the reply is expected first.
+//!
+//! The replica from which the reply is expected first is taken, by this node's
+//! own measurements. A replica in another region is farther by the way there and
+//! back, so it is taken only if those nearby are slow, stand still or fail.
+
+use std::time::{Duration, Instant};
+
+use crate::{
+    lateness,
+    observed::{Fitness, Observed},
+};
+
+/// What a failure costs: finding another replica, and a repeat out of the budget.
+const FAILURE_COST: f64 = 0.2;
+
+/// What the way to another region counts at least, as a part of the objective.
+///
+/// Bytes between regions are dear, and a reply within the objective is as good as
+/// a quicker one.
+const FAR_PART: f64 = 0.2;
+
+/// The reluctance to take a replica that broke connections or stood still.
+pub const SUSPECT: u8 = 2;
+
+/// What is known of a request for the choice of its replica.
+#[derive(Clone, Copy, Debug)]
+pub struct Need {
+    /// How long it usually takes, without the way.
+    pub usual: Duration,
+    /// The time within which an answer is worth most.
+    pub objective: Duration,
+}
+
+/// A replica that could get a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate<'a> {
+    /// What was learned of it.
+    pub observed: &'a Observed,
+    /// How many requests of this node wait to be sent to it.
+    pub waiting: usize,
+    /// How many requests of this node may be with it at once.
+    pub limit: u32,
+}
+
+/// What is to be expected of a replica.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rating {
+    /// Zero if nothing speaks against it.
+    pub reluctance: u8,
+    /// The expected time to its reply, in seconds.
+    pub expected: f64,
+    /// The same if nothing waited there.
+    pub unqueued: f64,
+    /// The expected time, with what its distance costs besides time.
+    pub cost: f64,
+    /// Whether all its slots are taken.
+    pub is_full: bool,
+}
+
+impl Rating {
+    /// Rates a replica for a request.
+    pub fn new(candidate: Candidate<'_>, need: Need, now: Instant) -> Rating {
+        let Candidate { observed, .. } = candidate;
+        let expected = expected(candidate, need.usual, now);
+        Rating {
+            reluctance: reluctance(observed, need.usual, now),
+            expected,
+            unqueued: unqueued(observed, need.usual, now),
+            cost: expected + far_cost(observed, need),
+            is_full: observed.is_full(now),
+        }
+    }
+
+    /// Whether nothing speaks against it.
+    pub fn is_good(&self) -> bool {
+        self.reluctance == 0
+    }
+
+    /// The order in which replicas are taken.
+    fn order(&self, other: &Rating) -> std::cmp::Ordering {
+        let order = self.reluctance.cmp(&other.reluctance);
+        order.then(self.cost.total_cmp(&other.cost))
+    }
+}
+
+/// The best of these, by its place.
+pub fn best(ratings: &[Rating]) -> Option<usize> {
+    let places = ratings.iter().enumerate();
+    places.min_by(|(_, one), (_, other)| one.order(other)).map(|(place, _)| place)
+}
+
+/// The expected time to a reply, in seconds.
+fn expected(candidate: Candidate<'_>, usual: Duration, now: Instant) -> f64 {
+    let Candidate { observed, waiting, limit } = candidate;
+    let slots = observed.slots().min(f64::from(limit.max(1)));
+    let ahead = observed.load(now) + waiting as f64;
+    let queue = ((ahead + 1.0 - slots) / slots).max(0.0) * observed.work();
+    unqueued(observed, usual, now) + queue + FAILURE_COST * observed.failures(now)
+}
+
+/// The same if nothing waited there, in seconds.
+fn unqueued(observed: &Observed, usual: Duration, now: Instant) -> f64 {
+    observed.round_trip().as_secs_f64() + usual.as_secs_f64() * observed.slowness(now)
+}
+
+/// What the distance of a replica costs besides time, in seconds.
+fn far_cost(observed: &Observed, need: Need) -> f64 {
+    if !observed.is_far() {
+        return 0.0;
+    }
+    let least = FAR_PART * need.objective.as_secs_f64();
+    (least - observed.round_trip().as_secs_f64()).max(0.0)
+}
+
+/// How readily a replica is taken; less is better.
+fn reluctance(observed: &Observed, usual: Duration, now: Instant) -> u8 {
+    match observed.fitness() {
+        Fitness::Fit if !lateness::is_silent(observed, usual, now) => 0,
+        Fitness::Fit => 1,
+        Fitness::Suspect | Fitness::Replaced => SUSPECT,
+    }
+}
--- /dev/null
+++ b/crates/kumquatnotch-policy/src/startup.rs
@@ -0,0 +1,24 @@
+//! What callers of a node hear that has just started and doesn't know enough to serve.
+
+use std::time::Duration;
+
+/// When callers come again to a node that has just started.
+const NOT_READY_RETRY: Duration = Duration::from_millis(400);
+
+/// How long a start takes at most while the store answers.
+const STARTING_TIME: Duration = Duration::from_secs(1);
+
+/// The part of the time left after which callers come again at the latest.
+///
+/// They don't wait for longer than a third of it.
+pub const RETRY_PART: f64 = 1.0 / 3.0;
+
+/// When a caller with `left` is to come again to a node of this age that isn't ready.
+///
+/// A node that has just started is ready in a moment, and others may be already. One
+/// that isn't for longer waits for the store, and so do those that started with it:
+/// the later its callers come again, the more of them are served then.
+pub fn retry(age: Duration, left: Duration) -> Duration {
+    let later = if age > STARTING_TIME { left.mul_f64(RETRY_PART) } else { Duration::ZERO };
+    later.max(NOT_READY_RETRY)
+}
--- a/crates/kumquatnotch-route/src/strain.rs
+++ b/crates/kumquatnotch-policy/src/strain.rs
@@ -12,9 +12,9 @@
     time::{Duration, Instant},
 };
 
-use kumquatnotch_core::collections::HashMap;
+use kumquatnotch_core::{collections::HashMap, ids::RouteName};
 
-use crate::{names::RouteName, router::RETRY_PART};
+use crate::startup::RETRY_PART;
 
 /// The weight of a new search, so that about the last twenty count.
 const WEIGHT: f64 = 0.05;
--- a/crates/kumquatnotch-route/src/weights.rs
+++ b/crates/kumquatnotch-policy/src/weights.rs
@@ -5,13 +5,20 @@
 
 use std::cell::RefCell;
 
-use kumquatnotch_core::collections::HashMap;
-
-use crate::{
-    names::{RouteName, ServiceName},
-    route::WeightedService,
+use kumquatnotch_core::{
+    collections::HashMap,
+    ids::{RouteName, ServiceName},
 };
 
+/// One of the services among which requests are shared out.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WeightedService {
+    /// The service.
+    pub name: ServiceName,
+    /// Its weight, of any unit.
+    pub weight: f64,
+}
+
 /// How far each service of each route is behind its share.
 #[derive(Debug, Default)]
 pub struct Weights {
--- /dev/null
+++ b/crates/kumquatnotch-policy/tests/budget.rs
@@ -0,0 +1,54 @@
+//! The budget of repeats, over all nodes without a shared counter.
+
+use std::time::{Duration, Instant};
+
+use kumquatnotch_core::ids::ServiceName;
+use kumquatnotch_policy::budget::{Budget, BudgetOptions};
+
+fn budget(now: Instant, nodes: usize) -> Budget {
+    let options = BudgetOptions { ratio: 0.2, slack: 40.0, window: Duration::from_secs(10) };
+    let budget = Budget::new(options, now);
+    budget.set_part(1.0 / nodes as f64);
+    budget
+}
+
+fn spent(budget: &Budget, service: &ServiceName, now: Instant) -> usize {
+    (0..1_000).take_while(|_| budget.spend(service, now)).count()
+}
+
+#[test]
+fn repeats_stay_below_the_share_of_requests_and_of_the_fixed_number() {
+    let now = Instant::now();
+    let budget = budget(now, 4);
+    let (one, other) = (ServiceName::from("one"), ServiceName::from("other"));
+    (0..100).for_each(|_| budget.note_first(&one, now));
+
+    let (one, other) = (spent(&budget, &one, now), spent(&budget, &other, now));
+
+    assert!((20..=30).contains(&one), "{one} of at most 20 + 40 / 4");
+    assert!((7..=10).contains(&other), "{other} of at most 40 / 4");
+}
+
+/// The window slides: no span of its length may hold more than the allowance,
+/// also if repeats are spent at the end of one and the start of the next.
+#[test]
+fn no_window_holds_more_than_the_allowance() {
+    let mut now = Instant::now();
+    let budget = budget(now, 1);
+    let service = ServiceName::from("one");
+    let mut times = Vec::new();
+
+    for _ in 0..300 {
+        while budget.spend(&service, now) {
+            times.push(now);
+        }
+        now += Duration::from_millis(100);
+    }
+
+    let window = Duration::from_secs(10);
+    for start in &times {
+        let held = times.iter().filter(|time| **time >= *start && **time - *start < window);
+        assert!(held.count() <= 40);
+    }
+    assert!(times.len() > 80);
+}
--- /dev/null
+++ b/crates/kumquatnotch-route/src/admission.rs
@@ -0,0 +1,159 @@
+//! Letting searches in: at once, after waiting for room, or not at all.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use kumquatnotch_core::clock;
+use kumquatnotch_policy::{
+    forecast::{Forecast, Terms},
+    quickest::Rating,
+    strain::Fate,
+};
+
+use crate::{
+    gate::{Gate, Permit},
+    gather::Search,
+    replica,
+    router::Router,
+};
+
+/// By how much more room there must be for a search whose caller comes again.
+///
+/// Its answer is worth less than one that is in time.
+const RETURNING_TIMES: f64 = 2.0;
+
+/// The part of its time that such a search waits for room at most.
+const ROOM_PART: f64 = 0.4;
+
+/// How often it looks for room, before jitter.
+const ROOM_PERIOD: Duration = Duration::from_millis(30);
+
+/// What is to become of a search.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Admission {
+    /// These shards are asked, and the others left out.
+    Ask {
+        /// The shards to ask, by their place in the set.
+        shards: Vec<usize>,
+        /// The shards to leave out.
+        skipped: Vec<usize>,
+    },
+    /// It is refused, as replicas are crowded.
+    Refuse {
+        /// When to come back.
+        retry: Duration,
+    },
+}
+
+/// Waits until replicas have room; `None` if there is none.
+///
+/// This is for a search whose caller comes again after the objective, so that its
+/// answer is late in any case. It waits for a part of its time, but not while searches
+/// that come for the first time are refused: it would only make more of them late.
+///
+/// After an outage such callers come all at once. If all that wait were let in as soon
+/// as there is room, there would be none for those that come first; so `gate` lets in
+/// a few at a time, each for as long as its permit is held.
+pub async fn await_room(
+    router: &Router,
+    gate: &Rc<Gate>,
+    search: &mut Search<'_>,
+) -> Option<Permit> {
+    let clock = &*router.clock;
+    let start = clock.now();
+    let wait = search.due.saturating_duration_since(start);
+    let time = search.deadline.saturating_duration_since(start);
+    let until = start + time.mul_f64(ROOM_PART);
+    let mut permit = None;
+    if !router.strains.is_refusing(&search.route.name, start) {
+        let acquire = gate.acquire(search.route.priority);
+        permit = clock::timeout_at(clock, until, acquire).await.ok();
+    }
+    let has_room = permit.is_some() && finds_room(router, search, wait, until).await;
+    tracing::info!(
+        request = search.identity.to_str().unwrap_or_default(),
+        ms = clock.now().saturating_duration_since(start).as_millis() as u64,
+        has_room,
+        "forecast: a caller came again"
+    );
+    permit.filter(|_| has_room)
+}
+
+/// Looks for room now and then; false if there is none by `until`.
+///
+/// The search has `wait` for its answer from when there is.
+async fn finds_room(
+    router: &Router,
+    search: &mut Search<'_>,
+    wait: Duration,
+    until: Instant,
+) -> bool {
+    let clock = &*router.clock;
+    loop {
+        let now = clock.now();
+        search.due = now + wait;
+        let terms = terms(router, search, now);
+        if foretell(router, search, &terms, now).refusal(&terms).is_none() {
+            return true;
+        }
+        if now >= until || router.strains.is_refusing(&search.route.name, now) {
+            return false;
+        }
+        clock::sleep(clock, router.random.jitter(ROOM_PERIOD)).await;
+    }
+}
+
+/// Lets a search in, or refuses it.
+pub fn admit(router: &Router, search: &Search<'_>) -> Admission {
+    let now = router.clock.now();
+    let terms = terms(router, search, now);
+    let forecast = foretell(router, search, &terms, now);
+    let Some(retry) = forecast.refusal(&terms) else {
+        let (shards, skipped) = forecast.split();
+        return Admission::Ask { shards, skipped };
+    };
+    let route = &search.route.name;
+    router.strains.note(route, Fate::Refused, now);
+    let retry = retry.max(router.random.jitter(router.strains.retry(route, terms.time, now)));
+    tell_refusal(search, &forecast, &terms, retry);
+    Admission::Refuse { retry }
+}
+
+/// Writes a line for a refusal, with what decided it.
+fn tell_refusal(search: &Search<'_>, forecast: &Forecast, terms: &Terms, retry: Duration) {
+    let Forecast { needed, spared, .. } = forecast;
+    let slowest = needed.last();
+    tracing::info!(
+        request = search.identity.to_str().unwrap_or_default(),
+        late = needed.len() + spared.len(),
+        needed = needed.len(),
+        service = slowest.map(|late| search.set.shards[late.index].as_str()),
+        expected_ms = slowest.map(|late| (late.expected * 1e3) as u64),
+        crowded = needed.iter().filter(|late| late.is_crowded).count(),
+        margin = terms.margin,
+        due_ms = terms.left.as_millis() as u64,
+        retry_ms = retry.as_millis() as u64,
+        "forecast: refused"
+    );
+}
+
+/// Foretells when the parts of a search would come.
+fn foretell(router: &Router, search: &Search<'_>, terms: &Terms, now: Instant) -> Forecast {
+    let need = router.need(search.route);
+    let best = search.set.shards.iter().map(|shard| -> Option<Rating> {
+        Some(replica::pick(&router.directory.of(shard), &[], need, now)?.rating)
+    });
+    Forecast::new(best, terms)
+}
+
+fn terms(router: &Router, search: &Search<'_>, now: Instant) -> Terms {
+    let margin = router.strains.margin(&search.route.name, now);
+    Terms {
+        left: search.due.saturating_duration_since(now),
+        time: search.deadline.saturating_duration_since(now),
+        least: search.set.least_parts(),
+        margin: if search.returning { margin * RETURNING_TIMES } else { margin },
+    }
+}
--- a/crates/kumquatnotch-route/src/announce.rs
+++ b/crates/kumquatnotch-route/src/announce.rs
@@ -13,8 +13,9 @@
     lifecycle::Stage,
     store::{StoreLease, StorePut, StoreWrite},
 };
+use kumquatnotch_policy::crashes::Crash;
 
-use crate::{crashes::Crash, mirror::Mirror, router::Router};
+use crate::{mirror::Mirror, router::Router};
 
 /// How long the entry of a node outlives it.
 ///
--- a/crates/kumquatnotch-route/src/attempt.rs
+++ b/crates/kumquatnotch-route/src/attempt.rs
@@ -13,13 +13,14 @@
     message::{Reply, Request},
     opaque_link::OpaqueReply,
 };
+use kumquatnotch_policy::{lateness, observed::Fitness};
 
 use crate::{
-    choice, crashes,
+    crash_check,
     headers::HeaderNames,
     names::{ReplicaId, ServiceName},
     probe,
-    replica::{Fitness, Replica},
+    replica::Replica,
     route::{Route, RouteKind},
     router::Router,
 };
@@ -82,14 +83,14 @@
     fn replied(&self) -> Duration {
         let now = self.router.clock.now();
         self.ended.set(true);
-        self.replica.note_end(self.at, Some(now));
+        self.replica.observed.note_end(self.at, Some(now));
         now.saturating_duration_since(self.at)
     }
 
     /// Notes that the connection broke.
     fn broke(&self) {
         self.ended.set(true);
-        self.replica.note_end(self.at, None);
+        self.replica.observed.note_end(self.at, None);
     }
 }
 
@@ -101,14 +102,14 @@
         // Another replica was sooner, or the time was over. If this one has
         // answered nothing meanwhile, the next requests would wait for it too.
         let now = self.router.clock.now();
-        if choice::is_silent(self.replica, self.usual, now) {
+        if lateness::is_silent(&self.replica.observed, self.usual, now) {
             probe::suspect(self.router, self.replica, "no reply");
         }
-        self.replica.note_end(self.at, None);
+        self.replica.observed.note_end(self.at, None);
         let took = now.saturating_duration_since(self.at);
-        let way = self.replica.known_trip().unwrap_or_default();
-        if took > choice::lateness(self.replica, self.usual, now) {
-            self.replica.note_unanswered(took.saturating_sub(way), self.usual, now);
+        let way = self.replica.observed.known_trip().unwrap_or_default();
+        if took > lateness::lateness(&self.replica.observed, self.usual, now) {
+            self.replica.observed.note_unanswered(took.saturating_sub(way), self.usual, now);
         }
     }
 }
@@ -139,8 +140,8 @@
     let at = clock.now();
     let request = prepare(router, call, replica, at);
     sent.set(true);
-    replica.note_sent(at);
-    let usual = router.paces.usual(call.route);
+    replica.observed.note_sent(at);
+    let usual = router.need(call.route).usual;
     let guard = Unanswered { router, replica, usual, at, ended: Cell::new(false) };
     let reply = match link.send(&request).await {
         Ok(()) => link.receive(&|reply| belongs(router, call, reply)).await,
@@ -156,10 +157,10 @@
         }
         Err(error) => {
             guard.broke();
-            replica.note_outcome(true, clock.now());
+            replica.observed.note_outcome(true, clock.now());
             // Whatever broke this connection has broken idle ones as well.
             replica.links.drop_idle();
-            crashes::check(router, call, replica);
+            crash_check::check(router, call, replica);
             Ended::Lost(error)
         }
     }
@@ -181,7 +182,7 @@
     let start = clock.now();
     match replica.links.open(clock, call.deadline).await {
         Ok(link) => {
-            replica.note_connect(clock.now().saturating_duration_since(start));
+            replica.observed.note_connect(clock.now().saturating_duration_since(start));
             metrics::counter!("kumquatnotch_connections_opened_total").increment(1);
             Some(link)
         }
@@ -246,32 +247,32 @@
     let now = router.clock.now();
     let load = told_load(&router.names, &reply);
     if let Some(Load { running, waiting, burden }) = load {
-        replica.note_load(running + waiting, now);
-        replica.note_burden(burden.unwrap_or(1.0), now);
+        replica.observed.note_load(running + waiting, now);
+        replica.observed.note_burden(burden.unwrap_or(1.0), now);
     }
     if reply.status.as_u16() == 421 {
         // Another replica has the address by now. Its own entry is, or will be,
         // in the directory; this one never comes back.
-        replica.set_fitness(Fitness::Replaced);
+        replica.observed.set_fitness(Fitness::Replaced);
         replica.links.drop_idle();
         return Ended::Replaced;
     }
     if reply.headers.contains_key(&router.names.rejected) {
-        replica.note_outcome(true, now);
+        replica.observed.note_outcome(true, now);
         return Ended::Rejected;
     }
-    replica.note_outcome(reply.status.is_server_error(), now);
+    replica.observed.note_outcome(reply.status.is_server_error(), now);
     if reply.status.is_success() {
-        let way = replica.known_trip().unwrap_or_default();
+        let way = replica.observed.known_trip().unwrap_or_default();
         let queue = load.map_or(0.0, |load| f64::from(load.waiting));
         // What waits there now waited before this request when it came.
-        let slots = f64::from(replica.spec().slots.max(1));
+        let slots = replica.observed.slots();
         let work = took.saturating_sub(way).div_f64(1.0 + queue / slots);
-        replica.note_work(work);
+        replica.observed.note_work(work);
         // What comes of its machine is told anew with each reply; the rest is its own.
-        let work = work.div_f64(replica.burden(now));
-        replica.note_speed(work, router.paces.usual(call.route), now);
-        router.paces.note(call.route, work);
+        let work = work.div_f64(replica.observed.burden(now));
+        replica.observed.note_speed(work, router.need(call.route).usual, now);
+        router.paces.note(&call.route.name, call.route.objective, work);
     }
     Ended::Replied(reply)
 }
--- a/crates/kumquatnotch-route/src/call.rs
+++ b/crates/kumquatnotch-route/src/call.rs
@@ -6,12 +6,15 @@
 use futures_util::{FutureExt, StreamExt, select_biased, stream::FuturesUnordered};
 use kumquatnotch_core::clock;
 use kumquatnotch_net::message::Reply;
+use kumquatnotch_policy::{
+    attempts::{Allowance, Attempts, Ending, Verdict},
+    copies, lateness,
+};
 
 use crate::{
     attempt::{self, Call, Ended},
-    choice::{self, Pick},
     names::ReplicaId,
-    replica::Replica,
+    replica::{self, Pick, Replica},
     route::RouteKind,
     router::Router,
 };
@@ -25,12 +28,6 @@
 /// When to come back if all replicas were full.
 const FULL_RETRY: Duration = Duration::from_millis(60);
 
-/// The most replicas that are tried without any having run the request.
-///
-/// Each rejection costs a repeat of the budget, so this bounds what one request
-/// takes from the others.
-const MOST_REJECTIONS: u32 = 3;
-
 /// Why a call has no reply that a caller can use.
 #[derive(Debug)]
 pub enum CallFault {
@@ -63,11 +60,7 @@
     router: &'a Rc<Router>,
     call: &'a Call<'a>,
     tried: Vec<ReplicaId>,
-    /// The attempts that a replica may have run.
-    runs: u32,
-    rejections: u32,
-    /// Whether an attempt that may have run has been lost.
-    lost: bool,
+    attempts: Attempts,
     failed: Option<Reply>,
 }
 
@@ -78,15 +71,8 @@
     call: &Call<'_>,
     trace: &CallTrace,
 ) -> Result<Reply, CallFault> {
-    let mut progress = Progress {
-        router,
-        call,
-        tried: Vec::new(),
-        runs: 0,
-        rejections: 0,
-        lost: false,
-        failed: None,
-    };
+    let (tried, attempts) = (Vec::new(), Attempts::default());
+    let mut progress = Progress { router, call, tried, attempts, failed: None };
     let clock = &*router.clock;
     let sent = Cell::new(false);
     let mut running = FuturesUnordered::new();
@@ -97,8 +83,8 @@
     let mut late = clock::sleep(clock, progress.copy_delay(&first)).fuse();
     router.budget.set_part(router.own_part());
     if !call.repeat {
-        router.budget.note_first(call.service);
-    } else if !router.budget.spend(call.service) {
+        router.budget.note_first(call.service, clock.now());
+    } else if !progress.spend() {
         return Err(progress.fault());
     }
     running.push(run(router, call, first, &sent));
@@ -112,26 +98,19 @@
                 if !running.is_empty() {
                     continue;
                 }
-                if !progress.may_try_again() {
-                    return Err(progress.fault());
-                }
-                let Some(next) = progress.pick() else {
+                let Some(next) = progress.next_try() else {
                     return Err(progress.fault());
                 };
-                if progress.has_arrived() && !router.budget.spend(call.service) {
-                    metrics::counter!("kumquatnotch_budget_refusals_total").increment(1);
-                    return Err(progress.fault());
-                }
                 trace.retries.set(trace.retries.get() + 1);
                 late = clock::sleep(clock, progress.copy_delay(&next)).fuse();
                 running.push(run(router, call, next, &sent));
             }
             () = late => {
-                if !progress.may_copy(running.len() as u32) {
+                if !progress.attempts.may_copy(progress.allowance(), running.len() as u32) {
                     continue;
                 }
                 match progress.copy_target() {
-                    Some(next) if router.budget.spend(call.service) => {
+                    Some(next) if progress.spend() => {
                         progress.tell_copy(&next);
                         trace.hedges.set(trace.hedges.get() + 1);
                         running.push(run(router, call, next, &sent));
@@ -160,18 +139,27 @@
 }
 
 impl Progress<'_> {
+    fn allowance(&self) -> Allowance {
+        let route = self.call.route;
+        Allowance {
+            is_idempotent: route.kind == RouteKind::Idempotent,
+            attempts: route.attempts,
+            deadline: self.call.deadline,
+        }
+    }
+
     fn best(&self) -> Option<Pick> {
         let router = self.router;
         let replicas = router.directory.of(self.call.service);
         let allowed = &self.call.allowed;
-        let need = router.paces.need(self.call.route);
+        let need = router.need(self.call.route);
         let now = router.clock.now();
         if allowed.is_empty() {
-            return choice::best(&replicas, &self.tried, need, now);
+            return replica::pick(&replicas, &self.tried, need, now);
         }
         let allowed = replicas.iter().filter(|replica| allowed.contains(&replica.id));
         let allowed: Vec<Rc<Replica>> = allowed.cloned().collect();
-        choice::best(&allowed, &self.tried, need, now)
+        replica::pick(&allowed, &self.tried, need, now)
     }
 
     /// The replica that gets the next attempt.
@@ -181,70 +169,78 @@
         Some(replica)
     }
 
+    /// The replica that gets another try after a failure, if there may be one.
+    fn next_try(&mut self) -> Option<Rc<Replica>> {
+        if !self.attempts.may_try_again(self.allowance(), self.router.clock.now()) {
+            return None;
+        }
+        let next = self.pick()?;
+        if self.attempts.has_arrived() && !self.spend() {
+            metrics::counter!("kumquatnotch_budget_refusals_total").increment(1);
+            return None;
+        }
+        Some(next)
+    }
+
+    /// Pays for a repeat.
+    fn spend(&self) -> bool {
+        self.router.budget.spend(self.call.service, self.router.clock.now())
+    }
+
     /// The replica that gets a copy; only one against which nothing speaks.
     fn copy_target(&mut self) -> Option<Rc<Replica>> {
-        let Pick { replica, reluctance, expected, .. } = self.best()?;
-        if reluctance > 0 || !self.helps(&replica, expected) {
+        let Pick { replica, rating } = self.best()?;
+        let now = self.router.clock.now();
+        let left = self.call.due.saturating_duration_since(now);
+        if !copies::helps(&rating, left, || self.are_lost()) {
             return None;
         }
         self.tried.push(replica.id.clone());
         Some(replica)
     }
 
+    /// Whether all replicas that were asked answer nothing.
+    fn are_lost(&self) -> bool {
+        let now = self.router.clock.now();
+        let usual = self.router.need(self.call.route).usual;
+        let mut sent = self.tried.iter().filter_map(|id| self.router.directory.find(id));
+        sent.all(|replica| lateness::is_silent(&replica.observed, usual, now))
+    }
+
     /// Writes a line for a copy, with what decided it.
     fn tell_copy(&self, next: &Replica) {
         let now = self.router.clock.now();
-        let usual = self.router.paces.usual(self.call.route);
+        let need = self.router.need(self.call.route);
         tracing::info!(
             request = self.call.identity.to_str().unwrap_or_default(),
             service = self.call.service.as_str(),
             late = self.tried.first().map(ReplicaId::as_str),
             replica = next.id.as_str(),
-            usual_ms = usual.as_millis() as u64,
-            expected_ms = (choice::expected(next, usual, now) * 1e3) as u64,
+            usual_ms = need.usual.as_millis() as u64,
+            expected_ms = (next.rate(need, now).expected * 1e3) as u64,
             due_ms = self.call.due.saturating_duration_since(now).as_millis() as u64,
             "call: a copy is sent"
         );
     }
 
-    /// Whether a copy to `replica`, whose reply is expected after so many seconds, is
-    /// worth sending.
-    ///
-    /// It is if it can still be in time and takes nothing from others, as a slot is
-    /// free. Otherwise only if what was sent so far seems lost: where replicas are
-    /// slow or crowded, copies make them more so.
-    fn helps(&self, replica: &Replica, expected: f64) -> bool {
-        let now = self.router.clock.now();
-        let left = self.call.due.saturating_duration_since(now).as_secs_f64();
-        if expected <= left && !replica.is_full(now) {
-            return true;
-        }
-        let usual = self.router.paces.usual(self.call.route);
-        let sent = self.tried.iter().filter_map(|id| self.router.directory.find(id));
-        let all_silent = sent.into_iter().all(|replica| choice::is_silent(&replica, usual, now));
-        (expected <= left || left == 0.0) && all_silent
-    }
-
     fn copy_delay(&self, replica: &Replica) -> Duration {
         let now = self.router.clock.now();
-        let usual = self.router.paces.usual(self.call.route);
-        let other = self.best().filter(|pick| pick.reluctance == 0).map(|pick| pick.expected);
+        let usual = self.router.need(self.call.route).usual;
+        let other = self.best().filter(|pick| pick.rating.is_good());
         let left = self.call.due.saturating_duration_since(now);
-        choice::copy_delay(replica, other, usual, left, now)
+        let other = other.map(|pick| pick.rating.expected);
+        copies::delay(&replica.observed, other, usual, left, now)
     }
 
     fn note(&mut self, replica: &Rc<Replica>, ended: Ended) {
-        match ended {
+        let ending = match ended {
             Ended::Replied(reply) => {
-                self.runs += 1;
                 self.failed = Some(reply);
+                Ending::Failed
             }
-            Ended::Rejected => self.rejections += 1,
-            Ended::Replaced => self.rejections += 1,
-            Ended::NotSent => {}
+            Ended::Rejected | Ended::Replaced => Ending::Rejected,
+            Ended::NotSent => Ending::NotSent,
             Ended::Lost(error) => {
-                self.runs += 1;
-                self.lost = true;
                 tracing::info!(
                     request = self.call.identity.to_str().unwrap_or_default(),
                     replica = replica.id.as_str(),
@@ -252,28 +248,10 @@
                     code = error.code(),
                     "call: the reply was lost"
                 );
+                Ending::Lost
             }
-        }
-    }
-
-    /// Whether an attempt has reached a replica.
-    fn has_arrived(&self) -> bool {
-        self.runs + self.rejections > 0
-    }
-
-    fn may_try_again(&self) -> bool {
-        let ran = self.runs > 0;
-        if ran && self.call.route.kind == RouteKind::Exclusive {
-            return false;
-        }
-        self.runs < self.call.route.attempts
-            && self.rejections < MOST_REJECTIONS
-            && self.router.clock.now() < self.call.deadline
-    }
-
-    fn may_copy(&self, running: u32) -> bool {
-        self.call.route.kind == RouteKind::Idempotent
-            && self.runs + running < self.call.route.attempts
+        };
+        self.attempts.note(ending);
     }
 
     /// Why the call has no reply when its time is over.
@@ -288,12 +266,11 @@
     }
 
     fn fault(&mut self) -> CallFault {
-        if let Some(reply) = self.failed.take() {
-            return CallFault::Failed(reply);
-        }
-        if self.lost {
-            return CallFault::Unknown;
+        match (self.attempts.verdict(), self.failed.take()) {
+            (Verdict::Failed, Some(reply)) => CallFault::Failed(reply),
+            (Verdict::NotRun, _) => CallFault::NotRun { retry: FULL_RETRY, reason: "rejected" },
+            // A reply that failed is there whenever the verdict says so.
+            (Verdict::Failed | Verdict::Unknown, _) => CallFault::Unknown,
         }
-        CallFault::NotRun { retry: FULL_RETRY, reason: "rejected" }
     }
 }
--- a/crates/kumquatnotch-route/src/directory.rs
+++ b/crates/kumquatnotch-route/src/directory.rs
@@ -7,9 +7,9 @@
 };
 
 use kumquatnotch_core::collections::HashMap;
+use kumquatnotch_policy::distances::Distances;
 
 use crate::{
-    distances::Distances,
     names::{ReplicaId, ServiceName},
     replica::{Replica, ReplicaSpec},
 };
--- a/crates/kumquatnotch-route/src/entries.rs
+++ b/crates/kumquatnotch-route/src/entries.rs
@@ -19,6 +19,7 @@
 };
 
 use crate::{
+    crash_check,
     route::RouteTable,
     router::Router,
     schema::{Entry, EntryKey, Schema},
@@ -167,7 +168,8 @@
                     revision,
                     "mirror: a node tells of crashes"
                 );
-                router.crashes.merge(&crashes, router.clock.now());
+                let refused = router.crashes.merge(&crashes, router.clock.now());
+                refused.iter().for_each(crash_check::tell);
             }
         }
     }
--- a/crates/kumquatnotch-route/src/fleet.rs
+++ b/crates/kumquatnotch-route/src/fleet.rs
@@ -11,11 +11,11 @@
     collections::HashMap,
     ids::{DataCentre, NodeName, Region},
 };
+use kumquatnotch_policy::{distances::Distances, placement::NodePlace};
 use serde::{Deserialize, Serialize};
 
 use crate::{
     advice::Candidate,
-    distances::Distances,
     names::{ReplicaId, ServiceName},
     relay,
     replica::{Replica, ReplicaSpec},
@@ -42,6 +42,13 @@
     pub capacity: f64,
 }
 
+impl NodeRecord {
+    /// The node, as far as advice depends on it.
+    pub fn place(&self) -> NodePlace<'_> {
+        NodePlace { centre: &self.centre, region: &self.region, capacity: self.capacity }
+    }
+}
+
 /// What is known of a node.
 struct Node {
     record: NodeRecord,
@@ -119,7 +126,7 @@
         let nodes = self.nodes.borrow();
         let named = names.iter().filter_map(|(name, _)| nodes.get(name));
         let usable = named.map(|node| &node.peer).filter(|peer| relay::is_usable(peer));
-        usable.min_by_key(|peer| (peer.unanswered(), peer.asked())).cloned()
+        usable.min_by_key(|peer| (peer.observed.unanswered(), peer.observed.asked())).cloned()
     }
 
     /// How many nodes are known.
--- a/crates/kumquatnotch-route/src/front.rs
+++ b/crates/kumquatnotch-route/src/front.rs
@@ -12,19 +12,23 @@
     opaque_link::remove_hop_headers,
     server::{Handler, Work},
 };
+use kumquatnotch_policy::{
+    answer_time::{self, Due},
+    patience::Patience,
+    strain::Fate,
+    weights::Weights,
+};
 
 use crate::{
+    admission,
     attempt::Call,
     call::{self, CallFault, CallTrace},
-    forecast,
+    crash_check,
     gate::Gate,
     gather::{self, Gathered, Search},
     names::ServiceName,
-    patience::Patience,
     route::{Destination, Route, RouteTable, ShardSet},
     router::Router,
-    strain::Fate,
-    weights::Weights,
 };
 
 /// When to come back if the configuration leads nowhere.
@@ -40,15 +44,6 @@
 /// hundred of all is refused that could be answered late.
 const RETURNING_AT_ONCE: u32 = 3;
 
-/// The part of the time for an answer that must be left for it to be in time.
-///
-/// A part that is asked for now takes about half of it when replicas are busy. With less,
-/// the answer is late, and the whole time is given to it again.
-const LEAST_REST: f64 = 0.5;
-
-/// How much later than due an answer may be given and still count as in time.
-const IN_TIME_SLACK: Duration = Duration::from_millis(10);
-
 /// What callers reach.
 pub struct RouteFront {
     router: Rc<Router>,
@@ -142,7 +137,7 @@
         }
         let log = RequestLog::new(&self.router, &asked);
         let request = strip(request);
-        if let Some(span) = self.router.crashes.refused_for(&request, arrival) {
+        if let Some(span) = self.refused_for(&request, arrival) {
             let refusal = Refusal::not_run("the request has crashed replicas", span);
             log.write(refusal.status, refusal.reason);
             return refusal.reply();
@@ -162,7 +157,7 @@
         };
         let (reply, reason) = finish(outcome);
         if reply.status.is_success() && log.missing.get() == 0 {
-            self.router.crashes.clear(&request);
+            self.clear(&request);
         }
         log.write(reply.status, reason);
         reply
@@ -186,13 +181,18 @@
             return Err(Refusal::new(StatusCode::NOT_FOUND, "no route"));
         };
         let deadline = arrival + told.unwrap_or(Duration::MAX).min(route.timeout);
-        let waited = told.map_or(Duration::ZERO, |told| self.patience.waited(&route, told));
+        let waited = told.map_or(Duration::ZERO, |told| self.patience.waited(&route.name, told));
         let waiting = self.router.waiting_time(&route, request.is_first);
-        let rest = waiting.saturating_sub(waited);
-        let returning = rest < waiting.mul_f64(LEAST_REST);
-        let due = arrival + if returning { waiting } else { rest };
-        let version = table.version();
-        let asked = Asked { identity, route, version, arrival, due, deadline, returning };
+        let Due { within, is_returning } = Due::new(waiting, waited);
+        let asked = Asked {
+            identity,
+            route,
+            version: table.version(),
+            arrival,
+            due: arrival + within,
+            deadline,
+            returning: is_returning,
+        };
         Ok((asked, table))
     }
 
@@ -234,7 +234,7 @@
         };
         let mut permit = None;
         if asked.returning {
-            permit = forecast::await_room(&self.router, &self.returning, &mut search).await;
+            permit = admission::await_room(&self.router, &self.returning, &mut search).await;
             if permit.is_none() {
                 return Err(CallFault::NotRun {
                     retry: NO_ROOM_RETRY,
@@ -257,10 +257,27 @@
 }
 
 impl RouteFront {
+    /// For how long a request is refused because it crashes replicas.
+    fn refused_for(&self, request: &Request, now: Instant) -> Option<Duration> {
+        let crashes = &self.router.crashes;
+        if crashes.is_empty() {
+            return None;
+        }
+        crashes.refused_for(crash_check::fingerprint(request), now)
+    }
+
+    /// Clears a request that was answered whole of the suspicion to crash replicas.
+    fn clear(&self, request: &Request) {
+        let crashes = &self.router.crashes;
+        if !crashes.is_empty() {
+            crashes.clear(crash_check::fingerprint(request));
+        }
+    }
+
     /// Notes whether a search that was let in was answered in time.
     fn note_fate(&self, asked: &Asked, answer: &Result<Reply, CallFault>) {
         let now = self.router.clock.now();
-        let in_time = now <= asked.due + IN_TIME_SLACK;
+        let in_time = answer_time::is_in_time(now.saturating_duration_since(asked.due));
         let fate = match answer {
             Ok(_) if in_time => Fate::InTime,
             // It says nothing of those that were let in.
--- a/crates/kumquatnotch-route/src/gather.rs
+++ b/crates/kumquatnotch-route/src/gather.rs
@@ -1,10 +1,5 @@
 //! One search: a call to each shard, and an answer from the parts that came.
 //!
-//! Callers get most from an answer that is whole and in time. A shard that is
-//! late costs the answer its part; waiting for it costs the whole answer its
-//! time. So an answer is given when all parts are in, or when waiting any longer
-//! would make it late and enough of them are.
-//!
 //! Shards whose replicas are in another region are asked for through a node
 //! there ([`relay`](crate::relay)), and from here if that node fails.
 
@@ -18,25 +13,21 @@
 use http::{HeaderMap, HeaderValue, StatusCode, header};
 use kumquatnotch_core::{LocalFuture, clock, collections::HashSet};
 use kumquatnotch_net::message::{Reply, Request};
+use kumquatnotch_policy::completion::{Completion, Next};
 
 use crate::{
+    admission::{self, Admission},
     attempt::Call,
     call::{self, CallFault, CallTrace},
-    forecast::{self, Forecast},
     merge,
     names::ReplicaId,
-    plan::{self, Group, Plan},
     relay::{self, Relayed},
     relay_message::RelayReply,
+    relay_plan::{self, Group, Plan},
     route::{Route, ShardSet},
     router::Router,
 };
 
-/// How long a late answer waits for more parts once it has enough of them.
-///
-/// About the time that a part takes; the parts of a shard group come together.
-const LATE_GRACE: Duration = Duration::from_millis(20);
-
 /// A search.
 pub struct Search<'a> {
     /// The route.
@@ -102,16 +93,16 @@
     let total = search.set.shards.len();
     let least = search.set.least_parts();
     let mut running = Running::default();
-    let (shards, mut skipped) = match forecast::forecast(router, search) {
-        Forecast::Ask { shards, skipped } => (shards, skipped),
-        Forecast::Refuse { retry } => {
+    let (shards, mut skipped) = match admission::admit(router, search) {
+        Admission::Ask { shards, skipped } => (shards, skipped),
+        Admission::Refuse { retry } => {
             let answer = Err(CallFault::NotRun { retry, reason: "replicas are crowded" });
             return Gathered { answer, parts: 0, missing: total, relayed: 0, skipped: 0 };
         }
     };
     let mut outstanding = shards.len();
     let left_out = skipped.clone();
-    let Plan { here, groups } = plan::plan(router, search, shards);
+    let Plan { here, groups } = relay_plan::plan(router, search.route, search.set, &shards);
     let relayed = outstanding - here.len();
     for group in groups {
         running.push(Box::pin(async move {
@@ -125,18 +116,13 @@
     let mut stop = clock.sleep_until(search.due).fuse();
     let mut over = clock.sleep_until(search.deadline).fuse();
     let mut progress = Progress::default();
-    let mut stopping = false;
-    let mut is_late = false;
+    let mut completion = Completion::new(total, least);
     let mut timed_out = false;
-    while progress.parts.len() < total {
-        if stopping && progress.parts.len() >= least {
-            if !is_late {
-                break;
-            }
-            // It is late already: a moment more costs nothing and makes it fuller.
-            stopping = false;
-            stop = clock::sleep(clock, LATE_GRACE).fuse();
-            is_late = false;
+    loop {
+        match completion.next(progress.parts.len()) {
+            Next::Wait => {}
+            Next::Linger(span) => stop = clock::sleep(clock, span).fuse(),
+            Next::Answer => break,
         }
         select_biased! {
             piece = running.next() => match piece {
@@ -151,7 +137,7 @@
                     let again = progress.add_group(ended, &group);
                     // What the other node misses is asked for from here only if
                     // there is no answer without it: it comes too late to be worth more.
-                    let enough = progress.parts.len() + outstanding >= least;
+                    let enough = !completion.needs_more(progress.parts.len(), outstanding);
                     if repeat && enough {
                         continue;
                     }
@@ -171,10 +157,7 @@
                     }
                 }
             },
-            () = stop => {
-                stopping = true;
-                is_late = progress.parts.len() < least;
-            }
+            () = stop => completion.note_due(progress.parts.len()),
             () = over => {
                 timed_out = true;
                 break;
--- a/crates/kumquatnotch-route/src/lib.rs
+++ b/crates/kumquatnotch-route/src/lib.rs
@@ -2,11 +2,13 @@
 //!
 //! A [`RouteFront`](front::RouteFront) finds the route of each request by its
 //! host and path. A request goes to a replica of one service ([`call`]), or to a
-//! replica of each shard, whose parts are merged ([`gather`]). Which replica,
-//! when a second copy is sent and what is tried again is decided in [`choice`]
-//! and [`call`] within the [`budget`] for repeats, and shards far away are gathered
-//! by a node beside them ([`relay`]); what is learned of a replica
-//! is kept with it ([`replica`]), and one that is silent is probed ([`probe`]).
+//! replica of each shard, whose parts are merged ([`gather`]). Shards far away are
+//! gathered by a node beside them ([`relay`]); what is learned of a replica is kept
+//! with it ([`replica`]), and one that is silent is probed ([`probe`]).
+//!
+//! What is decided on the way stands in `kumquatnotch-policy`, which knows no network:
+//! which replica, when a second copy is sent and what is tried again, which searches
+//! are let in, and who asks which shards.
 //!
 //! Configuration, replicas and other nodes come from the platform's store
 //! ([`mirror`]), which a few nodes watch and the others hear of from them
@@ -15,19 +17,16 @@
 
 #![forbid(unsafe_code)]
 
+pub mod admission;
 pub mod advice;
 pub mod announce;
 pub mod attempt;
-pub mod budget;
 pub mod call;
-pub mod choice;
-pub mod crashes;
+pub mod crash_check;
 pub mod directory;
-pub mod distances;
 pub mod entries;
 pub mod fleet;
 pub mod follow;
-pub mod forecast;
 pub mod front;
 pub mod gate;
 pub mod gather;
@@ -37,16 +36,12 @@
 pub mod merge;
 pub mod mirror;
 pub mod names;
-pub mod pace;
-pub mod patience;
-pub mod plan;
 pub mod probe;
 pub mod relay;
 pub mod relay_front;
 pub mod relay_message;
+pub mod relay_plan;
 pub mod replica;
 pub mod route;
 pub mod router;
 pub mod schema;
-pub mod strain;
-pub mod weights;
--- a/crates/kumquatnotch-route/src/probe.rs
+++ b/crates/kumquatnotch-route/src/probe.rs
@@ -9,13 +9,9 @@
 use http::HeaderValue;
 use kumquatnotch_core::clock;
 use kumquatnotch_net::message::{Reply, Request};
+use kumquatnotch_policy::observed::Fitness;
 
-use crate::{
-    fleet::PEER_SERVICE,
-    relay::VISITOR_HEADER,
-    replica::{Fitness, Replica},
-    router::Router,
-};
+use crate::{fleet::PEER_SERVICE, relay::VISITOR_HEADER, replica::Replica, router::Router};
 
 /// How long a probe waits for its reply.
 ///
@@ -27,10 +23,10 @@
 
 /// Marks a replica as suspect, and probes it until it answers or is gone.
 pub fn suspect(router: &Rc<Router>, replica: &Rc<Replica>, reason: &'static str) {
-    if replica.fitness() != Fitness::Fit || replica.is_gone() {
+    if replica.observed.fitness() != Fitness::Fit || replica.is_gone() {
         return;
     }
-    replica.set_fitness(Fitness::Suspect);
+    replica.observed.set_fitness(Fitness::Suspect);
     replica.links.drop_idle();
     metrics::counter!("kumquatnotch_suspects_total", "reason" => reason).increment(1);
     let spec = replica.spec();
@@ -46,17 +42,17 @@
 
 async fn watch(router: Rc<Router>, replica: Rc<Replica>) {
     let clock = &*router.clock;
-    while replica.fitness() == Fitness::Suspect && replica.takes_requests() {
+    while replica.observed.fitness() == Fitness::Suspect && replica.takes_requests() {
         let deadline = clock.now() + PROBE_TIME;
         let reply = clock::timeout_at(clock, deadline, probe(&router, &replica)).await;
         match reply.ok().flatten() {
             Some(reply) if !is_same(&router, &replica, &reply) => {
-                replica.set_fitness(Fitness::Replaced);
+                replica.observed.set_fitness(Fitness::Replaced);
                 tracing::info!(replica = replica.id.as_str(), "replica: its address has another");
                 return;
             }
             Some(reply) if reply.status.is_success() => {
-                replica.set_fitness(Fitness::Fit);
+                replica.observed.set_fitness(Fitness::Fit);
                 tracing::info!(replica = replica.id.as_str(), "replica: answers again");
                 return;
             }
@@ -71,7 +67,7 @@
     let path = router.probe_path(&service)?;
     let start = clock.now();
     let mut link = replica.links.open(clock, start + PROBE_TIME).await.ok()?;
-    replica.note_connect(clock.now().saturating_duration_since(start));
+    replica.observed.note_connect(clock.now().saturating_duration_since(start));
     let mut request = Request::get(&path);
     let host = replica.spec().address.to_string();
     request.headers.insert(http::header::HOST, HeaderValue::from_str(&host).ok()?);
--- a/crates/kumquatnotch-route/src/relay.rs
+++ b/crates/kumquatnotch-route/src/relay.rs
@@ -11,13 +11,14 @@
 use http::{HeaderValue, StatusCode};
 use kumquatnotch_core::{Error, Result, clock, codec};
 use kumquatnotch_net::message::Request;
+use kumquatnotch_policy::observed::Fitness;
 
 use crate::{
     gather::Search,
-    plan::Group,
     probe,
     relay_message::{RelayReply, RelayRequest},
-    replica::{Fitness, Replica},
+    relay_plan::Group,
+    replica::Replica,
     route::ShardSet,
     router::Router,
 };
@@ -147,7 +148,7 @@
         Some(link) => link,
         None => {
             let link = peer.links.open(clock, search.due).await?;
-            peer.note_connect(clock.now().saturating_duration_since(start));
+            peer.observed.note_connect(clock.now().saturating_duration_since(start));
             link
         }
     };
@@ -157,7 +158,7 @@
     request.headers.insert(http::header::HOST, host);
     let at = clock.now();
     sent.set(true);
-    peer.note_sent(at);
+    peer.observed.note_sent(at);
     let _ended = Ended { peer, at };
     link.send(&request).await?;
     let answer = link.receive(&|_| true).await?;
@@ -173,7 +174,7 @@
     let reply: RelayReply = codec::decode(&answer.reply.body)?;
     // Connections are kept for long, so that few openings tell the way.
     let took = clock.now().saturating_duration_since(at);
-    peer.note_connect(took.saturating_sub(Duration::from_micros(reply.took_us)));
+    peer.observed.note_connect(took.saturating_sub(Duration::from_micros(reply.took_us)));
     Ok(reply)
 }
 
@@ -185,7 +186,7 @@
 
 impl Drop for Ended<'_> {
     fn drop(&mut self) {
-        self.peer.note_end(self.at, None);
+        self.peer.observed.note_end(self.at, None);
     }
 }
 
@@ -195,8 +196,8 @@
     // The reply needs its way back.
     let due = search.due.saturating_duration_since(now);
     let route = search.route;
-    let due = due.saturating_sub(group.peer.round_trip() + MERGE_TIME);
-    let due = due.max(router.paces.usual(route).mul_f64(LEAST_TIMES));
+    let due = due.saturating_sub(group.peer.observed.round_trip() + MERGE_TIME);
+    let due = due.max(router.need(route).usual.mul_f64(LEAST_TIMES));
     let headers = search.request.headers.iter();
     RelayRequest {
         route: route.name.as_str().to_owned(),
@@ -237,5 +238,5 @@
 
 /// Whether a node can be asked.
 pub(crate) fn is_usable(peer: &Replica) -> bool {
-    peer.fitness() == Fitness::Fit && peer.takes_requests()
+    peer.observed.fitness() == Fitness::Fit && peer.takes_requests()
 }
--- /dev/null
+++ b/crates/kumquatnotch-route/src/relay_plan.rs
@@ -0,0 +1,83 @@
+//! Which shards of a search are asked for from here, and through which nodes the others.
+
+use std::rc::Rc;
+
+use kumquatnotch_core::ids::DataCentre;
+use kumquatnotch_policy::{
+    plan::{self, Place},
+    quickest::{Need, Rating},
+};
+
+use crate::{
+    names::{ReplicaId, ServiceName},
+    replica::{self, Replica},
+    route::{Route, ShardSet},
+    router::Router,
+};
+
+/// A group of shards, and the node that is asked for them.
+pub struct Group {
+    /// The node.
+    pub peer: Rc<Replica>,
+    /// The shards, by their place in the set.
+    pub shards: Vec<usize>,
+    /// The replicas of each shard that may be asked; none means any.
+    ///
+    /// If the other node is lost, the shards are asked for from here again. Both
+    /// must keep to the same few replicas then, or more of them than the route
+    /// allows would run the request.
+    pub allowed: Vec<Vec<ReplicaId>>,
+}
+
+/// Which shards of a search are asked for, and by whom.
+pub struct Plan {
+    /// The shards that are asked for from here, by their place in the set.
+    pub here: Vec<usize>,
+    /// The shards that are asked for through nodes of other data centres.
+    pub groups: Vec<Group>,
+}
+
+/// Plans a search over `shards`, by their place in the set.
+pub fn plan(router: &Router, route: &Route, set: &ShardSet, shards: &[usize]) -> Plan {
+    let need = router.need(route);
+    let rated: Vec<(usize, Vec<(DataCentre, Rating)>)> =
+        shards.iter().map(|index| (*index, rate(router, &set.shards[*index], need))).collect();
+    let places = rated.iter().map(|(index, rated)| {
+        let rated: Vec<(&DataCentre, Rating)> =
+            rated.iter().map(|(centre, rating)| (centre, *rating)).collect();
+        Place { index: *index, centres: plan::nearest_centres(&rated) }
+    });
+    let peer_in = |centre: &DataCentre| router.peer_in(&route.host, centre);
+    let plan::Plan { here, groups } =
+        plan::Plan::new(places.collect(), &router.place.centre, &router.random, peer_in);
+    let groups = groups.into_iter().map(|plan::Group { peer, shards }| {
+        let allowed = shards.iter().map(|index| allowed(router, route, &set.shards[*index], need));
+        Group { peer, allowed: allowed.collect(), shards }
+    });
+    Plan { here, groups: groups.collect() }
+}
+
+/// The replicas of a shard that take requests, by their data centres.
+fn rate(router: &Router, shard: &ServiceName, need: Need) -> Vec<(DataCentre, Rating)> {
+    let now = router.clock.now();
+    let replicas = router.directory.of(shard);
+    let open = replicas.iter().filter(|replica| replica.takes_requests());
+    open.map(|replica| (replica.spec().centre.clone(), replica.rate(need, now))).collect()
+}
+
+/// The replicas of a shard that one search may ask; none means any.
+fn allowed(router: &Router, route: &Route, shard: &ServiceName, need: Need) -> Vec<ReplicaId> {
+    let replicas = router.directory.of(shard);
+    if replicas.len() <= route.attempts as usize {
+        return Vec::new();
+    }
+    let now = router.clock.now();
+    let mut allowed: Vec<ReplicaId> = Vec::new();
+    while allowed.len() < route.attempts as usize {
+        match replica::pick(&replicas, &allowed, need, now) {
+            Some(pick) => allowed.push(pick.replica.id.clone()),
+            None => break,
+        }
+    }
+    allowed
+}
--- a/crates/kumquatnotch-route/src/route.rs
+++ b/crates/kumquatnotch-route/src/route.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use kumquatnotch_core::collections::HashMap;
+use kumquatnotch_policy::weights::WeightedService;
 
 use crate::names::{RouteName, ServiceName};
 
@@ -26,15 +27,6 @@
     Shards(ShardSet),
 }
 
-/// One of the services among which requests are shared out.
-#[derive(Clone, Debug, PartialEq)]
-pub struct WeightedService {
-    /// The service.
-    pub name: ServiceName,
-    /// Its weight, of any unit.
-    pub weight: f64,
-}
-
 /// The shards of a route, and what an answer from them must hold.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ShardSet {
--- a/crates/kumquatnotch-route/src/router.rs
+++ b/crates/kumquatnotch-route/src/router.rs
@@ -17,82 +17,36 @@
     registry::Registry,
     services,
 };
+use kumquatnotch_policy::{
+    answer_time::{self, Origin},
+    budget::{Budget, BudgetOptions},
+    crashes::Crashes,
+    distances::Distances,
+    pace::Paces,
+    quickest::Need,
+    shares::{self, Sharers},
+    startup,
+    strain::Strains,
+};
 
 use crate::{
     advice::{AdviceCache, Candidate, HostAdvice},
-    budget::{Budget, BudgetOptions},
-    crashes::Crashes,
     directory::Directory,
-    distances::Distances,
     fleet::{Fleet, PEER_SERVICE},
     headers::HeaderNames,
     journal::Journal,
     names::ServiceName,
-    pace::Paces,
     relay::PROBE_PATH,
     replica::Replica,
     route::{Route, RouteTable},
-    strain::Strains,
 };
 
-/// The part of a replica's connections that the nodes share out among them.
-///
-/// The rest is for connections that the replica hasn't seen closed yet, and for
-/// nodes that have just started.
-const SHARED_CONNECTIONS: f64 = 0.8;
-
-/// The most connections of one node to one replica.
-///
-/// A replica runs only a few requests at once; what waits is better kept here,
-/// where a more urgent request can overtake it.
-const MOST_CONNECTIONS: u32 = 8;
-
 /// The connections to a replica of a service that the configuration doesn't name.
 const UNKNOWN_CONNECTIONS: u32 = 8;
 
-/// The time for merging and for sending an answer, and the way of a caller nearby.
-///
-/// A caller of the same region is a few milliseconds away in each direction.
-/// Measured on nodes with a quarter of a core: callers see 8 to 15 ms more than the
-/// node does, one in ten over 20.
-const ANSWER_TIME: Duration = Duration::from_millis(26);
-
-/// The time that a caller has spent before the first request on a connection.
-///
-/// Two ways there and back: to ask which node to use, and to open the connection.
-const OPENING_TIME: Duration = Duration::from_millis(10);
-
-/// The least part of the objective that is waited.
-const LEAST_WAIT: f64 = 0.4;
-
-/// The part of what all nodes share that is for those that callers are advised to use.
-const SERVING_PART: f64 = 0.85;
-
-/// How long after its start a node doesn't trust that it knows all others.
-///
-/// When all start at once, each knows only those that were announced before it. If
-/// it took what they share for its own, all together would open several times the
-/// connections that a replica takes, and have most of their requests reset. Nodes
-/// are announced within a second, and heard of within another one.
-const SETTLE_TIME: Duration = Duration::from_secs(3);
-
-/// The most that a node takes of what all share until then.
-const NEW_PART: f64 = 0.1;
-
-/// When callers come again to a node that has just started.
-const NOT_READY_RETRY: Duration = Duration::from_millis(400);
-
 /// The most visitors that are remembered.
 const MOST_VISITORS: usize = 3;
 
-/// How long a start takes at most while the store answers.
-const STARTING_TIME: Duration = Duration::from_secs(1);
-
-/// The part of the time left after which callers come again at the latest.
-///
-/// They don't wait for longer than a third of it.
-pub(crate) const RETRY_PART: f64 = 1.0 / 3.0;
-
 /// The most hosts that are looked at to find these nodes.
 const MOST_HOSTS: usize = 16;
 
@@ -169,7 +123,7 @@
             names: options.names,
             place: options.place,
             journal: Journal::new(clock.clone()),
-            budget: Budget::new(options.budget, clock.clone()),
+            budget: Budget::new(options.budget, clock.now()),
             visitors: RefCell::default(),
             started: clock.now(),
             clock,
@@ -247,14 +201,13 @@
     }
 
     /// When a caller with `left` is to come again while the node isn't ready.
-    ///
-    /// A node that has just started is ready in a moment, and others may be already. One
-    /// that isn't for longer waits for the store, and so do those that started with it:
-    /// the later its callers come again, the more of them are served then.
     pub(crate) fn ready_retry(&self, left: Duration) -> Duration {
-        let age = self.clock.now().saturating_duration_since(self.started);
-        let later = if age > STARTING_TIME { left.mul_f64(RETRY_PART) } else { Duration::ZERO };
-        later.max(NOT_READY_RETRY)
+        startup::retry(self.clock.now().saturating_duration_since(self.started), left)
+    }
+
+    /// What is known of a request of `route` for the choice of its replica.
+    pub fn need(&self, route: &Route) -> Need {
+        self.paces.need(&route.name, route.objective)
     }
 
     /// Where replicas of a service, or the nodes of this tier, answer probes.
@@ -270,8 +223,7 @@
         let table = self.table();
         let service = table.as_ref().and_then(|table| table.service(service));
         let all = service.map_or(UNKNOWN_CONNECTIONS, |service| service.connections);
-        let own = (f64::from(all) * SHARED_CONNECTIONS * self.own_part()) as u32;
-        replica.gate.set_limit(own.clamp(1, MOST_CONNECTIONS));
+        replica.gate.set_limit(shares::connections(all, self.own_part()));
     }
 
     /// What callers of `host` are advised; `None` without configuration.
@@ -297,17 +249,13 @@
     }
 
     /// The part of what all nodes share that this one may use, from zero to one.
-    ///
-    /// Most of it is for the nodes that callers are advised to use; the others may
-    /// still get requests of callers whose advice is old.
     pub fn own_part(&self) -> f64 {
-        let part = self.settled_part();
         let now = self.clock.now();
-        let is_new = |at: Instant| now.saturating_duration_since(at) < SETTLE_TIME;
-        if self.synced.get().is_none_or(is_new) { part.min(NEW_PART) } else { part }
+        let known_for = self.synced.get().map(|at| now.saturating_duration_since(at));
+        shares::settled(self.known_part(), known_for)
     }
 
-    fn settled_part(&self) -> f64 {
+    fn known_part(&self) -> f64 {
         let Some(table) = self.table() else { return 1.0 };
         let valid_for = self.valid_for(&table);
         let (known_for, part) = self.part.get();
@@ -326,14 +274,8 @@
                 serving.extend(advice.serving().cloned());
             }
         }
-        let all = self.fleet.len().max(1);
-        if serving.is_empty() || serving.len() >= all {
-            return 1.0 / all as f64;
-        }
-        if serving.contains(&self.place.name) {
-            return SERVING_PART / serving.len() as f64;
-        }
-        (1.0 - SERVING_PART) / (all - serving.len()) as f64
+        let is_serving = serving.contains(&self.place.name);
+        Sharers { all: self.fleet.len(), serving: serving.len(), is_serving }.part()
     }
 
     fn valid_for(&self, table: &RouteTable) -> (u64, u64, u64) {
@@ -341,19 +283,10 @@
     }
 
     /// For how long after its arrival the answer to a request is worth most.
-    ///
-    /// Callers count their time from when they sent the request, so both ways come
-    /// off the objective. One that was sent here from another region may be as far
-    /// away as the farthest replica is.
-    ///
-    /// Before the first request on a connection, the caller has opened it, and often
-    /// asked which nodes to use.
     pub fn waiting_time(&self, route: &Route, is_first: bool) -> Duration {
         let guests =
             self.advice(&route.host).is_some_and(|advice| advice.has_guests(&self.place.region));
         let way = if guests { self.distances.farthest() } else { Duration::ZERO };
-        let opened = if is_first { OPENING_TIME } else { Duration::ZERO };
-        let wait = route.objective.saturating_sub(way + ANSWER_TIME + opened);
-        wait.max(route.objective.mul_f64(LEAST_WAIT))
+        answer_time::waiting(route.objective, Origin { way, is_first })
     }
 }
--- a/crates/kumquatnotch-route/src/schema.rs
+++ b/crates/kumquatnotch-route/src/schema.rs
@@ -1,10 +1,9 @@
 //! What the keys and values of the store are about.
 
 use kumquatnotch_core::{Result, ids::NodeName, store::StoreItem};
+use kumquatnotch_policy::crashes::Crash;
 
-use crate::{
-    crashes::Crash, fleet::NodeRecord, names::ReplicaId, replica::ReplicaSpec, route::RouteConfig,
-};
+use crate::{fleet::NodeRecord, names::ReplicaId, replica::ReplicaSpec, route::RouteConfig};
 
 /// What a key of the store holds.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/kumquatnotch-route/tests/common/mod.rs
+++ b/crates/kumquatnotch-route/tests/common/mod.rs
@@ -20,8 +20,8 @@
     services,
 };
 use kumquatnotch_net::{Server, server::ServerOptions};
+use kumquatnotch_policy::budget::BudgetOptions;
 use kumquatnotch_route::{
-    budget::BudgetOptions,
     fleet::NodeRecord,
     front::RouteFront,
     headers::HeaderNames,
--- a/crates/kumquatnotch-route/tests/copies.rs
+++ b/crates/kumquatnotch-route/tests/copies.rs
@@ -7,7 +7,7 @@
 use common::*;
 use futures_util::future::join;
 use kumquatnotch_core::{Clock, clock::RuntimeClock};
-use kumquatnotch_route::{choice, route::Route};
+use kumquatnotch_route::{replica, route::Route};
 use standins::scripted::{Step, answer};
 
 /// A replica stands still. Its caller gets the answer of another one, and while
@@ -36,7 +36,9 @@
     run(async {
         let route = Route { objective: Duration::from_secs(1), ..single() };
         let tier = Tier::serving(route.clone());
-        (0..200).for_each(|_| tier.router.paces.note(&route, Duration::from_millis(5)));
+        (0..200).for_each(|_| {
+            tier.router.paces.note(&route.name, route.objective, Duration::from_millis(5))
+        });
         let slow = playing(move |request| {
             let wait = if request.headers["x-request-id"] == "r1" { 200 } else { 1 };
             vec![Step::Wait(Duration::from_millis(wait)), sound(request, "p", b"late")]
@@ -45,8 +47,8 @@
         tier.add("s0", slow.address);
         let id = tier.add("s0", full.address);
         let other = tier.router.directory.find(&id).unwrap();
-        (0..60).for_each(|_| other.note_work(Duration::from_millis(10)));
-        other.note_load(60, RuntimeClock.now());
+        (0..60).for_each(|_| other.observed.note_work(Duration::from_millis(10)));
+        other.observed.note_load(60, RuntimeClock.now());
 
         let others = async {
             for index in 0..20 {
@@ -99,8 +101,8 @@
         let other = tier.add("s0", nowhere());
         let pick = || {
             let replicas = tier.router.directory.of(&service("s0"));
-            let need = tier.router.paces.need(&route);
-            choice::best(&replicas, &[], need, RuntimeClock.now()).unwrap().replica.id.clone()
+            let need = tier.router.need(&route);
+            replica::pick(&replicas, &[], need, RuntimeClock.now()).unwrap().replica.id.clone()
         };
 
         let at_once = pick();
--- a/crates/kumquatnotch-route/tests/crashes.rs
+++ b/crates/kumquatnotch-route/tests/crashes.rs
@@ -7,26 +7,29 @@
 use common::*;
 use kumquatnotch_core::{Clock, clock::RuntimeClock, ids::Fingerprint};
 use kumquatnotch_net::message::Request;
-use kumquatnotch_route::crashes::{Crash, Crashes};
+use kumquatnotch_policy::crashes::{Crash, Crashes};
+use kumquatnotch_route::crash_check::fingerprint;
 use standins::scripted::{Scripted, Step};
 
 /// The request that the tests suspect, with its fingerprint.
 fn suspect() -> (Request, Fingerprint) {
     let request = Request::get("/a/crash");
-    let print = kumquatnotch_route::crashes::fingerprint(&request);
+    let print = fingerprint(&request);
     (request, print)
 }
 
 /// Lets a request be with replicas that crash, in these attempts and after this time.
 fn crash(crashes: &Crashes, print: Fingerprint, seconds: u64, attempts: &[u64]) {
     let now = RuntimeClock.now() + Duration::from_secs(seconds);
-    attempts.iter().for_each(|attempt| crashes.note(Crash { print, attempt: *attempt }, now));
+    for attempt in attempts {
+        crashes.note(Crash { print, attempt: *attempt }, now);
+    }
 }
 
 /// Whether a request is refused after this time.
 fn is_refused(crashes: &Crashes, request: &Request, seconds: u64) -> bool {
     let now = RuntimeClock.now() + Duration::from_secs(seconds);
-    crashes.refused_for(request, now).is_some()
+    crashes.refused_for(fingerprint(request), now).is_some()
 }
 
 /// A request is there when replicas crash, three times some seconds apart. It is refused
@@ -85,7 +88,7 @@
 
     crash(&crashes, print, 0, &[1]);
     crash(&crashes, print, 3, &[2]);
-    crashes.clear(&request);
+    crashes.clear(fingerprint(&request));
     crash(&crashes, print, 6, &[3]);
 
     assert_eq!(crashes.strikes_of(print), 1);
--- a/crates/kumquatnotch-route/tests/forecasts.rs
+++ b/crates/kumquatnotch-route/tests/forecasts.rs
@@ -9,15 +9,13 @@
 use http::HeaderValue;
 use kumquatnotch_core::{Clock, clock::RuntimeClock};
 use kumquatnotch_net::message::Request;
+use kumquatnotch_policy::{observed::Fitness, strain::Fate};
 use kumquatnotch_route::{
-    forecast::{self, Forecast},
+    admission::{self, Admission},
     gate::{Gate, Permit},
     gather::Search,
     names::ReplicaId,
-    patience::Patience,
-    replica::Fitness,
     route::{Destination, Route},
-    strain::{Fate, Strains},
 };
 
 /// A search that has just come, of a caller that comes for the first time.
@@ -30,9 +28,9 @@
 }
 
 /// What a tier foretells of a search that has just come.
-async fn foretell(tier: &Tier, route: &Route) -> Forecast {
+async fn foretell(tier: &Tier, route: &Route) -> Admission {
     let (request, identity) = (Request::get("/a/"), HeaderValue::from_static("r1"));
-    forecast::forecast(&tier.router, &search(route, &request, &identity))
+    admission::admit(&tier.router, &search(route, &request, &identity))
 }
 
 /// A gate that lets in one at a time.
@@ -52,7 +50,7 @@
     let (request, identity) = (Request::get("/a/"), HeaderValue::from_static("r1"));
     let start = RuntimeClock.now();
     let mut search = Search { returning: true, ..search(route, &request, &identity) };
-    let permit = forecast::await_room(&tier.router, gate, &mut search).await;
+    let permit = admission::await_room(&tier.router, gate, &mut search).await;
     (permit, RuntimeClock.now() - start)
 }
 
@@ -67,18 +65,18 @@
 fn slow(tier: &Tier, id: &ReplicaId, times: u32) {
     let replica = tier.router.directory.find(id).unwrap();
     let usual = Duration::from_millis(10);
-    (0..60).for_each(|_| replica.note_speed(usual * times, usual, RuntimeClock.now()));
+    (0..60).for_each(|_| replica.observed.note_speed(usual * times, usual, RuntimeClock.now()));
 }
 
 /// Lets the replica tell that so many requests wait there, each of 20 ms.
 fn crowd(tier: &Tier, id: &ReplicaId, waiting: u32) {
     let replica = tier.router.directory.find(id).unwrap();
-    (0..60).for_each(|_| replica.note_work(Duration::from_millis(20)));
-    replica.note_load(waiting, RuntimeClock.now());
+    (0..60).for_each(|_| replica.observed.note_work(Duration::from_millis(20)));
+    replica.observed.note_load(waiting, RuntimeClock.now());
 }
 
-fn ask(shards: &[usize], skipped: &[usize]) -> Forecast {
-    Forecast::Ask { shards: shards.to_vec(), skipped: skipped.to_vec() }
+fn ask(shards: &[usize], skipped: &[usize]) -> Admission {
+    Admission::Ask { shards: shards.to_vec(), skipped: skipped.to_vec() }
 }
 
 #[test]
@@ -117,7 +115,7 @@
 fn a_shard_whose_replicas_answer_nothing_is_left_out() {
     run(async {
         let (tier, ids) = tier(4);
-        tier.router.directory.find(&ids[0]).unwrap().set_fitness(Fitness::Suspect);
+        tier.router.directory.find(&ids[0]).unwrap().observed.set_fitness(Fitness::Suspect);
 
         assert_eq!(foretell(&tier, &shards(4, 0.5)).await, ask(&[1, 2, 3], &[0]));
     });
@@ -135,7 +133,7 @@
         let needed = foretell(&tier, &shards(4, 0.75)).await;
         let spared = foretell(&tier, &shards(4, 0.5)).await;
 
-        let Forecast::Refuse { retry } = needed else { panic!("{needed:?}") };
+        let Admission::Refuse { retry } = needed else { panic!("{needed:?}") };
         assert!(retry >= Duration::from_millis(40) && retry <= Duration::from_millis(400));
         assert_eq!(spared, ask(&[2, 3], &[0, 1]));
     });
@@ -247,25 +245,11 @@
         let after = foretell(&tier, &route).await;
 
         assert_eq!(before, ask(&[0, 1], &[]));
-        assert!(matches!(pressed, Forecast::Refuse { .. }), "{pressed:?}");
+        assert!(matches!(pressed, Admission::Refuse { .. }), "{pressed:?}");
         assert_eq!(after, before);
     });
 }
 
-/// Many searches were late or refused, and then none came for a while. Caution is over.
-#[test]
-fn caution_fades_without_searches() {
-    let (strains, route) = (Strains::default(), shards(2, 1.0).name);
-    let now = RuntimeClock.now();
-    (0..60).for_each(|_| strains.note(&route, Fate::Late, now));
-    (0..60).for_each(|_| strains.note(&route, Fate::Refused, now));
-
-    let later = now + Duration::from_secs(100);
-
-    assert!(strains.margin(&route, now) > 2.9 && strains.is_refusing(&route, now));
-    assert!(strains.margin(&route, later) < 1.7 && !strains.is_refusing(&route, later));
-}
-
 /// Nearly all searches have been refused for a while. Callers come again later than
 /// after a single refusal, but sooner than a third of their time.
 #[test]
@@ -279,19 +263,7 @@
 
         let forecast = foretell(&tier, &route).await;
 
-        let Forecast::Refuse { retry } = forecast else { panic!("{forecast:?}") };
+        let Admission::Refuse { retry } = forecast else { panic!("{forecast:?}") };
         assert!(retry > Duration::from_millis(300) && retry < Duration::from_secs(1), "{retry:?}");
     });
 }
-
-#[test]
-fn a_caller_that_has_less_time_than_others_has_waited() {
-    let patience = Patience::default();
-    let route = shards(2, 1.0);
-    let (first, again) = (Duration::from_secs(4), Duration::from_millis(2_500));
-
-    let waited = [first, again, first].map(|left| patience.waited(&route, left));
-
-    let expected = [Duration::ZERO, Duration::from_millis(1_480), Duration::ZERO];
-    assert_eq!(waited, expected);
-}
--- a/crates/kumquatnotch-route/tests/rules.rs
+++ b/crates/kumquatnotch-route/tests/rules.rs
@@ -4,16 +4,11 @@
 
 use bytes::Bytes;
 use futures_util::FutureExt;
-use kumquatnotch_core::{Clock, clock::PausedClock};
 use kumquatnotch_route::{
-    budget::{Budget, BudgetOptions},
     gate::Gate,
     merge,
     names::{RouteName, ServiceName},
-    route::{
-        Destination, Limits, Route, RouteConfig, RouteKind, RouteTable, ShardSet, WeightedService,
-    },
-    weights::Weights,
+    route::{Destination, Limits, Route, RouteConfig, RouteKind, RouteTable, ShardSet},
 };
 use yare::parameterized;
 
@@ -94,74 +89,6 @@
     assert_eq!(merge::greatest(parts, top), records(expected, 0));
 }
 
-#[test]
-fn requests_are_shared_out_by_weight() {
-    let weights = Weights::default();
-    let services: Vec<WeightedService> = [("a", 5.0), ("b", 3.0), ("c", 2.0), ("d", 0.0)]
-        .iter()
-        .map(|(name, weight)| WeightedService { name: ServiceName::from(*name), weight: *weight })
-        .collect();
-
-    let picks: Vec<&str> = (0..100)
-        .map(|_| weights.pick(&RouteName::from("r"), &services).unwrap().as_str())
-        .collect();
-
-    let count = |name| picks.iter().filter(|pick| **pick == name).count();
-    assert_eq!([count("a"), count("b"), count("c"), count("d")], [50, 30, 20, 0]);
-    // Any ten in a row keep to the weights within one.
-    assert!(
-        picks.windows(10).all(|ten| (4..=6).contains(&ten.iter().filter(|p| **p == "a").count()))
-    );
-}
-
-fn budget(clock: &PausedClock, nodes: usize) -> Budget {
-    let options = BudgetOptions { ratio: 0.2, slack: 40.0, window: Duration::from_secs(10) };
-    let budget = Budget::new(options, Rc::new(clock.clone()));
-    budget.set_part(1.0 / nodes as f64);
-    budget
-}
-
-fn spent(budget: &Budget, service: &ServiceName) -> usize {
-    (0..1_000).take_while(|_| budget.spend(service)).count()
-}
-
-#[test]
-fn repeats_stay_below_the_share_of_requests_and_of_the_fixed_number() {
-    let clock = PausedClock::default();
-    let budget = budget(&clock, 4);
-    let (one, other) = (ServiceName::from("one"), ServiceName::from("other"));
-    (0..100).for_each(|_| budget.note_first(&one));
-
-    let (one, other) = (spent(&budget, &one), spent(&budget, &other));
-
-    assert!((20..=30).contains(&one), "{one} of at most 20 + 40 / 4");
-    assert!((7..=10).contains(&other), "{other} of at most 40 / 4");
-}
-
-/// The window slides: no span of its length may hold more than the allowance,
-/// also if repeats are spent at the end of one and the start of the next.
-#[test]
-fn no_window_holds_more_than_the_allowance() {
-    let clock = PausedClock::default();
-    let budget = budget(&clock, 1);
-    let service = ServiceName::from("one");
-    let mut times = Vec::new();
-
-    for _ in 0..300 {
-        while budget.spend(&service) {
-            times.push(clock.now());
-        }
-        clock.advance(Duration::from_millis(100));
-    }
-
-    let window = Duration::from_secs(10);
-    for start in &times {
-        let held = times.iter().filter(|time| **time >= *start && **time - *start < window);
-        assert!(held.count() <= 40);
-    }
-    assert!(times.len() > 80);
-}
-
 #[test]
 fn the_more_urgent_waiter_goes_first_and_one_that_left_holds_nobody_up() {
     let gate = Rc::new(Gate::default());
--- a/crates/kumquatnotch-route/tests/store.rs
+++ b/crates/kumquatnotch-route/tests/store.rs
@@ -15,9 +15,9 @@
     ids::{DataCentre, Fingerprint, NodeName, Region},
     lifecycle::Stage,
 };
+use kumquatnotch_policy::crashes::Crash;
 use kumquatnotch_route::{
     announce::{Announcer, NodeKeys},
-    crashes::Crash,
     fleet::NodeRecord,
     mirror::Mirror,
 };
--- a/crates/measure/src/routes.rs
+++ b/crates/measure/src/routes.rs
@@ -23,8 +23,8 @@
     services,
 };
 use kumquatnotch_net::{Server, server::ServerOptions};
+use kumquatnotch_policy::budget::BudgetOptions;
 use kumquatnotch_route::{
-    budget::BudgetOptions,
     front::RouteFront,
     headers::HeaderNames,
     names::{ReplicaId, RouteName, ServiceName},
