Replicas that start again under their name, and entries of other writers

Now a later start is a new incarnation (the old one is gone with its connections), an earlier one is a late write and changes nothing. What is known of the configuration and of nodes holds.

--- a/crates/kumquatnotch-route/src/directory.rs
+++ b/crates/kumquatnotch-route/src/directory.rs
@@ -14,6 +14,30 @@
     replica::{Replica, ReplicaSpec},
 };
 
+/// What an entry of a replica is beside what was known of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Put {
+    /// The same replica, or a new one.
+    Known,
+    /// It has started again under its name.
+    Restarted,
+    /// It has another service or address.
+    Moved,
+    /// It is of an earlier life.
+    Stale,
+}
+
+impl Put {
+    fn over(known: &ReplicaSpec, new: &ReplicaSpec) -> Put {
+        match (known.born, new.born) {
+            (Some(known), Some(new)) if new < known => Put::Stale,
+            (known, new) if known != new => Put::Restarted,
+            _ if known.service != new.service || known.address != new.address => Put::Moved,
+            _ => Put::Known,
+        }
+    }
+}
+
 /// The replicas that are known.
 #[derive(Default)]
 pub struct Directory {
@@ -30,25 +54,32 @@
     }
 
     /// Adds a replica, or takes over what it says of itself now.
-    pub fn put(&self, id: &ReplicaId, spec: ReplicaSpec, now: Instant) {
+    ///
+    /// One that has started again under its name holds nothing of before: connections to
+    /// its earlier life are dead, and what was learned of it says nothing. If it went on
+    /// being used, the first requests would be lost on those connections.
+    pub fn put(&self, id: &ReplicaId, spec: ReplicaSpec, now: Instant) -> Put {
         let known = self.replicas.borrow().get(id).cloned();
+        let mut put = Put::Known;
         if let Some(replica) = known {
-            let moved = {
-                let known = replica.spec();
-                known.service != spec.service || known.address != spec.address
-            };
-            if !moved {
-                replica.update(spec);
-                self.note_change();
-                return;
+            put = Put::over(&replica.spec(), &spec);
+            match put {
+                // A write that was on its way while it started again.
+                Put::Stale => return put,
+                Put::Known => {
+                    replica.update(spec);
+                    self.note_change();
+                    return put;
+                }
+                Put::Restarted | Put::Moved => self.remove(id),
             }
-            self.remove(id);
         }
         let service = spec.service.clone();
         let distance = self.distances.to(&spec.centre);
         let replica = Rc::new(Replica::new(id.clone(), spec, distance, now));
         self.replicas.borrow_mut().insert(id.clone(), replica);
         self.sort(&service);
+        put
     }
 
     /// Removes a replica, to which nothing is sent any more.
--- a/crates/kumquatnotch-route/src/entries.rs
+++ b/crates/kumquatnotch-route/src/entries.rs
@@ -20,6 +20,7 @@
 
 use crate::{
     crash_check,
+    directory::Put,
     route::RouteTable,
     router::Router,
     schema::{Entry, EntryKey, Schema},
@@ -129,6 +130,7 @@
             Ok(entry) => entry?,
             Err(error) => {
                 tracing::warn!(key = item.key, code = error.code(), "mirror: can't read: {error}");
+                self.pass_over(&key);
                 return None;
             }
         };
@@ -138,6 +140,18 @@
         Some(key)
     }
 
+    /// Notes that an entry can't be read, so that it is not the tier's or a replica's.
+    ///
+    /// A replica whose entry another writer has taken is not used any more, also while
+    /// vanished entries are kept: the address that was known may be another's by now. It
+    /// writes its entry anew if it lives. What else was known holds.
+    fn pass_over(&self, key: &EntryKey) {
+        if matches!(key, EntryKey::Replica(_)) && self.known.borrow_mut().remove(key) {
+            self.drop_entry(key, "its entry can't be read");
+        }
+        self.vanished.borrow_mut().remove(key);
+    }
+
     fn apply(&self, entry: Entry, revision: u64) {
         let router = &self.router;
         match entry {
@@ -155,7 +169,15 @@
                     revision,
                     "mirror: a replica tells of itself"
                 );
-                router.directory.put(&id, spec, router.clock.now());
+                let put = router.directory.put(&id, spec, router.clock.now());
+                if put != Put::Known {
+                    tracing::info!(
+                        replica = id.as_str(),
+                        ?put,
+                        revision,
+                        "mirror: a replica is not what it was"
+                    );
+                }
             }
             Entry::Node(name, record) => {
                 tracing::info!(node = name.as_str(), revision, "mirror: a node tells of itself");
--- a/crates/kumquatnotch-route/src/fleet.rs
+++ b/crates/kumquatnotch-route/src/fleet.rs
@@ -167,5 +167,6 @@
         centre: centre.clone(),
         slots: PEER_SLOTS,
         draining: false,
+        born: None,
     }
 }
--- a/crates/kumquatnotch-route/src/replica.rs
+++ b/crates/kumquatnotch-route/src/replica.rs
@@ -34,6 +34,10 @@
     pub slots: u32,
     /// Whether it ends what it runs and takes no new requests.
     pub draining: bool,
+    /// When it started, in milliseconds since 1970, if it tells.
+    ///
+    /// It may start again under its name, and then knows nothing of before.
+    pub born: Option<u64>,
 }
 
 /// One incarnation of a replica.
--- a/crates/kumquatnotch-route/tests/advice.rs
+++ b/crates/kumquatnotch-route/tests/advice.rs
@@ -83,6 +83,7 @@
             centre: DataCentre::from(*centre),
             slots: 2,
             draining: false,
+            born: None,
         };
         directory.put(&ReplicaId::from(&*format!("r{index}")), spec, Instant::now());
     }
--- a/crates/kumquatnotch-route/tests/common/mod.rs
+++ b/crates/kumquatnotch-route/tests/common/mod.rs
@@ -208,6 +208,7 @@
         centre: DataCentre::from(centre),
         slots: 2,
         draining,
+        born: None,
     }
 }
 
--- a/crates/kumquatnotch-route/tests/common/schema.rs
+++ b/crates/kumquatnotch-route/tests/common/schema.rs
@@ -6,13 +6,15 @@
 use kumquatnotch_route::{
     mirror::MirrorOptions,
     names::ReplicaId,
+    replica::ReplicaSpec,
     schema::{Entry, EntryKey, Schema},
 };
 
 use crate::common::{config, single, spec};
 
-/// `c` holds the version of the configuration, `r/ID` the address of a replica,
-/// `n/NAME` a node, `x/NAME` the crashes that it has seen.
+/// `c` holds the version of the configuration, `r/ID` the address of a replica, with `!`
+/// after it if it drains and `@` and a number for its start; `n/NAME` a node, `x/NAME` the
+/// crashes that it has seen.
 pub struct TestSchema;
 
 impl Schema for TestSchema {
@@ -37,9 +39,15 @@
                 Some(Entry::Config(config(version, vec![single()])))
             }
             Some(EntryKey::Replica(id)) => {
+                let (text, born) = match text.split_once('@') {
+                    Some((text, born)) => (text, Some(born.parse().map_err(Error::protocol)?)),
+                    None => (text.as_str(), None),
+                };
                 let draining = text.ends_with('!');
-                let address: SocketAddr = text.trim_end_matches('!').parse().unwrap();
-                Some(Entry::Replica(id, spec("s0", address, "home", draining)))
+                let address: SocketAddr =
+                    text.trim_end_matches('!').parse().map_err(Error::protocol)?;
+                let spec = spec("s0", address, "home", draining);
+                Some(Entry::Replica(id, ReplicaSpec { born, ..spec }))
             }
             Some(EntryKey::Node(name)) => Some(Entry::Node(name, codec::decode(&item.value)?)),
             Some(EntryKey::Crashes(name)) => {
--- a/crates/kumquatnotch-route/tests/store.rs
+++ b/crates/kumquatnotch-route/tests/store.rs
@@ -20,6 +20,7 @@
     announce::{Announcer, NodeKeys},
     fleet::NodeRecord,
     mirror::Mirror,
+    names::ReplicaId,
 };
 use schema::{TestSchema, options};
 
@@ -256,3 +257,84 @@
         assert_eq!(world.tier.router.crashes.strikes_of(Fingerprint(7)), 2);
     });
 }
+
+/// What a replica that was known under this name was learned to be, by the requests that
+/// were sent to it.
+fn asked(world: &World, id: &str) -> Option<u64> {
+    let replica = world.tier.router.directory.find(&ReplicaId::from(id))?;
+    Some(replica.observed.asked())
+}
+
+/// A replica starts again under its name and address. What was learned of its earlier life
+/// says nothing of it, and the connections to that are dead: the next caller's request would
+/// be lost on one of them. A write of the earlier life that comes late changes nothing.
+#[test]
+fn a_replica_that_starts_again_under_its_name_is_a_new_one() {
+    run(async {
+        let world = world().await;
+        world.store.put("r/one", b"127.0.0.1:1@100");
+        pause(60).await;
+        let first = world.tier.router.directory.find(&ReplicaId::from("one")).unwrap();
+        first.observed.note_sent(std::time::Instant::now());
+
+        world.store.put("r/one", b"127.0.0.1:1@200");
+        pause(60).await;
+        let again = asked(&world, "one");
+        world.store.put("r/one", b"127.0.0.1:9@100");
+        pause(60).await;
+        let late = world.tier.router.directory.find(&ReplicaId::from("one")).unwrap();
+
+        assert!(first.is_gone());
+        assert_eq!(again, Some(0));
+        assert_eq!(late.spec().born, Some(200));
+        assert_eq!(late.spec().address, "127.0.0.1:1".parse().unwrap());
+    });
+}
+
+/// Another writer takes the entry of a replica, with bytes that are none. Callers are not
+/// sent there any more; the other replicas hold, and this one is back when it has written.
+#[test]
+fn an_entry_that_another_writer_took_names_no_replica() {
+    run(async {
+        let world = world().await;
+
+        world.store.put("r/one", b"\xff\xfe");
+        world.store.put("r/foreign", b"not an address");
+        pause(60).await;
+        let taken = (asked(&world, "one"), asked(&world, "two"), asked(&world, "foreign"));
+        world.store.put("r/one", b"127.0.0.1:1");
+        pause(60).await;
+
+        assert_eq!(taken, (None, Some(0), None));
+        assert_eq!(asked(&world, "one"), Some(0));
+    });
+}
+
+/// The store is away. Meanwhile a replica starts again under its name, and another writer
+/// takes the entry of a second one. When the store is back, entries that lapsed are kept
+/// for a while; these two are known by what stands there now.
+#[test]
+fn restarts_and_other_writers_in_an_outage_are_seen_after_it() {
+    run(async {
+        let world = world().await;
+        world.store.put("r/three", b"127.0.0.1:3");
+        world.store.put("r/one", b"127.0.0.1:1@100");
+        pause(60).await;
+        let first = world.tier.router.directory.find(&ReplicaId::from("one")).unwrap();
+
+        world.store.away.set(true);
+        pause(100).await;
+        world.store.put("r/one", b"127.0.0.1:1@200");
+        world.store.put("r/two", b"{}");
+        world.store.delete("r/three");
+        let during = (first.is_gone(), asked(&world, "two"));
+        world.store.away.set(false);
+        pause(200).await;
+
+        assert_eq!(during, (false, Some(0)));
+        assert!(first.is_gone());
+        assert_eq!(asked(&world, "one"), Some(0));
+        assert_eq!(asked(&world, "two"), None);
+        assert_eq!(asked(&world, "three"), Some(0), "it may be back in a moment");
+    });
+}
--- a/crates/measure/src/routes.rs
+++ b/crates/measure/src/routes.rs
@@ -134,6 +134,7 @@
             centre: DataCentre::from("c"),
             slots: 2,
             draining: false,
+            born: None,
         };
         let id = ReplicaId::from(&*format!("r{index}"));
         router.directory.put(&id, spec, clock.now());
