What a failing replica costs follows from how it fails

Hypothesis: the fixed 0.2 s that a failure counted is the objective of one customer. Replicas that reject at once are avoided as if each rejection cost 0.2 s, while the sound replica of the same shard is crowded by twice its load.

Change: a failure counts the time until it shows (learned for each replica), another attempt, and the objective times how short repeats are: none up to a quarter of the budget of its service, all at its end.

--- a/crates/kumquatnotch-policy/src/budget.rs
+++ b/crates/kumquatnotch-policy/src/budget.rs
@@ -107,6 +107,18 @@
         })
     }
 
+    /// Which part of the repeats allowed in this window has been spent, up to one.
+    pub fn spent(&self, service: &ServiceName, now: Instant) -> f64 {
+        let BudgetOptions { ratio, slack, .. } = self.options.get();
+        let slack = slack * self.part.get();
+        self.with_window(service, now, |window| {
+            let firsts: u32 = window.firsts.iter().sum();
+            let repeats: u32 = window.repeats.iter().sum();
+            let allowance = USED_PART * (ratio * f64::from(firsts) + slack);
+            (f64::from(repeats) / allowance.max(1.0)).min(1.0)
+        })
+    }
+
     fn with_window<T>(
         &self,
         service: &ServiceName,
--- a/crates/kumquatnotch-policy/src/observed.rs
+++ b/crates/kumquatnotch-policy/src/observed.rs
@@ -50,6 +50,11 @@
 /// The weight of a new measurement of the work on a request.
 const WORK_WEIGHT: f64 = 0.1;
 
+/// After how long an attempt is taken to fail before one did, in seconds.
+///
+/// About what a request takes. It counts only for the first few failures of a replica.
+const FIRST_FAILED_AFTER: f64 = 0.02;
+
 /// The weight of a new failure or success.
 const FAILURE_WEIGHT: f64 = 0.15;
 
@@ -67,6 +72,8 @@
     distance: Rc<Distance>,
     slowness: Cell<f64>,
     failures: Cell<f64>,
+    /// How long after it is sent an attempt fails, if it does, in seconds.
+    failed_after: Cell<f64>,
     measured: Cell<Instant>,
     /// When the requests that it has not answered yet were sent.
     sent: RefCell<Vec<Instant>>,
@@ -88,6 +95,7 @@
             distance,
             slowness: Cell::new(1.0),
             failures: Cell::new(0.0),
+            failed_after: Cell::new(FIRST_FAILED_AFTER),
             measured: Cell::new(now),
             sent: RefCell::default(),
             last_reply: Cell::new(now),
@@ -222,6 +230,17 @@
         }
     }
 
+    /// Notes how long after it was sent an attempt failed.
+    pub fn note_failed_after(&self, took: Duration) {
+        let before = self.failed_after.get();
+        self.failed_after.set(before + FAILURE_WEIGHT * (took.as_secs_f64() - before));
+    }
+
+    /// How long after it is sent an attempt fails, if it does, in seconds.
+    pub fn failed_after(&self) -> f64 {
+        self.failed_after.get()
+    }
+
     /// Notes a success or a failure.
     pub fn note_outcome(&self, failed: bool, now: Instant) {
         let sample = if failed { 1.0 } else { 0.0 };
--- a/crates/kumquatnotch-policy/src/pace.rs
+++ b/crates/kumquatnotch-policy/src/pace.rs
@@ -33,7 +33,7 @@
 
     /// What is known of a request of `route` for the choice of its replica.
     pub fn need(&self, route: &RouteName, objective: Duration) -> Need {
-        Need { usual: self.usual(route, objective), objective }
+        Need { usual: self.usual(route, objective), objective, spent: 0.0 }
     }
 
     /// Notes how long a request took, without its way to the replica.
--- a/crates/kumquatnotch-policy/src/quickest.rs
+++ b/crates/kumquatnotch-policy/src/quickest.rs
@@ -11,8 +11,12 @@
     observed::{Fitness, Observed},
 };
 
-/// What a failure costs: finding another replica, and a repeat out of the budget.
-const FAILURE_COST: f64 = 0.2;
+/// The part of the budget of repeats from which on a repeat costs more than its time.
+///
+/// A failure that can't be repeated costs the whole objective. With none of it counted, one
+/// replica of each shard that rejects six of ten requests takes all repeats within seconds,
+/// and one request in twenty fails.
+const SCARCE: f64 = 0.25;
 
 /// What the way to another region counts at least, as a part of the objective.
 ///
@@ -30,6 +34,8 @@
     pub usual: Duration,
     /// The time within which an answer is worth most.
     pub objective: Duration,
+    /// Which part of the budget of repeats of its service is spent, up to one.
+    pub spent: f64,
 }
 
 /// A replica that could get a request.
@@ -62,7 +68,7 @@
     /// Rates a replica for a request.
     pub fn new(candidate: Candidate<'_>, need: Need, now: Instant) -> Rating {
         let Candidate { observed, .. } = candidate;
-        let expected = expected(candidate, need.usual, now);
+        let expected = expected(candidate, need, now);
         Rating {
             reluctance: reluctance(observed, need.usual, now),
             expected,
@@ -91,12 +97,20 @@
 }
 
 /// The expected time to a reply, in seconds.
-fn expected(candidate: Candidate<'_>, usual: Duration, now: Instant) -> f64 {
+///
+/// Where some attempts fail, it counts what passes until that shows and another attempt,
+/// and what the repeat is worth to others. Replicas that reject at once are still of use
+/// while repeats are plenty: they spare the sound ones, which would be crowded alone.
+fn expected(candidate: Candidate<'_>, need: Need, now: Instant) -> f64 {
     let Candidate { observed, waiting, limit } = candidate;
     let slots = observed.slots().min(f64::from(limit.max(1)));
     let ahead = observed.load(now) + waiting as f64;
     let queue = ((ahead + 1.0 - slots) / slots).max(0.0) * observed.work();
-    unqueued(observed, usual, now) + queue + FAILURE_COST * observed.failures(now)
+    let unqueued = unqueued(observed, need.usual, now);
+    let scarcity = ((need.spent - SCARCE) / (1.0 - SCARCE)).max(0.0);
+    let repeat = scarcity * need.objective.as_secs_f64();
+    let failure = observed.failed_after() + unqueued + repeat;
+    unqueued + queue + observed.failures(now) * failure
 }
 
 /// The same if nothing waited there, in seconds.
--- a/crates/kumquatnotch-policy/tests/budget.rs
+++ b/crates/kumquatnotch-policy/tests/budget.rs
@@ -29,6 +29,22 @@
     assert!((7..=10).contains(&other), "{other} of at most 40 / 4");
 }
 
+#[test]
+fn what_is_spent_is_told_as_a_part_of_the_allowance() {
+    let now = Instant::now();
+    let budget = budget(now, 1);
+    let service = ServiceName::from("one");
+
+    let before = budget.spent(&service, now);
+    let count = (0..17).filter(|_| budget.spend(&service, now)).count();
+    let half = budget.spent(&service, now);
+    spent(&budget, &service, now);
+    let all = budget.spent(&service, now);
+    let later = budget.spent(&service, now + Duration::from_secs(11));
+
+    assert_eq!((before, count, half, all, later), (0.0, 17, 0.5, 1.0, 0.0));
+}
+
 /// The window slides: no span of its length may hold more than the allowance,
 /// also if repeats are spent at the end of one and the start of the next.
 #[test]
--- /dev/null
+++ b/crates/kumquatnotch-policy/tests/quickest.rs
@@ -0,0 +1,88 @@
+//! Which replica of a shard is asked while some fail.
+//!
+//! The pattern: half of the replicas of an index reject most requests at once, or lose their
+//! replies after the work is done, while the others are sound but would be crowded by twice
+//! their load. Repeats are bounded over all nodes.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use kumquatnotch_core::ids::{DataCentre, Region};
+use kumquatnotch_policy::{
+    distances::Distances,
+    observed::Observed,
+    quickest::{self, Candidate, Need, Rating},
+};
+use yare::parameterized;
+
+const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// A replica in this data centre, a millisecond away.
+fn replica(now: Instant) -> Observed {
+    let centre = DataCentre::from("here");
+    let distances = Rc::new(Distances::from(centre.clone(), Region::from("home")));
+    let observed = Observed::new(2, distances.to(&centre), now);
+    observed.note_connect(ms(1));
+    (0..60).for_each(|_| observed.note_work(ms(20)));
+    observed
+}
+
+/// One that fails six of ten requests, each after `took`.
+fn failing(took: Duration, now: Instant) -> Observed {
+    let observed = replica(now);
+    for index in 0..200 {
+        let failed = index % 5 < 3;
+        observed.note_outcome(failed, now);
+        if failed {
+            observed.note_failed_after(took);
+        }
+    }
+    observed
+}
+
+fn need(spent: f64) -> Need {
+    Need { usual: ms(20), objective: ms(250), spent }
+}
+
+/// Whether the first one is asked.
+fn is_first(replicas: [&Observed; 2], need: Need, now: Instant) -> bool {
+    let rate = |observed| Rating::new(Candidate { observed, waiting: 0, limit: 8 }, need, now);
+    quickest::best(&replicas.map(rate)) == Some(0)
+}
+
+#[test]
+fn a_sound_replica_is_asked_while_it_has_a_free_slot() {
+    let now = Instant::now();
+
+    assert!(is_first([&replica(now), &failing(ms(1), now)], need(0.0), now));
+}
+
+/// The sound replica has requests waiting. One that rejects at once costs next to nothing to
+/// try; one that loses replies after the work costs the work, and is worth it only for a
+/// longer queue.
+#[parameterized(
+    rejects = { 1, 4, false },
+    loses_replies = { 40, 4, true },
+    loses_replies_long_queue = { 40, 14, false },
+)]
+fn a_failing_replica_spares_a_crowded_one(failed_after: u64, load: u32, is_sound: bool) {
+    let now = Instant::now();
+    let sound = replica(now);
+    sound.note_load(load, now);
+
+    assert_eq!(is_first([&sound, &failing(ms(failed_after), now)], need(0.0), now), is_sound);
+}
+
+/// Repeats run short: a rejection would be the end of a request, so the queue is better.
+#[parameterized(plenty = { 0.2, false }, half = { 0.6, true }, gone = { 1.0, true })]
+fn a_failing_replica_is_left_alone_where_repeats_run_short(spent: f64, is_sound: bool) {
+    let now = Instant::now();
+    let sound = replica(now);
+    sound.note_load(5, now);
+
+    assert_eq!(is_first([&sound, &failing(ms(1), now)], need(spent), now), is_sound);
+}
--- a/crates/kumquatnotch-route/src/admission.rs
+++ b/crates/kumquatnotch-route/src/admission.rs
@@ -141,8 +141,8 @@
 
 /// Foretells when the parts of a search would come.
 fn foretell(router: &Router, search: &Search<'_>, terms: &Terms, now: Instant) -> Forecast {
-    let need = router.need(search.route);
     let best = search.set.shards.iter().map(|shard| -> Option<Rating> {
+        let need = router.need_at(search.route, shard);
         Some(replica::pick(&router.directory.of(shard), &[], need, now)?.rating)
     });
     Forecast::new(best, terms)
--- a/crates/kumquatnotch-route/src/attempt.rs
+++ b/crates/kumquatnotch-route/src/attempt.rs
@@ -116,6 +116,7 @@
         Err(error) => {
             flight.broke();
             replica.observed.note_outcome(true, clock.now());
+            replica.observed.note_failed_after(clock.now().saturating_duration_since(at));
             // Whatever broke this connection has broken idle ones as well.
             replica.links.drop_idle();
             crash_check::check(router, call, replica);
@@ -220,6 +221,7 @@
     }
     if reply.headers.contains_key(&router.names.rejected) {
         replica.observed.note_outcome(true, now);
+        replica.observed.note_failed_after(took);
         return Ended::Rejected;
     }
     replica.observed.note_outcome(reply.status.is_server_error(), now);
--- a/crates/kumquatnotch-route/src/call.rs
+++ b/crates/kumquatnotch-route/src/call.rs
@@ -155,7 +155,7 @@
         let router = self.router;
         let replicas = router.directory.of(self.call.service);
         let allowed = &self.call.allowed;
-        let need = router.need(self.call.route);
+        let need = router.need_at(self.call.route, self.call.service);
         let now = router.clock.now();
         if allowed.is_empty() {
             return replica::pick(&replicas, &self.tried, need, now);
--- a/crates/kumquatnotch-route/src/relay_plan.rs
+++ b/crates/kumquatnotch-route/src/relay_plan.rs
@@ -5,7 +5,7 @@
 use kumquatnotch_core::ids::DataCentre;
 use kumquatnotch_policy::{
     plan::{self, Place},
-    quickest::{Need, Rating},
+    quickest::Rating,
 };
 
 use crate::{
@@ -39,9 +39,8 @@
 
 /// Plans a search over `shards`, by their place in the set.
 pub fn plan(router: &Router, route: &Route, set: &ShardSet, shards: &[usize]) -> Plan {
-    let need = router.need(route);
     let rated: Vec<(usize, Vec<(DataCentre, Rating)>)> =
-        shards.iter().map(|index| (*index, rate(router, &set.shards[*index], need))).collect();
+        shards.iter().map(|index| (*index, rate(router, route, &set.shards[*index]))).collect();
     let places = rated.iter().map(|(index, rated)| {
         let rated: Vec<(&DataCentre, Rating)> =
             rated.iter().map(|(centre, rating)| (centre, *rating)).collect();
@@ -51,27 +50,29 @@
     let plan::Plan { here, groups } =
         plan::Plan::new(places.collect(), &router.place.centre, &router.random, peer_in);
     let groups = groups.into_iter().map(|plan::Group { peer, shards }| {
-        let allowed = shards.iter().map(|index| allowed(router, route, &set.shards[*index], need));
+        let allowed = shards.iter().map(|index| allowed(router, route, &set.shards[*index]));
         Group { peer, allowed: allowed.collect(), shards }
     });
     Plan { here, groups: groups.collect() }
 }
 
 /// The replicas of a shard that take requests, by their data centres.
-fn rate(router: &Router, shard: &ServiceName, need: Need) -> Vec<(DataCentre, Rating)> {
+fn rate(router: &Router, route: &Route, shard: &ServiceName) -> Vec<(DataCentre, Rating)> {
     let now = router.clock.now();
+    let need = router.need_at(route, shard);
     let replicas = router.directory.of(shard);
     let open = replicas.iter().filter(|replica| replica.takes_requests());
     open.map(|replica| (replica.spec().centre.clone(), replica.rate(need, now))).collect()
 }
 
 /// The replicas of a shard that one search may ask; none means any.
-fn allowed(router: &Router, route: &Route, shard: &ServiceName, need: Need) -> Vec<ReplicaId> {
+fn allowed(router: &Router, route: &Route, shard: &ServiceName) -> Vec<ReplicaId> {
     let replicas = router.directory.of(shard);
     if replicas.len() <= route.attempts as usize {
         return Vec::new();
     }
     let now = router.clock.now();
+    let need = router.need_at(route, shard);
     let mut allowed: Vec<ReplicaId> = Vec::new();
     while allowed.len() < route.attempts as usize {
         match replica::pick(&replicas, &allowed, need, now) {
--- a/crates/kumquatnotch-route/src/router.rs
+++ b/crates/kumquatnotch-route/src/router.rs
@@ -212,7 +212,12 @@
         startup::retry(self.clock.now().saturating_duration_since(self.started), left)
     }
 
-    /// What is known of a request of `route` for the choice of its replica.
+    /// What is known of a request of `route` for the choice of a replica of `service`.
+    pub fn need_at(&self, route: &Route, service: &ServiceName) -> Need {
+        Need { spent: self.budget.spent(service, self.clock.now()), ..self.need(route) }
+    }
+
+    /// What is known of a request of `route`.
     pub fn need(&self, route: &Route) -> Need {
         self.paces.need(&route.name, route.objective)
     }
