Mechanisms can be switched off by settings, for experiments

Each mechanism that is believed in is named in one list (policy/mechanisms.rs) with the plain form that takes its place.

--- a/crates/kumquatnotch-policy/src/lib.rs
+++ b/crates/kumquatnotch-policy/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod hedge;
 pub mod lateness;
 pub mod limit;
+pub mod mechanisms;
 pub mod observed;
 pub mod pace;
 pub mod patience;
--- a/crates/kumquatnotch-policy/src/pace.rs
+++ b/crates/kumquatnotch-policy/src/pace.rs
@@ -4,7 +4,7 @@
 
 use kumquatnotch_core::{collections::HashMap, ids::RouteName};
 
-use crate::quickest::Need;
+use crate::{mechanisms::Mechanisms, quickest::Need};
 
 /// The part of the objective that is assumed before anything was measured.
 const FIRST_PART: f64 = 0.125;
@@ -33,7 +33,8 @@
 
     /// What is known of a request of `route` for the choice of its replica.
     pub fn need(&self, route: &RouteName, objective: Duration) -> Need {
-        Need { usual: self.usual(route, objective), objective, spent: 0.0 }
+        let mechanisms = Mechanisms::default();
+        Need { usual: self.usual(route, objective), objective, spent: 0.0, mechanisms }
     }
 
     /// Notes how long a request took, without its way to the replica.
--- a/crates/kumquatnotch-policy/src/quickest.rs
+++ b/crates/kumquatnotch-policy/src/quickest.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     lateness,
+    mechanisms::{Mechanism, Mechanisms},
     observed::{Fitness, Observed},
 };
 
@@ -36,6 +37,8 @@
     pub objective: Duration,
     /// Which part of the budget of repeats of its service is spent, up to one.
     pub spent: f64,
+    /// What is in use of that by which replicas are told apart.
+    pub mechanisms: Mechanisms,
 }
 
 /// A replica that could get a request.
@@ -72,7 +75,7 @@
         Rating {
             reluctance: reluctance(observed, need.usual, now),
             expected,
-            unqueued: unqueued(observed, need.usual, now),
+            unqueued: unqueued(observed, need, now),
             cost: expected + far_cost(observed, need),
             is_full: observed.is_full(now),
         }
@@ -106,7 +109,10 @@
     let slots = observed.slots().min(f64::from(limit.max(1)));
     let ahead = observed.load(now) + waiting as f64;
     let queue = ((ahead + 1.0 - slots) / slots).max(0.0) * observed.work();
-    let unqueued = unqueued(observed, need.usual, now);
+    let unqueued = unqueued(observed, need, now);
+    if !need.mechanisms.uses(Mechanism::FailureCost) {
+        return unqueued + queue;
+    }
     let scarcity = ((need.spent - SCARCE) / (1.0 - SCARCE)).max(0.0);
     let repeat = scarcity * need.objective.as_secs_f64();
     let failure = observed.failed_after() + unqueued + repeat;
@@ -114,13 +120,15 @@
 }
 
 /// The same if nothing waited there, in seconds.
-fn unqueued(observed: &Observed, usual: Duration, now: Instant) -> f64 {
-    observed.round_trip().as_secs_f64() + usual.as_secs_f64() * observed.slowness(now)
+fn unqueued(observed: &Observed, need: Need, now: Instant) -> f64 {
+    let uses = need.mechanisms.uses(Mechanism::Slowness);
+    let slowness = if uses { observed.slowness(now) } else { 1.0 };
+    observed.round_trip().as_secs_f64() + need.usual.as_secs_f64() * slowness
 }
 
 /// What the distance of a replica costs besides time, in seconds.
 fn far_cost(observed: &Observed, need: Need) -> f64 {
-    if !observed.is_far() {
+    if !observed.is_far() || !need.mechanisms.uses(Mechanism::FarCost) {
         return 0.0;
     }
     let least = FAR_PART * need.objective.as_secs_f64();
--- a/crates/kumquatnotch-policy/src/strain.rs
+++ b/crates/kumquatnotch-policy/src/strain.rs
@@ -25,7 +25,10 @@
 /// most. Measured on a day with two crowds of 2.5 times the usual traffic: at 1.0 half
 /// of the searches were answered in time, at 3.0 seven in ten; on days of outages 3.0
 /// refuses two to three times as many.
-const MARGIN: (f64, f64) = (1.6, 3.0);
+const MARGIN: (f64, f64) = (LEAST_MARGIN, 3.0);
+
+/// The least of these.
+pub const LEAST_MARGIN: f64 = 1.6;
 
 /// By how much this grows with the share of late searches: at a fifth it is at its most.
 const MARGIN_GAIN: f64 = 7.0;
--- a/crates/kumquatnotch-policy/tests/quickest.rs
+++ b/crates/kumquatnotch-policy/tests/quickest.rs
@@ -12,6 +12,7 @@
 use kumquatnotch_core::ids::{DataCentre, Region};
 use kumquatnotch_policy::{
     distances::Distances,
+    mechanisms::Mechanisms,
     observed::Observed,
     quickest::{self, Candidate, Need, Rating},
 };
@@ -45,7 +46,7 @@
 }
 
 fn need(spent: f64) -> Need {
-    Need { usual: ms(20), objective: ms(250), spent }
+    Need { usual: ms(20), objective: ms(250), spent, mechanisms: Mechanisms::default() }
 }
 
 /// Whether the first one is asked.
--- a/crates/kumquatnotch-route/src/admission.rs
+++ b/crates/kumquatnotch-route/src/admission.rs
@@ -8,8 +8,9 @@
 use kumquatnotch_core::clock;
 use kumquatnotch_policy::{
     forecast::{Forecast, Terms},
+    mechanisms::Mechanism,
     quickest::Rating,
-    strain::Fate,
+    strain::{self, Fate},
 };
 
 use crate::{
@@ -30,6 +31,9 @@
 /// How often it looks for room, before jitter.
 const ROOM_PERIOD: Duration = Duration::from_millis(30);
 
+/// When refused callers come again where this isn't worked out.
+const FIXED_RETRY: Duration = Duration::from_millis(300);
+
 /// What is to become of a search.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Admission {
@@ -110,13 +114,20 @@
     let now = router.clock.now();
     let terms = terms(router, search, now);
     let forecast = foretell(router, search, &terms, now);
-    let Some(retry) = forecast.refusal(&terms) else {
-        let (shards, skipped) = forecast.split();
+    let refusal = forecast.refusal(&terms).filter(|_| router.uses(Mechanism::Refusals));
+    let Some(retry) = refusal else {
+        let (mut shards, mut skipped) = forecast.split();
+        if !router.uses(Mechanism::LeftOutShards) {
+            shards.append(&mut skipped);
+        }
         return Admission::Ask { shards, skipped };
     };
     let route = &search.route.name;
     router.strains.note(route, Fate::Refused, now);
-    let retry = retry.max(router.random.jitter(router.strains.retry(route, terms.time, now)));
+    let mut retry = retry.max(router.random.jitter(router.strains.retry(route, terms.time, now)));
+    if !router.uses(Mechanism::RetryTimes) {
+        retry = FIXED_RETRY;
+    }
     tell_refusal(search, &forecast, &terms, retry);
     Admission::Refuse { retry }
 }
@@ -149,7 +160,10 @@
 }
 
 fn terms(router: &Router, search: &Search<'_>, now: Instant) -> Terms {
-    let margin = router.strains.margin(&search.route.name, now);
+    let mut margin = router.strains.margin(&search.route.name, now);
+    if !router.uses(Mechanism::Strain) {
+        margin = strain::LEAST_MARGIN;
+    }
     Terms {
         left: search.due.saturating_duration_since(now),
         time: search.deadline.saturating_duration_since(now),
--- a/crates/kumquatnotch-route/src/advice.rs
+++ b/crates/kumquatnotch-route/src/advice.rs
@@ -47,6 +47,11 @@
         HostAdvice { regions: advised.collect(), elsewhere: nodes.to_vec() }
     }
 
+    /// All nodes for all callers.
+    pub fn of_all(nodes: &[Candidate]) -> HostAdvice {
+        HostAdvice { regions: HashMap::default(), elsewhere: nodes.to_vec() }
+    }
+
     /// The nodes for callers of `region`.
     pub fn nodes_for(&self, region: &Region) -> &[Candidate] {
         self.regions.get(region).unwrap_or(&self.elsewhere)
--- a/crates/kumquatnotch-route/src/attempt.rs
+++ b/crates/kumquatnotch-route/src/attempt.rs
@@ -13,7 +13,7 @@
     message::{Reply, Request},
     opaque_link::OpaqueReply,
 };
-use kumquatnotch_policy::observed::Fitness;
+use kumquatnotch_policy::{mechanisms::Mechanism, observed::Fitness};
 
 use crate::{
     crash_check,
@@ -209,8 +209,12 @@
     let now = router.clock.now();
     let load = told_load(&router.names, &reply);
     if let Some(Load { running, waiting, burden }) = load {
-        replica.observed.note_load(running + waiting, now);
-        replica.observed.note_burden(burden.unwrap_or(1.0), now);
+        if router.uses(Mechanism::ToldLoad) {
+            replica.observed.note_load(running + waiting, now);
+        }
+        if router.uses(Mechanism::ToldBurden) {
+            replica.observed.note_burden(burden.unwrap_or(1.0), now);
+        }
     }
     if reply.status.as_u16() == 421 {
         // Another replica has the address by now. Its own entry is, or will be,
--- a/crates/kumquatnotch-route/src/call.rs
+++ b/crates/kumquatnotch-route/src/call.rs
@@ -9,6 +9,7 @@
 use kumquatnotch_policy::{
     attempts::{Allowance, Attempts, Ending, Verdict},
     copies, lateness,
+    mechanisms::Mechanism,
 };
 
 use crate::{
@@ -109,7 +110,8 @@
                 running.push(run(router, call, next, &sent));
             }
             () = late => {
-                if !progress.attempts.may_copy(progress.allowance(), running.len() as u32) {
+                let may_copy = router.uses(Mechanism::Copies);
+                if !may_copy || !progress.attempts.may_copy(progress.allowance(), running.len() as u32) {
                     continue;
                 }
                 match progress.copy_target() {
@@ -230,6 +232,7 @@
         let now = self.router.clock.now();
         let usual = self.router.need(self.call.route).usual;
         let other = self.best().filter(|pick| pick.rating.is_good());
+        let other = other.filter(|_| self.router.uses(Mechanism::CopyTime));
         let left = self.call.due.saturating_duration_since(now);
         let other = other.map(|pick| pick.rating.expected);
         copies::delay(&replica.observed, other, usual, left, now)
--- a/crates/kumquatnotch-route/src/follow.rs
+++ b/crates/kumquatnotch-route/src/follow.rs
@@ -11,6 +11,7 @@
     store::{StoreChanges, StoreEvent, StoreItem, StoreScan},
 };
 use kumquatnotch_net::message::Request;
+use kumquatnotch_policy::mechanisms::Mechanism;
 use serde::{Deserialize, Serialize};
 
 use crate::{advice::Candidate, journal::Passage, relay, replica::Replica, router::Router};
@@ -165,7 +166,7 @@
     let own = readers(&router.place.centre, &nodes);
     let is_known = nodes.iter().any(|(name, _)| *name == router.place.name);
     let is_reader = own.iter().any(|(name, _)| *name == router.place.name);
-    if is_reader || !is_known {
+    if is_reader || !is_known || !router.uses(Mechanism::Followers) {
         return Vec::new();
     }
     let mut order = own;
--- a/crates/kumquatnotch-route/src/front.rs
+++ b/crates/kumquatnotch-route/src/front.rs
@@ -14,6 +14,7 @@
 };
 use kumquatnotch_policy::{
     answer_time::{self, Due},
+    mechanisms::Mechanism,
     patience::Patience,
     strain::Fate,
     weights::Weights,
@@ -234,7 +235,7 @@
             returning: asked.returning,
         };
         let mut permit = None;
-        if asked.returning {
+        if asked.returning && self.router.uses(Mechanism::WaitingCallers) {
             permit = admission::await_room(&self.router, &self.returning, &mut search).await;
             if permit.is_none() {
                 return Err(CallFault::NotRun {
@@ -261,7 +262,7 @@
     /// For how long a request is refused because it crashes replicas.
     fn refused_for(&self, request: &Request, now: Instant) -> Option<Duration> {
         let crashes = &self.router.crashes;
-        if crashes.is_empty() {
+        if crashes.is_empty() || !self.router.uses(Mechanism::Containment) {
             return None;
         }
         crashes.refused_for(crash_check::fingerprint(request), now)
--- a/crates/kumquatnotch-route/src/in_flight.rs
+++ b/crates/kumquatnotch-route/src/in_flight.rs
@@ -8,7 +8,7 @@
 use http::HeaderValue;
 use kumquatnotch_core::clock;
 use kumquatnotch_net::{OpaqueLink, message::Reply, opaque_link::OpaqueReply};
-use kumquatnotch_policy::{copies, lateness};
+use kumquatnotch_policy::{copies, lateness, mechanisms::Mechanism};
 
 use crate::{attempt::Call, gate::Permit, probe, replica::Replica, router::Router};
 
@@ -58,7 +58,9 @@
             let way = observed.known_trip().unwrap_or_default();
             observed.note_unanswered(took.saturating_sub(way), self.usual, now);
         }
-        let may_end = self.call.is_settled.get() && link.is_untouched();
+        let may_end = self.router.uses(Mechanism::KeptConnections)
+            && self.call.is_settled.get()
+            && link.is_untouched();
         if may_end && copies::is_soon_done(observed, self.usual, took, now) {
             let linger = Linger {
                 router: self.router.clone(),
--- a/crates/kumquatnotch-route/src/mirror.rs
+++ b/crates/kumquatnotch-route/src/mirror.rs
@@ -14,6 +14,7 @@
     Error, Result, Store, clock,
     store::{StoreChanges, StoreScan},
 };
+use kumquatnotch_policy::mechanisms::Mechanism;
 
 use crate::{
     entries::Entries,
@@ -132,7 +133,8 @@
                         tracing::warn!(code = error.code(), "mirror: the store is away: {error}");
                     }
                     // Later, what another node knows may be older than what this one does.
-                    if !self.router.is_synced() && self.ask_visitors().await {
+                    let may_ask = self.router.uses(Mechanism::Visitors);
+                    if may_ask && !self.router.is_synced() && self.ask_visitors().await {
                         continue;
                     }
                     let backoff = self.options.backoff * 2u32.pow(failures.min(6) - 1);
--- a/crates/kumquatnotch-route/src/probe.rs
+++ b/crates/kumquatnotch-route/src/probe.rs
@@ -9,7 +9,7 @@
 use http::HeaderValue;
 use kumquatnotch_core::clock;
 use kumquatnotch_net::message::{Reply, Request};
-use kumquatnotch_policy::observed::Fitness;
+use kumquatnotch_policy::{mechanisms::Mechanism, observed::Fitness};
 
 use crate::{fleet::PEER_SERVICE, relay::VISITOR_HEADER, replica::Replica, router::Router};
 
@@ -26,6 +26,10 @@
     if replica.observed.fitness() != Fitness::Fit || replica.is_gone() {
         return;
     }
+    let is_peer = replica.spec().service.as_str() == PEER_SERVICE;
+    if !is_peer && !router.uses(Mechanism::Suspicion) {
+        return;
+    }
     replica.observed.set_fitness(Fitness::Suspect);
     replica.links.drop_idle();
     metrics::counter!("kumquatnotch_suspects_total", "reason" => reason).increment(1);
--- a/crates/kumquatnotch-route/src/relay_plan.rs
+++ b/crates/kumquatnotch-route/src/relay_plan.rs
@@ -4,6 +4,7 @@
 
 use kumquatnotch_core::ids::DataCentre;
 use kumquatnotch_policy::{
+    mechanisms::Mechanism,
     plan::{self, Place},
     quickest::Rating,
 };
@@ -39,6 +40,9 @@
 
 /// Plans a search over `shards`, by their place in the set.
 pub fn plan(router: &Router, route: &Route, set: &ShardSet, shards: &[usize]) -> Plan {
+    if !router.uses(Mechanism::Relays) {
+        return Plan { here: shards.to_vec(), groups: Vec::new() };
+    }
     let rated: Vec<(usize, Vec<(DataCentre, Rating)>)> =
         shards.iter().map(|index| (*index, rate(router, route, &set.shards[*index]))).collect();
     let places = rated.iter().map(|(index, rated)| {
--- a/crates/kumquatnotch-route/src/router.rs
+++ b/crates/kumquatnotch-route/src/router.rs
@@ -23,6 +23,7 @@
     caller_trips::CallerTrips,
     crashes::Crashes,
     distances::Distances,
+    mechanisms::{Mechanism, Mechanisms},
     pace::Paces,
     quickest::Need,
     shares::{self, Sharers},
@@ -60,6 +61,8 @@
     pub budget: BudgetOptions,
     /// Where this node is.
     pub place: Place,
+    /// Which mechanisms are in use; all of them but in experiments.
+    pub mechanisms: Mechanisms,
 }
 
 /// Who and where a node is.
@@ -107,6 +110,7 @@
     pub strains: Strains,
     /// The budget for repeats.
     pub budget: Budget,
+    mechanisms: Mechanisms,
     table: RefCell<Option<Rc<RouteTable>>>,
     /// Nodes that asked this one something before it knew any, by their addresses.
     visitors: RefCell<Vec<SocketAddr>>,
@@ -143,6 +147,7 @@
             paces: Paces::default(),
             crashes: Crashes::default(),
             strains: Strains::default(),
+            mechanisms: options.mechanisms,
             table: RefCell::default(),
             synced: Cell::new(None),
             advice: RefCell::default(),
@@ -150,6 +155,11 @@
         }))
     }
 
+    /// Whether a mechanism is in use.
+    pub(crate) fn uses(&self, mechanism: Mechanism) -> bool {
+        self.mechanisms.uses(mechanism)
+    }
+
     /// The configuration in force.
     pub fn table(&self) -> Option<Rc<RouteTable>> {
         self.table.borrow().clone()
@@ -173,6 +183,9 @@
 
     /// Keeps entries that vanish for a while, from now on for `span` at least.
     pub fn be_lenient(&self, span: Duration) {
+        if !self.uses(Mechanism::LapseCaution) {
+            return;
+        }
         let until = self.clock.now() + span;
         self.lenient.set(Some(self.lenient.get().map_or(until, |known| known.max(until))));
     }
@@ -219,7 +232,8 @@
 
     /// What is known of a request of `route`.
     pub fn need(&self, route: &Route) -> Need {
-        self.paces.need(&route.name, route.objective)
+        let need = self.paces.need(&route.name, route.objective);
+        Need { mechanisms: self.mechanisms, ..need }
     }
 
     /// Where replicas of a service, or the nodes of this tier, answer probes.
@@ -234,8 +248,9 @@
     pub(crate) fn bound_connections(&self, replica: &Replica, service: &ServiceName) {
         let table = self.table();
         let service = table.as_ref().and_then(|table| table.service(service));
+        let part = if self.uses(Mechanism::ConnectionShares) { self.own_part() } else { 1.0 };
         let all = service.map_or(UNKNOWN_CONNECTIONS, |service| service.connections);
-        replica.gate.set_limit(shares::connections(all, self.own_part()));
+        replica.gate.set_limit(shares::connections(all, part));
     }
 
     /// What callers of `host` are advised; `None` without configuration.
@@ -244,6 +259,9 @@
         let valid_for = self.valid_for(&table);
         let advice = self.advice.borrow_mut().get(host, valid_for, || {
             let nodes = self.fleet.candidates();
+            if !self.uses(Mechanism::Placement) {
+                return HostAdvice::of_all(&nodes);
+            }
             HostAdvice::new(host, &table, &self.directory, &nodes, &self.fleet.regions())
         });
         Some(advice)
@@ -264,6 +282,9 @@
     pub fn own_part(&self) -> f64 {
         let now = self.clock.now();
         let known_for = self.synced.get().map(|at| now.saturating_duration_since(at));
+        if !self.uses(Mechanism::SettleTime) {
+            return self.known_part();
+        }
         shares::settled(self.known_part(), known_for)
     }
 
@@ -299,10 +320,13 @@
         let guests =
             self.advice(&route.host).is_some_and(|advice| advice.has_guests(&self.place.region));
         let way = if guests { self.distances.farthest() } else { Duration::ZERO };
-        let trip = self.callers.usual();
-        answer_time::waiting(
-            route.objective,
-            Origin { trip, way, lag: self.lags.usual(), is_first },
-        )
+        let (mut trip, mut lag) = (self.callers.usual(), self.lags.usual());
+        if !self.uses(Mechanism::CallerTrips) {
+            trip = CallerTrips::default().usual();
+        }
+        if !self.uses(Mechanism::Lags) {
+            lag = Lags::default().usual();
+        }
+        answer_time::waiting(route.objective, Origin { trip, way, lag, is_first })
     }
 }
--- a/crates/kumquatnotch-route/tests/common/mod.rs
+++ b/crates/kumquatnotch-route/tests/common/mod.rs
@@ -20,7 +20,7 @@
     services,
 };
 use kumquatnotch_net::{Server, server::ServerOptions};
-use kumquatnotch_policy::budget::BudgetOptions;
+use kumquatnotch_policy::{budget::BudgetOptions, mechanisms::Mechanisms};
 use kumquatnotch_route::{
     fleet::NodeRecord,
     front::RouteFront,
@@ -128,6 +128,7 @@
                 centre: DataCentre::from(centre),
                 region: Region::from(centre),
             },
+            mechanisms: Mechanisms::default(),
         };
         let router = Router::try_new(options, &registry).unwrap();
         let regions = ["home", "away"];
--- a/crates/measure/src/routes.rs
+++ b/crates/measure/src/routes.rs
@@ -23,7 +23,7 @@
     services,
 };
 use kumquatnotch_net::{Server, server::ServerOptions};
-use kumquatnotch_policy::budget::BudgetOptions;
+use kumquatnotch_policy::{budget::BudgetOptions, mechanisms::Mechanisms};
 use kumquatnotch_route::{
     front::RouteFront,
     headers::HeaderNames,
@@ -124,7 +124,12 @@
     let node = NodeName::from("node");
     let place = Place { name: node, centre: DataCentre::from("c"), region: Region::from("r") };
     let budget = BudgetOptions { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) };
-    let options = RouterOptions { names: HeaderNames::default(), budget, place };
+    let options = RouterOptions {
+        names: HeaderNames::default(),
+        budget,
+        place,
+        mechanisms: Mechanisms::default(),
+    };
     let router = Router::try_new(options, &registry)?;
     router.put_in_force(RouteTable::new(config(addresses.len())));
     for (index, address) in addresses.iter().enumerate() {
