--- /dev/null
+++ b/crates/kumquatnotch-ctl/src/explain_command.rs
@@ -0,0 +1,224 @@
+//! Tells where the worth of answers was lost, from the logs of all nodes.
+//!
+//! An answer that is whole and in time is worth one. One that leaves shards out is worth the
+//! square of the share that it covers; one that is late, refused or failed counts as lost.
+//! What is lost is summed by kind of request and cause, and by time.
+
+use std::time::Duration;
+
+use kumquatnotch::core::{Error, Result, collections::HashMap};
+
+use crate::{
+    log_lines::{self, Line},
+    options::ExplainArgs,
+};
+
+/// How much later than due an answer still counts as in time, in milliseconds.
+///
+/// Nodes keep some time for the way to the caller, which this is a part of.
+const IN_TIME_MS: u64 = 10;
+
+/// The lines that say what became of a request.
+const ENDS: [&str; 2] = ["front: answered", "front: refused"];
+
+pub fn explain(args: &ExplainArgs) -> Result<u8> {
+    let mut lines = Vec::new();
+    for path in &args.files {
+        lines.extend(log_lines::read(path)?);
+    }
+    let account = Account::new(&lines, Duration::from_secs_f64(args.window.max(0.1)));
+    if account.requests == 0 {
+        return Err(Error::bad_request("no line tells what became of a request"));
+    }
+    account.print(args.top);
+    Ok(0)
+}
+
+/// What was lost for one reason.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct Loss {
+    requests: u64,
+    lost: f64,
+}
+
+impl Loss {
+    fn add(&mut self, lost: f64) {
+        self.requests += 1;
+        self.lost += lost;
+    }
+}
+
+/// What became of the requests of one span of time.
+#[derive(Clone, Debug, Default)]
+struct Window {
+    requests: u64,
+    lost: f64,
+    causes: HashMap<String, f64>,
+}
+
+/// What was lost, by kind of request and cause, and by time.
+struct Account {
+    requests: u64,
+    lost: f64,
+    routes: HashMap<(String, String), Loss>,
+    windows: HashMap<u64, Window>,
+    span: Duration,
+    start: Duration,
+}
+
+/// What the logs tell of a request besides its end.
+#[derive(Default)]
+struct Notes<'a> {
+    /// The shards whose replies were lost.
+    lost: Vec<&'a str>,
+    /// The shards of which a copy was sent.
+    copied: Vec<&'a str>,
+    /// The shards that were missing when it was answered.
+    late: Vec<&'a str>,
+    /// Whether its caller came again, too late for an answer in time.
+    again: bool,
+}
+
+impl Account {
+    fn new(lines: &[Line], span: Duration) -> Account {
+        let notes = notes(lines);
+        let ends = || lines.iter().filter(|line| ENDS.contains(&line.message.as_str()));
+        let start = ends().map(Line::since_epoch).min().unwrap_or_default();
+        let mut account = Account {
+            requests: 0,
+            lost: 0.0,
+            routes: HashMap::default(),
+            windows: HashMap::default(),
+            span,
+            start,
+        };
+        let none = Notes::default();
+        for line in ends() {
+            let known = line.request.as_deref().and_then(|request| notes.get(request));
+            account.add(line, known.unwrap_or(&none));
+        }
+        account
+    }
+
+    /// Adds what became of a request.
+    fn add(&mut self, line: &Line, notes: &Notes<'_>) {
+        self.requests += 1;
+        let passed = line.since_epoch().saturating_sub(self.start);
+        let window = (passed.as_secs_f64() / self.span.as_secs_f64()) as u64;
+        self.windows.entry(window).or_default().requests += 1;
+        for (cause, lost) in losses(line, notes) {
+            self.lost += lost;
+            let key = (line.text("route").to_owned(), cause.clone());
+            self.routes.entry(key).or_default().add(lost);
+            let window = self.windows.entry(window).or_default();
+            window.lost += lost;
+            *window.causes.entry(cause).or_default() += lost;
+        }
+    }
+
+    fn print(&self, top: usize) {
+        let share = |lost: f64| 100.0 * lost / self.requests as f64;
+        println!(
+            "{} requests, {:.1} answers lost ({:.2} in a hundred)",
+            self.requests,
+            self.lost,
+            share(self.lost)
+        );
+        println!("\n{:>8} {:>6} {:>8}  route, cause", "lost", "%", "requests");
+        for ((route, cause), Loss { requests, lost }) in by_loss(&self.routes, |loss| loss.lost) {
+            println!("{lost:>8.1} {:>6.2} {requests:>8}  {route}  {cause}", share(*lost));
+        }
+        println!("\nworst windows of {} s", self.span.as_secs_f64());
+        println!("{:>8} {:>8} {:>8}  most for", "from s", "requests", "lost");
+        for (index, window) in by_loss(&self.windows, |window| window.lost).take(top) {
+            let from = *index as f64 * self.span.as_secs_f64();
+            let cause = by_loss(&window.causes, |lost| *lost).next();
+            let cause = cause.map_or("", |(cause, _)| cause.as_str());
+            println!("{from:>8.1} {:>8} {:>8.1}  {cause}", window.requests, window.lost);
+        }
+    }
+}
+
+/// Entries with what was lost for each, the most first.
+fn by_loss<K: Ord, V>(
+    map: &HashMap<K, V>,
+    lost: impl Fn(&V) -> f64,
+) -> impl Iterator<Item = (&K, &V)> {
+    let mut entries: Vec<(&K, &V)> = map.iter().collect();
+    entries.sort_by(|(key, one), (other_key, other)| {
+        lost(other).total_cmp(&lost(one)).then_with(|| key.cmp(other_key))
+    });
+    entries.into_iter()
+}
+
+/// What the logs tell of each request besides its end.
+fn notes(lines: &[Line]) -> HashMap<&str, Notes<'_>> {
+    let mut notes: HashMap<&str, Notes<'_>> = HashMap::default();
+    for line in lines {
+        let Some(request) = line.request.as_deref() else {
+            continue;
+        };
+        let note = notes.entry(request).or_default();
+        match line.message.as_str() {
+            "call: the reply was lost" => note.lost.push(line.text("service")),
+            "call: a copy is sent" => note.copied.push(line.text("service")),
+            "gather: shards are missing" => note.late.extend(line.text("late").split_whitespace()),
+            "forecast: a caller came again" => note.again = true,
+            _ => {}
+        }
+    }
+    notes
+}
+
+/// What was lost with a request, by cause.
+fn losses(line: &Line, notes: &Notes<'_>) -> Vec<(String, f64)> {
+    let (status, reason) = (line.number("status"), line.text("reason"));
+    match status {
+        // Nobody waited for the answer any more.
+        408 => Vec::new(),
+        404 => Vec::new(),
+        503 => vec![(format!("refused: {reason}"), 1.0)],
+        status if status >= 400 => vec![(format!("failed: {reason}"), 1.0)],
+        _ if line.number("ms") > line.number("due_ms") + IN_TIME_MS => vec![(late(notes), 1.0)],
+        _ => missing(line, notes),
+    }
+}
+
+/// Why an answer was late.
+fn late(notes: &Notes<'_>) -> String {
+    let cause = match notes {
+        Notes { again: true, .. } => "late: the caller came again",
+        Notes { late, lost, .. } if late.iter().any(|shard| lost.contains(shard)) => {
+            "late: too few parts in time, replies were lost"
+        }
+        Notes { late, .. } if !late.is_empty() => "late: too few parts in time",
+        _ => "late: all parts came in the end",
+    };
+    cause.to_owned()
+}
+
+/// What an answer that leaves shards out has lost, by the reason for each.
+fn missing(line: &Line, notes: &Notes<'_>) -> Vec<(String, f64)> {
+    let (parts, missing) = (line.number("parts") as f64, line.number("missing") as f64);
+    if missing == 0.0 {
+        return Vec::new();
+    }
+    let covered = parts / (parts + missing);
+    let each = (1.0 - covered * covered) / missing;
+    let mut causes: HashMap<&str, f64> = HashMap::default();
+    let not_asked = missing - notes.late.len() as f64;
+    if not_asked > 0.0 {
+        causes.insert("part: not asked, as it was expected late", each * not_asked);
+    }
+    for shard in &notes.late {
+        let cause = if notes.lost.contains(shard) {
+            "part: its reply was lost"
+        } else if notes.copied.contains(shard) {
+            "part: late, and a copy as well"
+        } else {
+            "part: late, without a copy"
+        };
+        *causes.entry(cause).or_default() += each;
+    }
+    causes.into_iter().map(|(cause, lost)| (cause.to_owned(), lost)).collect()
+}
--- /dev/null
+++ b/crates/kumquatnotch-ctl/src/log_lines.rs
@@ -0,0 +1,86 @@
+//! Lines of the logs of nodes.
+
+use std::{
+    fs::File,
+    io::{BufRead, BufReader},
+    path::Path,
+    time::{Duration, SystemTime},
+};
+
+use humantime_serde::re::humantime;
+use kumquatnotch::core::{Error, Result};
+use serde_json::{Map, Value};
+
+/// The fields that stand in every line, or are told before the others.
+const TOLD_BEFORE: [&str; 4] = ["timestamp", "level", "message", "request"];
+
+/// A line of a log.
+pub struct Line {
+    /// The process that wrote it.
+    pub source: String,
+    /// When, as it was written.
+    pub time: String,
+    /// What it says.
+    pub message: String,
+    /// The request that it tells of.
+    pub request: Option<String>,
+    /// Everything else.
+    pub fields: Map<String, Value>,
+}
+
+impl Line {
+    /// When it was written, since 1970; zero if that can't be read.
+    pub fn since_epoch(&self) -> Duration {
+        let time = humantime::parse_rfc3339_weak(&self.time);
+        let since = time.ok().and_then(|time| time.duration_since(SystemTime::UNIX_EPOCH).ok());
+        since.unwrap_or_default()
+    }
+
+    /// A number; zero if there is none of that name.
+    pub fn number(&self, name: &str) -> u64 {
+        self.fields.get(name).and_then(Value::as_u64).unwrap_or_default()
+    }
+
+    /// A text; empty if there is none of that name.
+    pub fn text(&self, name: &str) -> &str {
+        self.fields.get(name).and_then(Value::as_str).unwrap_or_default()
+    }
+}
+
+/// Reads the lines of a file; what is none of them is passed over.
+pub fn read(path: &Path) -> Result<Vec<Line>> {
+    let file = File::open(path)
+        .map_err(|error| Error::bad_request(format!("{}: {error}", path.display())))?;
+    let name = path.file_stem().map_or_else(String::new, |name| name.to_string_lossy().into());
+    let lines = BufReader::new(file).lines().map_while(std::result::Result::ok);
+    Ok(lines.filter_map(|line| parse(&line, &name)).collect())
+}
+
+/// Reads a line; what stands before its JSON names the process, else its file does.
+fn parse(line: &str, file: &str) -> Option<Line> {
+    let (before, json) = line.split_at(line.find('{')?);
+    let Ok(Value::Object(mut fields)) = serde_json::from_str(json) else {
+        return None;
+    };
+    let source = before.split_whitespace().last().unwrap_or(file).to_owned();
+    let text = |name: &str| match fields.get(name) {
+        Some(Value::String(text)) => Some(text.clone()),
+        _ => None,
+    };
+    let (time, message, request) = (text("timestamp")?, text("message")?, text("request"));
+    fields.retain(|name, _| !TOLD_BEFORE.contains(&name.as_str()));
+    Some(Line { source, time, message, request, fields })
+}
+
+impl std::fmt::Display for Line {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{} {} {}", self.time, self.source, self.message)?;
+        for (name, value) in &self.fields {
+            match value {
+                Value::String(text) => write!(f, " {name}={text}")?,
+                other => write!(f, " {name}={other}")?,
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/kumquatnotch-ctl/src/main.rs
+++ b/crates/kumquatnotch-ctl/src/main.rs
@@ -8,6 +8,8 @@
 mod caller_commands;
 mod config_commands;
 mod context;
+mod explain_command;
+mod log_lines;
 mod options;
 mod status_command;
 mod story_command;
@@ -59,6 +61,7 @@
         Command::Collect(args) => config_commands::collect(context, args).await,
         Command::Status(args) => status_command::status(context, args).await,
         Command::Story(args) => story_command::story(args),
+        Command::Explain(args) => explain_command::explain(args),
         Command::KeyDigest(_) => caller_commands::key_digest(),
         Command::Entry(args) => caller_commands::entry(context, args).await,
         Command::Search(args) => caller_commands::search(context, args).await,
--- a/crates/kumquatnotch-ctl/src/options.rs
+++ b/crates/kumquatnotch-ctl/src/options.rs
@@ -50,6 +50,7 @@
     Collect(CollectArgs),
     Status(StatusArgs),
     Story(StoryArgs),
+    Explain(ExplainArgs),
     KeyDigest(KeyDigestArgs),
     Entry(EntryArgs),
     Search(SearchArgs),
@@ -73,6 +74,24 @@
     pub files: Vec<PathBuf>,
 }
 
+/// Tell where the worth of answers was lost, by kind of request, cause and time, from the
+/// logs of all nodes.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub struct ExplainArgs {
+    /// the length of the windows that are compared, in seconds
+    #[argh(option, default = "2.0")]
+    pub window: f64,
+
+    /// how many of the worst windows are told
+    #[argh(option, default = "8")]
+    pub top: usize,
+
+    /// files with logs, one for each process or of all together
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
+
 /// Check a document, and report every fault.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "check")]
--- /dev/null
+++ b/crates/kumquatnotch-ctl/tests/explain.rs
@@ -0,0 +1,52 @@
+//! Where the worth of answers was lost, told from the logs of several processes.
+
+use std::process::Command;
+
+const LOG: &str = r#"
+{"timestamp":"2026-01-01T00:00:00.100Z","level":"INFO","message":"front: answered","request":"a","route":"r","status":200,"reason":"answered","ms":90,"due_ms":100,"parts":10,"missing":0}
+{"timestamp":"2026-01-01T00:00:00.150Z","level":"INFO","message":"call: a copy is sent","request":"b","service":"s1"}
+{"timestamp":"2026-01-01T00:00:00.160Z","level":"INFO","message":"gather: shards are missing","request":"b","late":"s1","skipped":"s2"}
+{"timestamp":"2026-01-01T00:00:00.200Z","level":"INFO","message":"front: answered","request":"b","route":"r","status":200,"reason":"answered","ms":101,"due_ms":100,"parts":8,"missing":2}
+{"timestamp":"2026-01-01T00:00:03.000Z","level":"INFO","message":"call: the reply was lost","request":"c","service":"s1"}
+{"timestamp":"2026-01-01T00:00:03.100Z","level":"INFO","message":"gather: shards are missing","request":"c","late":"s1","skipped":""}
+{"timestamp":"2026-01-01T00:00:03.200Z","level":"INFO","message":"front: answered","request":"c","route":"r","status":200,"reason":"answered","ms":180,"due_ms":100,"parts":9,"missing":1}
+{"timestamp":"2026-01-01T00:00:03.300Z","level":"INFO","message":"front: answered","request":"d","route":"q","status":503,"reason":"replicas are crowded","ms":0,"due_ms":100,"parts":0,"missing":10}
+{"timestamp":"2026-01-01T00:00:03.400Z","level":"INFO","message":"front: answered","request":"e","route":"q","status":408,"reason":"the caller went away","ms":50,"due_ms":100,"parts":0,"missing":0}
+"#;
+
+fn explain(name: &str, log: &str) -> (Option<i32>, String) {
+    let path = std::env::temp_dir().join(format!("explain-{}-{name}.log", std::process::id()));
+    std::fs::write(&path, log).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_kumquatnotch-ctl"));
+    let output = command.arg("explain").arg(&path).output().unwrap();
+    std::fs::remove_file(&path).unwrap();
+    (output.status.code(), String::from_utf8(output.stdout).unwrap())
+}
+
+#[test]
+fn what_was_lost_is_told_by_cause_and_time() {
+    let (code, told) = explain("causes", LOG);
+
+    let words = |line: &str| line.split_whitespace().collect::<Vec<&str>>().join(" ");
+    let lines: Vec<String> = told.lines().map(words).collect();
+    assert_eq!(code, Some(0));
+    assert_eq!(lines[0], "5 requests, 2.4 answers lost (47.20 in a hundred)");
+    // Two of ten parts cost 0.36 of an answer, half of it for each.
+    for line in [
+        "1.0 20.00 1 q refused: replicas are crowded",
+        "1.0 20.00 1 r late: too few parts in time, replies were lost",
+        "0.2 3.60 1 r part: late, and a copy as well",
+        "0.2 3.60 1 r part: not asked, as it was expected late",
+        "2.0 3 2.0 late: too few parts in time, replies were lost",
+        "0.0 2 0.4 part: late, and a copy as well",
+    ] {
+        assert!(lines.iter().any(|told| told == line), "{line}: {told}");
+    }
+}
+
+#[test]
+fn logs_without_requests_are_an_error() {
+    let (code, told) = explain("empty", "nothing\n");
+
+    assert_eq!((code, told.as_str()), (Some(1), ""));
+}
--- a/crates/kumquatnotch-route/src/front.rs
+++ b/crates/kumquatnotch-route/src/front.rs
@@ -359,6 +359,7 @@
             status = status.as_u16(),
             reason,
             ms = took.as_millis() as u64,
+            due_ms = asked.due.saturating_duration_since(asked.arrival).as_millis() as u64,
             left_ms = asked.deadline.saturating_duration_since(self.router.clock.now()).as_millis()
                 as u64,
             parts = self.parts.get(),
