--- a/crates/kumquatnotch-ctl/src/explain_command.rs
+++ b/crates/kumquatnotch-ctl/src/explain_command.rs
@@ -4,7 +4,10 @@
 //! square of the share that it covers; one that is late, refused or failed counts as lost.
 //! What is lost is summed by kind of request and cause, and by time.
 
-use std::time::Duration;
+use std::{
+    io::{self, Write},
+    time::Duration,
+};
 
 use kumquatnotch::core::{Error, Result, collections::HashMap};
 
@@ -30,7 +33,8 @@
     if account.requests == 0 {
         return Err(Error::bad_request("no line tells what became of a request"));
     }
-    account.print(args.top);
+    // Whoever reads the first lines only closes the pipe before the rest.
+    let _ = io::stdout().write_all(account.report(args.top).as_bytes());
     Ok(0)
 }
 
@@ -116,26 +120,33 @@
         }
     }
 
-    fn print(&self, top: usize) {
+    /// The sums, and the `top` worst windows.
+    fn report(&self, top: usize) -> String {
         let share = |lost: f64| 100.0 * lost / self.requests as f64;
-        println!(
-            "{} requests, {:.1} answers lost ({:.2} in a hundred)",
-            self.requests,
-            self.lost,
-            share(self.lost)
-        );
-        println!("\n{:>8} {:>6} {:>8}  route, cause", "lost", "%", "requests");
+        let mut lines = vec![
+            format!(
+                "{} requests, {:.1} answers lost ({:.2} in a hundred)\n",
+                self.requests,
+                self.lost,
+                share(self.lost)
+            ),
+            format!("{:>8} {:>6} {:>8}  route, cause", "lost", "%", "requests"),
+        ];
         for ((route, cause), Loss { requests, lost }) in by_loss(&self.routes, |loss| loss.lost) {
-            println!("{lost:>8.1} {:>6.2} {requests:>8}  {route}  {cause}", share(*lost));
+            let share = share(*lost);
+            lines.push(format!("{lost:>8.1} {share:>6.2} {requests:>8}  {route}  {cause}"));
         }
-        println!("\nworst windows of {} s", self.span.as_secs_f64());
-        println!("{:>8} {:>8} {:>8}  most for", "from s", "requests", "lost");
+        lines.push(format!("\nworst windows of {} s", self.span.as_secs_f64()));
+        lines.push(format!("{:>8} {:>8} {:>8}  most for", "from s", "requests", "lost"));
         for (index, window) in by_loss(&self.windows, |window| window.lost).take(top) {
             let from = *index as f64 * self.span.as_secs_f64();
             let cause = by_loss(&window.causes, |lost| *lost).next();
             let cause = cause.map_or("", |(cause, _)| cause.as_str());
-            println!("{from:>8.1} {:>8} {:>8.1}  {cause}", window.requests, window.lost);
+            let Window { requests, lost, .. } = window;
+            lines.push(format!("{from:>8.1} {requests:>8} {lost:>8.1}  {cause}"));
         }
+        lines.push(String::new());
+        lines.join("\n")
     }
 }
 
--- a/crates/kumquatnotch-route/src/admission.rs
+++ b/crates/kumquatnotch-route/src/admission.rs
@@ -124,10 +124,8 @@
     };
     let route = &search.route.name;
     router.strains.note(route, Fate::Refused, now);
-    let mut retry = retry.max(router.random.jitter(router.strains.retry(route, terms.time, now)));
-    if !router.uses(Mechanism::RetryTimes) {
-        retry = FIXED_RETRY;
-    }
+    let crowd = router.random.jitter(router.strains.retry(route, terms.time, now));
+    let retry = if router.uses(Mechanism::RetryTimes) { retry.max(crowd) } else { FIXED_RETRY };
     tell_refusal(search, &forecast, &terms, retry);
     Admission::Refuse { retry }
 }
@@ -160,10 +158,10 @@
 }
 
 fn terms(router: &Router, search: &Search<'_>, now: Instant) -> Terms {
-    let mut margin = router.strains.margin(&search.route.name, now);
-    if !router.uses(Mechanism::Strain) {
-        margin = strain::LEAST_MARGIN;
-    }
+    let margin = match router.uses(Mechanism::Strain) {
+        true => router.strains.margin(&search.route.name, now),
+        false => strain::LEAST_MARGIN,
+    };
     Terms {
         left: search.due.saturating_duration_since(now),
         time: search.deadline.saturating_duration_since(now),
