Searches ask all their shards

Hypothesis, from the ablation: leaving out shards whose parts are expected late loses parts that would have come, as what is known of replicas is old, and saves their replicas nothing.

Change: the mechanism is gone (forecasts still refuse searches).

Conclusion: removed.

--- a/crates/kumquatnotch-ctl/src/explain_command.rs
+++ b/crates/kumquatnotch-ctl/src/explain_command.rs
@@ -190,11 +190,16 @@
         404 => Vec::new(),
         503 => vec![(format!("refused: {reason}"), 1.0)],
         status if status >= 400 => vec![(format!("failed: {reason}"), 1.0)],
-        _ if line.number("ms") > line.number("due_ms") + IN_TIME_MS => vec![(late(notes), 1.0)],
+        _ if is_late(line) => vec![(late(notes), 1.0)],
         _ => missing(line, notes),
     }
 }
 
+/// Whether an answer was late; one whose line doesn't say when it was due wasn't.
+fn is_late(line: &Line) -> bool {
+    line.fields.contains_key("due_ms") && line.number("ms") > line.number("due_ms") + IN_TIME_MS
+}
+
 /// Why an answer was late.
 fn late(notes: &Notes<'_>) -> String {
     let cause = match notes {
@@ -217,10 +222,6 @@
     let covered = parts / (parts + missing);
     let each = (1.0 - covered * covered) / missing;
     let mut causes: HashMap<&str, f64> = HashMap::default();
-    let not_asked = missing - notes.late.len() as f64;
-    if not_asked > 0.0 {
-        causes.insert("part: not asked, as it was expected late", each * not_asked);
-    }
     for shard in &notes.late {
         let cause = if notes.lost.contains(shard) {
             "part: its reply was lost"
--- a/crates/kumquatnotch-policy/src/forecast.rs
+++ b/crates/kumquatnotch-policy/src/forecast.rs
@@ -1,10 +1,12 @@
-//! Which shards of a search are worth asking, and whether the search is.
+//! Whether a search can be answered in time, by when its parts are expected.
 //!
-//! A shard whose replicas are all slow, silent or crowded is missing in the answer
-//! whether it is asked or not. Asking it only takes what little its replicas can do
-//! from the searches that can't do without it. And a search that can't be answered
-//! in time because replicas are crowded makes all others late as well: it is
-//! refused before anything has run, and told when to come back.
+//! A search that can't be answered in time because replicas are crowded makes all others
+//! late as well: it is refused before anything has run, and told when to come back.
+//!
+//! A search that is let in asks all its shards, also those that are expected late: what is
+//! known of replicas is a little old, and a part that comes after all makes the answer
+//! fuller. Measured against leaving them out: on days with crowds of 2.5 times the traffic
+//! 123 to 177 more of 5,000 answers are in time, and 94 to 377 parts less are missing.
 
 use std::time::Duration;
 
@@ -112,11 +114,4 @@
         let over = (slowest - terms.left.as_secs_f64()).clamp(0.0, MOST_OVER);
         Some(Duration::from_secs_f64(over).clamp(RETRY.0, RETRY.1))
     }
-
-    /// The shards to ask and those to leave out, by their place in the set.
-    pub fn split(self) -> (Vec<usize>, Vec<usize>) {
-        let Forecast { fine: mut asked, needed, spared } = self;
-        asked.extend(needed.iter().map(|late| late.index));
-        (asked, spared.iter().map(|late| late.index).collect())
-    }
 }
--- a/crates/kumquatnotch-policy/src/mechanisms.rs
+++ b/crates/kumquatnotch-policy/src/mechanisms.rs
@@ -16,8 +16,6 @@
     CopyTime,
     /// Copies that lost keep their connections; off: they are dropped at once.
     KeptConnections,
-    /// Shards whose parts would be late are left out; off: all are asked.
-    LeftOutShards,
     /// Searches that crowded replicas can't answer are refused; off: all are let in.
     Refusals,
     /// Caution that grows with the share of late searches; off: the least caution.
@@ -62,11 +60,10 @@
 
 impl Mechanism {
     /// All of them.
-    pub const ALL: [Mechanism; 24] = [
+    pub const ALL: [Mechanism; 23] = [
         Mechanism::Copies,
         Mechanism::CopyTime,
         Mechanism::KeptConnections,
-        Mechanism::LeftOutShards,
         Mechanism::Refusals,
         Mechanism::Strain,
         Mechanism::WaitingCallers,
--- a/crates/kumquatnotch-route/src/admission.rs
+++ b/crates/kumquatnotch-route/src/admission.rs
@@ -34,23 +34,6 @@
 /// When refused callers come again where this isn't worked out.
 const FIXED_RETRY: Duration = Duration::from_millis(300);
 
-/// What is to become of a search.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Admission {
-    /// These shards are asked, and the others left out.
-    Ask {
-        /// The shards to ask, by their place in the set.
-        shards: Vec<usize>,
-        /// The shards to leave out.
-        skipped: Vec<usize>,
-    },
-    /// It is refused, as replicas are crowded.
-    Refuse {
-        /// When to come back.
-        retry: Duration,
-    },
-}
-
 /// Waits until replicas have room; `None` if there is none.
 ///
 /// This is for a search whose caller comes again after the objective, so that its
@@ -109,25 +92,21 @@
     }
 }
 
-/// Lets a search in, or refuses it.
-pub fn admit(router: &Router, search: &Search<'_>) -> Admission {
+/// Lets a search in, or tells when its caller is to come again.
+pub fn admit(router: &Router, search: &Search<'_>) -> Result<(), Duration> {
     let now = router.clock.now();
     let terms = terms(router, search, now);
     let forecast = foretell(router, search, &terms, now);
     let refusal = forecast.refusal(&terms).filter(|_| router.uses(Mechanism::Refusals));
     let Some(retry) = refusal else {
-        let (mut shards, mut skipped) = forecast.split();
-        if !router.uses(Mechanism::LeftOutShards) {
-            shards.append(&mut skipped);
-        }
-        return Admission::Ask { shards, skipped };
+        return Ok(());
     };
     let route = &search.route.name;
     router.strains.note(route, Fate::Refused, now);
     let crowd = router.random.jitter(router.strains.retry(route, terms.time, now));
     let retry = if router.uses(Mechanism::RetryTimes) { retry.max(crowd) } else { FIXED_RETRY };
     tell_refusal(search, &forecast, &terms, retry);
-    Admission::Refuse { retry }
+    Err(retry)
 }
 
 /// Writes a line for a refusal, with what decided it.
--- a/crates/kumquatnotch-route/src/front.rs
+++ b/crates/kumquatnotch-route/src/front.rs
@@ -107,7 +107,6 @@
     parts: Cell<usize>,
     missing: Cell<usize>,
     relayed: Cell<usize>,
-    skipped: Cell<usize>,
     written: Cell<bool>,
 }
 
@@ -245,7 +244,7 @@
                 });
             }
         }
-        let Gathered { answer, parts, missing, relayed, skipped } =
+        let Gathered { answer, parts, missing, relayed } =
             gather::gather(&self.router, &search, &log.trace).await;
         drop(permit);
         if !asked.returning {
@@ -254,7 +253,6 @@
         log.parts.set(parts);
         log.missing.set(missing);
         log.relayed.set(relayed);
-        log.skipped.set(skipped);
         answer
     }
 }
@@ -335,7 +333,6 @@
             parts: Cell::new(0),
             missing: Cell::new(0),
             relayed: Cell::new(0),
-            skipped: Cell::new(0),
             written: Cell::new(false),
         }
     }
@@ -366,7 +363,6 @@
             parts = self.parts.get(),
             missing = self.missing.get(),
             relayed = self.relayed.get(),
-            skipped = self.skipped.get(),
             hedges = self.trace.hedges.get(),
             retries = self.trace.retries.get(),
             "front: answered"
--- a/crates/kumquatnotch-route/src/gather.rs
+++ b/crates/kumquatnotch-route/src/gather.rs
@@ -17,7 +17,7 @@
 use kumquatnotch_policy::completion::{Completion, Next};
 
 use crate::{
-    admission::{self, Admission},
+    admission,
     attempt::Call,
     call::{self, CallFault, CallTrace},
     merge,
@@ -64,8 +64,6 @@
     pub missing: usize,
     /// The shards that were asked for through other nodes.
     pub relayed: usize,
-    /// The shards that were not asked, as their parts would have come too late.
-    pub skipped: usize,
 }
 
 /// What comes of a part of a search.
@@ -94,15 +92,12 @@
     let total = search.set.shards.len();
     let least = search.set.least_parts();
     let mut running = Running::default();
-    let (shards, mut skipped) = match admission::admit(router, search) {
-        Admission::Ask { shards, skipped } => (shards, skipped),
-        Admission::Refuse { retry } => {
-            let answer = Err(CallFault::NotRun { retry, reason: "replicas are crowded" });
-            return Gathered { answer, parts: 0, missing: total, relayed: 0, skipped: 0 };
-        }
-    };
-    let mut outstanding = shards.len();
-    let left_out = skipped.clone();
+    if let Err(retry) = admission::admit(router, search) {
+        let answer = Err(CallFault::NotRun { retry, reason: "replicas are crowded" });
+        return Gathered { answer, parts: 0, missing: total, relayed: 0 };
+    }
+    let shards: Vec<usize> = (0..total).collect();
+    let mut outstanding = total;
     let Plan { here, groups } = relay_plan::plan(router, search.route, search.set, &shards);
     let relayed = outstanding - here.len();
     for group in groups {
@@ -149,14 +144,7 @@
                         running.push(ask(router, search, index, allowed, repeat, trace));
                     }
                 }
-                None if progress.parts.len() >= least || skipped.is_empty() => break,
-                // Others failed, so the shards that were left out are needed after all.
-                None => {
-                    for index in skipped.drain(..) {
-                        outstanding += 1;
-                        running.push(ask(router, search, index, Vec::new(), false, trace));
-                    }
-                }
+                None => break,
             },
             () = stop => completion.note_due(progress.parts.len()),
             () = over => {
@@ -167,7 +155,7 @@
     }
     progress.ran |= !running.is_empty();
     drop(running);
-    progress.tell_missing(search, &left_out);
+    progress.tell_missing(search);
     let covered = progress.parts.len();
     let answer = if covered >= least {
         Ok(progress.parts.merge(router, search.set))
@@ -178,7 +166,7 @@
     } else {
         Err(CallFault::NotRun { retry: progress.retry, reason: "no shard took it" })
     };
-    Gathered { answer, parts: covered, missing: total - covered, relayed, skipped: left_out.len() }
+    Gathered { answer, parts: covered, missing: total - covered, relayed }
 }
 
 /// Asks a replica of each shard from here, until all parts are in, or the answer is
@@ -252,21 +240,16 @@
 
 impl Progress {
     /// Writes a line that names the shards which are missing, if there are any.
-    fn tell_missing(&self, search: &Search<'_>, skipped: &[usize]) {
-        let names = |skip: bool| {
-            let shards = search.set.shards.iter().enumerate();
-            let missing = shards.filter(|(index, _)| !self.covered.contains(index));
-            let missing = missing.filter(|(index, _)| skipped.contains(index) == skip);
-            missing.map(|(_, shard)| shard.as_str()).collect::<Vec<&str>>().join(" ")
-        };
-        let (late, skipped) = (names(false), names(true));
-        if late.is_empty() && skipped.is_empty() {
+    fn tell_missing(&self, search: &Search<'_>) {
+        let shards = search.set.shards.iter().enumerate();
+        let missing = shards.filter(|(index, _)| !self.covered.contains(index));
+        let late: Vec<&str> = missing.map(|(_, shard)| shard.as_str()).collect();
+        if late.is_empty() {
             return;
         }
         tracing::info!(
             request = search.identity.to_str().unwrap_or_default(),
-            late,
-            skipped,
+            late = late.join(" "),
             "gather: shards are missing"
         );
     }
--- a/crates/kumquatnotch-route/tests/searches.rs
+++ b/crates/kumquatnotch-route/tests/searches.rs
@@ -57,6 +57,29 @@
     });
 }
 
+/// The replica of a shard was twenty times slower than usual a moment ago, and is well again.
+/// It is asked although its part was expected late, and the answer is whole.
+#[test]
+fn a_shard_that_was_slow_is_asked() {
+    run(async {
+        let tier = Tier::serving(shards(3, 0.6));
+        let replicas = [replica("a", TWO), replica("b", THREE), replica("c", TWO)];
+        let ids: Vec<ReplicaId> = replicas
+            .iter()
+            .enumerate()
+            .map(|(index, replica)| tier.add(&format!("s{index}"), replica.address))
+            .collect();
+        let slow = tier.router.directory.find(&ids[2]).unwrap();
+        let usual = Duration::from_millis(25);
+        (0..60).for_each(|_| slow.observed.note_speed(usual * 20, usual, RuntimeClock.now()));
+
+        let answer = tier.get("/a/", "r1").await;
+
+        assert_eq!((answer.status, replicas[2].requests().len()), (200, 1));
+        assert_eq!(answer.headers["x-missing"], "0");
+    });
+}
+
 /// A caller counts its time from before it asked which node to use and opened its
 /// connection. The first request on a connection must be answered sooner for that.
 #[test]
