Split the front, the gathering and the router of route by their jobs

The line of a request (request_log), the parts of a search (parts) and the part of shared things that a node takes (own_share) have files of their own; no behaviour changes.

--- a/crates/kumquatnotch-route/src/front.rs
+++ b/crates/kumquatnotch-route/src/front.rs
@@ -23,12 +23,13 @@
 use crate::{
     admission,
     attempt::Call,
-    call::{self, CallFault, CallTrace},
+    call::{self, CallFault},
     crash_check,
     gate::Gate,
     gather::{self, Gathered, Search},
     names::ServiceName,
-    route::{Destination, Route, RouteTable, ShardSet},
+    request_log::{Asked, RequestLog},
+    route::{Destination, RouteTable, ShardSet},
     router::Router,
 };
 
@@ -86,30 +87,6 @@
     }
 }
 
-/// What is known of a request besides its bytes.
-struct Asked {
-    identity: HeaderValue,
-    route: Rc<Route>,
-    version: u64,
-    arrival: Instant,
-    /// Until when an answer is worth most.
-    due: Instant,
-    deadline: Instant,
-    /// Whether the caller comes again, so late that the answer can't be in time.
-    returning: bool,
-}
-
-/// Writes one line for a request, also if its caller goes away.
-struct RequestLog<'a> {
-    router: &'a Router,
-    asked: &'a Asked,
-    trace: CallTrace,
-    parts: Cell<usize>,
-    missing: Cell<usize>,
-    relayed: Cell<usize>,
-    written: Cell<bool>,
-}
-
 impl RouteFront {
     /// A front for what `router` knows.
     pub fn new(router: Rc<Router>) -> RouteFront {
@@ -323,57 +300,3 @@
 fn text<'a>(headers: &'a HeaderMap, name: &header::HeaderName) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
-
-impl<'a> RequestLog<'a> {
-    fn new(router: &'a Router, asked: &'a Asked) -> RequestLog<'a> {
-        RequestLog {
-            router,
-            asked,
-            trace: CallTrace::default(),
-            parts: Cell::new(0),
-            missing: Cell::new(0),
-            relayed: Cell::new(0),
-            written: Cell::new(false),
-        }
-    }
-
-    fn write(&self, status: StatusCode, reason: &'static str) {
-        self.written.set(true);
-        let asked = self.asked;
-        let took = self.router.clock.now().saturating_duration_since(asked.arrival);
-        let route = asked.route.name.as_str();
-        metrics::counter!(
-            "kumquatnotch_requests_total",
-            "route" => route.to_owned(),
-            "status" => status.as_str().to_owned()
-        )
-        .increment(1);
-        metrics::histogram!("kumquatnotch_request_seconds", "route" => route.to_owned())
-            .record(took.as_secs_f64());
-        tracing::info!(
-            request = asked.identity.to_str().unwrap_or_default(),
-            route,
-            version = asked.version,
-            status = status.as_u16(),
-            reason,
-            ms = took.as_millis() as u64,
-            due_ms = asked.due.saturating_duration_since(asked.arrival).as_millis() as u64,
-            left_ms = asked.deadline.saturating_duration_since(self.router.clock.now()).as_millis()
-                as u64,
-            parts = self.parts.get(),
-            missing = self.missing.get(),
-            relayed = self.relayed.get(),
-            hedges = self.trace.hedges.get(),
-            retries = self.trace.retries.get(),
-            "front: answered"
-        );
-    }
-}
-
-impl Drop for RequestLog<'_> {
-    fn drop(&mut self) {
-        if !self.written.get() {
-            self.write(StatusCode::REQUEST_TIMEOUT, "the caller went away");
-        }
-    }
-}
--- a/crates/kumquatnotch-route/src/gather.rs
+++ b/crates/kumquatnotch-route/src/gather.rs
@@ -9,9 +9,8 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
 use futures_util::{FutureExt, StreamExt, select_biased, stream::FuturesUnordered};
-use http::{HeaderMap, HeaderValue, StatusCode, header};
+use http::HeaderValue;
 use kumquatnotch_core::{LocalFuture, clock, collections::HashSet};
 use kumquatnotch_net::message::{Reply, Request};
 use kumquatnotch_policy::completion::{Completion, Next};
@@ -20,10 +19,9 @@
     admission,
     attempt::Call,
     call::{self, CallFault, CallTrace},
-    merge,
     names::ReplicaId,
+    parts::Parts,
     relay::{self, Relayed},
-    relay_message::RelayReply,
     relay_plan::{self, Group, Plan},
     route::{Route, ShardSet},
     router::Router,
@@ -47,13 +45,6 @@
     pub returning: bool,
 }
 
-/// The parts that have come.
-#[derive(Default)]
-pub struct Parts {
-    proofs: Vec<HeaderValue>,
-    bodies: Vec<Bytes>,
-}
-
 /// How a search ended.
 pub struct Gathered {
     /// The answer, if enough parts came.
@@ -271,11 +262,10 @@
     /// Notes what came of a group of shards; gives the places of those that did not come.
     fn add_group(&mut self, ended: Relayed, group: &Group) -> Vec<usize> {
         match ended {
-            Relayed::Gathered(RelayReply { records, proofs, missing, ran, .. }) => {
-                self.ran |= ran;
-                self.parts.bodies.push(records);
-                let proofs = proofs.iter().filter_map(|proof| HeaderValue::from_bytes(proof).ok());
-                self.parts.proofs.extend(proofs);
+            Relayed::Gathered(reply) => {
+                self.ran |= reply.ran;
+                self.parts.add_gathered(&reply);
+                let missing = reply.missing;
                 let came = |place: &usize| !missing.contains(place);
                 let places = (0..group.shards.len()).filter(came);
                 self.covered.extend(places.map(|place| group.shards[place]));
@@ -289,51 +279,3 @@
         }
     }
 }
-
-impl Parts {
-    /// How many parts there are.
-    pub fn len(&self) -> usize {
-        self.proofs.len()
-    }
-
-    /// Whether there are none.
-    pub fn is_empty(&self) -> bool {
-        self.proofs.is_empty()
-    }
-
-    /// The proofs of the parts.
-    pub fn proofs(&self) -> &[HeaderValue] {
-        &self.proofs
-    }
-
-    /// The `top` greatest records of the parts, falling.
-    pub fn greatest(&self, top: usize) -> Bytes {
-        merge::greatest(&self.bodies, top)
-    }
-
-    /// Adds a part; false if the reply is none.
-    fn add(&mut self, router: &Router, reply: Reply) -> bool {
-        let proof = reply.headers.get(&router.names.proof);
-        let (true, Some(proof)) = (reply.status.is_success(), proof) else {
-            tracing::warn!(status = reply.status.as_u16(), "gather: a reply is no part");
-            return false;
-        };
-        self.proofs.push(proof.clone());
-        self.bodies.push(reply.body);
-        true
-    }
-
-    fn merge(&self, router: &Router, set: &ShardSet) -> Reply {
-        let missing = set.shards.len() - self.len();
-        let mut headers = HeaderMap::new();
-        let proofs: Vec<&[u8]> = self.proofs.iter().map(HeaderValue::as_bytes).collect();
-        // Proofs came as header values, so together they are one.
-        if let Ok(proofs) = HeaderValue::from_bytes(&proofs.join(b", ".as_slice())) {
-            headers.insert(router.names.proofs.clone(), proofs);
-        }
-        headers.insert(router.names.missing.clone(), HeaderValue::from(missing));
-        let kind = HeaderValue::from_static("application/octet-stream");
-        headers.insert(header::CONTENT_TYPE, kind);
-        Reply { status: StatusCode::OK, headers, body: self.greatest(set.top) }
-    }
-}
--- /dev/null
+++ b/crates/kumquatnotch-route/src/request_log.rs
@@ -0,0 +1,86 @@
+//! The line that a request leaves in the log, and what it counts for.
+
+use std::{cell::Cell, rc::Rc, time::Instant};
+
+use http::{HeaderValue, StatusCode};
+
+use crate::{call::CallTrace, route::Route, router::Router};
+
+/// What is known of a request besides its bytes.
+pub(crate) struct Asked {
+    pub(crate) identity: HeaderValue,
+    pub(crate) route: Rc<Route>,
+    pub(crate) version: u64,
+    pub(crate) arrival: Instant,
+    /// Until when an answer is worth most.
+    pub(crate) due: Instant,
+    pub(crate) deadline: Instant,
+    /// Whether the caller comes again, so late that the answer can't be in time.
+    pub(crate) returning: bool,
+}
+
+/// Writes one line for a request, also if its caller goes away.
+pub(crate) struct RequestLog<'a> {
+    router: &'a Router,
+    asked: &'a Asked,
+    pub(crate) trace: CallTrace,
+    pub(crate) parts: Cell<usize>,
+    pub(crate) missing: Cell<usize>,
+    pub(crate) relayed: Cell<usize>,
+    written: Cell<bool>,
+}
+
+impl<'a> RequestLog<'a> {
+    pub(crate) fn new(router: &'a Router, asked: &'a Asked) -> RequestLog<'a> {
+        RequestLog {
+            router,
+            asked,
+            trace: CallTrace::default(),
+            parts: Cell::new(0),
+            missing: Cell::new(0),
+            relayed: Cell::new(0),
+            written: Cell::new(false),
+        }
+    }
+
+    /// Writes it.
+    pub(crate) fn write(&self, status: StatusCode, reason: &'static str) {
+        self.written.set(true);
+        let asked = self.asked;
+        let took = self.router.clock.now().saturating_duration_since(asked.arrival);
+        let route = asked.route.name.as_str();
+        metrics::counter!(
+            "kumquatnotch_requests_total",
+            "route" => route.to_owned(),
+            "status" => status.as_str().to_owned()
+        )
+        .increment(1);
+        metrics::histogram!("kumquatnotch_request_seconds", "route" => route.to_owned())
+            .record(took.as_secs_f64());
+        tracing::info!(
+            request = asked.identity.to_str().unwrap_or_default(),
+            route,
+            version = asked.version,
+            status = status.as_u16(),
+            reason,
+            ms = took.as_millis() as u64,
+            due_ms = asked.due.saturating_duration_since(asked.arrival).as_millis() as u64,
+            left_ms = asked.deadline.saturating_duration_since(self.router.clock.now()).as_millis()
+                as u64,
+            parts = self.parts.get(),
+            missing = self.missing.get(),
+            relayed = self.relayed.get(),
+            hedges = self.trace.hedges.get(),
+            retries = self.trace.retries.get(),
+            "front: answered"
+        );
+    }
+}
+
+impl Drop for RequestLog<'_> {
+    fn drop(&mut self) {
+        if !self.written.get() {
+            self.write(StatusCode::REQUEST_TIMEOUT, "the caller went away");
+        }
+    }
+}
--- a/crates/kumquatnotch-route/src/router.rs
+++ b/crates/kumquatnotch-route/src/router.rs
@@ -10,7 +10,6 @@
 
 use kumquatnotch_core::{
     Clock, Result,
-    collections::HashSet,
     ids::{DataCentre, NodeName, Region},
     lifecycle::Lifecycle,
     random::Random,
@@ -26,7 +25,6 @@
     mechanisms::{Mechanism, Mechanisms},
     pace::Paces,
     quickest::Need,
-    shares::{self, Sharers},
     startup,
     strain::Strains,
 };
@@ -43,15 +41,9 @@
     route::{Route, RouteTable},
 };
 
-/// The connections to a replica of a service that the configuration doesn't name.
-const UNKNOWN_CONNECTIONS: u32 = 8;
-
 /// The most visitors that are remembered.
 const MOST_VISITORS: usize = 3;
 
-/// The most hosts that are looked at to find these nodes.
-const MOST_HOSTS: usize = 16;
-
 /// Options of a [`Router`].
 #[derive(Clone, Debug)]
 pub struct RouterOptions {
@@ -117,9 +109,9 @@
     /// When the node started.
     started: Instant,
     /// When the directory was read in full first.
-    synced: Cell<Option<Instant>>,
+    pub(crate) synced: Cell<Option<Instant>>,
     advice: RefCell<AdviceCache>,
-    part: Cell<((u64, u64, u64), f64)>,
+    pub(crate) part: Cell<((u64, u64, u64), f64)>,
 }
 
 impl Router {
@@ -244,15 +236,6 @@
         Some(self.table()?.service(service)?.probe_path.clone())
     }
 
-    /// Sets how many connections this node may have to `replica`.
-    pub(crate) fn bound_connections(&self, replica: &Replica, service: &ServiceName) {
-        let table = self.table();
-        let service = table.as_ref().and_then(|table| table.service(service));
-        let part = if self.uses(Mechanism::ConnectionShares) { self.own_part() } else { 1.0 };
-        let all = service.map_or(UNKNOWN_CONNECTIONS, |service| service.connections);
-        replica.gate.set_limit(shares::connections(all, part));
-    }
-
     /// What callers of `host` are advised; `None` without configuration.
     pub fn advice(&self, host: &str) -> Option<Rc<HostAdvice>> {
         let table = self.table()?;
@@ -278,40 +261,8 @@
         self.fleet.peer_of(&there)
     }
 
-    /// The part of what all nodes share that this one may use, from zero to one.
-    pub fn own_part(&self) -> f64 {
-        let now = self.clock.now();
-        let known_for = self.synced.get().map(|at| now.saturating_duration_since(at));
-        if !self.uses(Mechanism::SettleTime) {
-            return self.known_part();
-        }
-        shares::settled(self.known_part(), known_for)
-    }
-
-    fn known_part(&self) -> f64 {
-        let Some(table) = self.table() else { return 1.0 };
-        let valid_for = self.valid_for(&table);
-        let (known_for, part) = self.part.get();
-        if known_for == valid_for {
-            return part;
-        }
-        let part = self.work_out_part(&table);
-        self.part.set((valid_for, part));
-        part
-    }
-
-    fn work_out_part(&self, table: &RouteTable) -> f64 {
-        let mut serving: HashSet<NodeName> = HashSet::default();
-        for host in table.hosts_of_shards().take(MOST_HOSTS) {
-            if let Some(advice) = self.advice(host) {
-                serving.extend(advice.serving().cloned());
-            }
-        }
-        let is_serving = serving.contains(&self.place.name);
-        Sharers { all: self.fleet.len(), serving: serving.len(), is_serving }.part()
-    }
-
-    fn valid_for(&self, table: &RouteTable) -> (u64, u64, u64) {
+    /// What advice and shares are worked out from: they hold as long as it is the same.
+    pub(crate) fn valid_for(&self, table: &RouteTable) -> (u64, u64, u64) {
         (table.version(), self.directory.generation(), self.fleet.generation())
     }
 
