--- a/crates/kumquatnotch-policy/src/answer_time.rs
+++ b/crates/kumquatnotch-policy/src/answer_time.rs
@@ -5,7 +5,7 @@
 //! the request, and before it sends the answer. Both are learned, as both differ from place
 //! to place by more than what is left for a part that has to be asked for twice.
 
-use std::{cell::RefCell, collections::VecDeque, time::Duration};
+use std::time::Duration;
 
 /// The ways there and back that a caller spends on a request: one to look up which nodes to
 /// use and one to open the connection for that, and one for the request itself.
@@ -18,6 +18,10 @@
 /// The same before the first request on a connection, which had to be opened.
 const FIRST_TRIPS: u32 = 4;
 
+/// How many lags are reserved: one and a half before the request is read, and as much before
+/// its answer leaves.
+const LAGS_RESERVED: u32 = 3;
+
 /// The least part of the objective that is waited.
 const LEAST_WAIT: f64 = 0.4;
 
@@ -56,58 +60,6 @@
     wait.max(objective.mul_f64(LEAST_WAIT))
 }
 
-/// The lag that is assumed before one was measured.
-///
-/// Measured on nodes with a quarter of a core, at a tenth of their capacity: half of the
-/// answers that are given when they are due leave within 1.7 ms, nine of ten within 2.5 ms.
-const FIRST_LAG: Duration = Duration::from_micros(1_700);
-
-/// How many lags are reserved: one and a half before the request is read, and as much before
-/// its answer leaves.
-const LAGS_RESERVED: u32 = 3;
-
-/// The longest lag that is believed; an answer that leaves later was late for lack of parts.
-const LONGEST_LAG: Duration = Duration::from_millis(30);
-
-/// How many of the last lags count.
-const LAGS: usize = 32;
-
-/// The fewest lags that count.
-const LEAST_LAGS: usize = 8;
-
-/// How much later than due answers left the node lately.
-#[derive(Debug, Default)]
-pub struct Lags {
-    last: RefCell<VecDeque<Duration>>,
-}
-
-impl Lags {
-    /// Notes that an answer without some parts left so much later than due.
-    pub fn note(&self, overdue: Duration) {
-        if overdue > LONGEST_LAG {
-            return;
-        }
-        let mut last = self.last.borrow_mut();
-        if last.len() == LAGS {
-            last.pop_front();
-        }
-        last.push_back(overdue);
-    }
-
-    /// The lag of most.
-    ///
-    /// The median: some answers leave late for lack of parts, however idle the node is.
-    pub fn usual(&self) -> Duration {
-        let last = self.last.borrow();
-        if last.len() < LEAST_LAGS {
-            return FIRST_LAG;
-        }
-        let mut sorted: Vec<Duration> = last.iter().copied().collect();
-        let middle = sorted.len() / 2;
-        *sorted.select_nth_unstable(middle).1
-    }
-}
-
 /// When the answer to a request is due after its arrival.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Due {
--- a/crates/kumquatnotch-policy/src/lib.rs
+++ b/crates/kumquatnotch-policy/src/lib.rs
@@ -1,8 +1,12 @@
 //! The decisions of the query tier.
 //!
-//! Each module makes one decision behind a trait, and holds the naive form that
-//! it is measured against beside it. Nothing here opens a socket or reads a
-//! clock: time comes in as an argument, chance from the seeded generator.
+//! Nothing here opens a socket, starts a task or reads a clock: time and observations come in
+//! as arguments, chance from the seeded generator, and what is decided goes out as a value.
+//!
+//! The decisions of the product's own interface stand behind traits, with the naive form that
+//! each is measured against beside it. Those of the platform's nodes are plain functions and
+//! small records of what was learned; [`mechanisms`] lists what can be switched off there, and
+//! what takes its place. docs/DESIGN.md shows where a request meets each of them.
 
 #![forbid(unsafe_code)]
 
@@ -21,6 +25,7 @@
 pub mod fair;
 pub mod forecast;
 pub mod hedge;
+pub mod lags;
 pub mod lateness;
 pub mod limit;
 pub mod mechanisms;
--- a/crates/kumquatnotch-policy/tests/answer_time.rs
+++ b/crates/kumquatnotch-policy/tests/answer_time.rs
@@ -8,8 +8,9 @@
 use std::time::Duration;
 
 use kumquatnotch_policy::{
-    answer_time::{self, Due, Lags, Origin},
+    answer_time::{self, Due, Origin},
     caller_trips::CallerTrips,
+    lags::Lags,
 };
 use yare::parameterized;
 
--- a/crates/kumquatnotch-route/src/router.rs
+++ b/crates/kumquatnotch-route/src/router.rs
@@ -17,11 +17,12 @@
     services,
 };
 use kumquatnotch_policy::{
-    answer_time::{self, Lags, Origin},
+    answer_time::{self, Origin},
     budget::{Budget, BudgetOptions},
     caller_trips::CallerTrips,
     crashes::Crashes,
     distances::Distances,
+    lags::Lags,
     mechanisms::{Mechanism, Mechanisms},
     pace::Paces,
     quickest::Need,
