--- a/crates/kumquatnotch-policy/src/forecast.rs
+++ b/crates/kumquatnotch-policy/src/forecast.rs
@@ -5,8 +5,9 @@
 //!
 //! A search that is let in asks all its shards, also those that are expected late: what is
 //! known of replicas is a little old, and a part that comes after all makes the answer
-//! fuller. Measured against leaving them out: on days with crowds of 2.5 times the traffic
-//! 123 to 177 more of 5,000 answers are in time, and 94 to 377 parts less are missing.
+//! fuller. Measured against leaving them out, on days with crowds of 2.5 times the traffic:
+//! for two customers 123 to 177 more of 5,000 answers are in time and 128 to 377 parts less
+//! are missing; for a third, whose replicas bear the crowd, 19 less are in time.
 
 use std::time::Duration;
 
