--- a/crates/kumquatnotch-route/src/entries.rs
+++ b/crates/kumquatnotch-route/src/entries.rs
@@ -15,10 +15,11 @@
     clock,
     collections::{HashMap, HashSet},
     ids::NodeName,
-    store::{StoreEvent, StoreItem},
+    store::{StoreEvent, StoreItem, StoreScan},
 };
 
 use crate::{
+    advice::Candidate,
     crash_check,
     directory::Put,
     route::RouteTable,
@@ -77,6 +78,21 @@
         self.losses.borrow().get(name).copied().unwrap_or_default()
     }
 
+    /// The nodes of the tier that a scan names.
+    pub fn nodes_in(&self, scan: &StoreScan) -> Vec<Candidate> {
+        let nodes = scan.items.iter().filter_map(|item| {
+            let Some(EntryKey::Node(_)) = self.schema.read_key(&item.key) else {
+                return None;
+            };
+            // One that can't be read is told of when the scan is taken over.
+            match self.schema.read(item) {
+                Ok(Some(Entry::Node(name, record))) => Some((name, record)),
+                _ => None,
+            }
+        });
+        nodes.collect()
+    }
+
     /// Takes over everything that the store holds; what is missing is lost.
     pub fn put_all(&self, items: &[StoreItem]) {
         let seen: HashSet<EntryKey> = items.iter().filter_map(|item| self.put(item)).collect();
--- a/crates/kumquatnotch-route/src/follow.rs
+++ b/crates/kumquatnotch-route/src/follow.rs
@@ -30,7 +30,7 @@
 const SMALL_CENTRE: usize = 4;
 
 /// The longest wait of a follower, which bounds how long a lost connection is unseen.
-const FOLLOW_WAIT: Duration = Duration::from_millis(1_500);
+pub const FOLLOW_WAIT: Duration = Duration::from_millis(1_500);
 
 /// What a follower's call may take beyond its wait.
 const FOLLOW_SLACK: Duration = Duration::from_millis(500);
@@ -97,11 +97,16 @@
     codec::encode(&FollowReply { whole, changes, revision, age_us, lenient_us })
 }
 
-/// Asks a node for what there is after a revision.
-pub async fn follow(router: &Rc<Router>, peer: &Replica, after: u64) -> Result<Followed> {
+/// Asks a node for what there is after a revision, once there is something or `wait` is over.
+pub async fn follow(
+    router: &Rc<Router>,
+    peer: &Replica,
+    after: u64,
+    wait: Duration,
+) -> Result<Followed> {
     let clock = &*router.clock;
-    let deadline = clock.now() + FOLLOW_WAIT + FOLLOW_SLACK;
-    let reply = clock::timeout_at(clock, deadline, ask(router, peer, after)).await??;
+    let deadline = clock.now() + wait + FOLLOW_SLACK;
+    let reply = clock::timeout_at(clock, deadline, ask(router, peer, after, wait)).await??;
     let FollowReply { whole, changes, revision, age_us, lenient_us } = reply;
     let passage = if whole {
         let items = changes.into_iter().filter_map(Change::into_item).collect();
@@ -114,14 +119,19 @@
     Ok(Followed { passage, age, lenient: Duration::from_micros(lenient_us) })
 }
 
-async fn ask(router: &Rc<Router>, peer: &Replica, after: u64) -> Result<FollowReply> {
+async fn ask(
+    router: &Rc<Router>,
+    peer: &Replica,
+    after: u64,
+    wait: Duration,
+) -> Result<FollowReply> {
     let clock = &*router.clock;
     let now = clock.now();
     let mut link = match peer.links.take(now, FOLLOW_WAIT) {
         Some(link) => link,
         None => peer.links.open(clock, now + FOLLOW_SLACK).await?,
     };
-    let wait_ms = FOLLOW_WAIT.as_millis();
+    let wait_ms = wait.as_millis();
     let mut request = Request::get(&format!("{FOLLOW_PATH}?after={after}&wait_ms={wait_ms}"));
     let host = HeaderValue::from_str(&peer.spec().address.to_string()).map_err(Error::internal)?;
     request.headers.insert(http::header::HOST, host);
--- a/crates/kumquatnotch-route/src/lib.rs
+++ b/crates/kumquatnotch-route/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod crash_check;
 pub mod directory;
 pub mod entries;
+mod first_reading;
 pub mod fleet;
 pub mod follow;
 pub mod front;
--- a/crates/kumquatnotch-route/src/mirror.rs
+++ b/crates/kumquatnotch-route/src/mirror.rs
@@ -10,6 +10,7 @@
     time::{Duration, Instant},
 };
 
+use futures_util::future::{Either, select};
 use kumquatnotch_core::{
     Error, Result, Store, clock,
     store::{StoreChanges, StoreScan},
@@ -18,6 +19,7 @@
 
 use crate::{
     entries::Entries,
+    first_reading::{self, Reading},
     follow::{self, Followed},
     journal::Passage,
     probe,
@@ -108,6 +110,7 @@
 
     async fn run(self: Rc<Mirror>) {
         let clock = self.router.clock.clone();
+        self.begin().await;
         let mut failures = 0;
         loop {
             let peers = follow::followed(&self.router);
@@ -132,11 +135,6 @@
                     if failures == 1 {
                         tracing::warn!(code = error.code(), "mirror: the store is away: {error}");
                     }
-                    // Later, what another node knows may be older than what this one does.
-                    let may_ask = self.router.uses(Mechanism::Visitors);
-                    if may_ask && !self.router.is_synced() && self.ask_visitors().await {
-                        continue;
-                    }
                     let backoff = self.options.backoff * 2u32.pow(failures.min(6) - 1);
                     let pause = backoff.min(self.options.most_backoff);
                     clock::sleep(&*clock, self.router.random.jitter(pause)).await;
@@ -145,13 +143,29 @@
         }
     }
 
+    /// Learns all that there is to know, from the store or from nodes that ask for this one.
+    async fn begin(&self) {
+        let reading =
+            std::pin::pin!(first_reading::read(&self.router, &*self.store, &self.entries));
+        let learning = std::pin::pin!(self.learn_from_visitors());
+        match select(reading, learning).await {
+            Either::Left((Reading { scan, confirmed, lenient }, _)) => {
+                if lenient > Duration::ZERO {
+                    self.router.be_lenient(lenient);
+                }
+                self.take_scan(&scan, confirmed);
+            }
+            Either::Right(((), _)) => {}
+        }
+    }
+
     /// Takes over what one of `peers` tells; false if the store must be asked.
     ///
     /// One that has not heard from the store for long may be cut off from it, and
     /// is passed over. If a few of them are, the store itself shows who is right.
     async fn follow(&self, peers: &[Rc<Replica>]) -> bool {
         for peer in peers.iter().take(MOST_PEERS) {
-            let followed = follow::follow(&self.router, peer, self.after.get().unwrap_or(0)).await;
+            let followed = self.ask_for_news(peer).await;
             let followed = match followed {
                 Ok(followed) => followed,
                 Err(error) => {
@@ -180,6 +194,23 @@
         false
     }
 
+    async fn ask_for_news(&self, peer: &Replica) -> Result<Followed> {
+        let after = self.after.get().unwrap_or(0);
+        follow::follow(&self.router, peer, after, follow::FOLLOW_WAIT).await
+    }
+
+    /// Completes once a node that asked for this one has told what it knows.
+    async fn learn_from_visitors(&self) {
+        let clock = &*self.router.clock;
+        loop {
+            clock::sleep(clock, self.router.random.jitter(self.options.backoff)).await;
+            // What another node knows may be old, so this is for a store that is away.
+            if self.router.uses(Mechanism::Visitors) && self.ask_visitors().await {
+                return;
+            }
+        }
+    }
+
     /// Learns what another node knows, however old that is; false if none tells.
     ///
     /// A node that starts while the store is away knows nothing, not even where other
@@ -191,7 +222,7 @@
         self.router.random.shuffle(&mut visitors);
         for visitor in visitors {
             let peer = self.router.fleet.stranger(visitor, self.router.clock.now());
-            match follow::follow(&self.router, &peer, 0).await {
+            match follow::follow(&self.router, &peer, 0, Duration::ZERO).await {
                 Ok(followed) => {
                     tracing::info!(
                         node = %visitor,
--- a/crates/kumquatnotch-route/tests/common/store.rs
+++ b/crates/kumquatnotch-route/tests/common/store.rs
@@ -26,6 +26,11 @@
     pub ended: RefCell<Vec<u64>>,
     pub leases: Cell<u64>,
     pub calls: Cell<u64>,
+    /// Calls that come while this is set are never answered.
+    pub silent: Cell<bool>,
+    /// What snapshots tell, if they lag behind.
+    pub lagging: RefCell<Option<StoreScan>>,
+    pub scans: Cell<u64>,
 }
 
 fn event_revision(event: &StoreEvent) -> u64 {
@@ -62,8 +67,17 @@
         self.revision.get()
     }
 
-    fn check(&self) -> Result<()> {
+    /// Everything as it is now.
+    pub fn everything(&self) -> StoreScan {
+        let items = self.items.borrow().values().cloned().collect();
+        StoreScan { items, revision: self.revision.get() }
+    }
+
+    async fn check(&self) -> Result<()> {
         self.calls.set(self.calls.get() + 1);
+        if self.silent.get() {
+            std::future::pending::<()>().await;
+        }
         if self.away.get() { Err(Error::PlatformUnavailable) } else { Ok(()) }
     }
 }
@@ -71,20 +85,29 @@
 impl Store for FakeStore {
     fn read<'a>(&'a self, key: &'a str) -> LocalFuture<'a, Result<Option<StoreItem>>> {
         Box::pin(async move {
-            self.check()?;
+            self.check().await?;
             Ok(self.items.borrow().get(key).cloned())
         })
     }
 
     fn scan<'a>(&'a self, prefix: &'a str) -> LocalFuture<'a, Result<StoreScan>> {
         Box::pin(async move {
-            self.check()?;
+            self.check().await?;
+            self.scans.set(self.scans.get() + 1);
             let items = self.items.borrow();
             let items = items.values().filter(|item| item.key.starts_with(prefix)).cloned();
             Ok(StoreScan { items: items.collect(), revision: self.revision.get() })
         })
     }
 
+    fn snapshot<'a>(&'a self, _prefix: &'a str) -> LocalFuture<'a, Result<StoreScan>> {
+        Box::pin(async move {
+            self.check().await?;
+            let lagging = self.lagging.borrow().clone();
+            Ok(lagging.unwrap_or_else(|| self.everything()))
+        })
+    }
+
     fn watch<'a>(
         &'a self,
         prefix: &'a str,
@@ -95,7 +118,7 @@
             const STEP: Duration = Duration::from_millis(10);
             let mut waited = Duration::ZERO;
             loop {
-                self.check()?;
+                self.check().await?;
                 if after < self.oldest.get() {
                     return Err(Error::VersionUnknown { version: after });
                 }
@@ -121,7 +144,7 @@
 
     fn write<'a>(&'a self, write: &'a StoreWrite) -> LocalFuture<'a, Result<u64>> {
         Box::pin(async move {
-            self.check()?;
+            self.check().await?;
             for put in &write.puts {
                 if put.lease.is_some_and(|lease| self.ended.borrow().contains(&lease)) {
                     return Err(Error::LeaseGone);
@@ -135,7 +158,7 @@
 
     fn grant(&self, ttl: Duration) -> LocalFuture<'_, Result<StoreLease>> {
         Box::pin(async move {
-            self.check()?;
+            self.check().await?;
             self.leases.set(self.leases.get() + 1);
             Ok(StoreLease { id: self.leases.get(), ttl })
         })
@@ -143,7 +166,7 @@
 
     fn renew(&self, lease: u64) -> LocalFuture<'_, Result<()>> {
         Box::pin(async move {
-            self.check()?;
+            self.check().await?;
             if self.ended.borrow().contains(&lease) {
                 return Err(Error::LeaseGone);
             }
--- /dev/null
+++ b/crates/kumquatnotch-route/tests/first_reading.rs
@@ -0,0 +1,171 @@
+//! How a node that knows nothing learns what the store holds.
+
+mod common;
+#[path = "common/store.rs"]
+mod fake;
+#[path = "common/schema.rs"]
+mod schema;
+
+use std::{net::SocketAddr, rc::Rc, time::Instant};
+
+use common::*;
+use fake::FakeStore;
+use kumquatnotch_core::{
+    Store, codec,
+    ids::{DataCentre, Region},
+};
+use kumquatnotch_route::{fleet::NodeRecord, mirror::Mirror};
+use schema::{TestSchema, options};
+
+/// A store with a configuration and two replicas.
+fn store() -> Rc<FakeStore> {
+    let store = Rc::new(FakeStore::default());
+    store.put("c", b"3");
+    store.put("r/one", b"127.0.0.1:1");
+    store.put("r/two", b"127.0.0.1:2");
+    store
+}
+
+fn start(tier: &Tier, store: &Rc<FakeStore>) -> Rc<Mirror> {
+    let dyn_store: Rc<dyn Store> = store.clone();
+    let mirror = Mirror::new(options(), tier.router.clone(), dyn_store, Rc::new(TestSchema));
+    mirror.start();
+    mirror
+}
+
+fn node(peer: SocketAddr) -> Vec<u8> {
+    let record = NodeRecord {
+        entry: peer,
+        peer,
+        centre: DataCentre::from("home"),
+        region: Region::from("home"),
+        capacity: 1.0,
+    };
+    codec::encode(&record).unwrap()
+}
+
+async fn ready(tier: &Tier) {
+    while !tier.router.is_ready() {
+        pause(5).await;
+    }
+}
+
+/// Callers are refused by a node that starts while the store takes calls and answers
+/// none. The first call is lost for good. When the store is back, the node must not
+/// wait for the end of that call: it asks again every few hundred milliseconds.
+#[test]
+fn a_node_whose_first_call_was_lost_serves_soon_after_the_store_is_back() {
+    run(async {
+        let (tier, store) = (Tier::new(), store());
+        store.silent.set(true);
+        start(&tier, &store);
+        pause(1_000).await;
+        let asked = store.calls.get();
+
+        store.silent.set(false);
+        let back = Instant::now();
+        ready(&tier).await;
+
+        assert!(back.elapsed().as_millis() < 700, "after {:?}", back.elapsed());
+        assert!((2..=8).contains(&asked), "{asked} calls in a second");
+    });
+}
+
+/// A snapshot may be some seconds old. A replica that has left since must not be used,
+/// one that came must be, and a configuration that was replaced never comes into force.
+#[test]
+fn what_changed_since_a_lagging_snapshot_is_known_before_the_first_request() {
+    run(async {
+        let (tier, store) = (Tier::new(), store());
+        *store.lagging.borrow_mut() = Some(store.everything());
+        store.delete("r/one");
+        store.put("r/three", b"127.0.0.1:3");
+        store.put("c", b"9");
+
+        start(&tier, &store);
+        ready(&tier).await;
+
+        let mut known: Vec<String> = Vec::new();
+        known.extend(tier.router.directory.all().iter().map(|one| one.id.as_str().to_owned()));
+        known.sort();
+        assert_eq!(known, ["three", "two"]);
+        assert_eq!(tier.router.table().unwrap().version(), 9);
+        assert_eq!(store.scans.get(), 0, "no full scan");
+    });
+}
+
+/// Pages of a snapshot differ in age: what is newer in it than a change must stay.
+#[test]
+fn a_change_that_is_older_than_the_item_of_a_snapshot_is_passed_over() {
+    run(async {
+        let (tier, store) = (Tier::new(), store());
+        let early = store.revision.get();
+        store.delete("r/one");
+        store.put("r/one", b"127.0.0.1:7");
+        let mut mixed = store.everything();
+        mixed.revision = early;
+        *store.lagging.borrow_mut() = Some(mixed);
+
+        start(&tier, &store);
+        ready(&tier).await;
+
+        let all = tier.router.directory.all();
+        let one = all.iter().find(|replica| replica.id.as_str() == "one").unwrap();
+        assert_eq!(one.spec().address.port(), 7);
+    });
+}
+
+#[test]
+fn a_snapshot_from_before_the_history_is_read_anew() {
+    run(async {
+        let (tier, store) = (Tier::new(), store());
+        *store.lagging.borrow_mut() = Some(store.everything());
+        store.delete("r/one");
+        store.forget();
+
+        start(&tier, &store);
+        ready(&tier).await;
+
+        assert_eq!((tier.router.directory.len(), store.scans.get()), (1, 1));
+    });
+}
+
+/// A node restarts beside one that follows the store: that one tells the changes since
+/// the snapshot. The store is asked for the snapshot, and for what comes later.
+#[test]
+fn a_node_of_the_same_data_centre_tells_the_changes() {
+    run(async {
+        let (old, tier, store) = (Tier::named("r1", 100.0, "home"), Tier::new(), store());
+        store.put("n/r1", &node(old.peer.address()));
+        let own = Rc::new(FakeStore::default());
+        for item in store.everything().items {
+            own.put(&item.key, &item.value);
+        }
+        own.put("c", b"9");
+        start(&old, &own);
+        ready(&old).await;
+
+        start(&tier, &store);
+        ready(&tier).await;
+
+        assert_eq!(tier.router.table().unwrap().version(), 9);
+        assert_eq!(store.calls.get(), 2);
+    });
+}
+
+/// The nodes that a snapshot names have lost power together with this one, and hang.
+/// The store is asked for the changes then, so that callers wait no longer than before.
+#[test]
+fn without_an_answer_of_another_node_the_store_tells_the_changes() {
+    run(async {
+        let (tier, store) = (Tier::new(), store());
+        let silent = playing(|_| vec![standins::scripted::Step::Silence]);
+        store.put("n/r1", &node(silent.address));
+        let began = Instant::now();
+
+        start(&tier, &store);
+        ready(&tier).await;
+
+        assert!(began.elapsed().as_millis() < 250, "after {:?}", began.elapsed());
+    });
+}
