The last node of a group tells that the others have ended

Cause of a test of the daemon that failed once beside load (n2 was never suspected): of three nodes one left, its farewell was lost as the others were late, and another was killed.

Ruled out: a suspicion that passes unseen (it lasts 4 s, the test looks every 20 ms); dropping the witness (a deaf node would accuse all others).

A VM that refuses the connection tells that the way there works and that no process listens, which needs no witness. It has an error of its own (4008).

--- a/crates/kumquatnotch-core/src/errors.rs
+++ b/crates/kumquatnotch-core/src/errors.rs
@@ -102,6 +102,8 @@
     },
     /// the connection could not be opened; nothing was sent
     ConnectFailed,
+    /// no process listens at the address; nothing was sent
+    ConnectRefused,
     /// the connection broke after the request was sent
     ConnectionLost,
     /// the connection went silent
@@ -217,6 +219,7 @@
             Error::TimedOut => 4005,
             Error::VersionGone { .. } => 4006,
             Error::TargetFailed { .. } => 4007,
+            Error::ConnectRefused => 4008,
             Error::PlatformUnavailable => 5001,
             Error::CompareFailed => 5002,
             Error::WriteUnknown => 5003,
@@ -248,6 +251,7 @@
             | Error::Draining
             | Error::Cancelled
             | Error::ConnectFailed
+            | Error::ConnectRefused
             | Error::VersionGone { .. } => true,
             // A request at fault never leaves the node.
             _ => matches!(self.code(), 1000..=1008 | 1010..=1999),
--- a/crates/kumquatnotch-core/src/peer.rs
+++ b/crates/kumquatnotch-core/src/peer.rs
@@ -22,7 +22,8 @@
 pub trait Peers {
     /// Sends `message` to the node at `address` and waits for its reply.
     ///
-    /// [`Error::ConnectFailed`] is certain: nothing was delivered.
+    /// [`Error::ConnectFailed`] and [`Error::ConnectRefused`] are certain: nothing was
+    /// delivered. The second one also tells that the VM of the node answers.
     fn send<'a>(
         &'a self,
         address: SocketAddr,
--- a/crates/kumquatnotch-core/tests/errors.rs
+++ b/crates/kumquatnotch-core/tests/errors.rs
@@ -38,6 +38,7 @@
     shed = { Error::Shed { retry_ms: 5 } },
     expired_in_queue = { Error::ExpiredInQueue },
     connect_failed = { Error::ConnectFailed },
+    connect_refused = { Error::ConnectRefused },
     connection_lost = { Error::ConnectionLost },
     outcome_unknown = { Error::OutcomeUnknown },
     still_running = { Error::StillRunning },
--- a/crates/kumquatnotch-holder/src/calls.rs
+++ b/crates/kumquatnotch-holder/src/calls.rs
@@ -283,7 +283,7 @@
                 let version = kumquatnotch_core::ids::IndexVersion(*version);
                 entry.replica.on_version_gone(&work.shard, version);
             }
-            Error::ConnectFailed => {
+            Error::ConnectFailed | Error::ConnectRefused => {
                 entry.replica.on_unreachable(now, &self.random);
                 let at = entry.replica.down_until().unwrap_or(now);
                 table.plan(target, at);
--- a/crates/kumquatnotch-holder/src/probes.rs
+++ b/crates/kumquatnotch-holder/src/probes.rs
@@ -194,7 +194,8 @@
                 // A connection that did not come about in time was not refused, and
                 // the time may have run out because this node was late.
                 let early = took < self.options.probe_timeout && lost <= took / 2;
-                let refused = error == Error::ConnectFailed && early;
+                let unopened = matches!(error, Error::ConnectFailed | Error::ConnectRefused);
+                let refused = unopened && early;
                 // One that answered a call meanwhile is not silent, and where this
                 // node was late all the time nobody can tell.
                 let heard = entry.replica.last_answer().is_some_and(|at| at > began);
--- a/crates/kumquatnotch-member/src/probe.rs
+++ b/crates/kumquatnotch-member/src/probe.rs
@@ -10,7 +10,7 @@
 use std::{rc::Rc, time::Instant};
 
 use kumquatnotch_core::{
-    clock,
+    Error, clock,
     ids::NodeName,
     member::{NodeRecord, NodeState},
     peer::{PeerMessage, PeerReply, PingFor},
@@ -101,18 +101,18 @@
         self.absorb(&request.gossip, None);
         let subject = &request.subject;
         match self.ping(subject, Some(subject)).await {
-            true => PeerReply::Ack(self.gossip(Some(&request.gossip.from), true)),
-            false => PeerReply::Nack,
+            Echo::Ack => PeerReply::Ack(self.gossip(Some(&request.gossip.from), true)),
+            Echo::Refused | Echo::Silence => PeerReply::Nack,
         }
     }
 
     async fn probe(&self, subject: NodeRecord, report: Option<NodeRecord>) {
         let freezes = self.pulse.freezes();
-        if self.ping(&subject, report.as_ref()).await {
-            self.note_health(true);
-            return;
-        }
-        let witness = self.ask_helpers(&subject).await;
+        let witness = match self.ping(&subject, report.as_ref()).await {
+            Echo::Ack => Witness::Alive,
+            Echo::Refused => Witness::Silent,
+            Echo::Silence => self.ask_helpers(&subject).await,
+        };
         self.notice_freeze();
         // A freeze of this process looks like silence of the others.
         if self.pulse.freezes() != freezes {
@@ -126,8 +126,8 @@
         }
     }
 
-    /// Whether the subject itself answers.
-    async fn ping(&self, subject: &NodeRecord, report: Option<&NodeRecord>) -> bool {
+    /// What the subject itself answers.
+    async fn ping(&self, subject: &NodeRecord, report: Option<&NodeRecord>) -> Echo {
         let mut gossip = self.gossip(Some(&subject.name), true);
         let accusation = report.filter(|report| report.state >= NodeState::Suspect);
         gossip.nodes.extend(accusation.cloned());
@@ -135,10 +135,13 @@
         let deadline = self.clock.now() + wait;
         match self.send(subject.peer, &PeerMessage::Ping(gossip), deadline).await {
             // Another process may have the address now.
-            Ok(PeerReply::Ack(gossip)) => {
-                gossip.from == subject.name && gossip.incarnation >= subject.incarnation
+            Ok(PeerReply::Ack(gossip))
+                if gossip.from == subject.name && gossip.incarnation >= subject.incarnation =>
+            {
+                Echo::Ack
             }
-            _ => false,
+            Err(Error::ConnectRefused) => Echo::Refused,
+            _ => Echo::Silence,
         }
     }
 
@@ -272,6 +275,20 @@
     }
 }
 
+/// What a node answered to a probe.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Echo {
+    /// It is there.
+    Ack,
+    /// Its VM says that no process listens.
+    ///
+    /// The way there works, so this needs no witness. Without it, the last node of a
+    /// small group would never tell that all others have ended: nobody is left to ask.
+    Refused,
+    /// Nothing came in time.
+    Silence,
+}
+
 /// What the helpers found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Witness {
--- a/crates/kumquatnotch-member/tests/membership.rs
+++ b/crates/kumquatnotch-member/tests/membership.rs
@@ -369,3 +369,29 @@
     let known = node.members.known();
     known.iter().filter(|record| record.state == NodeState::Up && &*record.name != name).count()
 }
+
+/// Of three nodes one leaves, but its farewell is lost as the others are busy; then
+/// another process is killed. The last one asks both, and nobody else is left to ask.
+/// It saw the killed node as up for good, and so did the operators who asked it. The
+/// VMs answer that no process listens there, which needs no witness.
+#[test]
+fn the_last_node_of_a_group_tells_that_the_others_have_ended() {
+    let (suspect, gone, left) = run(21, async |world| {
+        let nodes = settled(&world, 3).await;
+        nodes[2].members.leave();
+        world.pass(SECOND).await;
+        for node in &nodes[1..] {
+            world.kill(node);
+            world.network.refuse(node.address);
+        }
+        let state =
+            |index: usize| nodes[0].members.find(&nodes[index].name).map(|record| record.state);
+        let suspect = world.wait(10 * SECOND, || state(1) == Some(NodeState::Suspect)).await;
+        let gone = world.wait(10 * SECOND, || state(1).is_none()).await;
+        (suspect, gone, state(2))
+    });
+
+    assert!(suspect.is_some(), "it is never suspected");
+    assert!(gone.is_some(), "it is never gone");
+    assert_eq!(left, None);
+}
--- a/crates/kumquatnotch-net/src/pool.rs
+++ b/crates/kumquatnotch-net/src/pool.rs
@@ -9,6 +9,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::VecDeque,
+    io::ErrorKind,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -67,6 +68,8 @@
     lanes: [RefCell<LaneState>; 2],
     opening: Cell<bool>,
     failures: Cell<u32>,
+    /// Whether the last of them was a refusal by the VM at the address.
+    refused: Cell<bool>,
     pause_end: Cell<Instant>,
     closed: Cell<bool>,
 }
@@ -129,6 +132,7 @@
             lanes: Default::default(),
             opening: Cell::new(false),
             failures: Cell::new(0),
+            refused: Cell::new(false),
             pause_end,
             closed: Cell::new(false),
         })
@@ -159,7 +163,7 @@
             // While opening pauses, an address without connections fails at once,
             // so that the caller can turn to another replica.
             if state.open == 0 && self.is_refusing() {
-                return Err(Error::ConnectFailed);
+                return Err(self.last_failure());
             }
             let (sender, receiver) = oneshot::channel();
             state.waiters.push_back(sender);
@@ -209,7 +213,7 @@
     /// before it ever served a request.
     pub(crate) fn closed(self: &Rc<Pool>, lane: Lane, dropped: bool) {
         if dropped {
-            self.note_failure();
+            self.note_failure(false);
         }
         {
             let mut state = self.lane(lane).borrow_mut();
@@ -287,7 +291,13 @@
         })
     }
 
-    fn note_failure(&self) {
+    /// Why the last connection could not be opened.
+    fn last_failure(&self) -> Error {
+        if self.refused.get() { Error::ConnectRefused } else { Error::ConnectFailed }
+    }
+
+    fn note_failure(&self, refused: bool) {
+        self.refused.set(refused);
         let failures = self.failures.get();
         let pause = FIRST_BACKOFF.saturating_mul(1 << failures.min(10)).min(LAST_BACKOFF);
         self.failures.set(failures.saturating_add(1));
@@ -305,7 +315,7 @@
                 continue;
             }
             for waiter in state.waiters.drain(..) {
-                let _ = waiter.send(Err(Error::ConnectFailed));
+                let _ = waiter.send(Err(self.last_failure()));
             }
         }
     }
@@ -331,9 +341,12 @@
                 // The new link offers itself before the next one is opened.
                 clock::yield_now().await;
             }
-            _ => {
+            failed => {
                 pool.lane(lane).borrow_mut().open -= 1;
-                pool.note_failure();
+                let error = failed.ok().and_then(std::result::Result::err);
+                let refused =
+                    error.is_some_and(|error| error.kind() == ErrorKind::ConnectionRefused);
+                pool.note_failure(refused);
                 break;
             }
         }
--- a/crates/kumquatnotch-query/src/router.rs
+++ b/crates/kumquatnotch-query/src/router.rs
@@ -190,7 +190,10 @@
     fn note_failure(&self, name: &NodeName, error: &Error, sent: Instant) {
         let waited = self.clock.now().saturating_duration_since(sent);
         match error {
-            Error::ConnectFailed | Error::ConnectionLost | Error::ConnectionSilent => {
+            Error::ConnectFailed
+            | Error::ConnectRefused
+            | Error::ConnectionLost
+            | Error::ConnectionSilent => {
                 self.health.muted(name, self.clock.now(), self.options.silence);
                 self.members.report_silent(name);
             }
--- a/crates/kumquatnotch-query/src/runner.rs
+++ b/crates/kumquatnotch-query/src/runner.rs
@@ -144,9 +144,11 @@
 /// of the request.
 fn told(error: Error) -> Error {
     match error {
-        Error::UnknownSelector { .. } | Error::Leaving | Error::NotReady | Error::ConnectFailed => {
-            Error::NoTarget
-        }
+        Error::UnknownSelector { .. }
+        | Error::Leaving
+        | Error::NotReady
+        | Error::ConnectFailed
+        | Error::ConnectRefused => Error::NoTarget,
         error => error,
     }
 }
