Small nodes beside larger ones announce themselves only when needed

A node is on standby while two nodes of its data centre have more than twice its capacity, which is when advice passes it over. It follows the store through others, takes no part of what nodes share, and announces itself when one of the larger ones is lost or when it has crashes to tell of. Where nodes are of one size nothing changes. When all start for the first time, larger nodes go first. Whether a node is followed is seen, not worked out from the fleet.

--- a/crates/kumquatnotch-policy/src/mechanisms.rs
+++ b/crates/kumquatnotch-policy/src/mechanisms.rs
@@ -50,6 +50,8 @@
     Placement,
     /// A few nodes watch the store and the others follow; off: all watch it.
     Followers,
+    /// Small nodes beside larger ones announce themselves only when needed; off: all do.
+    Standby,
     /// Entries that vanish in an outage are kept for a while; off: dropped at once.
     LapseCaution,
     /// A node that starts in an outage learns from others; off: it waits for the store.
@@ -60,7 +62,7 @@
 
 impl Mechanism {
     /// All of them.
-    pub const ALL: [Mechanism; 23] = [
+    pub const ALL: [Mechanism; 24] = [
         Mechanism::Copies,
         Mechanism::CopyTime,
         Mechanism::KeptConnections,
@@ -81,6 +83,7 @@
         Mechanism::ConnectionShares,
         Mechanism::Placement,
         Mechanism::Followers,
+        Mechanism::Standby,
         Mechanism::LapseCaution,
         Mechanism::Visitors,
         Mechanism::Containment,
--- a/crates/kumquatnotch-policy/src/placement.rs
+++ b/crates/kumquatnotch-policy/src/placement.rs
@@ -21,6 +21,14 @@
 /// The fewest nodes that are advised, so that one that has just ended is no harm.
 const LEAST_NODES: usize = 2;
 
+/// Whether a node is so small that callers are advised to use others of its data centre.
+///
+/// `others` are the capacities of the other nodes there that are known. A node is on
+/// standby only as long as there are enough others that are advised in its place.
+pub fn is_standby(capacity: f64, others: impl Iterator<Item = f64>) -> bool {
+    others.filter(|other| capacity < CAPACITY_PART * other).count() >= LEAST_NODES
+}
+
 /// A node, as far as advice depends on it.
 #[derive(Clone, Copy, Debug)]
 pub struct NodePlace<'a> {
--- a/crates/kumquatnotch-policy/src/startup.rs
+++ b/crates/kumquatnotch-policy/src/startup.rs
@@ -1,4 +1,4 @@
-//! What callers of a node hear that has just started and doesn't know enough to serve.
+//! Starting: who goes first, and what callers of a node hear that doesn't know enough yet.
 
 use std::time::Duration;
 
@@ -13,6 +13,20 @@
 /// They don't wait for longer than a third of it.
 pub const RETRY_PART: f64 = 1.0 / 3.0;
 
+/// How long a node with a whole core lets others go first, when all start.
+const TURN: Duration = Duration::from_millis(100);
+
+/// The longest that a node lets others go first.
+const MOST_TURN: Duration = Duration::from_secs(1);
+
+/// How long a node waits before it reads the store, when all start for the first time.
+///
+/// No node is known then. The larger ones announce themselves first, so that the others
+/// learn with their first reading that they need not. Nobody calls before all have started.
+pub fn turn(capacity: f64) -> Duration {
+    MOST_TURN.min(TURN.div_f64(capacity.max(0.01)))
+}
+
 /// When a caller with `left` is to come again to a node of this age that isn't ready.
 ///
 /// A node that has just started is ready in a moment, and others may be already. One
--- /dev/null
+++ b/crates/kumquatnotch-policy/tests/standby.rs
@@ -0,0 +1,56 @@
+//! Which nodes the others need to know, and who goes first when all start.
+//!
+//! The load is a fleet of hundreds of nodes of which some carry the requests, as users run
+//! it: three nodes of half a core and forty of an eighth in each data centre.
+
+use std::time::Duration;
+
+use kumquatnotch_policy::{
+    placement::is_standby,
+    startup::{self, turn},
+};
+use yare::parameterized;
+
+#[parameterized(
+    small_beside_two_large = { 0.12, &[0.5, 0.5, 0.12], true },
+    small_beside_one_large = { 0.12, &[0.5, 0.12, 0.12], false },
+    one_of_equals = { 0.25, &[0.25, 0.25, 0.25], false },
+    half_as_large = { 0.25, &[0.5, 0.5, 0.5], false },
+    large = { 0.5, &[0.12, 0.12, 0.5], false },
+    alone = { 0.12, &[], false },
+)]
+fn a_node_is_on_standby_only_beside_enough_larger_ones(
+    capacity: f64,
+    others: &[f64],
+    expected: bool,
+) {
+    assert_eq!(is_standby(capacity, others.iter().copied()), expected);
+}
+
+/// However many nodes there are, those that announce themselves are those that serve: a
+/// fleet of 43 or of 1,003 nodes in a data centre costs the store the same three leases.
+#[test]
+fn the_entries_of_a_data_centre_dont_grow_with_its_small_nodes() {
+    let announced = |small: usize| {
+        let capacities: Vec<f64> =
+            [0.5; 3].into_iter().chain(std::iter::repeat_n(0.12, small)).collect();
+        let mut known: Vec<f64> = Vec::new();
+        // The larger ones announce themselves first, as `turn` has it.
+        for capacity in capacities {
+            if !is_standby(capacity, known.iter().copied()) {
+                known.push(capacity);
+            }
+        }
+        known.len()
+    };
+
+    assert_eq!((announced(40), announced(1_000)), (3, 3));
+}
+
+#[test]
+fn larger_nodes_go_first_and_none_waits_for_long() {
+    assert_eq!(turn(0.5), Duration::from_millis(200));
+    assert!(turn(0.12) > turn(0.5) + Duration::from_millis(500));
+    assert_eq!(turn(0.0), Duration::from_secs(1));
+    assert!(startup::retry(Duration::ZERO, Duration::from_secs(2)) < Duration::from_secs(1));
+}
--- a/crates/kumquatnotch-route/src/announce.rs
+++ b/crates/kumquatnotch-route/src/announce.rs
@@ -29,6 +29,19 @@
 /// The pause after a failure, before jitter.
 const FAILURE_PAUSE: Duration = Duration::from_millis(500);
 
+/// How often a node that has just started looks whether it knows the others.
+const START_PERIOD: Duration = Duration::from_millis(20);
+
+/// How often a node on standby looks whether it is needed, before jitter.
+///
+/// When larger nodes end, their entries go within the time of a lease; this adds little.
+const STANDBY_PERIOD: Duration = Duration::from_millis(400);
+
+/// How many renewals in a row a node must not be needed for its entry to lapse.
+///
+/// Long enough for a larger node to restart, with which this one would come and go.
+const STANDBY_RENEWALS: u32 = 10;
+
 /// How long the own entry may be missing in the mirror before it is written anew.
 const MISSING_PERIODS: u32 = 2;
 
@@ -74,6 +87,7 @@
     async fn run(self: Rc<Announcer>) {
         let clock = self.router.clock.clone();
         while self.router.lifecycle.stage() < Stage::Leaving {
+            self.await_need().await;
             match self.announce().await {
                 Ok(lease) => self.hold(lease).await,
                 Err(error) => {
@@ -85,6 +99,27 @@
         }
     }
 
+    /// Waits until the others need to know this node.
+    async fn await_need(&self) {
+        let clock = &*self.router.clock;
+        while !self.router.is_synced() {
+            clock::sleep(clock, START_PERIOD).await;
+        }
+        let mut waited = false;
+        while !self.is_needed() && self.router.lifecycle.stage() < Stage::Leaving {
+            if !waited {
+                tracing::info!("announce: on standby, as larger nodes serve");
+            }
+            waited = true;
+            clock::sleep(clock, self.router.random.jitter(STANDBY_PERIOD)).await;
+        }
+    }
+
+    /// Whether others need the entry: to use this node, or to know of crashes.
+    fn is_needed(&self) -> bool {
+        !self.router.is_standby() || !self.router.crashes.told().is_empty()
+    }
+
     async fn announce(&self) -> Result<StoreLease> {
         let lease = self.store.grant(LEASE_TIME).await?;
         let put = StorePut {
@@ -104,6 +139,7 @@
         let clock = &*self.router.clock;
         let losses = self.mirror.entries.losses_of(&self.name);
         let mut missing = 0;
+        let mut unneeded = 0;
         let mut told = Vec::new();
         while self.router.lifecycle.stage() < Stage::Leaving {
             clock::sleep(clock, RENEW_PERIOD).await;
@@ -119,6 +155,12 @@
                 Ok(()) => {}
             }
             self.tell_crashes(lease, &mut told).await;
+            unneeded = if self.is_needed() { 0 } else { unneeded + 1 };
+            if unneeded >= STANDBY_RENEWALS {
+                tracing::info!(lease = lease.id, "announce: the lease is left to end");
+                *self.lease.borrow_mut() = None;
+                return;
+            }
             // The write may not have reached the mirror yet, so it has some time.
             let lost = self.mirror.entries.losses_of(&self.name) != losses;
             missing = if self.mirror.entries.has_node(&self.name) { 0 } else { missing + 1 };
@@ -153,6 +195,9 @@
 
     /// Takes the entry away, so that callers are advised to use other nodes.
     pub async fn leave(&self) {
+        if self.lease.borrow().is_none() {
+            return;
+        }
         let write = StoreWrite { deletes: vec![self.keys.record.clone()], ..Default::default() };
         if let Err(error) = self.store.write(&write).await {
             // It ends with its lease then.
--- a/crates/kumquatnotch-route/src/fleet.rs
+++ b/crates/kumquatnotch-route/src/fleet.rs
@@ -11,7 +11,10 @@
     collections::HashMap,
     ids::{DataCentre, NodeName, Region},
 };
-use kumquatnotch_policy::{distances::Distances, placement::NodePlace};
+use kumquatnotch_policy::{
+    distances::Distances,
+    placement::{self, NodePlace},
+};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -19,6 +22,7 @@
     names::{ReplicaId, ServiceName},
     relay,
     replica::{Replica, ReplicaSpec},
+    router::Place,
 };
 
 /// The service that the nodes of this tier are to each other.
@@ -129,6 +133,20 @@
         usable.min_by_key(|peer| (peer.observed.unanswered(), peer.observed.asked())).cloned()
     }
 
+    /// Whether a node is known.
+    pub fn knows(&self, name: &NodeName) -> bool {
+        self.nodes.borrow().contains_key(name)
+    }
+
+    /// Whether callers are advised to use other nodes of the data centre of `place`, as
+    /// these are larger.
+    pub fn is_standby(&self, place: &Place) -> bool {
+        let nodes = self.nodes.borrow();
+        let others = nodes.iter().filter(|(name, _)| **name != place.name);
+        let beside = others.filter(|(_, node)| node.record.centre == place.centre);
+        placement::is_standby(place.capacity, beside.map(|(_, node)| node.record.capacity))
+    }
+
     /// How many nodes are known.
     pub fn len(&self) -> usize {
         self.nodes.borrow().len()
--- a/crates/kumquatnotch-route/src/follow.rs
+++ b/crates/kumquatnotch-route/src/follow.rs
@@ -24,11 +24,19 @@
 /// Two, so that one may end or be turned away by the store.
 pub const READERS: usize = 2;
 
-/// Up to how many nodes of a data centre all watch the store.
+/// Up to how many nodes of a data centre all watch the store, in a small fleet.
 ///
 /// With so few, following saves less than it may cost in time.
 const SMALL_CENTRE: usize = 4;
 
+/// The most nodes of a small fleet.
+///
+/// In a larger one, nodes that nobody needs to know follow as well.
+const SMALL_FLEET: usize = 12;
+
+/// For how long a node counts as followed after another one has asked.
+const FOLLOWED_FOR: Duration = Duration::from_secs(5);
+
 /// The longest wait of a follower, which bounds how long a lost connection is unseen.
 pub const FOLLOW_WAIT: Duration = Duration::from_millis(1_500);
 
@@ -81,6 +89,7 @@
     if !journal.is_filled() {
         return Err(Error::NotReady);
     }
+    journal.note_asked();
     let (whole, changes, revision) = match journal.after(after, wait).await {
         Passage::Changes(StoreChanges { events, revision }) => {
             (false, events.into_iter().map(Change::from).collect(), revision)
@@ -153,7 +162,7 @@
 pub fn readers(centre: &DataCentre, nodes: &[Candidate]) -> Vec<Candidate> {
     let mut there: Vec<Candidate> =
         nodes.iter().filter(|(_, node)| node.centre == *centre).cloned().collect();
-    if there.len() <= SMALL_CENTRE {
+    if there.len() <= SMALL_CENTRE && nodes.len() <= SMALL_FLEET {
         return there;
     }
     there.sort_by(|(one, node), (other, next)| {
@@ -163,10 +172,10 @@
     there
 }
 
-/// Whether other nodes follow those that watch the store in this data centre.
+/// Whether other nodes follow this one.
 pub fn is_followed(router: &Router) -> bool {
-    let nodes = router.fleet.candidates();
-    nodes.iter().filter(|(_, node)| node.centre == router.place.centre).count() > SMALL_CENTRE
+    let asked = router.journal.asked();
+    asked.is_some_and(|at| router.clock.now().saturating_duration_since(at) < FOLLOWED_FOR)
 }
 
 /// The nodes that this one may follow, in the order in which it tries them; none if
@@ -174,9 +183,10 @@
 pub fn followed(router: &Router) -> Vec<Rc<Replica>> {
     let nodes = router.fleet.candidates();
     let own = readers(&router.place.centre, &nodes);
-    let is_known = nodes.iter().any(|(name, _)| *name == router.place.name);
+    // Others count on one that is about to announce itself as on those that are known.
+    let is_placed = router.fleet.knows(&router.place.name) || router.is_standby();
     let is_reader = own.iter().any(|(name, _)| *name == router.place.name);
-    if is_reader || !is_known || !router.uses(Mechanism::Followers) {
+    if is_reader || !is_placed || !router.uses(Mechanism::Followers) {
         return Vec::new();
     }
     let mut order = own;
--- a/crates/kumquatnotch-route/src/journal.rs
+++ b/crates/kumquatnotch-route/src/journal.rs
@@ -35,6 +35,8 @@
     oldest: Cell<u64>,
     /// When the store last said that this is all there is.
     confirmed: Cell<Instant>,
+    /// When another node last asked for it.
+    asked: Cell<Option<Instant>>,
     waiting: RefCell<Vec<oneshot::Sender<()>>>,
 }
 
@@ -58,6 +60,7 @@
             revision: Cell::new(0),
             oldest: Cell::new(0),
             confirmed,
+            asked: Cell::new(None),
             waiting: RefCell::default(),
         }
     }
@@ -67,6 +70,16 @@
         self.revision.get() > 0
     }
 
+    /// When another node last asked for it.
+    pub fn asked(&self) -> Option<Instant> {
+        self.asked.get()
+    }
+
+    /// Notes that another node asks for it.
+    pub fn note_asked(&self) {
+        self.asked.set(Some(self.clock.now()));
+    }
+
     /// How long ago the store last said that this is all there is.
     pub fn age(&self) -> Duration {
         self.clock.now().saturating_duration_since(self.confirmed.get())
--- a/crates/kumquatnotch-route/src/own_share.rs
+++ b/crates/kumquatnotch-route/src/own_share.rs
@@ -53,6 +53,11 @@
                 serving.extend(advice.serving().cloned());
             }
         }
+        if self.is_standby() && !self.fleet.knows(&self.place.name) {
+            // There may be any number of nodes that the others don't know, so none of them
+            // takes anything of what all share.
+            return 0.0;
+        }
         let is_serving = serving.contains(&self.place.name);
         Sharers { all: self.fleet.len(), serving: serving.len(), is_serving }.part()
     }
--- a/crates/kumquatnotch-route/src/router.rs
+++ b/crates/kumquatnotch-route/src/router.rs
@@ -67,6 +67,8 @@
     pub centre: DataCentre,
     /// Its region.
     pub region: Region,
+    /// The processor time that it has in a second, in cores.
+    pub capacity: f64,
 }
 
 /// What the parts of a node share.
@@ -200,6 +202,14 @@
         self.is_synced() && self.table.borrow().is_some()
     }
 
+    /// Whether other nodes need not know this one, as callers are advised to use larger ones.
+    ///
+    /// Of hundreds of nodes only some carry requests. An entry of each of them costs the
+    /// store two writes a start and a renewal each second, for nobody.
+    pub fn is_standby(&self) -> bool {
+        self.uses(Mechanism::Standby) && self.is_synced() && self.fleet.is_standby(&self.place)
+    }
+
     /// Notes that the node at `address` asked something; only as long as none is known.
     pub(crate) fn note_visitor(&self, address: SocketAddr) {
         let mut visitors = self.visitors.borrow_mut();
--- a/crates/kumquatnotch-route/tests/common/mod.rs
+++ b/crates/kumquatnotch-route/tests/common/mod.rs
@@ -127,6 +127,7 @@
                 name: NodeName::from(name),
                 centre: DataCentre::from(centre),
                 region: Region::from(centre),
+                capacity: 1.0,
             },
             mechanisms: Mechanisms::default(),
         };
--- a/crates/measure/src/routes.rs
+++ b/crates/measure/src/routes.rs
@@ -122,7 +122,12 @@
     registry.register(services::RANDOM, Random::with_seed(1));
     registry.register(services::LIFECYCLE, Lifecycle::default());
     let node = NodeName::from("node");
-    let place = Place { name: node, centre: DataCentre::from("c"), region: Region::from("r") };
+    let place = Place {
+        name: node,
+        centre: DataCentre::from("c"),
+        region: Region::from("r"),
+        capacity: 1.0,
+    };
     let budget = BudgetOptions { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) };
     let options = RouterOptions {
         names: HeaderNames::default(),
