The clock counts the time for which the VM was suspended

Cause: the steady clock stands still while a VM is suspended, so a node that woke took its leases, the store's last word, its budget and the requests in flight for as fresh as before: an exclusive request whose caller had given up would be passed on with its old time left, and followers were told that the configuration had just been confirmed.

The boot clock goes on.

Ruled out: looking for gaps between beats (a late timer may fire after the request that it should have ended); the time of day (it jumps).

--- a/crates/kumquatnotch-core/src/clock.rs
+++ b/crates/kumquatnotch-core/src/clock.rs
@@ -14,7 +14,7 @@
     time::{Duration, Instant},
 };
 
-use crate::{Error, LocalFuture, Result};
+use crate::{Error, LocalFuture, Result, suspension};
 
 /// A source of time.
 pub trait Clock {
@@ -25,17 +25,37 @@
     fn sleep_until(&self, deadline: Instant) -> LocalFuture<'static, ()>;
 }
 
-/// The clock of the monoio runtime.
+/// How long a sleep is at most before the time is looked at again.
+///
+/// The timers of the runtime stand still while the VM is suspended; so this bounds how
+/// much later than due a request that was in flight then is ended.
+const SLICE: Duration = Duration::from_millis(500);
+
+/// The same for sleeps that are longer than a request may take.
+///
+/// A node has thousands of idle connections, each with such a sleep.
+const LONG_SLICE: Duration = Duration::from_secs(15);
+
+/// The clock of the monoio runtime, which counts the time for which the VM was suspended.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RuntimeClock;
 
 impl Clock for RuntimeClock {
     fn now(&self) -> Instant {
-        Instant::now()
+        Instant::now() + suspension::suspended()
     }
 
     fn sleep_until(&self, deadline: Instant) -> LocalFuture<'static, ()> {
-        Box::pin(monoio::time::sleep_until(deadline.into()))
+        Box::pin(async move {
+            loop {
+                let left = deadline.saturating_duration_since(RuntimeClock.now());
+                if left.is_zero() {
+                    return;
+                }
+                let slice = if left > LONG_SLICE { LONG_SLICE } else { left.min(SLICE) };
+                monoio::time::sleep(slice).await;
+            }
+        })
     }
 }
 
--- a/crates/kumquatnotch-core/src/lib.rs
+++ b/crates/kumquatnotch-core/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod services;
 pub mod store;
 pub mod stored;
+pub mod suspension;
 pub mod target;
 pub mod ticket;
 pub mod vms;
