--- a/crates/kumquatnotch-policy/src/startup.rs
+++ b/crates/kumquatnotch-policy/src/startup.rs
@@ -14,10 +14,13 @@
 pub const RETRY_PART: f64 = 1.0 / 3.0;
 
 /// How long a node with a whole core lets others go first, when all start.
-const TURN: Duration = Duration::from_millis(100);
+///
+/// A node of an eighth of a core starts a second after one of a half then: entries are
+/// told by others half a second after they are written.
+const TURN: Duration = Duration::from_millis(150);
 
 /// The longest that a node lets others go first.
-const MOST_TURN: Duration = Duration::from_secs(1);
+const MOST_TURN: Duration = Duration::from_millis(1_500);
 
 /// How long a node waits before it reads the store, when all start for the first time.
 ///
