Searches are refused at once while too many shards have no replica

The nodes read everything 0.4 s after it is back, but replicas are known again one by one within two seconds.

Such a search is refused before anything runs, and its caller comes again as late as it will: the share of shards with a replica grows meanwhile.

--- a/crates/kumquatnotch-policy/src/forecast.rs
+++ b/crates/kumquatnotch-policy/src/forecast.rs
@@ -11,7 +11,10 @@
 
 use std::time::Duration;
 
-use crate::quickest::{Rating, SUSPECT};
+use crate::{
+    quickest::{Rating, SUSPECT},
+    startup::RETRY_PART,
+};
 
 /// The part of the time left that a late part may be expected to take.
 const LATE_PART: f64 = 0.7;
@@ -104,11 +107,20 @@
         Forecast { fine, needed: late, spared }
     }
 
-    /// When the caller is to come back, if the search is to be refused.
+    /// When the caller is to come back, if shards without a replica leave too few others.
+    ///
+    /// After an outage of the store in which entries lapsed, replicas are known again one by
+    /// one within two seconds. A search that ran on those known already would fail for
+    /// certain, and its caller could not be told that it has not run.
+    pub fn absence(&self, terms: &Terms) -> Option<Duration> {
+        let absent = self.needed.last()?.expected == f64::MAX;
+        absent.then(|| terms.time.mul_f64(RETRY_PART))
+    }
+
+    /// When the caller is to come back, if the search is to be refused as replicas are crowded.
     pub fn refusal(&self, terms: &Terms) -> Option<Duration> {
         let slowest = self.needed.last()?.expected;
         let is_crowded = self.needed.iter().any(|late| late.is_crowded);
-        // A shard without replicas has no time at all; its absence is found by asking.
         if slowest == f64::MAX || (!is_crowded && slowest < LATE_PART * terms.time.as_secs_f64()) {
             return None;
         }
--- a/crates/kumquatnotch-route/src/admission.rs
+++ b/crates/kumquatnotch-route/src/admission.rs
@@ -14,6 +14,7 @@
 };
 
 use crate::{
+    call::CallFault,
     gate::{Gate, Permit},
     gather::Search,
     replica,
@@ -93,10 +94,14 @@
 }
 
 /// Lets a search in, or tells when its caller is to come again.
-pub fn admit(router: &Router, search: &Search<'_>) -> Result<(), Duration> {
+pub fn admit(router: &Router, search: &Search<'_>) -> Result<(), CallFault> {
     let now = router.clock.now();
     let terms = terms(router, search, now);
     let forecast = foretell(router, search, &terms, now);
+    if let Some(retry) = forecast.absence(&terms) {
+        tell_refusal(search, &forecast, &terms, retry);
+        return Err(CallFault::NotRun { retry, reason: "shards without replicas" });
+    }
     let refusal = forecast.refusal(&terms).filter(|_| router.uses(Mechanism::Refusals));
     let Some(retry) = refusal else {
         return Ok(());
@@ -106,7 +111,7 @@
     let crowd = router.random.jitter(router.strains.retry(route, terms.time, now));
     let retry = if router.uses(Mechanism::RetryTimes) { retry.max(crowd) } else { FIXED_RETRY };
     tell_refusal(search, &forecast, &terms, retry);
-    Err(retry)
+    Err(CallFault::NotRun { retry, reason: "replicas are crowded" })
 }
 
 /// Writes a line for a refusal, with what decided it.
--- a/crates/kumquatnotch-route/src/gather.rs
+++ b/crates/kumquatnotch-route/src/gather.rs
@@ -83,9 +83,8 @@
     let total = search.set.shards.len();
     let least = search.set.least_parts();
     let mut running = Running::default();
-    if let Err(retry) = admission::admit(router, search) {
-        let answer = Err(CallFault::NotRun { retry, reason: "replicas are crowded" });
-        return Gathered { answer, parts: 0, missing: total, relayed: 0 };
+    if let Err(fault) = admission::admit(router, search) {
+        return Gathered { answer: Err(fault), parts: 0, missing: total, relayed: 0 };
     }
     let shards: Vec<usize> = (0..total).collect();
     let mut outstanding = total;
--- a/crates/kumquatnotch-route/tests/forecasts.rs
+++ b/crates/kumquatnotch-route/tests/forecasts.rs
@@ -12,6 +12,7 @@
 use kumquatnotch_policy::{observed::Fitness, strain::Fate};
 use kumquatnotch_route::{
     admission,
+    call::CallFault,
     gate::{Gate, Permit},
     gather::Search,
     names::ReplicaId,
@@ -31,7 +32,11 @@
 /// Whether a tier lets in a search that has just come; if not, when it may come again.
 async fn foretell(tier: &Tier, route: &Route) -> Result<(), Duration> {
     let (request, identity) = (Request::get("/a/"), HeaderValue::from_static("r1"));
-    admission::admit(&tier.router, &search(route, &request, &identity))
+    match admission::admit(&tier.router, &search(route, &request, &identity)) {
+        Ok(()) => Ok(()),
+        Err(CallFault::NotRun { retry, .. }) => Err(retry),
+        Err(fault) => panic!("{fault:?}"),
+    }
 }
 
 /// A gate that lets in one at a time.
@@ -113,6 +118,41 @@
 
 /// Too many shards are crowded for an answer in time. Starting the search would make
 /// the ones that wait later still; it is refused while that is true of it.
+/// The store was away, and the entries of replicas lapsed. A node that starts then knows
+/// those of some shards only, and each second more. A search needs 19 of 20 shards: it
+/// can't be answered yet, so it is refused before anything runs, and its caller comes again
+/// as late as it will. Before, it ran on the others and failed, of unknown outcome.
+#[test]
+fn a_search_without_replicas_of_too_many_shards_is_refused_until_they_are_back() {
+    run(async {
+        let (tier, _) = tier(18);
+        let route = shards(20, 0.95);
+
+        let refused = foretell(&tier, &route).await;
+        tier.add("s18", nowhere());
+        let admitted = foretell(&tier, &route).await;
+
+        let retry = refused.unwrap_err();
+        assert!(retry > Duration::from_millis(600) && retry < Duration::from_millis(700));
+        assert_eq!(admitted, Ok(()));
+    });
+}
+
+/// The same seen by the caller: 503 with the time to come back, and no replica has run it.
+#[test]
+fn a_search_refused_for_want_of_replicas_has_not_run() {
+    run(async {
+        let tier = Tier::serving(shards(2, 1.0));
+        let other = replica("p0", b"0123456789abcdef");
+        tier.add("s0", other.address);
+
+        let answer = tier.get("/a/x", "r1").await;
+
+        assert_eq!((answer.status, other.requests().len()), (503, 0));
+        assert!(answer.headers.contains_key("retry-after"));
+    });
+}
+
 #[test]
 fn a_search_that_needs_a_crowded_shard_is_refused() {
     run(async {
