A few nodes of each data centre read the store, the others read from them

A node first asks who the nodes are, which is little and finds out whether the store answers. The six largest of a data centre read everything from the store. The others ask these, which tell it one after the other, as their links are for callers' answers. A node decides whether it is needed as soon as it knows the others, so that entries are written before everything is read.

Tests without the bench: route/tests/first_reading.rs.

--- a/crates/kumquatnotch-route/src/announce.rs
+++ b/crates/kumquatnotch-route/src/announce.rs
@@ -102,7 +102,7 @@
     /// Waits until the others need to know this node.
     async fn await_need(&self) {
         let clock = &*self.router.clock;
-        while !self.router.is_synced() {
+        while !self.router.is_placed() {
             clock::sleep(clock, START_PERIOD).await;
         }
         let mut waited = false;
--- a/crates/kumquatnotch-route/src/entries.rs
+++ b/crates/kumquatnotch-route/src/entries.rs
@@ -72,6 +72,11 @@
         self.schema.prefix()
     }
 
+    /// The prefix of the keys of nodes.
+    pub fn node_prefix(&self) -> &str {
+        self.schema.node_prefix()
+    }
+
     /// Whether the entry of node `name` is in the store, as far as is known.
     pub fn has_node(&self, name: &NodeName) -> bool {
         self.known.borrow().contains(&EntryKey::Node(name.clone()))
@@ -97,6 +102,13 @@
         nodes.collect()
     }
 
+    /// Takes over some of what the store holds.
+    pub fn put_some(&self, items: &[StoreItem]) {
+        self.bulk.begin(items.len());
+        items.iter().for_each(|item| drop(self.put(item)));
+        self.bulk.end();
+    }
+
     /// Takes over everything that the store holds; what is missing is lost.
     pub fn put_all(&self, items: &[StoreItem]) {
         self.bulk.begin(items.len());
--- a/crates/kumquatnotch-route/src/first_reading.rs
+++ b/crates/kumquatnotch-route/src/first_reading.rs
@@ -1,10 +1,14 @@
 //! How a node that knows nothing learns what the store holds.
 //!
 //! Many nodes start at the same moment after a loss of power, often while the store is
-//! away, and each one refuses its callers until it has read everything. So the store is
-//! asked again soon while it does not answer, without giving up the calls that wait: the
-//! first answer counts. A lagging snapshot costs the store a tenth of a scan; what has
-//! changed since is told by a node of the same data centre, or by the store.
+//! away, and each one refuses its callers until it knows everything. If all read it from
+//! the store at once, they would share the store's link: with a thousand entries and
+//! hundreds of nodes that takes seconds. So a node first asks who the others are, which is
+//! little, and asks again soon while the store does not answer. The few first ones of each
+//! data centre then read everything from the store, and the others from these.
+//!
+//! The store is read by a lagging snapshot, which costs a tenth of a scan. What has changed
+//! since is told by a node of the same data centre, or by the store.
 
 use std::{
     rc::Rc,
@@ -15,6 +19,7 @@
 use kumquatnotch_core::{Error, Result, Store, clock, store::StoreScan};
 
 use crate::{
+    advice::Candidate,
     entries::Entries,
     follow::{self, Followed},
     journal::Passage,
@@ -32,12 +37,36 @@
 /// that is away: two to three of the cheapest calls a second.
 const MOST_PAUSE: Duration = Duration::from_millis(400);
 
+/// How many nodes of a data centre read everything from the store.
+///
+/// As many as watch it, and twice as many again, as some of them may be gone.
+const DIRECT_READERS: usize = 3 * follow::READERS;
+
+/// For how long a node that callers use asks others before it reads the store itself.
+///
+/// Those that read it directly take a tenth of a second where they start together.
+const SERVING_PATIENCE: Duration = Duration::from_millis(400);
+
+/// The same for a node on standby, for which no caller waits.
+const STANDBY_PATIENCE: Duration = Duration::from_secs(4);
+
+/// The pause between two questions to other nodes, before jitter.
+const PEER_PAUSE: Duration = Duration::from_millis(80);
+
+/// How often each of the others may be out of reach before the store is read.
+///
+/// Those that lost power together are back within half a second of each other.
+const LOST_ROUNDS: usize = 3;
+
 /// How long a node of the same data centre may take to tell what has changed.
 ///
 /// Its answer takes a millisecond or two. Nodes that started together know nothing
 /// either, and one without power is silent; the store is asked then.
 const NEIGHBOUR_TIME: Duration = Duration::from_millis(60);
 
+/// How long it may take to tell everything, over a link of 20 Mbit/s.
+const WHOLE_TIME: Duration = Duration::from_millis(800);
+
 /// How long the store waits for changes after the snapshot: not at all.
 const NO_WAIT: Duration = Duration::from_millis(1);
 
@@ -52,29 +81,57 @@
 }
 
 /// Reads everything, however long the store is away.
+///
+/// The nodes that are known come into `entries` as soon as the store has named them.
 pub async fn read(router: &Rc<Router>, store: &dyn Store, entries: &Entries) -> Reading {
+    let mut failures = 0;
+    loop {
+        let nodes = find_nodes(router, store, entries).await;
+        let neighbours = neighbours(router, entries, &nodes);
+        if !is_direct(router, &neighbours) {
+            if let Some(reading) = ask_for_all(router, &neighbours).await {
+                return reading;
+            }
+        }
+        match read_store(router, store, entries).await {
+            Ok(reading) => return reading,
+            Err(error) => {
+                failures += 1;
+                tracing::info!(failures, code = error.code(), "mirror: not read: {error}");
+                let pause = router.random.jitter(FIRST_PAUSE);
+                clock::sleep(&*router.clock, pause).await;
+            }
+        }
+    }
+}
+
+/// Asks the store for the nodes of the tier until it answers.
+async fn find_nodes(router: &Rc<Router>, store: &dyn Store, entries: &Entries) -> StoreScan {
     let clock = &*router.clock;
     let mut pause = FIRST_PAUSE;
     let mut failures = 0;
     let mut running = FuturesUnordered::new();
-    running.push(store.snapshot(entries.prefix()));
+    running.push(store.snapshot(entries.node_prefix()));
     let mut again = clock::sleep(clock, router.random.jitter(pause)).fuse();
     loop {
         let snapshot = select_biased! {
             snapshot = running.select_next_some() => snapshot,
             () = again => {
-                running.push(store.snapshot(entries.prefix()));
+                running.push(store.snapshot(entries.node_prefix()));
                 pause = (pause * 2).min(MOST_PAUSE);
                 again = clock::sleep(clock, router.random.jitter(pause)).fuse();
                 continue;
             }
         };
-        let reading = match snapshot {
-            Ok(snapshot) => complete(router, store, entries, snapshot).await,
-            Err(error) => Err(error),
-        };
-        match reading {
-            Ok(reading) => return reading,
+        match snapshot {
+            Ok(snapshot) => {
+                if failures > 0 {
+                    tracing::info!(failures, "mirror: the store answers again");
+                }
+                entries.put_some(&snapshot.items);
+                router.set_placed();
+                return snapshot;
+            }
             Err(error) => {
                 failures += 1;
                 if failures == 1 {
@@ -85,14 +142,61 @@
     }
 }
 
-/// Adds what has changed since a snapshot.
-async fn complete(
-    router: &Rc<Router>,
-    store: &dyn Store,
-    entries: &Entries,
-    mut snapshot: StoreScan,
-) -> Result<Reading> {
+/// The other nodes of this data centre that are known, the largest first.
+fn neighbours(router: &Router, entries: &Entries, nodes: &StoreScan) -> Vec<Candidate> {
+    let mut beside = entries.nodes_in(nodes);
+    beside.retain(|(name, node)| node.centre == router.place.centre && *name != router.place.name);
+    follow::sort(&mut beside);
+    beside
+}
+
+/// Whether this node is one of those that read everything from the store.
+fn is_direct(router: &Router, neighbours: &[Candidate]) -> bool {
+    if router.is_standby() {
+        return false;
+    }
+    let place = &router.place;
+    let before = neighbours.iter().filter(|(name, node)| {
+        node.capacity > place.capacity || (node.capacity == place.capacity && *name < place.name)
+    });
+    before.count() < DIRECT_READERS
+}
+
+/// What one of the nodes that read the store first tells of everything.
+///
+/// `None` if none does for so long that the store is to be read.
+async fn ask_for_all(router: &Rc<Router>, neighbours: &[Candidate]) -> Option<Reading> {
+    let clock = &*router.clock;
+    let patience = if router.is_standby() { STANDBY_PATIENCE } else { SERVING_PATIENCE };
+    let until = clock.now() + router.random.jitter(patience);
+    let mut asked = neighbours.iter().take(DIRECT_READERS).cycle();
+    let skip = router.random.below(DIRECT_READERS);
+    asked.nth(skip);
+    let mut lost = 0;
+    while clock.now() < until && lost < LOST_ROUNDS * neighbours.len() {
+        let (name, record) = asked.next()?;
+        let peer = router.fleet.stranger(record.peer, clock.now());
+        let told = follow::follow(router, &peer, 0, Duration::ZERO);
+        match clock::timeout_at(clock, clock.now() + WHOLE_TIME, told).await.and_then(|told| told) {
+            Ok(Followed { passage: Passage::Whole(scan), age, lenient })
+                if age <= follow::MOST_AGE =>
+            {
+                tracing::info!(node = name.as_str(), "mirror: a neighbour tells everything");
+                return Some(Reading { scan, confirmed: before(clock.now(), age), lenient });
+            }
+            // It knows nothing yet, or is busy telling others.
+            Ok(_) | Err(Error::Protocol { .. }) => {}
+            Err(_) => lost += 1,
+        }
+        clock::sleep(clock, router.random.jitter(PEER_PAUSE)).await;
+    }
+    None
+}
+
+/// Reads everything from the store.
+async fn read_store(router: &Rc<Router>, store: &dyn Store, entries: &Entries) -> Result<Reading> {
     let clock = &*router.clock;
+    let mut snapshot = store.snapshot(entries.prefix()).await?;
     if let Some(reading) = ask_neighbour(router, entries, &snapshot).await {
         return Ok(reading);
     }
@@ -130,11 +234,15 @@
             return None;
         }
     };
-    let now = clock.now();
-    let confirmed = now.checked_sub(age).unwrap_or(now);
+    let confirmed = before(clock.now(), age);
     Some(Reading { scan: with(snapshot, passage), confirmed, lenient })
 }
 
+/// The moment that was `age` ago.
+fn before(now: Instant, age: Duration) -> Instant {
+    now.checked_sub(age).unwrap_or(now)
+}
+
 fn with(snapshot: &StoreScan, passage: Passage) -> StoreScan {
     let changes = match passage {
         Passage::Whole(scan) => return scan,
--- a/crates/kumquatnotch-route/src/follow.rs
+++ b/crates/kumquatnotch-route/src/follow.rs
@@ -90,6 +90,10 @@
         return Err(Error::NotReady);
     }
     journal.note_asked();
+    // One that knows nothing asks others as well; one that fell behind asks only here.
+    if after == 0 && !journal.may_tell_whole() {
+        return Err(Error::NotReady);
+    }
     let (whole, changes, revision) = match journal.after(after, wait).await {
         Passage::Changes(StoreChanges { events, revision }) => {
             (false, events.into_iter().map(Change::from).collect(), revision)
@@ -165,13 +169,18 @@
     if there.len() <= SMALL_CENTRE && nodes.len() <= SMALL_FLEET {
         return there;
     }
-    there.sort_by(|(one, node), (other, next)| {
-        next.capacity.total_cmp(&node.capacity).then_with(|| one.cmp(other))
-    });
+    sort(&mut there);
     there.truncate(READERS);
     there
 }
 
+/// Sorts nodes in the order in which they are to read the store: the largest first.
+pub fn sort(nodes: &mut [Candidate]) {
+    nodes.sort_by(|(one, node), (other, next)| {
+        next.capacity.total_cmp(&node.capacity).then_with(|| one.cmp(other))
+    });
+}
+
 /// Whether other nodes follow this one.
 pub fn is_followed(router: &Router) -> bool {
     let asked = router.journal.asked();
--- a/crates/kumquatnotch-route/src/journal.rs
+++ b/crates/kumquatnotch-route/src/journal.rs
@@ -24,6 +24,12 @@
 /// everything anew.
 const MOST_EVENTS: usize = 2_000;
 
+/// How long telling everything occupies this node, for each item.
+///
+/// An item is some 250 bytes, so this is a quarter of a link of 200 Mbit/s: after a loss of
+/// power dozens of nodes ask for everything, while callers wait for this one's answers.
+const ITEM_TIME: Duration = Duration::from_micros(40);
+
 /// What this node knows of the store.
 pub struct Journal {
     clock: Rc<dyn Clock>,
@@ -37,6 +43,8 @@
     confirmed: Cell<Instant>,
     /// When another node last asked for it.
     asked: Cell<Option<Instant>>,
+    /// Until when it is telling everything.
+    telling: Cell<Instant>,
     waiting: RefCell<Vec<oneshot::Sender<()>>>,
 }
 
@@ -54,14 +62,15 @@
     pub fn new(clock: Rc<dyn Clock>) -> Journal {
         let confirmed = Cell::new(clock.now());
         Journal {
-            clock,
             items: RefCell::default(),
             events: RefCell::default(),
             revision: Cell::new(0),
             oldest: Cell::new(0),
             confirmed,
             asked: Cell::new(None),
+            telling: Cell::new(clock.now()),
             waiting: RefCell::default(),
+            clock,
         }
     }
 
@@ -90,6 +99,16 @@
         self.asked.set(Some(self.clock.now()));
     }
 
+    /// Whether this node may tell everything now; if so, it is taken to do so.
+    pub fn may_tell_whole(&self) -> bool {
+        let now = self.clock.now();
+        if now < self.telling.get() {
+            return false;
+        }
+        self.telling.set(now + ITEM_TIME * self.items.borrow().len() as u32);
+        true
+    }
+
     /// How long ago the store last said that this is all there is.
     pub fn age(&self) -> Duration {
         self.clock.now().saturating_duration_since(self.confirmed.get())
--- a/crates/kumquatnotch-route/src/router.rs
+++ b/crates/kumquatnotch-route/src/router.rs
@@ -111,6 +111,8 @@
     visitors: RefCell<Vec<SocketAddr>>,
     /// When the node started.
     started: Instant,
+    /// Whether the other nodes are known, as far as the store has named them.
+    placed: Cell<bool>,
     /// When the directory was read in full first.
     pub(crate) synced: Cell<Option<Instant>>,
     advice: RefCell<AdviceCache>,
@@ -144,6 +146,7 @@
             strains: Strains::default(),
             mechanisms: options.mechanisms,
             table: RefCell::default(),
+            placed: Cell::new(false),
             synced: Cell::new(None),
             advice: RefCell::default(),
             part: Cell::new(((0, 0, 0), 1.0)),
@@ -202,12 +205,22 @@
         self.is_synced() && self.table.borrow().is_some()
     }
 
+    /// Notes that the other nodes are known.
+    pub(crate) fn set_placed(&self) {
+        self.placed.set(true);
+    }
+
+    /// Whether the other nodes are known.
+    pub(crate) fn is_placed(&self) -> bool {
+        self.placed.get() || self.is_synced()
+    }
+
     /// Whether other nodes need not know this one, as callers are advised to use larger ones.
     ///
     /// Of hundreds of nodes only some carry requests. An entry of each of them costs the
     /// store two writes a start and a renewal each second, for nobody.
     pub fn is_standby(&self) -> bool {
-        self.uses(Mechanism::Standby) && self.is_synced() && self.fleet.is_standby(&self.place)
+        self.uses(Mechanism::Standby) && self.is_placed() && self.fleet.is_standby(&self.place)
     }
 
     /// Notes that the node at `address` asked something; only as long as none is known.
--- a/crates/kumquatnotch-route/src/schema.rs
+++ b/crates/kumquatnotch-route/src/schema.rs
@@ -36,6 +36,9 @@
     /// The prefix under which all that is mirrored lies.
     fn prefix(&self) -> &str;
 
+    /// The prefix under which the nodes of the tier lie.
+    fn node_prefix(&self) -> &str;
+
     /// What a key is about; `None` if it is nothing to this tier.
     fn read_key(&self, key: &str) -> Option<EntryKey>;
 
--- a/crates/kumquatnotch-route/tests/common/schema.rs
+++ b/crates/kumquatnotch-route/tests/common/schema.rs
@@ -23,6 +23,10 @@
         ""
     }
 
+    fn node_prefix(&self) -> &str {
+        "n/"
+    }
+
     fn read_key(&self, key: &str) -> Option<EntryKey> {
         match key.split_once('/') {
             Some(("r", id)) => Some(EntryKey::Replica(ReplicaId::from(id))),
--- a/crates/kumquatnotch-route/tests/common/store.rs
+++ b/crates/kumquatnotch-route/tests/common/store.rs
@@ -100,11 +100,13 @@
         })
     }
 
-    fn snapshot<'a>(&'a self, _prefix: &'a str) -> LocalFuture<'a, Result<StoreScan>> {
+    fn snapshot<'a>(&'a self, prefix: &'a str) -> LocalFuture<'a, Result<StoreScan>> {
         Box::pin(async move {
             self.check().await?;
             let lagging = self.lagging.borrow().clone();
-            Ok(lagging.unwrap_or_else(|| self.everything()))
+            let mut scan = lagging.unwrap_or_else(|| self.everything());
+            scan.items.retain(|item| item.key.starts_with(prefix));
+            Ok(scan)
         })
     }
 
--- a/crates/kumquatnotch-route/tests/first_reading.rs
+++ b/crates/kumquatnotch-route/tests/first_reading.rs
@@ -34,12 +34,16 @@
 }
 
 fn node(peer: SocketAddr) -> Vec<u8> {
+    sized(peer, 1.0)
+}
+
+fn sized(peer: SocketAddr, capacity: f64) -> Vec<u8> {
     let record = NodeRecord {
         entry: peer,
         peer,
         centre: DataCentre::from("home"),
         region: Region::from("home"),
-        capacity: 1.0,
+        capacity,
     };
     codec::encode(&record).unwrap()
 }
@@ -131,7 +135,8 @@
 }
 
 /// A node restarts beside one that follows the store: that one tells the changes since
-/// the snapshot. The store is asked for the snapshot, and for what comes later.
+/// the snapshot. The store is asked who the nodes are, for the snapshot, and for what
+/// comes later.
 #[test]
 fn a_node_of_the_same_data_centre_tells_the_changes() {
     run(async {
@@ -149,7 +154,7 @@
         ready(&tier).await;
 
         assert_eq!(tier.router.table().unwrap().version(), 9);
-        assert_eq!(store.calls.get(), 2);
+        assert_eq!(store.calls.get(), 3);
     });
 }
 
@@ -169,3 +174,48 @@
         assert!(began.elapsed().as_millis() < 250, "after {:?}", began.elapsed());
     });
 }
+
+/// Hundreds of nodes lose power at once. If all of them read a thousand entries from the
+/// store, they would share its link and be ready after seconds. A small node asks a larger
+/// one, which may not have read anything yet itself, and leaves the store alone.
+#[test]
+fn a_small_node_reads_nothing_that_a_larger_one_can_tell() {
+    run(async {
+        let (large, tier, store) = (Tier::named("r1", 100.0, "home"), Tier::new(), store());
+        store.put("n/r1", &sized(large.peer.address(), 8.0));
+        store.put("n/r2", &sized(nowhere(), 8.0));
+        let own = Rc::new(FakeStore::default());
+        for item in store.everything().items {
+            own.put(&item.key, &item.value);
+        }
+
+        start(&tier, &store);
+        pause(150).await;
+        start(&large, &own);
+        ready(&tier).await;
+
+        assert_eq!(tier.router.directory.len(), 2);
+        assert_eq!(store.calls.get(), 1, "it asked who the nodes are, and no more");
+    });
+}
+
+/// Many ask one node for everything while callers wait for its answers. It tells one after
+/// the other, and those that it turns away ask again.
+#[test]
+fn a_node_tells_everything_to_one_after_the_other() {
+    run(async {
+        let (large, store) = (Tier::named("r1", 100.0, "home"), store());
+        for number in 0..500 {
+            store.put(&format!("r/{number}"), b"127.0.0.1:7");
+        }
+        start(&large, &store);
+        ready(&large).await;
+
+        let first = large.router.journal.may_tell_whole();
+        let second = large.router.journal.may_tell_whole();
+        pause(60).await;
+        let later = large.router.journal.may_tell_whole();
+
+        assert_eq!((first, second, later), (true, false, true));
+    });
+}
