--- a/crates/kumquatnotch-route/src/admission.rs
+++ b/crates/kumquatnotch-route/src/admission.rs
@@ -14,7 +14,6 @@
 };
 
 use crate::{
-    call::CallFault,
     gate::{Gate, Permit},
     gather::Search,
     replica,
@@ -93,14 +92,23 @@
     }
 }
 
+/// Why a search was not let in, so that nothing of it has run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refused {
+    /// When its caller is to come again.
+    pub retry: Duration,
+    /// Why, for the log.
+    pub reason: &'static str,
+}
+
 /// Lets a search in, or tells when its caller is to come again.
-pub fn admit(router: &Router, search: &Search<'_>) -> Result<(), CallFault> {
+pub fn admit(router: &Router, search: &Search<'_>) -> Result<(), Refused> {
     let now = router.clock.now();
     let terms = terms(router, search, now);
     let forecast = foretell(router, search, &terms, now);
     if let Some(retry) = forecast.absence(&terms) {
         tell_refusal(search, &forecast, &terms, retry);
-        return Err(CallFault::NotRun { retry, reason: "shards without replicas" });
+        return Err(Refused { retry, reason: "shards without replicas" });
     }
     let refusal = forecast.refusal(&terms).filter(|_| router.uses(Mechanism::Refusals));
     let Some(retry) = refusal else {
@@ -111,7 +119,7 @@
     let crowd = router.random.jitter(router.strains.retry(route, terms.time, now));
     let retry = if router.uses(Mechanism::RetryTimes) { retry.max(crowd) } else { FIXED_RETRY };
     tell_refusal(search, &forecast, &terms, retry);
-    Err(CallFault::NotRun { retry, reason: "replicas are crowded" })
+    Err(Refused { retry, reason: "replicas are crowded" })
 }
 
 /// Writes a line for a refusal, with what decided it.
--- a/crates/kumquatnotch-route/src/first_reading.rs
+++ b/crates/kumquatnotch-route/src/first_reading.rs
@@ -88,10 +88,10 @@
     loop {
         let nodes = find_nodes(router, store, entries).await;
         let neighbours = neighbours(router, entries, &nodes);
-        if !is_direct(router, &neighbours) {
-            if let Some(reading) = ask_for_all(router, &neighbours).await {
-                return reading;
-            }
+        if !is_direct(router, &neighbours)
+            && let Some(reading) = ask_for_all(router, &neighbours).await
+        {
+            return reading;
         }
         match read_store(router, store, entries).await {
             Ok(reading) => return reading,
--- a/crates/kumquatnotch-route/src/gather.rs
+++ b/crates/kumquatnotch-route/src/gather.rs
@@ -16,7 +16,7 @@
 use kumquatnotch_policy::completion::{Completion, Next};
 
 use crate::{
-    admission,
+    admission::{self, Refused},
     attempt::Call,
     call::{self, CallFault, CallTrace},
     names::ReplicaId,
@@ -83,8 +83,9 @@
     let total = search.set.shards.len();
     let least = search.set.least_parts();
     let mut running = Running::default();
-    if let Err(fault) = admission::admit(router, search) {
-        return Gathered { answer: Err(fault), parts: 0, missing: total, relayed: 0 };
+    if let Err(Refused { retry, reason }) = admission::admit(router, search) {
+        let answer = Err(CallFault::NotRun { retry, reason });
+        return Gathered { answer, parts: 0, missing: total, relayed: 0 };
     }
     let shards: Vec<usize> = (0..total).collect();
     let mut outstanding = total;
--- a/crates/kumquatnotch-route/tests/forecasts.rs
+++ b/crates/kumquatnotch-route/tests/forecasts.rs
@@ -12,7 +12,6 @@
 use kumquatnotch_policy::{observed::Fitness, strain::Fate};
 use kumquatnotch_route::{
     admission,
-    call::CallFault,
     gate::{Gate, Permit},
     gather::Search,
     names::ReplicaId,
@@ -32,11 +31,8 @@
 /// Whether a tier lets in a search that has just come; if not, when it may come again.
 async fn foretell(tier: &Tier, route: &Route) -> Result<(), Duration> {
     let (request, identity) = (Request::get("/a/"), HeaderValue::from_static("r1"));
-    match admission::admit(&tier.router, &search(route, &request, &identity)) {
-        Ok(()) => Ok(()),
-        Err(CallFault::NotRun { retry, .. }) => Err(retry),
-        Err(fault) => panic!("{fault:?}"),
-    }
+    let admitted = admission::admit(&tier.router, &search(route, &request, &identity));
+    admitted.map_err(|refused| refused.retry)
 }
 
 /// A gate that lets in one at a time.
