Tests of the users' three stories, and of a hold while the VM is suspended

A check that hangs fails in time and never looks empty; a hold at a replica that froze goes to no other, and one that waited while the VM was suspended goes nowhere; a report says how many offices it leaves out.

--- a/crates/kumquatnotch-route/tests/common/mod.rs
+++ b/crates/kumquatnotch-route/tests/common/mod.rs
@@ -115,8 +115,12 @@
 
     /// The same under a name of its own.
     pub fn named(name: &str, slack: f64, centre: &str) -> Tier {
+        Tier::with_clock(name, slack, centre, Rc::new(RuntimeClock))
+    }
+
+    /// The same with a clock of its own.
+    pub fn with_clock(name: &str, slack: f64, centre: &str, clock: Rc<dyn Clock>) -> Tier {
         let registry = Registry::default();
-        let clock: Rc<dyn Clock> = Rc::new(RuntimeClock);
         registry.register::<Rc<dyn Clock>>(services::CLOCK, clock.clone());
         registry.register(services::RANDOM, Random::with_seed(7));
         registry.register(services::LIFECYCLE, Lifecycle::default());
--- /dev/null
+++ b/crates/kumquatnotch-route/tests/stories.rs
@@ -0,0 +1,152 @@
+//! What users told of their days, each as a test of what the caller must see.
+
+mod common;
+
+use std::{
+    cell::Cell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use common::*;
+use futures_util::future::join;
+use kumquatnotch_core::{Clock, LocalFuture, clock::RuntimeClock};
+use kumquatnotch_route::names::ReplicaId;
+use standins::scripted::{Scripted, Step};
+
+const ROOM: &[u8] = &[7; 16];
+
+/// The clock of a VM that may be suspended: what its steady clock misses is added.
+#[derive(Default)]
+struct SuspendedClock {
+    missed: Cell<Duration>,
+}
+
+impl Clock for SuspendedClock {
+    fn now(&self) -> Instant {
+        RuntimeClock.now() + self.missed.get()
+    }
+
+    fn sleep_until(&self, deadline: Instant) -> LocalFuture<'static, ()> {
+        let left = deadline.saturating_duration_since(self.now());
+        RuntimeClock.sleep_until(RuntimeClock.now() + left)
+    }
+}
+
+/// A family waits at a desk while a check of free rooms hangs, and it comes back empty
+/// though rooms are free. Half of the shards answer, the others took the request and went
+/// silent. The desk must hear in time that the check failed: an empty or thin list that
+/// looks whole would send the family away.
+#[test]
+fn a_check_whose_shards_hang_fails_in_time_and_is_never_empty() {
+    run(async {
+        let tier = Tier::serving(shards(4, 0.85));
+        let sound: Vec<_> = (0..2).map(|_| replica("p", ROOM)).collect();
+        let silent: Vec<_> = (0..2).map(|_| playing(|_| vec![Step::Silence])).collect();
+        for (index, replica) in sound.iter().chain(&silent).enumerate() {
+            tier.add(&format!("s{index}"), replica.address);
+        }
+
+        let began = Instant::now();
+        let answer = tier.get("/a/rooms", "r1").await;
+
+        // Its shards may have run it, so that it is no refusal.
+        assert!([502, 504].contains(&answer.status), "{}", answer.status);
+        assert!(!answer.headers.contains_key("x-proofs"));
+        assert!(began.elapsed() < Duration::from_millis(3_500), "after {:?}", began.elapsed());
+    });
+}
+
+/// The last room of a guesthouse is held, the replica that holds it freezes before it
+/// answers, and wakes. A second copy elsewhere would hold the room twice. The desk hears that
+/// the outcome is unknown, and no other replica ever sees the hold.
+#[test]
+fn a_hold_at_a_replica_that_froze_is_sent_to_no_other() {
+    run(async {
+        let tier = Tier::serving(exclusive());
+        let frozen = playing(|request| {
+            vec![Step::Wait(Duration::from_secs(4)), sound(request, "late", b"held")]
+        });
+        let other = replica("other", b"held");
+        let id = tier.add("s0", frozen.address);
+        tier.add("s0", other.address);
+        prefer(&tier, &id);
+
+        let answer = tier.post("/a/hold", "r1", b"room 4").await;
+
+        assert_eq!(answer.status, 504);
+        assert!(!answer.headers.contains_key("retry-after"), "it may have run");
+        let holds = |one: &Scripted| {
+            let seen = one.requests();
+            seen.iter().filter(|request| request.path == "/a/hold").count()
+        };
+        assert_eq!((holds(&frozen), holds(&other)), (1, 0));
+    });
+}
+
+/// The same room, and it is the VM of the node that stands still: a hold waits there for its
+/// turn at a replica. When the VM wakes, its steady clock tells of no time gone by, but the
+/// desk has given up and may have held another room. The hold must not go on to the replica.
+#[test]
+fn a_hold_that_waited_while_the_vm_was_suspended_is_not_passed_on() {
+    run(async {
+        let clock = Rc::new(SuspendedClock::default());
+        let tier = Tier::with_clock("me", 100.0, "home", clock.clone());
+        tier.put(1, vec![exclusive()]);
+        let busy = playing(|request| {
+            vec![Step::Wait(Duration::from_millis(300)), sound(request, "p", b"held")]
+        });
+        let id = tier.add("s0", busy.address);
+        // All but one of the connections that this node may have are taken.
+        let replica = tier.router.directory.find(&id).unwrap();
+        tier.post("/a/hold", "r0", b"room 2").await;
+        let limit = replica.gate.limit();
+        let mut taken = Vec::new();
+        for _ in 1..limit {
+            taken.push(replica.gate.acquire(1).await);
+        }
+
+        let first = tier.post("/a/hold", "r1", b"room 3");
+        let second = async {
+            pause(50).await;
+            join(tier.post("/a/hold", "r2", b"room 4"), async {
+                pause(100).await;
+                clock.missed.set(Duration::from_secs(60));
+            })
+            .await
+            .0
+        };
+        let (_, second) = join(first, second).await;
+
+        let seen = busy.requests();
+        let held: Vec<&str> = seen.iter().map(|request| header(request, "x-request-id")).collect();
+        assert!(!held.contains(&"r2"), "{held:?}");
+        assert!(second.status >= 500, "{}", second.status);
+    });
+}
+
+/// A report comes without whole offices. Two of ten shards have nobody that answers, which
+/// the route allows: the answer says how many are missing, and proves the others.
+#[test]
+fn a_report_says_how_many_offices_it_leaves_out() {
+    run(async {
+        let tier = Tier::serving(shards(10, 0.75));
+        let offices: Vec<_> = (0..8).map(|_| replica("p", ROOM)).collect();
+        let silent: Vec<_> = (0..2).map(|_| playing(|_| vec![Step::Silence])).collect();
+        for (index, replica) in offices.iter().chain(&silent).enumerate() {
+            tier.add(&format!("s{index}"), replica.address);
+        }
+
+        let answer = tier.get("/a/report", "r1").await;
+
+        assert_eq!((answer.status, &answer.headers["x-missing"]), (200, &"2".parse().unwrap()));
+        let proofs = answer.headers["x-proofs"].to_str().unwrap();
+        assert_eq!(proofs.split(", ").count(), 8);
+    });
+}
+
+/// Lets a replica be known as the quicker one, so that it is asked first.
+fn prefer(tier: &Tier, id: &ReplicaId) {
+    let replica = tier.router.directory.find(id).unwrap();
+    (0..20).for_each(|_| replica.observed.note_work(Duration::from_millis(1)));
+}
