--- a/crates/kumquatnotch-ctl/src/explain_command.rs
+++ b/crates/kumquatnotch-ctl/src/explain_command.rs
@@ -30,7 +30,8 @@
     for path in &args.files {
         lines.extend(log_lines::read(path)?);
     }
-    let account = Account::new(&lines, Duration::from_secs_f64(args.window.max(0.1)));
+    let span = Duration::from_secs_f64(args.window.max(0.1));
+    let account = Account::new(&lines, span, &args.route);
     if account.requests == 0 {
         return Err(Error::bad_request("no line tells what became of a request"));
     }
@@ -109,9 +110,14 @@
 }
 
 impl Account {
-    fn new(lines: &[Line], span: Duration) -> Account {
+    /// The account of the requests of these routes; none means all.
+    fn new(lines: &[Line], span: Duration, routes: &[String]) -> Account {
         let notes = notes(lines);
-        let ends = || lines.iter().filter(|line| ENDS.contains(&line.message.as_str()));
+        let is_counted = |line: &&Line| {
+            let is_end = ENDS.contains(&line.message.as_str());
+            is_end && (routes.is_empty() || routes.iter().any(|route| route == line.text("route")))
+        };
+        let ends = || lines.iter().filter(is_counted);
         let start = ends().map(Line::since_epoch).min().unwrap_or_default();
         let mut account = Account {
             requests: 0,
--- a/crates/kumquatnotch-ctl/src/options.rs
+++ b/crates/kumquatnotch-ctl/src/options.rs
@@ -87,6 +87,10 @@
     #[argh(option, default = "8")]
     pub top: usize,
 
+    /// count the requests of this route only; may be given again for others
+    #[argh(option)]
+    pub route: Vec<String>,
+
     /// files with logs, one for each process or of all together
     #[argh(positional)]
     pub files: Vec<PathBuf>,
--- a/crates/kumquatnotch-ctl/tests/explain.rs
+++ b/crates/kumquatnotch-ctl/tests/explain.rs
@@ -15,10 +15,16 @@
 "#;
 
 fn explain(name: &str, log: &str) -> (Option<i32>, String) {
+    explain_routes(name, log, &[])
+}
+
+fn explain_routes(name: &str, log: &str, routes: &[&str]) -> (Option<i32>, String) {
     let path = std::env::temp_dir().join(format!("explain-{}-{name}.log", std::process::id()));
     std::fs::write(&path, log).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_kumquatnotch-ctl"));
-    let output = command.arg("explain").arg(&path).output().unwrap();
+    command.arg("explain");
+    routes.iter().for_each(|route| drop(command.args(["--route", route])));
+    let output = command.arg(&path).output().unwrap();
     std::fs::remove_file(&path).unwrap();
     (output.status.code(), String::from_utf8(output.stdout).unwrap())
 }
@@ -44,6 +50,14 @@
     }
 }
 
+#[test]
+fn requests_of_other_routes_are_left_out() {
+    let (code, told) = explain_routes("routes", LOG, &["r"]);
+
+    assert_eq!(code, Some(0));
+    assert!(told.starts_with("3 requests, 1.4 answers lost"), "{told}");
+}
+
 #[test]
 fn calls_to_the_store_are_summed_over_nodes_and_time() {
     let line = |second: u32, kind: &str, answered: u32, refused: u32| {
