--- a/crates/kumquatnotch-ctl/tests/explain.rs
+++ b/crates/kumquatnotch-ctl/tests/explain.rs
@@ -23,7 +23,9 @@
     std::fs::write(&path, log).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_kumquatnotch-ctl"));
     command.arg("explain");
-    routes.iter().for_each(|route| drop(command.args(["--route", route])));
+    for route in routes {
+        command.args(["--route", route]);
+    }
     let output = command.arg(&path).output().unwrap();
     std::fs::remove_file(&path).unwrap();
     (output.status.code(), String::from_utf8(output.stdout).unwrap())
--- a/crates/kumquatnotch-route/tests/common/mod.rs
+++ b/crates/kumquatnotch-route/tests/common/mod.rs
@@ -13,6 +13,7 @@
 use kumquatnotch_core::{
     Clock,
     clock::RuntimeClock,
+    codec,
     ids::{DataCentre, NodeName, Region},
     lifecycle::Lifecycle,
     random::Random,
@@ -259,3 +260,15 @@
     record[0] = first;
     record
 }
+
+/// What a node in data centre `home` tells of itself.
+pub fn node_entry(peer: SocketAddr, capacity: f64) -> Vec<u8> {
+    let record = NodeRecord {
+        entry: peer,
+        peer,
+        centre: DataCentre::from("home"),
+        region: Region::from("home"),
+        capacity,
+    };
+    codec::encode(&record).unwrap()
+}
--- a/crates/kumquatnotch-route/tests/first_reading.rs
+++ b/crates/kumquatnotch-route/tests/first_reading.rs
@@ -6,15 +6,12 @@
 #[path = "common/schema.rs"]
 mod schema;
 
-use std::{net::SocketAddr, rc::Rc, time::Instant};
+use std::{rc::Rc, time::Instant};
 
 use common::*;
 use fake::FakeStore;
-use kumquatnotch_core::{
-    Store, codec,
-    ids::{DataCentre, Region},
-};
-use kumquatnotch_route::{fleet::NodeRecord, mirror::Mirror};
+use kumquatnotch_core::Store;
+use kumquatnotch_route::mirror::Mirror;
 use schema::{TestSchema, options};
 
 /// A store with a configuration and two replicas.
@@ -33,21 +30,6 @@
     mirror
 }
 
-fn node(peer: SocketAddr) -> Vec<u8> {
-    sized(peer, 1.0)
-}
-
-fn sized(peer: SocketAddr, capacity: f64) -> Vec<u8> {
-    let record = NodeRecord {
-        entry: peer,
-        peer,
-        centre: DataCentre::from("home"),
-        region: Region::from("home"),
-        capacity,
-    };
-    codec::encode(&record).unwrap()
-}
-
 async fn ready(tier: &Tier) {
     while !tier.router.is_ready() {
         pause(5).await;
@@ -141,7 +123,7 @@
     run(async {
         let (tier, store) = (Tier::new(), store());
         let silent = playing(|_| vec![standins::scripted::Step::Silence]);
-        store.put("n/r1", &node(silent.address));
+        store.put("n/r1", &node_entry(silent.address, 1.0));
         let began = Instant::now();
 
         start(&tier, &store);
@@ -158,8 +140,8 @@
 fn a_small_node_reads_nothing_that_a_larger_one_can_tell() {
     run(async {
         let (large, tier, store) = (Tier::named("r1", 100.0, "home"), Tier::new(), store());
-        store.put("n/r1", &sized(large.peer.address(), 8.0));
-        store.put("n/r2", &sized(nowhere(), 8.0));
+        store.put("n/r1", &node_entry(large.peer.address(), 8.0));
+        store.put("n/r2", &node_entry(nowhere(), 8.0));
         let own = Rc::new(FakeStore::default());
         for item in store.everything().items {
             own.put(&item.key, &item.value);
--- a/crates/kumquatnotch-route/tests/follow.rs
+++ b/crates/kumquatnotch-route/tests/follow.rs
@@ -6,15 +6,12 @@
 #[path = "common/schema.rs"]
 mod schema;
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use common::*;
 use fake::FakeStore;
-use kumquatnotch_core::{
-    Store, codec,
-    ids::{DataCentre, NodeName, Region},
-};
-use kumquatnotch_route::{fleet::NodeRecord, mirror::Mirror, probe};
+use kumquatnotch_core::{Store, ids::NodeName};
+use kumquatnotch_route::{mirror::Mirror, probe};
 use schema::{TestSchema, options};
 
 /// A node with a mirror and a store of its own view.
@@ -23,17 +20,6 @@
     store: Rc<FakeStore>,
 }
 
-fn record(peer: SocketAddr, capacity: f64) -> Vec<u8> {
-    let record = NodeRecord {
-        entry: peer,
-        peer,
-        centre: DataCentre::from("home"),
-        region: Region::from("home"),
-        capacity,
-    };
-    codec::encode(&record).unwrap()
-}
-
 /// Six nodes of one data centre, of which `r1` and `r2`, the largest, watch the
 /// store, and `z` follows them. Each has its own way to the store.
 fn nodes() -> (Node, Node, Node) {
@@ -45,12 +31,12 @@
     for store in [&r1.store, &r2.store, &z.store] {
         store.put("c", b"3");
         store.put("r/one", b"127.0.0.1:1");
-        store.put("n/r1", &record(r1.tier.peer.address(), 2.0));
-        store.put("n/r2", &record(r2.tier.peer.address(), 2.0));
+        store.put("n/r1", &node_entry(r1.tier.peer.address(), 2.0));
+        store.put("n/r2", &node_entry(r2.tier.peer.address(), 2.0));
         for name in ["u", "v", "w"] {
-            store.put(&format!("n/{name}"), &record(nowhere(), 1.0));
+            store.put(&format!("n/{name}"), &node_entry(nowhere(), 1.0));
         }
-        store.put("n/z", &record(z.tier.peer.address(), 1.0));
+        store.put("n/z", &node_entry(z.tier.peer.address(), 1.0));
     }
     for node in [&r1, &r2, &z] {
         let store: Rc<dyn Store> = node.store.clone();
@@ -127,7 +113,7 @@
     run(async {
         let (r1, _, _) = nodes();
         let (tier, store) = (Tier::named("new", 100.0, "home"), Rc::new(FakeStore::default()));
-        r1.store.put("n/new", &record(tier.peer.address(), 1.0));
+        r1.store.put("n/new", &node_entry(tier.peer.address(), 1.0));
         pause(300).await;
         store.away.set(true);
         let dyn_store: Rc<dyn Store> = store.clone();
--- a/crates/kumquatnotch-route/tests/standby.rs
+++ b/crates/kumquatnotch-route/tests/standby.rs
@@ -6,18 +6,17 @@
 #[path = "common/schema.rs"]
 mod schema;
 
-use std::{net::SocketAddr, rc::Rc, time::Instant};
+use std::{rc::Rc, time::Instant};
 
 use common::*;
 use fake::FakeStore;
 use kumquatnotch_core::{
-    Store, codec,
-    ids::{DataCentre, Fingerprint, NodeName, Region},
+    Store,
+    ids::{Fingerprint, NodeName},
 };
 use kumquatnotch_policy::crashes::Crash;
 use kumquatnotch_route::{
     announce::{Announcer, NodeKeys},
-    fleet::NodeRecord,
     mirror::Mirror,
 };
 use schema::{TestSchema, options};
@@ -27,30 +26,19 @@
     store: Rc<FakeStore>,
 }
 
-fn node(peer: SocketAddr, capacity: f64) -> Vec<u8> {
-    let record = NodeRecord {
-        entry: peer,
-        peer,
-        centre: DataCentre::from("home"),
-        region: Region::from("home"),
-        capacity,
-    };
-    codec::encode(&record).unwrap()
-}
-
 /// A node with a capacity of 1.0 beside two of 4.0, which have just started.
 fn world() -> World {
     let (tier, store) = (Tier::new(), Rc::new(FakeStore::default()));
     store.put("c", b"3");
     for name in ["large-1", "large-2"] {
-        store.put(&format!("n/{name}"), &node(nowhere(), 4.0));
+        store.put(&format!("n/{name}"), &node_entry(nowhere(), 4.0));
     }
     let dyn_store: Rc<dyn Store> = store.clone();
     let schema = Rc::new(TestSchema);
     let mirror = Mirror::new(options(), tier.router.clone(), dyn_store.clone(), schema);
     mirror.start();
     let keys = NodeKeys { record: "n/me".to_owned(), crashes: "x/me".to_owned() };
-    let (name, record) = (NodeName::from("me"), node(nowhere(), 1.0));
+    let (name, record) = (NodeName::from("me"), node_entry(nowhere(), 1.0));
     Announcer::new(tier.router.clone(), dyn_store, mirror, name, keys, record).start();
     World { tier, store }
 }
--- a/crates/kumquatnotch-route/tests/store.rs
+++ b/crates/kumquatnotch-route/tests/store.rs
@@ -6,19 +6,18 @@
 #[path = "common/schema.rs"]
 mod schema;
 
-use std::{net::SocketAddr, rc::Rc};
+use std::rc::Rc;
 
 use common::*;
 use fake::FakeStore;
 use kumquatnotch_core::{
     Store, codec,
-    ids::{DataCentre, Fingerprint, NodeName, Region},
+    ids::{Fingerprint, NodeName},
     lifecycle::Stage,
 };
 use kumquatnotch_policy::crashes::Crash;
 use kumquatnotch_route::{
     announce::{Announcer, NodeKeys},
-    fleet::NodeRecord,
     mirror::Mirror,
     names::ReplicaId,
 };
@@ -166,14 +165,6 @@
 }
 
 fn announcer(world: &World) -> Rc<Announcer> {
-    let address: SocketAddr = "127.0.0.1:9".parse().unwrap();
-    let record = NodeRecord {
-        entry: address,
-        peer: address,
-        centre: DataCentre::from("home"),
-        region: Region::from("home"),
-        capacity: 1.0,
-    };
     let store: Rc<dyn Store> = world.store.clone();
     Announcer::new(
         world.tier.router.clone(),
@@ -181,7 +172,7 @@
         world.mirror.clone(),
         NodeName::from("me"),
         NodeKeys { record: "n/me".to_owned(), crashes: "x/me".to_owned() },
-        codec::encode(&record).unwrap(),
+        node_entry(nowhere(), 1.0),
     )
 }
 
