--- a/crates/kumquatnotch-config/tests/document_store.rs
+++ b/crates/kumquatnotch-config/tests/document_store.rs
@@ -67,7 +67,7 @@
         _: u64,
         _: Duration,
     ) -> LocalFuture<'a, Result<StoreChanges>> {
-        unimplemented!("operators watch nothing")
+        Box::pin(async { Err(Error::internal("operators watch nothing")) })
     }
 
     fn write<'a>(&'a self, write: &'a StoreWrite) -> LocalFuture<'a, Result<u64>> {
@@ -87,11 +87,11 @@
     }
 
     fn grant(&self, _: Duration) -> LocalFuture<'_, Result<StoreLease>> {
-        unimplemented!("operators ask for no lease")
+        Box::pin(async { Err(Error::internal("operators ask for no lease")) })
     }
 
     fn renew(&self, _: u64) -> LocalFuture<'_, Result<()>> {
-        unimplemented!("operators renew no lease")
+        Box::pin(async { Err(Error::internal("operators renew no lease")) })
     }
 }
 
--- a/crates/kumquatnotch-policy/src/startup.rs
+++ b/crates/kumquatnotch-policy/src/startup.rs
@@ -15,8 +15,8 @@
 
 /// How long a node with a whole core lets others go first, when all start.
 ///
-/// A node of an eighth of a core starts a second after one of a half then: entries are
-/// told by others half a second after they are written.
+/// A node of an eighth of a core reads a second after one of a half then, which leaves
+/// time for the entry of the larger one to be in a lagging snapshot.
 const TURN: Duration = Duration::from_millis(150);
 
 /// The longest that a node lets others go first.
--- a/crates/kumquatnotch-route/src/first_reading.rs
+++ b/crates/kumquatnotch-route/src/first_reading.rs
@@ -44,7 +44,7 @@
 
 /// For how long a node that callers use asks others before it reads the store itself.
 ///
-/// Those that read it directly take a tenth of a second where they start together.
+/// Those that read it directly take a few round trips to the store.
 const SERVING_PATIENCE: Duration = Duration::from_millis(400);
 
 /// The same for a node on standby, for which no caller waits.
--- a/crates/kumquatnotch-route/src/follow.rs
+++ b/crates/kumquatnotch-route/src/follow.rs
@@ -45,7 +45,7 @@
 
 /// What a call for everything may take.
 ///
-/// A thousand entries take 0.15 s over a link of 20 Mbit/s, ten thousand a second and a half.
+/// At 250 bytes each, ten thousand entries take a second over a link of 20 Mbit/s.
 const WHOLE_TIME: Duration = Duration::from_secs(2);
 
 /// How old what a node knows may be for others to follow it.
