A change in force late on nodes whose readers the store turns away: failing test

What callers see: a small node answers by a configuration that was replaced more than six seconds ago. Both readers of its data centre are turned away by the store, and two of another data centre as well; it waits 1.5 s at each before it asks the store itself.

--- a/crates/kumquatnotch-route/tests/common/mod.rs
+++ b/crates/kumquatnotch-route/tests/common/mod.rs
@@ -263,11 +263,16 @@
 
 /// What a node in data centre `home` tells of itself.
 pub fn node_entry(peer: SocketAddr, capacity: f64) -> Vec<u8> {
+    node_entry_in("home", peer, capacity)
+}
+
+/// What a node in data centre `centre`, which is a region of the same name, tells of itself.
+pub fn node_entry_in(centre: &str, peer: SocketAddr, capacity: f64) -> Vec<u8> {
     let record = NodeRecord {
         entry: peer,
         peer,
-        centre: DataCentre::from("home"),
-        region: Region::from("home"),
+        centre: DataCentre::from(centre),
+        region: Region::from(centre),
         capacity,
     };
     codec::encode(&record).unwrap()
--- /dev/null
+++ b/crates/kumquatnotch-route/tests/out_of_touch.rs
@@ -0,0 +1,97 @@
+//! Nodes that follow others, while the store turns away those that they follow.
+
+mod common;
+#[path = "common/store.rs"]
+mod fake;
+#[path = "common/schema.rs"]
+mod schema;
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use common::*;
+use fake::FakeStore;
+use kumquatnotch_core::Store;
+use kumquatnotch_route::mirror::Mirror;
+use schema::{TestSchema, options};
+
+/// Within what time a change that the store has confirmed must be in force on a node that
+/// can be served by the store: the shortest that operators ask for.
+const IN_FORCE: Duration = Duration::from_secs(3);
+
+/// A node with a mirror and a store of its own view.
+struct Node {
+    tier: Tier,
+    store: Rc<FakeStore>,
+}
+
+impl Node {
+    fn start(name: &str, centre: &str) -> Node {
+        Node { tier: Tier::named(name, 100.0, centre), store: Rc::default() }
+    }
+
+    fn version(&self) -> u64 {
+        self.tier.router.table().map_or(0, |table| table.version())
+    }
+
+    /// How long it takes until `version` is in force, at most `limit`.
+    async fn time_to(&self, version: u64, limit: Duration) -> Duration {
+        let start = Instant::now();
+        while self.version() < version && start.elapsed() < limit {
+            pause(10).await;
+        }
+        start.elapsed()
+    }
+}
+
+/// Two readers in each of two data centres, and a small node in the first one that
+/// follows them. Each has its own way to the store.
+struct Fleet {
+    readers: Vec<Node>,
+    small: Node,
+}
+
+impl Fleet {
+    async fn start() -> Fleet {
+        let places = [("r1", "home"), ("r2", "home"), ("r3", "away"), ("r4", "away")];
+        let readers: Vec<Node> =
+            places.iter().map(|(name, centre)| Node::start(name, centre)).collect();
+        let small = Node::start("z", "home");
+        for node in readers.iter().chain([&small]) {
+            node.store.put("c", b"3");
+            node.store.put("r/one", b"127.0.0.1:1");
+            for (reader, (name, centre)) in readers.iter().zip(places) {
+                let peer = reader.tier.peer.address();
+                node.store.put(&format!("n/{name}"), &node_entry_in(centre, peer, 2.0));
+            }
+            for name in ["u", "v", "w"] {
+                node.store.put(&format!("n/{name}"), &node_entry(nowhere(), 1.0));
+            }
+            node.store.put("n/z", &node_entry(small.tier.peer.address(), 1.0));
+        }
+        for node in readers.iter().chain([&small]) {
+            let store: Rc<dyn Store> = node.store.clone();
+            Mirror::new(options(), node.tier.router.clone(), store, Rc::new(TestSchema)).start();
+        }
+        pause(300).await;
+        Fleet { readers, small }
+    }
+}
+
+/// Callers of a small node are answered by a configuration that was replaced seven seconds
+/// ago. The store turns the readers away that it follows, and serves all others. A change
+/// is confirmed, and the small node hears of it only after it has waited at four readers.
+#[test]
+fn a_change_is_in_force_in_time_while_all_readers_are_turned_away() {
+    run(async {
+        let fleet = Fleet::start().await;
+        fleet.readers.iter().for_each(|reader| reader.store.away.set(true));
+        fleet.small.store.put("c", b"9");
+
+        let took = fleet.small.time_to(9, 3 * IN_FORCE).await;
+
+        assert!(took <= IN_FORCE, "in force after {took:?}");
+    });
+}
