How old a node's knowledge of the store is, as a metric and two lines

The logs of the incident told which readers a follower found out of touch, but not that the follower itself served by old knowledge meanwhile: that had to be worked out from the ages of others. A gauge and one line each when knowledge gets older than 4 s and when it is new again tell it on each node. No change of what is decided.

--- a/crates/kumquatnotch-route/src/lib.rs
+++ b/crates/kumquatnotch-route/src/lib.rs
@@ -29,6 +29,7 @@
 mod first_reading;
 pub mod fleet;
 pub mod follow;
+mod freshness;
 pub mod front;
 pub mod gate;
 pub mod gather;
--- a/crates/kumquatnotch-route/src/mirror.rs
+++ b/crates/kumquatnotch-route/src/mirror.rs
@@ -21,6 +21,7 @@
     entries::Entries,
     first_reading::{self, Reading},
     follow::{self, Followed},
+    freshness,
     journal::Passage,
     probe,
     replica::Replica,
@@ -106,6 +107,7 @@
     pub fn start(self: &Rc<Mirror>) {
         monoio::spawn(self.clone().run());
         monoio::spawn(self.entries.clone().sweep());
+        monoio::spawn(freshness::tell(self.router.clone()));
     }
 
     async fn run(self: Rc<Mirror>) {
