Nodes wait at no reader that the store has turned away, and these hear from others

What callers saw: small nodes answered by a configuration that had been replaced more than six seconds ago, while the store served most of the fleet.

Cause: a reader that the store turns away went on letting its followers wait, up to 1.5 s each time, and told its age only at the end; a follower tried four in turn. Each wait was bounded, their sum was not. And a reader itself had one source only: turned away, it served old knowledge for as long as that lasted. Class: bounds that hold for each of several waits and not for their sum; trust in one's own path alone.

Ruled out: changes lost between two nodes' revisions (all versions come at once, with the first source that answers); refusals of the followers' own calls.

Now a reader without a source says so at once, also to those that wait at it; one whose knowledge gets old ends their wait; a follower waits at one node only and asks others together; and whoever the store does not answer asks the other readers. A follower whose call to the store failed asks it again after 3 s, as there are hundreds of them, and other nodes meanwhile.

--- a/crates/kumquatnotch-route/src/follow.rs
+++ b/crates/kumquatnotch-route/src/follow.rs
@@ -95,11 +95,20 @@
         return Err(Error::NotReady);
     }
     journal.note_asked();
+    // A node that is out of touch says so at once, also if that comes to be while another
+    // one waits here: behind it a confirmed change is seen by nobody, and its followers
+    // would pass that on to their callers for as long as they wait.
+    let wait = wait.min(MOST_AGE.saturating_sub(journal.age()));
     // One that knows nothing asks others as well; one that fell behind asks only here.
     if after == 0 && !journal.may_tell_whole() {
         return Err(Error::NotReady);
     }
-    let (whole, changes, revision) = match journal.after(after, wait).await {
+    let wait = if journal.is_lost() { Duration::ZERO } else { wait };
+    let passage = journal.after(after, wait).await;
+    if after > 0 && journal.is_lost() && passage.is_empty() {
+        return Err(Error::NotReady);
+    }
+    let (whole, changes, revision) = match passage {
         Passage::Changes(StoreChanges { events, revision }) => {
             (false, events.into_iter().map(Change::from).collect(), revision)
         }
@@ -193,18 +202,24 @@
     asked.is_some_and(|at| router.clock.now().saturating_duration_since(at) < FOLLOWED_FOR)
 }
 
-/// The nodes that this one may follow, in the order in which it tries them; none if
-/// it is to watch the store itself.
-pub fn followed(router: &Router) -> Vec<Rc<Replica>> {
-    let nodes = router.fleet.candidates();
-    let own = readers(&router.place.centre, &nodes);
+/// Whether this node hears of the store from others.
+pub fn is_follower(router: &Router) -> bool {
+    let place = &router.place;
     // Others count on one that is about to announce itself as on those that are known.
-    let is_placed = router.fleet.knows(&router.place.name) || router.is_standby();
-    let is_reader = own.iter().any(|(name, _)| *name == router.place.name);
-    if is_reader || !is_placed || !router.uses(Mechanism::Followers) {
+    let is_placed = router.fleet.knows(&place.name) || router.is_standby();
+    let own = readers(&place.centre, &router.fleet.candidates());
+    let is_reader = own.iter().any(|(name, _)| *name == place.name);
+    !is_reader && is_placed && router.uses(Mechanism::Followers)
+}
+
+/// The other nodes that watch the store, in the order in which this one tries them: those
+/// of its own data centre first, as the way to others is longer.
+pub fn other_readers(router: &Router) -> Vec<Rc<Replica>> {
+    if !router.uses(Mechanism::Followers) {
         return Vec::new();
     }
-    let mut order = own;
+    let nodes = router.fleet.candidates();
+    let mut order = readers(&router.place.centre, &nodes);
     router.random.shuffle(&mut order);
     let mut centres: HashMap<&DataCentre, ()> = HashMap::default();
     nodes.iter().for_each(|(_, node)| {
@@ -215,6 +230,7 @@
         centres.keys().flat_map(|centre| readers(centre, &nodes)).collect();
     router.random.shuffle(&mut others);
     order.extend(others);
+    order.retain(|(name, _)| *name != router.place.name);
     let peers = order.iter().filter_map(|(name, _)| router.fleet.peer(name));
     peers.filter(|peer| relay::is_usable(peer)).collect()
 }
--- a/crates/kumquatnotch-route/src/journal.rs
+++ b/crates/kumquatnotch-route/src/journal.rs
@@ -41,6 +41,8 @@
     oldest: Cell<u64>,
     /// When the store last said that this is all there is.
     confirmed: Cell<Instant>,
+    /// Whether neither the store nor another node tells this one what there is.
+    lost: Cell<bool>,
     /// When another node last asked for it.
     asked: Cell<Option<Instant>>,
     /// Until when it is telling everything.
@@ -57,6 +59,13 @@
     Whole(StoreScan),
 }
 
+impl Passage {
+    /// Whether there is nothing new in it.
+    pub fn is_empty(&self) -> bool {
+        matches!(self, Passage::Changes(changes) if changes.events.is_empty())
+    }
+}
+
 impl Journal {
     /// A journal of nothing.
     pub fn new(clock: Rc<dyn Clock>) -> Journal {
@@ -67,6 +76,7 @@
             revision: Cell::new(0),
             oldest: Cell::new(0),
             confirmed,
+            lost: Cell::new(false),
             asked: Cell::new(None),
             telling: Cell::new(clock.now()),
             waiting: RefCell::default(),
@@ -114,6 +124,20 @@
         self.clock.now().saturating_duration_since(self.confirmed.get())
     }
 
+    /// Notes that this node has no source any more, until there is news.
+    ///
+    /// Those that wait here are sent elsewhere at once: behind a node that the store turns
+    /// away they would hear of a confirmed change only when its knowledge has got old.
+    pub fn note_lost(&self) {
+        self.lost.set(true);
+        self.wake();
+    }
+
+    /// Whether this node has no source.
+    pub fn is_lost(&self) -> bool {
+        self.lost.get()
+    }
+
     /// Starts anew with everything that the store holds, as of `confirmed`.
     pub fn reset(&self, scan: &StoreScan, confirmed: Instant) {
         let items = scan.items.iter().map(|item| (item.key.clone(), item.clone()));
@@ -146,12 +170,19 @@
     fn note(&self, revision: u64, confirmed: Instant) {
         let grew = revision > self.revision.get();
         self.revision.set(revision.max(self.revision.get()));
-        self.confirmed.set(confirmed.max(self.confirmed.get()));
+        if confirmed > self.confirmed.get() {
+            self.confirmed.set(confirmed);
+            self.lost.set(false);
+        }
         if grew {
-            // Those that have gone away don't hear it.
-            for waiter in self.waiting.borrow_mut().drain(..) {
-                let _ = waiter.send(());
-            }
+            self.wake();
+        }
+    }
+
+    fn wake(&self) {
+        // Those that have gone away don't hear it.
+        for waiter in self.waiting.borrow_mut().drain(..) {
+            let _ = waiter.send(());
         }
     }
 
--- a/crates/kumquatnotch-route/src/lib.rs
+++ b/crates/kumquatnotch-route/src/lib.rs
@@ -52,3 +52,4 @@
 pub mod route;
 pub mod router;
 pub mod schema;
+mod sources;
--- a/crates/kumquatnotch-route/src/mirror.rs
+++ b/crates/kumquatnotch-route/src/mirror.rs
@@ -23,10 +23,9 @@
     follow::{self, Followed},
     freshness,
     journal::Passage,
-    probe,
-    replica::Replica,
     router::Router,
     schema::Schema,
+    sources::Sources,
 };
 
 /// Options of a [`Mirror`].
@@ -68,8 +67,16 @@
 /// How late the answer to a watch may be before the store counts as having been away.
 const LATE_ANSWER: Duration = Duration::from_millis(300);
 
-/// How many nodes are tried before the store itself is asked.
-const MOST_PEERS: usize = 4;
+/// The pause of a node that follows others before it asks the store again, before jitter.
+///
+/// There are hundreds of them, for which a few nodes watch the store.
+const FOLLOWER_PAUSE: Duration = Duration::from_secs(3);
+
+/// By how much the news of another node must be newer.
+///
+/// The way of its answer makes it seem newer. Nodes that are all turned away would pass the
+/// same knowledge round and take it for news.
+const NEWS_MARGIN: Duration = Duration::from_millis(200);
 
 /// Follows the store.
 pub struct Mirror {
@@ -78,6 +85,7 @@
     store: Rc<dyn Store>,
     /// What it holds, as far as is known.
     pub entries: Rc<Entries>,
+    sources: Sources,
     /// The revision up to which everything is known.
     after: Cell<Option<u64>>,
     /// Whether the store was in trouble since its last answer.
@@ -93,11 +101,13 @@
         schema: Rc<dyn Schema>,
     ) -> Rc<Mirror> {
         let entries = Rc::new(Entries::new(router.clone(), schema, options.keep));
+        let sources = Sources::new(router.clone());
         Rc::new(Mirror {
             options,
             router,
             store,
             entries,
+            sources,
             after: Cell::new(None),
             trouble: Cell::new(false),
         })
@@ -111,12 +121,11 @@
     }
 
     async fn run(self: Rc<Mirror>) {
-        let clock = self.router.clock.clone();
         self.begin().await;
         let mut failures = 0;
         loop {
-            let peers = follow::followed(&self.router);
-            if !peers.is_empty() && self.follow(&peers).await {
+            if let Some(followed) = self.sources.follow(self.known()).await {
+                self.take_followed(followed);
                 failures = 0;
                 continue;
             }
@@ -137,14 +146,54 @@
                     if failures == 1 {
                         tracing::warn!(code = error.code(), "mirror: the store is away: {error}");
                     }
-                    let backoff = self.options.backoff * 2u32.pow(failures.min(6) - 1);
-                    let pause = backoff.min(self.options.most_backoff);
-                    clock::sleep(&*clock, self.router.random.jitter(pause)).await;
+                    self.await_store(failures).await;
                 }
             }
         }
     }
 
+    /// Waits until the store is to be asked again, or there is another node to follow.
+    ///
+    /// It may turn this node away and serve others, for as long as it likes. What these hear
+    /// of it is in force here as well.
+    async fn await_store(&self, failures: u32) {
+        let clock = &*self.router.clock;
+        let follows = follow::is_follower(&self.router);
+        let pause = self.pause(failures);
+        let wait = if follows { self.router.random.jitter(FOLLOWER_PAUSE) } else { pause };
+        let until = clock.now() + wait;
+        while clock.now() < until {
+            match self.sources.catch_up(self.known()).await {
+                Some(followed) if self.is_newer(&followed) => {
+                    self.take_followed(followed);
+                    if follows {
+                        return;
+                    }
+                }
+                // One failure may be a connection that was cut.
+                _ if failures > 1 => self.router.journal.note_lost(),
+                _ => {}
+            }
+            clock.sleep_until(until.min(clock.now() + pause)).await;
+        }
+    }
+
+    /// Whether another node has heard from the store since this one did.
+    fn is_newer(&self, followed: &Followed) -> bool {
+        followed.age + NEWS_MARGIN < self.router.journal.age()
+    }
+
+    /// The pause after so many failed calls in a row.
+    fn pause(&self, failures: u32) -> Duration {
+        let backoff = self.options.backoff * 2u32.pow(failures.min(6) - 1);
+        self.router.random.jitter(backoff.min(self.options.most_backoff))
+    }
+
+    /// The revision up to which everything is known; zero if nothing is.
+    fn known(&self) -> u64 {
+        self.after.get().unwrap_or(0)
+    }
+
     /// Learns all that there is to know, from the store or from nodes that ask for this one.
     async fn begin(&self) {
         let reading =
@@ -161,46 +210,6 @@
         }
     }
 
-    /// Takes over what one of `peers` tells; false if the store must be asked.
-    ///
-    /// One that has not heard from the store for long may be cut off from it, and
-    /// is passed over. If a few of them are, the store itself shows who is right.
-    async fn follow(&self, peers: &[Rc<Replica>]) -> bool {
-        for peer in peers.iter().take(MOST_PEERS) {
-            let followed = self.ask_for_news(peer).await;
-            let followed = match followed {
-                Ok(followed) => followed,
-                Err(error) => {
-                    let node = peer.id.as_str();
-                    tracing::info!(
-                        node,
-                        code = error.code(),
-                        "mirror: can't follow a node: {error}"
-                    );
-                    probe::suspect(&self.router, peer, "no news of the store");
-                    continue;
-                }
-            };
-            if followed.age > follow::MOST_AGE {
-                let node = peer.id.as_str();
-                tracing::info!(
-                    node,
-                    age_ms = followed.age.as_millis() as u64,
-                    "mirror: a node is out of touch"
-                );
-                continue;
-            }
-            self.take_followed(followed);
-            return true;
-        }
-        false
-    }
-
-    async fn ask_for_news(&self, peer: &Replica) -> Result<Followed> {
-        let after = self.after.get().unwrap_or(0);
-        follow::follow(&self.router, peer, after, follow::FOLLOW_WAIT).await
-    }
-
     /// Completes once a node that asked for this one has told what it knows.
     async fn learn_from_visitors(&self) {
         let clock = &*self.router.clock;
@@ -323,7 +332,7 @@
 
     /// Takes over changes, of which some may be known.
     fn take_changes(&self, changes: &StoreChanges, confirmed: Instant) {
-        let after = self.after.get().unwrap_or(0);
+        let after = self.known();
         let new: Vec<&StoreEvent> =
             changes.events.iter().filter(|event| event.revision() > after).collect();
         self.entries.take_all(&new);
--- a/crates/kumquatnotch-route/tests/follow.rs
+++ b/crates/kumquatnotch-route/tests/follow.rs
@@ -71,8 +71,8 @@
     });
 }
 
-/// One of the two nodes that watch is turned away by the store, and goes on
-/// answering with what it knew. The follower must notice and go elsewhere.
+/// One of the two nodes that watch is turned away by the store. The follower must notice
+/// and go elsewhere, and the one that is turned away hears of the change from the other.
 #[test]
 fn a_node_that_lost_the_store_is_not_followed_for_long() {
     run(async {
@@ -84,7 +84,7 @@
         r2.store.put("c", b"9");
         pause(2_500).await;
 
-        assert_eq!((r1.version(), r2.version(), z.version()), (3, 9, 9));
+        assert_eq!((r1.version(), r2.version(), z.version()), (9, 9, 9));
     });
 }
 
--- a/crates/kumquatnotch-route/tests/out_of_touch.rs
+++ b/crates/kumquatnotch-route/tests/out_of_touch.rs
@@ -82,7 +82,9 @@
 
 /// Callers of a small node are answered by a configuration that was replaced seven seconds
 /// ago. The store turns the readers away that it follows, and serves all others. A change
-/// is confirmed, and the small node hears of it only after it has waited at four readers.
+/// is confirmed. Each reader goes on answering with what it knew, and tells only at the end
+/// of a long wait how old that is, so the waits at four of them add up: the logs show the
+/// four, 1.5 s apart, and the change in force as soon as any other source is asked.
 #[test]
 fn a_change_is_in_force_in_time_while_all_readers_are_turned_away() {
     run(async {
@@ -95,3 +97,40 @@
         assert!(took <= IN_FORCE, "in force after {took:?}");
     });
 }
+
+/// The readers of the data centre hang: they take connections and answer nothing. The small
+/// node waits at the first, and not as long again at the second: others tell at once.
+#[test]
+fn a_change_is_in_force_in_time_while_the_nearest_readers_hang() {
+    run(async {
+        let fleet = Fleet::start().await;
+        let hung = playing(|_| vec![standins::scripted::Step::Silence]);
+        for node in fleet.readers.iter().chain([&fleet.small]) {
+            let write = |name| node.store.put(name, &node_entry(hung.address, 2.0));
+            ["n/r1", "n/r2"].into_iter().for_each(write);
+        }
+        pause(300).await;
+        fleet.readers[2..].iter().for_each(|reader| reader.store.put("c", b"9"));
+
+        let took = fleet.small.time_to(9, 3 * IN_FORCE).await;
+
+        assert!(took <= IN_FORCE, "in force after {took:?}");
+    });
+}
+
+/// The store turns one reader away for long, and serves another. Callers of the first see a
+/// change in time all the same: it hears of it from the second.
+#[test]
+fn a_reader_that_is_turned_away_hears_from_others() {
+    run(async {
+        let fleet = Fleet::start().await;
+        let [first, second, ..] = &fleet.readers[..] else { unreachable!() };
+        first.store.away.set(true);
+        pause(300).await;
+        second.store.put("c", b"9");
+
+        let took = first.time_to(9, 3 * IN_FORCE).await;
+
+        assert!(took <= IN_FORCE, "in force after {took:?}");
+    });
+}
