A call that the store swallowed is not waited for: another is made beside it

What callers saw: for up to four seconds after an outage of the store they were answered by an old configuration, and requests went to a replica that had said it leaves, although the store was well and had confirmed both.

Cause: a node has one call to the store at a time. One that was swallowed shortly before the end of the outage was waited for to its end (2.5 s of wait and 1 s more), followed by a pause of up to 1.35 s. Class: a sense of the world with one ear, whose deafness shows only after a full timeout.

Now a late watch gets a second call beside it 0.3 s after its wait, and while the store is away calls that do not wait are made every 0.15 to 0.6 s before jitter, with the earlier ones still running, so slow answers still count.

--- a/crates/kumquatnotch-route/src/first_reading.rs
+++ b/crates/kumquatnotch-route/src/first_reading.rs
@@ -15,14 +15,15 @@
     time::{Duration, Instant},
 };
 
-use futures_util::{FutureExt, StreamExt, select_biased, stream::FuturesUnordered};
 use kumquatnotch_core::{Error, Result, Store, clock, store::StoreScan};
 
 use crate::{
     advice::Candidate,
     entries::Entries,
     follow::{self, Followed},
+    insist::{Answer, Pauses, insist},
     journal::Passage,
+    mirror::NO_WAIT,
     router::Router,
 };
 
@@ -58,9 +59,6 @@
 /// Those that lost power together are back within half a second of each other.
 const LOST_ROUNDS: usize = 3;
 
-/// How long the store waits for changes after the snapshot: not at all.
-const NO_WAIT: Duration = Duration::from_millis(1);
-
 /// Everything that the store holds.
 pub struct Reading {
     /// The items.
@@ -98,37 +96,14 @@
 
 /// Asks the store for the nodes of the tier until it answers.
 async fn find_nodes(router: &Rc<Router>, store: &dyn Store, entries: &Entries) -> StoreScan {
-    let clock = &*router.clock;
-    let mut pause = FIRST_PAUSE;
-    let mut failures = 0;
-    let mut running = FuturesUnordered::new();
-    running.push(store.snapshot(entries.node_prefix()));
-    let mut again = clock::sleep(clock, router.random.jitter(pause)).fuse();
+    let pauses = Pauses { first: FIRST_PAUSE, most: MOST_PAUSE };
     loop {
-        let snapshot = select_biased! {
-            snapshot = running.select_next_some() => snapshot,
-            () = again => {
-                running.push(store.snapshot(entries.node_prefix()));
-                pause = (pause * 2).min(MOST_PAUSE);
-                again = clock::sleep(clock, router.random.jitter(pause)).fuse();
-                continue;
-            }
-        };
-        match snapshot {
-            Ok(snapshot) => {
-                if failures > 0 {
-                    tracing::info!(failures, "mirror: the store answers again");
-                }
-                entries.put_some(&snapshot.items);
-                router.set_placed();
-                return snapshot;
-            }
-            Err(error) => {
-                failures += 1;
-                if failures == 1 {
-                    tracing::warn!(code = error.code(), "mirror: the store is away: {error}");
-                }
-            }
+        let call = || store.snapshot(entries.node_prefix());
+        // A snapshot never lacks history.
+        if let Ok(Answer { value, .. }) = insist(router, pauses, 0, call).await {
+            entries.put_some(&value.items);
+            router.set_placed();
+            return value;
         }
     }
 }
--- a/crates/kumquatnotch-route/src/lib.rs
+++ b/crates/kumquatnotch-route/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod gather;
 pub mod headers;
 mod in_flight;
+mod insist;
 pub mod journal;
 pub mod links;
 pub mod merge;
--- a/crates/kumquatnotch-route/src/mirror.rs
+++ b/crates/kumquatnotch-route/src/mirror.rs
@@ -22,6 +22,7 @@
     first_reading::{self, Reading},
     follow::{self, Followed},
     freshness,
+    insist::{Pauses, insist},
     journal::Passage,
     router::Router,
     schema::Schema,
@@ -45,9 +46,12 @@
     pub collect: Duration,
     /// How long an entry that vanished around an outage is kept.
     pub keep: Duration,
-    /// The first pause after a failed call, before jitter; it doubles.
+    /// The first pause between calls while the store is away, before jitter; it doubles.
     pub backoff: Duration,
-    /// The longest pause after a failed call, before jitter.
+    /// The longest pause between calls while the store is away, before jitter.
+    ///
+    /// It bounds how long the return of the store is unseen: by then callers must be
+    /// served by what it confirms.
     pub most_backoff: Duration,
 }
 
@@ -59,7 +63,7 @@
             collect: Duration::from_millis(300),
             keep: Duration::from_millis(2_600),
             backoff: Duration::from_millis(150),
-            most_backoff: Duration::from_millis(900),
+            most_backoff: Duration::from_millis(600),
         }
     }
 }
@@ -67,6 +71,9 @@
 /// How late the answer to a watch may be before the store counts as having been away.
 const LATE_ANSWER: Duration = Duration::from_millis(300);
 
+/// How long the store waits for changes if this node is to know now: not at all.
+pub(crate) const NO_WAIT: Duration = Duration::from_millis(1);
+
 /// The pause of a node that follows others before it asks the store again, before jitter.
 ///
 /// There are hundreds of them, for which a few nodes watch the store.
@@ -122,59 +129,79 @@
 
     async fn run(self: Rc<Mirror>) {
         self.begin().await;
-        let mut failures = 0;
         loop {
             if let Some(followed) = self.sources.follow(self.known()).await {
                 self.take_followed(followed);
-                failures = 0;
                 continue;
             }
-            match self.read().await {
-                Ok(()) => {
-                    if failures > 0 {
-                        tracing::info!(failures, "mirror: the store answers again");
-                    }
-                    failures = 0;
-                }
-                Err(Error::VersionUnknown { .. }) => {
-                    tracing::info!("mirror: the history is gone, reading everything anew");
-                    self.after.set(None);
-                }
-                Err(error) => {
-                    failures += 1;
-                    self.note_trouble();
-                    if failures == 1 {
-                        tracing::warn!(code = error.code(), "mirror: the store is away: {error}");
-                    }
-                    self.await_store(failures).await;
-                }
+            let mut result = self.read().await;
+            if let Err(error) = &result
+                && !matches!(error, Error::VersionUnknown { .. })
+            {
+                tracing::warn!(code = error.code(), "mirror: the store is away: {error}");
+                self.note_trouble();
+                result = self.outlast().await;
+            }
+            if result.is_err() {
+                tracing::info!("mirror: the history is gone, reading everything anew");
+                self.after.set(None);
             }
         }
     }
 
-    /// Waits until the store is to be asked again, or there is another node to follow.
-    ///
-    /// It may turn this node away and serve others, for as long as it likes. What these hear
-    /// of it is in force here as well.
-    async fn await_store(&self, failures: u32) {
+    /// Waits until the store answers, or until there is another node to follow.
+    async fn outlast(&self) -> Result<()> {
         let clock = &*self.router.clock;
-        let follows = follow::is_follower(&self.router);
-        let pause = self.pause(failures);
-        let wait = if follows { self.router.random.jitter(FOLLOWER_PAUSE) } else { pause };
-        let until = clock.now() + wait;
-        while clock.now() < until {
+        clock::sleep(clock, self.router.random.jitter(self.options.backoff)).await;
+        let asking = std::pin::pin!(self.ask_again(1));
+        let hearing = std::pin::pin!(self.hear_from_others());
+        match select(asking, hearing).await {
+            Either::Left((result, _)) => result,
+            Either::Right(((), _)) => Ok(()),
+        }
+    }
+
+    /// Asks the store what has changed until it answers, with calls that do not wait.
+    async fn ask_again(&self, failures: u32) -> Result<()> {
+        let MirrorOptions { backoff, most_backoff, .. } = self.options;
+        let pauses = match follow::is_follower(&self.router) {
+            true => Pauses { first: FOLLOWER_PAUSE, most: FOLLOWER_PAUSE },
+            false => Pauses { first: backoff, most: most_backoff },
+        };
+        let (store, prefix) = (&self.store, self.entries.prefix());
+        let Some(after) = self.after.get() else {
+            let scan = insist(&self.router, pauses, failures, || store.scan(prefix)).await?;
+            self.take_scan(&scan.value, scan.asked);
+            return Ok(());
+        };
+        let watch = || store.watch(prefix, after, NO_WAIT);
+        let changes = insist(&self.router, pauses, failures, watch).await?;
+        self.note_answer();
+        self.take_changes(&changes.value, changes.asked);
+        Ok(())
+    }
+
+    /// Hears from other nodes what there is, as the store may turn this one away and serve
+    /// others for as long as it likes; completes once there is one to follow.
+    async fn hear_from_others(&self) {
+        let clock = &*self.router.clock;
+        let mut rounds = 0;
+        loop {
             match self.sources.catch_up(self.known()).await {
                 Some(followed) if self.is_newer(&followed) => {
                     self.take_followed(followed);
-                    if follows {
+                    if follow::is_follower(&self.router) {
                         return;
                     }
                 }
                 // One failure may be a connection that was cut.
-                _ if failures > 1 => self.router.journal.note_lost(),
+                _ if rounds > 0 => self.router.journal.note_lost(),
                 _ => {}
             }
-            clock.sleep_until(until.min(clock.now() + pause)).await;
+            rounds += 1;
+            let pause = self.options.backoff * 2u32.pow(rounds.min(6));
+            let pause = self.router.random.jitter(pause.min(self.options.most_backoff));
+            clock::sleep(clock, pause).await;
         }
     }
 
@@ -183,12 +210,6 @@
         followed.age + NEWS_MARGIN < self.router.journal.age()
     }
 
-    /// The pause after so many failed calls in a row.
-    fn pause(&self, failures: u32) -> Duration {
-        let backoff = self.options.backoff * 2u32.pow(failures.min(6) - 1);
-        self.router.random.jitter(backoff.min(self.options.most_backoff))
-    }
-
     /// The revision up to which everything is known; zero if nothing is.
     fn known(&self) -> u64 {
         self.after.get().unwrap_or(0)
@@ -298,10 +319,22 @@
         let start = clock.now();
         let is_followed = follow::is_followed(&self.router);
         let wait = if is_followed { self.options.followed_wait } else { self.options.wait };
-        let changes = self.store.watch(self.entries.prefix(), after, wait).await?;
+        let watch = self.store.watch(self.entries.prefix(), after, wait);
+        let late = clock.sleep_until(start + wait + LATE_ANSWER);
+        let changes = match select(watch, late).await {
+            Either::Left((changes, _)) => changes?,
+            Either::Right(((), watch)) => {
+                // The store may have swallowed the call, and be well.
+                self.note_trouble();
+                let asking = std::pin::pin!(self.ask_again(0));
+                match select(watch, asking).await {
+                    Either::Left((changes, _)) => changes?,
+                    Either::Right((result, _)) => return result,
+                }
+            }
+        };
         let now = clock.now();
-        let took = now.saturating_duration_since(start);
-        if took > wait + LATE_ANSWER || self.entries.is_lapse(&changes.events) {
+        if self.entries.is_lapse(&changes.events) {
             self.note_trouble();
         }
         self.note_answer();
@@ -336,7 +369,9 @@
         let new: Vec<&StoreEvent> =
             changes.events.iter().filter(|event| event.revision() > after).collect();
         self.entries.take_all(&new);
-        self.router.journal.extend(changes, confirmed);
-        self.after.set(Some(after.max(changes.revision)));
+        let events = new.into_iter().cloned().collect();
+        let changes = StoreChanges { events, revision: after.max(changes.revision) };
+        self.router.journal.extend(&changes, confirmed);
+        self.after.set(Some(changes.revision));
     }
 }
--- a/crates/kumquatnotch-route/tests/store.rs
+++ b/crates/kumquatnotch-route/tests/store.rs
@@ -86,6 +86,23 @@
     });
 }
 
+/// The store swallows the watch of a node, and is well a moment later. Callers must not be
+/// answered by an old configuration until that call has failed: another is made beside it.
+#[test]
+fn a_watch_that_the_store_swallowed_is_not_waited_for() {
+    run(async {
+        let world = world().await;
+        world.store.silent.set(true);
+        pause(100).await;
+        world.store.silent.set(false);
+        world.store.put("c", b"9");
+
+        pause(1_000).await;
+
+        assert_eq!(world.version(), 9);
+    });
+}
+
 /// The store is away, and the entries of replicas lapse meanwhile. When it is back
 /// they are missing at first, and return when their replicas have renewed them.
 #[test]
