Replicas that have probably left are the last to be used

What callers saw: requests went to a replica up to four seconds after its entry was removed, while another one of its service was there.

Cause: whatever vanishes around an outage, a start or a reading anew is kept for 2.6 s from the next answer on, as entries that lapsed are back by then. The margins add up: a second in which watches hear nothing, 0.3 s in which changes collect, 2.6 s, and steps of 0.2 s, against 3 s after which a replica may be gone. Class: a caution meant for many taken for each one; margins that hold alone and not together.

Ruled out: a shorter time (entries that lapsed are back within two seconds of the store's return, so it can't be less); an older state written after a newer one.

Now a few that vanish while others of their services are there are used only if these can't be; if many vanish together, or a service has no other, nothing changes.

Tests (tests/vanished.rs): of two replicas the one that left was used 3 to 4 s after its removal before, only the other one now; around an outage the same; entries that lapsed together are used like others, before and now.

--- a/crates/kumquatnotch-policy/src/quickest.rs
+++ b/crates/kumquatnotch-policy/src/quickest.rs
@@ -28,6 +28,11 @@
 /// The reluctance to take a replica that broke connections or stood still.
 pub const SUSPECT: u8 = 2;
 
+/// The reluctance to take a replica that has probably left.
+///
+/// Greater than for one that may only be slow: a replica that has left ends soon.
+pub const LEFT: u8 = 3;
+
 /// What is known of a request for the choice of its replica.
 #[derive(Clone, Copy, Debug)]
 pub struct Need {
@@ -81,6 +86,11 @@
         }
     }
 
+    /// The same for a replica that has probably left.
+    pub fn of_left(self) -> Rating {
+        Rating { reluctance: LEFT, ..self }
+    }
+
     /// Whether nothing speaks against it.
     pub fn is_good(&self) -> bool {
         self.reluctance == 0
--- a/crates/kumquatnotch-route/src/entries.rs
+++ b/crates/kumquatnotch-route/src/entries.rs
@@ -3,7 +3,8 @@
 //! Replicas and nodes renew their entries, so entries may lapse while the store is away
 //! although those behind them live; they come back soon after its return. So what
 //! vanishes around an outage is kept for a while, and dropped if it is still missing
-//! then.
+//! then. A replica may also have left meanwhile. A few that vanish while others of their
+//! services are there have probably done so, and are the last to be used.
 
 use std::{
     cell::RefCell,
@@ -23,6 +24,7 @@
     bulk::{Bulk, Change},
     crash_check,
     directory::Put,
+    replica::Replica,
     route::RouteTable,
     router::Router,
     schema::{Entry, EntryKey, Schema},
@@ -106,6 +108,7 @@
     pub fn put_some(&self, items: &[StoreItem]) {
         self.bulk.begin(items.len());
         items.iter().for_each(|item| drop(self.put(item)));
+        self.judge_vanished();
         self.bulk.end();
     }
 
@@ -115,6 +118,7 @@
         let seen: HashSet<EntryKey> = items.iter().filter_map(|item| self.put(item)).collect();
         let lost: Vec<EntryKey> = self.known.borrow().difference(&seen).cloned().collect();
         lost.into_iter().for_each(|key| self.lose(key));
+        self.judge_vanished();
         self.bulk.end();
     }
 
@@ -122,6 +126,7 @@
     pub fn take_all(&self, events: &[&StoreEvent]) {
         self.bulk.begin(events.len());
         events.iter().for_each(|event| self.take(event));
+        self.judge_vanished();
         self.bulk.end();
     }
 
@@ -149,20 +154,43 @@
                 self.schema.read_key(key).is_some_and(|key| self.is_serving(&key))
             }
         });
-        let deleted = deleted.count();
-        deleted >= LAPSE_COUNT && deleted as f64 >= LAPSE_SHARE * self.known.borrow().len() as f64
+        are_lapsed(deleted.count(), self.known.borrow().len())
     }
 
-    /// Whether a key is that of a replica that takes requests, as far as is known.
-    fn is_serving(&self, key: &EntryKey) -> bool {
+    /// Tells replicas that have probably left from those whose entries have lapsed.
+    ///
+    /// A replica that leaves without a word ends some seconds after its entry is removed, and
+    /// nobody sees when that was if it happens around an outage: kept like one whose entry
+    /// lapsed, it got requests until then. Entries lapse many at a time, and if a service has
+    /// no other replica, requests go to the one that vanished in any case.
+    fn judge_vanished(&self) {
+        let vanished = self.vanished.borrow();
+        let replicas: Vec<Rc<Replica>> =
+            vanished.keys().filter_map(|key| self.replica(key)).collect();
+        let lapsed = are_lapsed(replicas.len(), self.known.borrow().len() + vanished.len());
+        for replica in replicas {
+            let service = replica.spec().service.clone();
+            let others = self.router.directory.of(&service);
+            let mut others = others.iter().filter(|other| other.takes_requests());
+            let has_other =
+                others.any(|other| !vanished.contains_key(&EntryKey::Replica(other.id.clone())));
+            replica.set_left(!lapsed && has_other);
+        }
+    }
+
+    /// The replica that a key names, if it is known.
+    fn replica(&self, key: &EntryKey) -> Option<Rc<Replica>> {
         match key {
-            EntryKey::Replica(id) => {
-                self.router.directory.find(id).is_some_and(|replica| replica.takes_requests())
-            }
-            EntryKey::Config | EntryKey::Node(_) | EntryKey::Crashes(_) => false,
+            EntryKey::Replica(id) => self.router.directory.find(id),
+            EntryKey::Config | EntryKey::Node(_) | EntryKey::Crashes(_) => None,
         }
     }
 
+    /// Whether a key is that of a replica that takes requests, as far as is known.
+    fn is_serving(&self, key: &EntryKey) -> bool {
+        self.replica(key).is_some_and(|replica| replica.takes_requests())
+    }
+
     /// Takes over an item; gives its key if it is something to this tier.
     fn put(&self, item: &StoreItem) -> Option<EntryKey> {
         let key = self.schema.read_key(&item.key)?;
@@ -175,7 +203,11 @@
             }
         };
         self.known.borrow_mut().insert(key.clone());
-        self.vanished.borrow_mut().remove(&key);
+        if self.vanished.borrow_mut().remove(&key).is_some()
+            && let Some(replica) = self.replica(&key)
+        {
+            replica.set_left(false);
+        }
         self.apply(entry, item.revision);
         Some(key)
     }
@@ -295,3 +327,8 @@
         }
     }
 }
+
+/// Whether `count` of `known` entries are so many that they must have lapsed.
+fn are_lapsed(count: usize, known: usize) -> bool {
+    count >= LAPSE_COUNT && count as f64 >= LAPSE_SHARE * known as f64
+}
--- a/crates/kumquatnotch-route/src/replica.rs
+++ b/crates/kumquatnotch-route/src/replica.rs
@@ -52,6 +52,7 @@
     pub observed: Observed,
     spec: RefCell<ReplicaSpec>,
     gone: Cell<bool>,
+    left: Cell<bool>,
 }
 
 impl Replica {
@@ -64,6 +65,7 @@
             observed: Observed::new(spec.slots, distance, now),
             spec: RefCell::new(spec),
             gone: Cell::new(false),
+            left: Cell::new(false),
         }
     }
 
@@ -89,6 +91,11 @@
         self.gone.get()
     }
 
+    /// Sets whether it has probably left, though it may still be back.
+    pub fn set_left(&self, left: bool) {
+        self.left.set(left);
+    }
+
     /// Whether new requests may be sent to it at all.
     pub fn takes_requests(&self) -> bool {
         let is_replaced = self.observed.fitness() == Fitness::Replaced;
@@ -98,7 +105,8 @@
     /// What is to be expected of it.
     pub fn rate(&self, need: Need, now: Instant) -> Rating {
         let (waiting, limit) = (self.gate.waiting(), self.gate.limit());
-        Rating::new(Candidate { observed: &self.observed, waiting, limit }, need, now)
+        let rating = Rating::new(Candidate { observed: &self.observed, waiting, limit }, need, now);
+        if self.left.get() { rating.of_left() } else { rating }
     }
 }
 
--- a/crates/kumquatnotch-route/tests/vanished.rs
+++ b/crates/kumquatnotch-route/tests/vanished.rs
@@ -68,7 +68,9 @@
 
 /// A replica leaves without a word: its entry is removed. The store tells its watches nothing
 /// for a second, and drops the history, so that the node reads everything anew and finds the
-/// entry missing. Requests reach the replica four seconds after it has left.
+/// entry missing. It was kept from then on like one that lapsed, and the sum was too long:
+/// requests reached the replica four seconds after it had left, as a start or a rescan is no
+/// outage, and one entry that is missing no lapse.
 #[test]
 fn a_replica_that_left_while_the_history_was_dropped_gets_no_requests() {
     run(async {
