A start waits for no hung node beyond the time that it has for all of them

What callers saw: a node that starts while the nodes that it asks first hang refuses them for two seconds in place of 0.4 to 0.6 s.

The time for asking others was looked at between two questions, and one question may take longer than all of it. Now each question ends with that time.

Test (tests/first_reading.rs): ready after 2.06 s before, within 1 s now.

--- a/crates/kumquatnotch-route/src/first_reading.rs
+++ b/crates/kumquatnotch-route/src/first_reading.rs
@@ -142,7 +142,9 @@
     while clock.now() < until && lost < LOST_ROUNDS * neighbours.len() {
         let (name, record) = asked.next()?;
         let peer = router.fleet.stranger(record.peer, clock.now());
-        match follow::follow(router, &peer, 0, Duration::ZERO).await {
+        // One that hangs must not take more than the time that there is for all of them.
+        let told = follow::follow(router, &peer, 0, Duration::ZERO);
+        match clock::timeout_at(clock, until, told).await.flatten() {
             Ok(Followed { passage: Passage::Whole(scan), age, lenient })
                 if age <= follow::MOST_AGE =>
             {
--- a/crates/kumquatnotch-route/tests/first_reading.rs
+++ b/crates/kumquatnotch-route/tests/first_reading.rs
@@ -133,6 +133,27 @@
     });
 }
 
+/// The same where six nodes come before this one in reading the store: it asks them first,
+/// for a part of a second. All of them hang, and one of them alone took two seconds of it:
+/// the time was looked at only between two questions.
+#[test]
+fn a_node_that_asks_others_first_waits_for_none_of_them_for_long() {
+    run(async {
+        let (tier, store) = (Tier::new(), store());
+        let silent = playing(|_| vec![standins::scripted::Step::Silence]);
+        for number in 0..6 {
+            store.put(&format!("n/a{number}"), &node_entry(silent.address, 1.0));
+        }
+        let began = Instant::now();
+
+        start(&tier, &store);
+        ready(&tier).await;
+
+        // It asks others for 0.6 s at most.
+        assert!(began.elapsed().as_millis() < 1_000, "after {:?}", began.elapsed());
+    });
+}
+
 /// Hundreds of nodes lose power at once. If all of them read a thousand entries from the
 /// store, they would share its link and be ready after seconds. A small node asks a larger
 /// one, which may not have read anything yet itself, and leaves the store alone.
