A node that reads everything anew loses no change on the way to its followers

What callers would have seen: after the store has dropped its history, a node that reads everything from another one which knows less told its followers that there is nothing between that and what it knew before. They would never have heard of these changes; and entries of replicas would have gone back to an older state.

Class: two figures that must change together.

Now it goes back with them, and what is older than what is known is not taken over; the store is asked then. Tests (tests/follow.rs): the first failed before (a follower at 7 was told revision 9 with no changes), the second holds the new rule.

--- a/crates/kumquatnotch-route/src/journal.rs
+++ b/crates/kumquatnotch-route/src/journal.rs
@@ -138,13 +138,22 @@
         self.lost.get()
     }
 
+    /// Whether this node knows more than all that another one offers in its place.
+    pub fn is_ahead_of(&self, passage: &Passage) -> bool {
+        matches!(passage, Passage::Whole(scan) if scan.revision < self.revision.get())
+    }
+
     /// Starts anew with everything that the store holds, as of `confirmed`.
     pub fn reset(&self, scan: &StoreScan, confirmed: Instant) {
         let items = scan.items.iter().map(|item| (item.key.clone(), item.clone()));
         *self.items.borrow_mut() = items.collect();
         self.events.borrow_mut().clear();
         self.oldest.set(scan.revision);
+        // Also if it was greater: a follower that was told of that revision without the
+        // changes up to it would never hear of them.
+        self.revision.set(scan.revision);
         self.note(scan.revision, confirmed);
+        self.wake();
     }
 
     /// Adds changes, which may be none, as of `confirmed`.
--- a/crates/kumquatnotch-route/src/sources.rs
+++ b/crates/kumquatnotch-route/src/sources.rs
@@ -88,6 +88,8 @@
     /// What a node tells; `None` if it is silent or out of touch.
     async fn ask(&self, peer: &Rc<Replica>, after: u64, wait: Duration) -> Option<Followed> {
         match follow::follow(&self.router, peer, after, wait).await {
+            // What is older would undo changes that are known.
+            Ok(Followed { passage, .. }) if self.router.journal.is_ahead_of(&passage) => None,
             Ok(followed) if followed.age <= follow::MOST_AGE => {
                 if self.avoided.borrow_mut().remove(&peer.id).is_some() {
                     tracing::info!(node = peer.id.as_str(), "mirror: a node is in touch again");
--- a/crates/kumquatnotch-route/tests/follow.rs
+++ b/crates/kumquatnotch-route/tests/follow.rs
@@ -10,8 +10,12 @@
 
 use common::*;
 use fake::FakeStore;
-use kumquatnotch_core::{Store, ids::NodeName};
-use kumquatnotch_route::{mirror::Mirror, probe};
+use kumquatnotch_core::{
+    Store,
+    ids::NodeName,
+    store::{StoreChanges, StoreEvent, StoreItem, StoreScan},
+};
+use kumquatnotch_route::{journal::Passage, mirror::Mirror, probe};
 use schema::{TestSchema, options};
 
 /// A node with a mirror and a store of its own view.
@@ -133,3 +137,55 @@
         assert_eq!(tier.router.table().unwrap().version(), 9);
     });
 }
+
+/// What a node knows of the store, up to a revision.
+fn scan(revision: u64) -> StoreScan {
+    let items = (1..=revision).map(item);
+    StoreScan { items: items.collect(), revision }
+}
+
+fn item(revision: u64) -> StoreItem {
+    StoreItem { key: format!("k{revision}"), value: Vec::new(), revision }
+}
+
+/// A node reads everything anew from another one, which knows less than it did itself. Those
+/// that follow it would be told that there is nothing between, and never hear of the changes
+/// that it learns again then: a configuration would be in force nowhere behind it.
+#[test]
+fn a_node_that_knows_less_than_before_tells_all_that_comes_after() {
+    run(async {
+        let tier = Tier::new();
+        let (journal, now) = (&tier.router.journal, std::time::Instant::now());
+        journal.reset(&scan(9), now);
+
+        journal.reset(&scan(5), now);
+        let first = journal.after(7, Duration::ZERO).await;
+        let events = (6..=9).map(|revision| StoreEvent::Written(item(revision)));
+        journal.extend(&StoreChanges { events: events.collect(), revision: 9 }, now);
+        let second = journal.after(7, Duration::ZERO).await;
+
+        let Passage::Changes(first) = first else { panic!("everything is told") };
+        assert!(first.revision <= 7, "nothing is known of what follows 7: {first:?}");
+        let Passage::Changes(second) = second else { panic!("everything is told") };
+        let told: Vec<u64> = second.events.iter().map(StoreEvent::revision).collect();
+        assert_eq!((told, second.revision), (vec![8, 9], 9));
+    });
+}
+
+/// The store has dropped its history, and another node offers everything that it knows, which
+/// is older than what this one has heard. A replica that drains would be used again.
+#[test]
+fn what_another_node_knows_does_not_replace_what_is_newer() {
+    run(async {
+        let tier = Tier::new();
+        let journal = &tier.router.journal;
+        let offered = |revision| journal.is_ahead_of(&Passage::Whole(scan(revision)));
+        let unknown = offered(5);
+
+        journal.reset(&scan(9), std::time::Instant::now());
+        let changes = StoreChanges { events: Vec::new(), revision: 5 };
+
+        assert_eq!((unknown, offered(8), offered(9), offered(12)), (false, true, false, false));
+        assert!(!journal.is_ahead_of(&Passage::Changes(changes)), "they take nothing away");
+    });
+}
