A node that is turned away goes on counting those that are too

What callers would see: nodes that the store turns away hear from others now, also that they themselves and their like are gone. Each then shared what replicas bear among the few that the store still serves, while all of them served on: nine nodes that each take a fifth.

An entry that ends because the store refuses its node says nothing of the node.

Now such a node keeps the others that vanish until the store answers it, and then as long as after an outage. Test (tests/out_of_touch.rs): fails without this.

--- a/crates/kumquatnotch-route/src/entries.rs
+++ b/crates/kumquatnotch-route/src/entries.rs
@@ -7,7 +7,7 @@
 //! services are there have probably done so, and are the last to be used.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -49,6 +49,8 @@
     known: RefCell<HashSet<EntryKey>>,
     /// The keys that vanished around an outage, and when they are dropped.
     vanished: RefCell<HashMap<EntryKey, Instant>>,
+    /// Whether nodes whose entries vanish are kept until further notice.
+    holds_nodes: Cell<bool>,
     /// How often the entry of each node was seen to vanish.
     losses: RefCell<HashMap<NodeName, u64>>,
     /// What is told by numbers, as much changes at once.
@@ -64,6 +66,7 @@
             keep,
             known: RefCell::default(),
             vanished: RefCell::default(),
+            holds_nodes: Cell::new(false),
             losses: RefCell::default(),
             bulk: Bulk::default(),
         }
@@ -274,13 +277,37 @@
         }
     }
 
+    /// Keeps nodes whose entries vanish, while the store turns this one away.
+    ///
+    /// It turns others away as well, and these lose their entries as this one does, but serve
+    /// on. If each of them counted only those that the store still serves, all together would
+    /// send more repeats, and open more connections, than replicas bear.
+    pub fn hold_nodes(&self) {
+        self.holds_nodes.set(true);
+    }
+
+    /// Drops the nodes that were kept, unless they are back soon.
+    pub fn release_nodes(&self) {
+        if !self.holds_nodes.replace(false) {
+            return;
+        }
+        let until = self.router.clock.now() + self.keep;
+        let mut vanished = self.vanished.borrow_mut();
+        let held = vanished.iter_mut().filter(|(key, _)| matches!(key, EntryKey::Node(_)));
+        held.for_each(|(_, due)| *due = until);
+    }
+
+    fn is_held(&self, key: &EntryKey) -> bool {
+        self.holds_nodes.get() && matches!(key, EntryKey::Node(_))
+    }
+
     /// Notes that a key is not in the store any more.
     fn lose(&self, key: EntryKey) {
         self.known.borrow_mut().remove(&key);
         if let EntryKey::Node(name) = &key {
             *self.losses.borrow_mut().entry(name.clone()).or_default() += 1;
         }
-        if self.router.lenient_for() == Duration::ZERO {
+        if self.router.lenient_for() == Duration::ZERO && !self.is_held(&key) {
             self.drop_entry(&key, "left the store");
             return;
         }
@@ -316,7 +343,8 @@
             let now = self.router.clock.now();
             let due: Vec<EntryKey> = {
                 let vanished = self.vanished.borrow();
-                vanished.iter().filter(|(_, at)| **at <= now).map(|(key, _)| key.clone()).collect()
+                let due = vanished.iter().filter(|(key, at)| **at <= now && !self.is_held(key));
+                due.map(|(key, _)| key.clone()).collect()
             };
             self.bulk.begin(due.len());
             for key in due {
--- a/crates/kumquatnotch-route/src/mirror.rs
+++ b/crates/kumquatnotch-route/src/mirror.rs
@@ -131,6 +131,7 @@
         self.begin().await;
         loop {
             if let Some(followed) = self.sources.follow(self.known()).await {
+                self.entries.release_nodes();
                 self.take_followed(followed);
                 continue;
             }
@@ -189,8 +190,12 @@
         loop {
             match self.sources.catch_up(self.known()).await {
                 Some(followed) if self.is_newer(&followed) => {
+                    let follows = follow::is_follower(&self.router);
+                    if !follows {
+                        self.entries.hold_nodes();
+                    }
                     self.take_followed(followed);
-                    if follow::is_follower(&self.router) {
+                    if follows {
                         return;
                     }
                 }
@@ -294,6 +299,7 @@
 
     /// Notes that the store answers, before what it tells is taken over.
     fn note_answer(&self) {
+        self.entries.release_nodes();
         if self.trouble.replace(false) {
             self.router.be_lenient(self.options.keep);
         }
--- a/crates/kumquatnotch-route/tests/out_of_touch.rs
+++ b/crates/kumquatnotch-route/tests/out_of_touch.rs
@@ -13,7 +13,7 @@
 
 use common::*;
 use fake::FakeStore;
-use kumquatnotch_core::Store;
+use kumquatnotch_core::{Store, ids::NodeName};
 use kumquatnotch_route::mirror::Mirror;
 use schema::{TestSchema, options};
 
@@ -134,3 +134,31 @@
         assert!(took <= IN_FORCE, "in force after {took:?}");
     });
 }
+
+/// The store turns two nodes away, and their leases end. All others are told that they are
+/// gone, and so is the first by way of the second reader. If it believed that of the other
+/// one and of itself, all nodes that serve would share among fewer what replicas bear: more
+/// repeats than are allowed, more connections than a replica takes.
+#[test]
+fn a_node_that_is_turned_away_goes_on_counting_those_that_are_too() {
+    run(async {
+        let fleet = Fleet::start().await;
+        let [first, second, ..] = &fleet.readers[..] else { unreachable!() };
+        let knows = |name: &str| first.tier.router.fleet.knows(&NodeName::from(name));
+        first.store.away.set(true);
+        pause(300).await;
+        ["n/r1", "n/r3"].into_iter().for_each(|key| second.store.delete(key));
+        second.store.put("c", b"9");
+        let took = first.time_to(9, IN_FORCE).await;
+        pause(1_500).await;
+        let during = (knows("r1"), knows("r3"));
+
+        ["n/r1", "n/r3"].into_iter().for_each(|key| first.store.delete(key));
+        first.store.away.set(false);
+        pause(1_500).await;
+
+        assert!(took < IN_FORCE);
+        assert_eq!(during, (true, true));
+        assert_eq!((knows("r1"), knows("r3")), (false, false), "they did not come back");
+    });
+}
