Replicas that leave are named in the log also among many entries

Tracing a request that reached a leaving replica needs the moment from which on the node knew that. While eight entries or more changed at once, which is so whenever several replicas leave together, the log had only their number. The first 16 that drain or are gone have a line each now. No change of what is decided.

--- a/crates/kumquatnotch-route/src/bulk.rs
+++ b/crates/kumquatnotch-route/src/bulk.rs
@@ -3,13 +3,17 @@
 //! A start reads over a thousand entries, and when an index is cut anew as many change
 //! within seconds, on each of hundreds of nodes. A line for each would be most of all that
 //! is logged, so there is one line for all of them. What changes a few at a time, and what
-//! moves or starts again under its name, has a line of its own.
+//! moves or starts again under its name, has a line of its own. So have the first replicas
+//! that leave: from when on a node knew that is what a request that reached one asks.
 
 use std::cell::Cell;
 
 /// From how many entries at once they are told by their number.
 const LEAST_ENTRIES: usize = 8;
 
+/// How many replicas that leave are named among entries that are told by their number.
+const MOST_NAMED: u64 = 16;
+
 /// What is known of an entry that came or went.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -49,7 +53,7 @@
         }
     }
 
-    /// Whether a change was counted, so that it needs no line of its own.
+    /// Counts a change; whether that is enough, so that it needs no line of its own.
     pub fn takes(&self, change: Change) -> bool {
         let Some(mut counts) = self.counts.get() else {
             return false;
@@ -62,8 +66,10 @@
             Change::NodeGone => &mut counts.nodes_gone,
         };
         *count += 1;
+        let is_named =
+            matches!(change, Change::Draining | Change::ReplicaGone) && *count <= MOST_NAMED;
         self.counts.set(Some(counts));
-        true
+        !is_named
     }
 
     /// Writes the line that tells what was counted.
--- a/crates/kumquatnotch-route/tests/size.rs
+++ b/crates/kumquatnotch-route/tests/size.rs
@@ -149,3 +149,17 @@
 
     assert!(many && !few);
 }
+
+/// A request reached a replica that was leaving, and many entries changed at that moment.
+/// When this node knew that is in the log all the same, for a bounded number of replicas.
+#[test]
+fn replicas_that_leave_are_named_also_among_many() {
+    let bulk = Bulk::default();
+
+    bulk.begin(REPLICAS);
+    let named = |change| (0..REPLICAS).filter(|_| !bulk.takes(change)).count();
+    let (draining, gone) = (named(Change::Draining), named(Change::ReplicaGone));
+    bulk.end();
+
+    assert_eq!((draining, gone), (16, 16));
+}
