An outage of the store ends with the first call that it answers

What callers saw: five seconds after one lost renewal of a lease, requests went on to a replica that had left since, up to 2.6 s longer than in calm times.

Cause: a failed renewal marks trouble, and only the return of a watch ended it, up to 2.5 s after the renewals were answered again; from then on whatever vanishes is kept. Class: as of the leaving replica, margins that add up; found by looking for it.

Test (tests/vanished.rs): the only replica of a service, which left 3 s after the next renewal was answered, was used half a second later; now it is not.

--- a/crates/kumquatnotch-route/src/announce.rs
+++ b/crates/kumquatnotch-route/src/announce.rs
@@ -152,7 +152,9 @@
                     self.mirror.note_trouble();
                     tracing::info!(code = error.code(), "announce: not renewed: {error}");
                 }
-                Ok(()) => {}
+                // A watch may return only seconds later, and would count as the end of an
+                // outage then: what leaves until some time after that would be used on.
+                Ok(()) => self.mirror.note_answer(),
             }
             self.tell_crashes(lease, &mut told).await;
             unneeded = if self.is_needed() { 0 } else { unneeded + 1 };
--- a/crates/kumquatnotch-route/src/mirror.rs
+++ b/crates/kumquatnotch-route/src/mirror.rs
@@ -298,7 +298,7 @@
     }
 
     /// Notes that the store answers, before what it tells is taken over.
-    fn note_answer(&self) {
+    pub fn note_answer(&self) {
         self.entries.release_nodes();
         if self.trouble.replace(false) {
             self.router.be_lenient(self.options.keep);
--- a/crates/kumquatnotch-route/tests/common/store.rs
+++ b/crates/kumquatnotch-route/tests/common/store.rs
@@ -28,6 +28,8 @@
     pub calls: Cell<u64>,
     /// Calls that come while this is set are never answered.
     pub silent: Cell<bool>,
+    /// Leases are not renewed, as the calls are lost.
+    pub loses_renewals: Cell<bool>,
     /// Watches see no changes.
     pub deaf: Cell<bool>,
     /// What snapshots tell, if they lag behind.
@@ -171,6 +173,9 @@
     fn renew(&self, lease: u64) -> LocalFuture<'_, Result<()>> {
         Box::pin(async move {
             self.check().await?;
+            if self.loses_renewals.get() {
+                return Err(Error::WriteUnknown);
+            }
             if self.ended.borrow().contains(&lease) {
                 return Err(Error::LeaseGone);
             }
--- a/crates/kumquatnotch-route/tests/vanished.rs
+++ b/crates/kumquatnotch-route/tests/vanished.rs
@@ -13,8 +13,9 @@
 
 use common::*;
 use fake::FakeStore;
-use kumquatnotch_core::Store;
+use kumquatnotch_core::{Store, ids::NodeName};
 use kumquatnotch_route::{
+    announce::{Announcer, NodeKeys},
     mirror::{Mirror, MirrorOptions},
     replica,
 };
@@ -28,6 +29,7 @@
 struct World {
     tier: Tier,
     store: Rc<FakeStore>,
+    mirror: Rc<Mirror>,
 }
 
 async fn world(replicas: &[&str]) -> World {
@@ -38,9 +40,10 @@
     }
     let dyn_store: Rc<dyn Store> = store.clone();
     let options = MirrorOptions::default();
-    Mirror::new(options, tier.router.clone(), dyn_store, Rc::new(TestSchema)).start();
+    let mirror = Mirror::new(options, tier.router.clone(), dyn_store, Rc::new(TestSchema));
+    mirror.start();
     pause(100).await;
-    World { tier, store }
+    World { tier, store, mirror }
 }
 
 impl World {
@@ -138,3 +141,33 @@
         assert_eq!(replicas.len(), 2);
     });
 }
+
+/// One renewal of a lease is lost, and the next one answered. Seconds later the only replica
+/// of a service leaves without a word, and requests go on being sent to it: the node took the
+/// next return of its watch for the end of an outage, though it had heard of it long before.
+#[test]
+fn an_outage_ends_with_the_first_call_that_is_answered() {
+    run(async {
+        let world = world(&["s0.left"]).await;
+        let announcer = Announcer::new(
+            world.tier.router.clone(),
+            world.store.clone(),
+            world.mirror.clone(),
+            NodeName::from("me"),
+            NodeKeys { record: "n/me".to_owned(), crashes: "x/me".to_owned() },
+            node_entry(nowhere(), 1.0),
+        );
+        announcer.start();
+        // A watch has just begun, and returns in two seconds; a renewal comes before that.
+        pause(3_100).await;
+        world.store.loses_renewals.set(true);
+        pause(800).await;
+        world.store.loses_renewals.set(false);
+        pause(3_600).await;
+
+        world.store.delete("r/s0.left");
+        pause(500).await;
+
+        assert_eq!(world.next("s0"), None);
+    });
+}
