The test of copies at a full replica no longer ends with its replica's work

Traced: the replica tells 60 requests of 10 ms at two slots, which are worked off after 0.3 s, and the test sends others for 0.25 s. A trial with the test's thread held up for 30 ms before the eighteenth of them: the full replica got the nineteenth and twentieth at 0.29 and 0.31 s, its load then 0 by its own word, and never the late request. Held up for 60 ms, the last three; not held up, none. So no copy was sent, and first requests to a replica that has room are right.

--- a/crates/kumquatnotch-route/tests/copies.rs
+++ b/crates/kumquatnotch-route/tests/copies.rs
@@ -35,7 +35,8 @@
 }
 
 /// A reply is late at a replica that answers others, and the one that could run a copy
-/// has its slots taken. A copy would make others wait longer; none is sent.
+/// has its slots taken, with work for three seconds. A copy would make others wait longer;
+/// none is sent.
 #[test]
 fn a_late_request_gets_no_copy_at_a_replica_without_a_free_slot() {
     run(async {
@@ -53,7 +54,7 @@
         let id = tier.add("s0", full.address);
         let other = tier.router.directory.find(&id).unwrap();
         (0..60).for_each(|_| other.observed.note_work(Duration::from_millis(10)));
-        other.observed.note_load(60, RuntimeClock.now());
+        other.observed.note_load(600, RuntimeClock.now());
 
         let others = async {
             for index in 0..20 {
