--- a/crates/kumquatnotch-route/src/lib.rs
+++ b/crates/kumquatnotch-route/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod merge;
 pub mod mirror;
 pub mod names;
+mod outage;
 mod own_share;
 pub mod parts;
 pub mod probe;
--- a/crates/kumquatnotch-route/src/mirror.rs
+++ b/crates/kumquatnotch-route/src/mirror.rs
@@ -22,7 +22,6 @@
     first_reading::{self, Reading},
     follow::{self, Followed},
     freshness,
-    insist::{Pauses, insist},
     journal::Passage,
     router::Router,
     schema::Schema,
@@ -74,27 +73,16 @@
 /// How long the store waits for changes if this node is to know now: not at all.
 pub(crate) const NO_WAIT: Duration = Duration::from_millis(1);
 
-/// The pause of a node that follows others before it asks the store again, before jitter.
-///
-/// There are hundreds of them, for which a few nodes watch the store.
-const FOLLOWER_PAUSE: Duration = Duration::from_secs(3);
-
-/// By how much the news of another node must be newer.
-///
-/// The way of its answer makes it seem newer. Nodes that are all turned away would pass the
-/// same knowledge round and take it for news.
-const NEWS_MARGIN: Duration = Duration::from_millis(200);
-
 /// Follows the store.
 pub struct Mirror {
-    options: MirrorOptions,
-    router: Rc<Router>,
-    store: Rc<dyn Store>,
+    pub(crate) options: MirrorOptions,
+    pub(crate) router: Rc<Router>,
+    pub(crate) store: Rc<dyn Store>,
     /// What it holds, as far as is known.
     pub entries: Rc<Entries>,
-    sources: Sources,
+    pub(crate) sources: Sources,
     /// The revision up to which everything is known.
-    after: Cell<Option<u64>>,
+    pub(crate) after: Cell<Option<u64>>,
     /// Whether the store was in trouble since its last answer.
     trouble: Cell<bool>,
 }
@@ -150,73 +138,8 @@
         }
     }
 
-    /// Waits until the store answers, or until there is another node to follow.
-    async fn outlast(&self) -> Result<()> {
-        let clock = &*self.router.clock;
-        clock::sleep(clock, self.router.random.jitter(self.options.backoff)).await;
-        let asking = std::pin::pin!(self.ask_again(1));
-        let hearing = std::pin::pin!(self.hear_from_others());
-        match select(asking, hearing).await {
-            Either::Left((result, _)) => result,
-            Either::Right(((), _)) => Ok(()),
-        }
-    }
-
-    /// Asks the store what has changed until it answers, with calls that do not wait.
-    async fn ask_again(&self, failures: u32) -> Result<()> {
-        let MirrorOptions { backoff, most_backoff, .. } = self.options;
-        let pauses = match follow::is_follower(&self.router) {
-            true => Pauses { first: FOLLOWER_PAUSE, most: FOLLOWER_PAUSE },
-            false => Pauses { first: backoff, most: most_backoff },
-        };
-        let (store, prefix) = (&self.store, self.entries.prefix());
-        let Some(after) = self.after.get() else {
-            let scan = insist(&self.router, pauses, failures, || store.scan(prefix)).await?;
-            self.take_scan(&scan.value, scan.asked);
-            return Ok(());
-        };
-        let watch = || store.watch(prefix, after, NO_WAIT);
-        let changes = insist(&self.router, pauses, failures, watch).await?;
-        self.note_answer();
-        self.take_changes(&changes.value, changes.asked);
-        Ok(())
-    }
-
-    /// Hears from other nodes what there is, as the store may turn this one away and serve
-    /// others for as long as it likes; completes once there is one to follow.
-    async fn hear_from_others(&self) {
-        let clock = &*self.router.clock;
-        let mut rounds = 0;
-        loop {
-            match self.sources.catch_up(self.known()).await {
-                Some(followed) if self.is_newer(&followed) => {
-                    let follows = follow::is_follower(&self.router);
-                    if !follows {
-                        self.entries.hold_nodes();
-                    }
-                    self.take_followed(followed);
-                    if follows {
-                        return;
-                    }
-                }
-                // One failure may be a connection that was cut.
-                _ if rounds > 0 => self.router.journal.note_lost(),
-                _ => {}
-            }
-            rounds += 1;
-            let pause = self.options.backoff * 2u32.pow(rounds.min(6));
-            let pause = self.router.random.jitter(pause.min(self.options.most_backoff));
-            clock::sleep(clock, pause).await;
-        }
-    }
-
-    /// Whether another node has heard from the store since this one did.
-    fn is_newer(&self, followed: &Followed) -> bool {
-        followed.age + NEWS_MARGIN < self.router.journal.age()
-    }
-
     /// The revision up to which everything is known; zero if nothing is.
-    fn known(&self) -> u64 {
+    pub(crate) fn known(&self) -> u64 {
         self.after.get().unwrap_or(0)
     }
 
@@ -277,7 +200,7 @@
         false
     }
 
-    fn take_followed(&self, followed: Followed) {
+    pub(crate) fn take_followed(&self, followed: Followed) {
         let Followed { passage, age, lenient } = followed;
         if lenient > Duration::ZERO {
             self.router.be_lenient(lenient);
@@ -352,7 +275,7 @@
     }
 
     /// Takes over everything that the store holds.
-    fn take_scan(&self, scan: &StoreScan, confirmed: Instant) {
+    pub(crate) fn take_scan(&self, scan: &StoreScan, confirmed: Instant) {
         // Without the history, whether an entry left or lapsed can't be told.
         self.note_trouble();
         self.note_answer();
@@ -370,7 +293,7 @@
     }
 
     /// Takes over changes, of which some may be known.
-    fn take_changes(&self, changes: &StoreChanges, confirmed: Instant) {
+    pub(crate) fn take_changes(&self, changes: &StoreChanges, confirmed: Instant) {
         let after = self.known();
         let new: Vec<&StoreEvent> =
             changes.events.iter().filter(|event| event.revision() > after).collect();
