--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -14,6 +14,7 @@
 mod routes;
 mod spread;
 mod spread_storm;
+mod table;
 mod today;
 mod virtual_time;
 
@@ -37,6 +38,7 @@
     Routes(routes::Args),
     Spread(spread::Args),
     Storm(spread_storm::Args),
+    Table(table::Args),
     Today(today::Args),
 }
 
@@ -52,6 +54,7 @@
         Command::Routes(args) => routes::run(&args).map_err(std::io::Error::other),
         Command::Spread(args) => spread::run(&args),
         Command::Storm(args) => spread_storm::run(&args),
+        Command::Table(args) => table::run(&args).map_err(std::io::Error::other),
         Command::Today(args) => today::run(&args),
     };
     match result {
--- a/crates/measure/src/processes.rs
+++ b/crates/measure/src/processes.rs
@@ -309,13 +309,17 @@
     }
 
     fn usage(&self) -> io::Result<Usage> {
-        let id = self.child.id();
-        let stat = fs::read_to_string(format!("/proc/{id}/stat"))?;
-        let status = fs::read_to_string(format!("/proc/{id}/status"))?;
-        parse_usage(&stat, &status).ok_or_else(|| io::Error::other("/proc can't be read"))
+        usage_of(self.child.id())
     }
 }
 
+/// What a process has used so far, and holds.
+pub(crate) fn usage_of(id: u32) -> io::Result<Usage> {
+    let stat = fs::read_to_string(format!("/proc/{id}/stat"))?;
+    let status = fs::read_to_string(format!("/proc/{id}/status"))?;
+    parse_usage(&stat, &status).ok_or_else(|| io::Error::other("/proc can't be read"))
+}
+
 /// Reads what Linux tells of a process.
 fn parse_usage(stat: &str, status: &str) -> Option<Usage> {
     // The name in parentheses may hold anything; the state follows it.
