--- a/crates/kumquatnotch-route/src/journal.rs
+++ b/crates/kumquatnotch-route/src/journal.rs
@@ -59,6 +59,14 @@
 }
 
 impl StoreUpdate {
+    /// The revision up to which the update is complete.
+    pub fn revision(&self) -> u64 {
+        match self {
+            StoreUpdate::Changes(changes) => changes.revision,
+            StoreUpdate::Full(scan) => scan.revision,
+        }
+    }
+
     /// Whether the update brings nothing new.
     pub fn is_empty(&self) -> bool {
         matches!(self, StoreUpdate::Changes(changes) if changes.events.is_empty())
--- a/crates/kumquatnotch-route/src/sources.rs
+++ b/crates/kumquatnotch-route/src/sources.rs
@@ -12,7 +12,11 @@
 };
 
 use futures_util::{StreamExt, stream::FuturesUnordered};
-use kumquatnotch_core::{Error, collections::HashMap, ids::NodeName};
+use kumquatnotch_core::{
+    Error,
+    collections::{HashMap, HashSet},
+    ids::NodeName,
+};
 
 use crate::{
     follow::{self, PeerUpdate},
@@ -35,12 +39,14 @@
     router: Rc<Router>,
     /// Nodes with stale state, and until when each is not queried.
     avoided: RefCell<HashMap<ReplicaId, Instant>>,
+    /// Nodes whose revision is below the one of this node.
+    behind: RefCell<HashSet<ReplicaId>>,
 }
 
 impl Sources {
     /// Creates sources of which none has been queried yet.
     pub(crate) fn new(router: Rc<Router>) -> Sources {
-        Sources { router, avoided: RefCell::default() }
+        Sources { router, avoided: RefCell::default(), behind: RefCell::default() }
     }
 
     /// Returns the updates after a revision, once there are some or the wait is over.
@@ -87,7 +93,11 @@
 
     /// Queries a node. Returns `None` if it does not answer or its state is stale.
     async fn query(&self, peer: &Rc<Replica>, after: u64, wait: Duration) -> Option<PeerUpdate> {
-        match follow::fetch(&self.router, peer, after, wait).await {
+        let result = follow::fetch(&self.router, peer, after, wait).await;
+        if let Ok(peer_update) = &result {
+            self.note_revision(peer, peer_update.update.revision());
+        }
+        match result {
             // An older state would undo known changes.
             Ok(PeerUpdate { update, .. }) if self.router.journal.is_ahead_of(&update) => None,
             Ok(peer_update) if peer_update.age <= follow::MAX_AGE => {
@@ -117,11 +127,25 @@
         }
     }
 
+    /// Logs a node whose revision falls behind the one of this node, or catches up.
+    fn note_revision(&self, peer: &Replica, revision: u64) {
+        let known = self.router.journal.revision();
+        let mut behind = self.behind.borrow_mut();
+        let node = peer.id.as_str();
+        if revision >= known {
+            behind.remove(&peer.id);
+        } else if behind.insert(peer.id.clone()) {
+            tracing::info!(node, revision, known, "mirror: a node has an earlier revision");
+        }
+    }
+
     fn avoid(&self, peer: &Replica, age: Option<Duration>) {
         let now = self.router.clock.now();
         let mut avoided = self.avoided.borrow_mut();
         // Forgets nodes that have left.
-        avoided.retain(|id, _| self.router.fleet.knows(&NodeName::from(id.as_str())));
+        let is_known = |id: &ReplicaId| self.router.fleet.knows(&NodeName::from(id.as_str()));
+        avoided.retain(|id, _| is_known(id));
+        self.behind.borrow_mut().retain(is_known);
         if avoided.insert(peer.id.clone(), now + AVOID_TIME).is_none() {
             let (node, age_ms) = (peer.id.as_str(), age.map(|age| age.as_millis() as u64));
             tracing::info!(node, age_ms, "mirror: a node has no current state");
