--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -100,6 +100,11 @@
 pub trait Handler {
     /// Handles `request`.
     fn handle(&self, request: Request) -> LocalFuture<'_, Reply>;
+
+    /// Returns the headers of a response that is about to be sent.
+    fn headers(&self) -> Vec<(&'static str, String)> {
+        Vec::new()
+    }
 }
 
 /// Serves one connection until it is closed or `stop` is triggered.
@@ -137,6 +142,9 @@
         if let Some(revision) = revision {
             response = response.header("x-revision", revision);
         }
+        for (name, value) in handler.headers() {
+            response = response.header(name, value);
+        }
         let payload: Payload = match body.is_empty() {
             true => Payload::None,
             false => Payload::Fixed(FixedPayload::new(body)),
