store: revisions are ordered across restores of the store

What callers saw: an answer by a configuration more than 5 s older than a confirmed one, on nodes whose knowledge counted as 0.3 to 1.3 s old.

Cause: a restore takes the store's revision back, and the revisions after it are given out again. A node compared them as one growing number: it kept the higher one of before, dropped each change up to it as known, and took an answer without later changes as confirmation. A 410 tells only those that call the store themselves, and only until it has written past their revision. In the incident the nodes that loaded the full state at 303 got 304, and those that followed others stayed at 306.

Later state is the greater number wherever revisions are kept, compared or sent to other nodes, and the wire format between nodes is the same. A watch from another era finds no history. Answers of an earlier era than the newest known do not count as the latest state, and writes that they acknowledge are of unknown outcome. Leases and required revisions hold within their era; what fitted in another one by coincidence is reported as such.

Ruled out: an era beside each revision, as every comparison would need both and nodes of the release before would not read it; treating the first lower revision as a restore, as the store may have written past the known one.

--- a/crates/kumquatnotch-config/tests/document_store.rs
+++ b/crates/kumquatnotch-config/tests/document_store.rs
@@ -90,7 +90,7 @@
         Box::pin(async { Err(Error::internal("unexpected grant of a lease")) })
     }
 
-    fn renew(&self, _: u64) -> LocalFuture<'_, Result<()>> {
+    fn renew(&self, _: StoreLease) -> LocalFuture<'_, Result<()>> {
         Box::pin(async { Err(Error::internal("unexpected renewal of a lease")) })
     }
 }
--- a/crates/kumquatnotch-core/src/store.rs
+++ b/crates/kumquatnotch-core/src/store.rs
@@ -1,8 +1,15 @@
 //! The interface to the platform's store, which keeps durable state.
 //!
 //! The store is a key-value service with a global revision counter, leases and
-//! watches. It never loses an acknowledged write. It may otherwise be unavailable
-//! or slow, refuse calls, or apply a write whose reply is lost.
+//! watches. It may be unavailable or slow, refuse calls, or apply a write whose
+//! reply is lost. It loses acknowledged writes only when it is restored from an
+//! older copy; leases granted since that copy are lost as well.
+//!
+//! Revisions are ordered across restores: each one that is read after a restore
+//! is above all revisions read before it, although the store itself counts again
+//! from the copy. State with a lower revision is therefore always the older one,
+//! wherever it comes from. A restore ends the history: a watch from a revision
+//! before it fails like one from a compacted revision.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -18,7 +25,7 @@
     pub key: String,
     /// The value.
     pub value: Vec<u8>,
-    /// The revision of its last change.
+    /// The revision of its last change, or a later one if the store was restored since.
     pub revision: u64,
 }
 
@@ -127,14 +134,16 @@
     /// The value.
     pub value: Vec<u8>,
     /// The lease that the key is attached to, if any; the key is deleted when it expires.
-    pub lease: Option<u64>,
+    pub lease: Option<StoreLease>,
 }
 
 /// A granted lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StoreLease {
-    /// The id of the lease.
+    /// The id of the lease, which may be given out again after a restore of the store.
     pub id: u64,
+    /// Number of restores of the store before the grant.
+    pub era: u64,
     /// Time until the lease expires without renewal.
     pub ttl: Duration,
 }
@@ -167,7 +176,7 @@
     /// Returns the changes under `prefix` after a revision, or none once `wait` has elapsed.
     ///
     /// Fails with [`Error::VersionUnknown`](crate::Error::VersionUnknown) if the
-    /// store has compacted that history.
+    /// store has compacted that history, or was restored from an older copy since.
     fn watch<'a>(
         &'a self,
         prefix: &'a str,
@@ -179,7 +188,8 @@
     ///
     /// Fails with [`Error::CompareFailed`](crate::Error::CompareFailed) if a key does
     /// not have its required revision, and with
-    /// [`Error::LeaseGone`](crate::Error::LeaseGone) if a lease has expired.
+    /// [`Error::LeaseGone`](crate::Error::LeaseGone) if a lease has expired. A restore of the
+    /// store during the call ends all leases and makes the outcome of a comparison unknown.
     fn write<'a>(&'a self, write: &'a StoreWrite) -> LocalFuture<'a, Result<u64>>;
 
     /// Grants a lease with the given time to live.
@@ -187,6 +197,13 @@
 
     /// Renews a lease.
     ///
-    /// Fails with [`Error::LeaseGone`](crate::Error::LeaseGone) if it has expired.
-    fn renew(&self, lease: u64) -> LocalFuture<'_, Result<()>>;
+    /// Fails with [`Error::LeaseGone`](crate::Error::LeaseGone) if it has expired, or if the
+    /// store was restored from an older copy since the grant.
+    fn renew(&self, lease: StoreLease) -> LocalFuture<'_, Result<()>>;
+
+    /// Returns the revision below which all state is from before the latest restore that the
+    /// answers so far have shown; zero if they have shown none.
+    fn restored_at(&self) -> u64 {
+        0
+    }
 }
--- a/crates/kumquatnotch-route/src/announce.rs
+++ b/crates/kumquatnotch-route/src/announce.rs
@@ -2,8 +2,9 @@
 //!
 //! A node that leaves deletes its entry; if it is killed or cut off, the entry expires with the
 //! lease. The lease may also expire while the node is alive, because the store was unavailable,
-//! and the store may lose the entry although the lease is being renewed. In both cases the node
-//! announces itself again.
+//! or be lost in a restore of the store, and the store may lose the entry although the lease is
+//! being renewed. In all these cases the node announces itself again, and the crashes that it has
+//! observed.
 
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
@@ -127,7 +128,7 @@
         let put = StorePut {
             key: self.keys.record.clone(),
             value: self.value.clone(),
-            lease: Some(lease.id),
+            lease: Some(lease),
         };
         let write = StoreWrite { puts: vec![put], ..Default::default() };
         let revision = self.store.write(&write).await?;
@@ -145,7 +146,7 @@
         let mut published = Vec::new();
         while self.router.lifecycle.stage() < Stage::Leaving {
             clock::sleep(clock, RENEW_PERIOD).await;
-            match self.store.renew(lease.id).await {
+            match self.store.renew(lease).await {
                 Err(Error::LeaseGone) => {
                     tracing::warn!(lease = lease.id, "announce: the lease has expired");
                     return;
@@ -195,7 +196,7 @@
 
     async fn write_crashes(&self, lease: StoreLease, crashes: &[Crash]) -> Result<()> {
         let value = codec::encode(&crashes)?;
-        let put = StorePut { key: self.keys.crashes.clone(), value, lease: Some(lease.id) };
+        let put = StorePut { key: self.keys.crashes.clone(), value, lease: Some(lease) };
         let write = StoreWrite { puts: vec![put], ..Default::default() };
         self.store.write(&write).await.map(|_| ())
     }
--- a/crates/kumquatnotch-route/tests/common/store.rs
+++ b/crates/kumquatnotch-route/tests/common/store.rs
@@ -34,6 +34,8 @@
     /// State that snapshots return if they lag behind the store.
     pub stale_snapshot: RefCell<Option<StoreScan>>,
     pub scans: Cell<u64>,
+    /// Revision below which all state is from before the latest restore.
+    pub restored_at: Cell<u64>,
 }
 
 fn event_revision(event: &StoreEvent) -> u64 {
@@ -65,6 +67,16 @@
         self.events.borrow_mut().clear();
     }
 
+    /// Restores the store from a copy of its items, and ends the history and all leases.
+    pub fn restore(&self, copy: &BTreeMap<String, StoreItem>) {
+        const ERA: u64 = 1 << 48;
+        self.restored_at.set(self.restored_at.get() + ERA);
+        self.revision.set(self.restored_at.get() + copy.len() as u64);
+        self.compact();
+        *self.items.borrow_mut() = copy.clone();
+        self.ended_leases.borrow_mut().extend(1..=self.granted_leases.get());
+    }
+
     fn next_revision(&self) -> u64 {
         self.revision.set(self.revision.get() + 1);
         self.revision.get()
@@ -151,7 +163,7 @@
         Box::pin(async move {
             self.apply_faults().await?;
             for put in &write.puts {
-                if put.lease.is_some_and(|lease| self.ended_leases.borrow().contains(&lease)) {
+                if put.lease.is_some_and(|lease| self.ended_leases.borrow().contains(&lease.id)) {
                     return Err(Error::LeaseGone);
                 }
                 self.put(&put.key, &put.value);
@@ -161,21 +173,25 @@
         })
     }
 
+    fn restored_at(&self) -> u64 {
+        self.restored_at.get()
+    }
+
     fn grant(&self, ttl: Duration) -> LocalFuture<'_, Result<StoreLease>> {
         Box::pin(async move {
             self.apply_faults().await?;
             self.granted_leases.set(self.granted_leases.get() + 1);
-            Ok(StoreLease { id: self.granted_leases.get(), ttl })
+            Ok(StoreLease { id: self.granted_leases.get(), era: 0, ttl })
         })
     }
 
-    fn renew(&self, lease: u64) -> LocalFuture<'_, Result<()>> {
+    fn renew(&self, lease: StoreLease) -> LocalFuture<'_, Result<()>> {
         Box::pin(async move {
             self.apply_faults().await?;
             if self.loses_renewals.get() {
                 return Err(Error::WriteUnknown);
             }
-            if self.ended_leases.borrow().contains(&lease) {
+            if self.ended_leases.borrow().contains(&lease.id) {
                 return Err(Error::LeaseGone);
             }
             Ok(())
