mirror: a node that knows less than its follower confirms nothing

Cause: a follower took an answer without changes as confirmation that its state is complete, also from a node whose revision is below its own.

Change: an update that ends below the own revision, or before a restore that the store has shown, is no update: the node is avoided for a while, others and then the store are asked. A followed node waits for 400 ms only if the follower knows more, and on until it has caught up, so that the small lead of another reader costs no call.

A test asserted that changes with an earlier revision are not taken for older; they remove nothing, but confirmed. It asserts the opposite now, and why.

Measured: follower_leaves_a_node_with_an_earlier_revision fails with the old comparison (version 8, not 9) and passes.

--- a/crates/kumquatnotch-route/src/follow.rs
+++ b/crates/kumquatnotch-route/src/follow.rs
@@ -40,6 +40,12 @@
 /// Maximum wait of a follower's request, which bounds how long a lost connection goes unnoticed.
 pub const FOLLOW_WAIT: Duration = Duration::from_millis(1_500);
 
+/// Maximum wait of a follower that knows a later revision than this node.
+///
+/// Nodes that watch the store differ by the delay with which they collect changes. One that is
+/// behind for longer may have missed a restore of the store, and its followers ask others.
+const BEHIND_WAIT: Duration = Duration::from_millis(400);
+
 /// Timeout of a request for changes, beyond its wait.
 const CHANGES_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -105,6 +111,7 @@
     if after == 0 && !journal.admit_full_transfer() {
         return Err(Error::NotReady);
     }
+    let wait = if after > journal.revision() { wait.min(BEHIND_WAIT) } else { wait };
     let wait = if journal.is_source_lost() { Duration::ZERO } else { wait };
     let update = journal.updates_after(after, wait).await;
     if after > 0 && journal.is_source_lost() && update.is_empty() {
--- a/crates/kumquatnotch-route/src/journal.rs
+++ b/crates/kumquatnotch-route/src/journal.rs
@@ -14,7 +14,7 @@
 use futures_channel::oneshot;
 use futures_util::future::select;
 use kumquatnotch_core::{
-    Clock, clock,
+    Clock,
     store::{StoreChanges, StoreEvent, StoreItem, StoreScan},
 };
 
@@ -147,9 +147,17 @@
         self.source_lost.get()
     }
 
-    /// Whether a full state offered by another node is older than the state of this one.
+    /// Whether this node knows a later revision than the node that offers an update.
+    ///
+    /// The other node then can't confirm that the state of this one is complete.
     pub fn is_ahead_of(&self, update: &StoreUpdate) -> bool {
-        matches!(update, StoreUpdate::Full(scan) if scan.revision < self.revision.get())
+        update.revision() < self.revision.get()
+    }
+
+    /// Returns the first known item whose key is wanted.
+    pub fn find(&self, is_wanted: impl Fn(&str) -> bool) -> Option<StoreItem> {
+        let items = self.items.borrow();
+        items.iter().find(|(key, _)| is_wanted(key)).map(|(_, item)| item.clone())
     }
 
     /// Replaces all state by a scan of the store, confirmed at `confirmed`.
@@ -206,14 +214,19 @@
 
     /// Returns the updates after a revision, once there are some or `wait` is over.
     pub async fn updates_after(&self, revision: u64, wait: Duration) -> StoreUpdate {
-        if self.revision.get() <= revision {
+        let until = self.clock.now() + wait;
+        // A change may bring this node only up to the revision of a follower that was ahead.
+        while self.revision.get() <= revision {
             let (sender, receiver) = oneshot::channel();
             {
                 let mut waiters = self.waiters.borrow_mut();
                 waiters.retain(|waiter| !waiter.is_canceled());
                 waiters.push(sender);
             }
-            select(receiver, clock::sleep(&*self.clock, wait)).await;
+            select(receiver, self.clock.sleep_until(until)).await;
+            if self.clock.now() >= until || self.source_lost.get() {
+                break;
+            }
         }
         if revision < self.compacted.get() {
             let items = self.items.borrow().values().cloned().collect();
--- a/crates/kumquatnotch-route/src/sources.rs
+++ b/crates/kumquatnotch-route/src/sources.rs
@@ -13,13 +13,14 @@
 
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use kumquatnotch_core::{
-    Error,
+    Error, Store,
     collections::{HashMap, HashSet},
     ids::NodeName,
 };
 
 use crate::{
     follow::{self, PeerUpdate},
+    journal::StoreUpdate,
     names::ReplicaId,
     probe,
     replica::Replica,
@@ -37,6 +38,7 @@
 /// Other nodes as sources of the store's state.
 pub(crate) struct Sources {
     router: Rc<Router>,
+    store: Rc<dyn Store>,
     /// Nodes with stale state, and until when each is not queried.
     avoided: RefCell<HashMap<ReplicaId, Instant>>,
     /// Nodes whose revision is below the one of this node.
@@ -45,8 +47,8 @@
 
 impl Sources {
     /// Creates sources of which none has been queried yet.
-    pub(crate) fn new(router: Rc<Router>) -> Sources {
-        Sources { router, avoided: RefCell::default(), behind: RefCell::default() }
+    pub(crate) fn new(router: Rc<Router>, store: Rc<dyn Store>) -> Sources {
+        Sources { router, store, avoided: RefCell::default(), behind: RefCell::default() }
     }
 
     /// Returns the updates after a revision, once there are some or the wait is over.
@@ -94,12 +96,13 @@
     /// Queries a node. Returns `None` if it does not answer or its state is stale.
     async fn query(&self, peer: &Rc<Replica>, after: u64, wait: Duration) -> Option<PeerUpdate> {
         let result = follow::fetch(&self.router, peer, after, wait).await;
-        if let Ok(peer_update) = &result {
-            self.note_revision(peer, peer_update.update.revision());
-        }
         match result {
-            // An older state would undo known changes.
-            Ok(PeerUpdate { update, .. }) if self.router.journal.is_ahead_of(&update) => None,
+            // Its state is older, or from before a restore of the store: it would undo known
+            // changes, and lacks later ones.
+            Ok(peer_update) if self.is_behind(peer, &peer_update.update) => {
+                self.avoid(peer, Some(peer_update.age));
+                None
+            }
             Ok(peer_update) if peer_update.age <= follow::MAX_AGE => {
                 if self.avoided.borrow_mut().remove(&peer.id).is_some() {
                     tracing::info!(
@@ -127,16 +130,26 @@
         }
     }
 
-    /// Logs a node whose revision falls behind the one of this node, or catches up.
-    fn note_revision(&self, peer: &Replica, revision: u64) {
-        let known = self.router.journal.revision();
+    /// Whether a node knows less of the store than this one. Logs when that begins.
+    fn is_behind(&self, peer: &Replica, update: &StoreUpdate) -> bool {
+        let (journal, restored_at) = (&self.router.journal, self.store.restored_at());
         let mut behind = self.behind.borrow_mut();
-        let node = peer.id.as_str();
-        if revision >= known {
+        let (node, revision) = (peer.id.as_str(), update.revision());
+        if !journal.is_ahead_of(update) && revision >= restored_at {
             behind.remove(&peer.id);
-        } else if behind.insert(peer.id.clone()) {
-            tracing::info!(node, revision, known, "mirror: a node has an earlier revision");
+            return false;
+        }
+        if behind.insert(peer.id.clone()) {
+            let known = journal.revision();
+            tracing::info!(
+                node,
+                revision,
+                known,
+                restored_at,
+                "mirror: a node has an earlier revision"
+            );
         }
+        true
     }
 
     fn avoid(&self, peer: &Replica, age: Option<Duration>) {
--- a/crates/kumquatnotch-route/tests/follow.rs
+++ b/crates/kumquatnotch-route/tests/follow.rs
@@ -187,9 +187,7 @@
         let changes = StoreChanges { events: Vec::new(), revision: 5 };
 
         assert_eq!((unknown, offered(8), offered(9), offered(12)), (false, true, false, false));
-        assert!(
-            !journal.is_ahead_of(&StoreUpdate::Changes(changes)),
-            "changes remove no known state"
-        );
+        // They remove no known state, but whoever sends them knows less, and confirms nothing.
+        assert!(journal.is_ahead_of(&StoreUpdate::Changes(changes)));
     });
 }
--- /dev/null
+++ b/crates/kumquatnotch-route/tests/restored.rs
@@ -0,0 +1,115 @@
+//! Nodes whose store is restored from an older copy.
+
+mod common;
+#[path = "common/store.rs"]
+mod fake;
+#[path = "common/schema.rs"]
+mod schema;
+
+use std::{rc::Rc, time::Duration};
+
+use common::*;
+use fake::FakeStore;
+use kumquatnotch_core::{Store, ids::NodeName, store::StoreScan};
+use kumquatnotch_route::{
+    announce::{Announcer, NodeKeys},
+    mirror::{Mirror, MirrorOptions},
+    names::ReplicaId,
+    replica,
+};
+use schema::{TestSchema, options};
+
+struct Node {
+    tier: Tier,
+    store: Rc<FakeStore>,
+    mirror: Rc<Mirror>,
+}
+
+impl Node {
+    fn start(name: &str, store: &Rc<FakeStore>, options: MirrorOptions) -> Node {
+        let tier = Tier::named(name, 100.0, "home");
+        let dyn_store: Rc<dyn Store> = store.clone();
+        let mirror = Mirror::new(options, tier.router.clone(), dyn_store, Rc::new(TestSchema));
+        mirror.start();
+        Node { tier, store: store.clone(), mirror }
+    }
+
+    fn version(&self) -> u64 {
+        self.tier.router.table().map_or(0, |table| table.version())
+    }
+
+    /// Returns the replica of service `s0` that the next request would be sent to.
+    fn next_replica(&self) -> Option<String> {
+        let router = &self.tier.router;
+        let replicas = router.directory.of(&service("s0"));
+        let pick = replica::pick(&replicas, &[], router.profile(&single()), router.clock.now())?;
+        Some(pick.replica.id.as_str().to_owned())
+    }
+
+    fn announce(&self) {
+        let keys = NodeKeys { record: "n/me".to_owned(), crashes: "x/me".to_owned() };
+        let store: Rc<dyn Store> = self.store.clone();
+        let record = node_entry(refusing_address(), 1.0);
+        let (router, mirror) = (self.tier.router.clone(), self.mirror.clone());
+        Announcer::new(router, store, mirror, NodeName::from("me"), keys, record).start();
+    }
+
+    /// Whether nothing speaks against a replica; `None` if it is unknown.
+    fn is_preferred(&self, id: &str) -> Option<bool> {
+        let router = &self.tier.router;
+        let replica = router.directory.find(&ReplicaId::from(id))?;
+        Some(replica.rate(router.profile(&single()), router.clock.now()).is_healthy())
+    }
+}
+
+/// A node that watches a store with a configuration and the replicas `s0.a` and `s0.b`.
+async fn node() -> Node {
+    let store = Rc::new(FakeStore::default());
+    store.put("c", b"3");
+    store.put("r/s0.a", b"127.0.0.1:1#4");
+    store.put("r/s0.b", b"127.0.0.1:2#4");
+    let node = Node::start("me", &store, options());
+    // Until vanished entries are no longer retained after the start.
+    pause(800).await;
+    node
+}
+
+/// Guards against a node that is never told of a change again, because it follows one that knows
+/// less and whose answers count as confirmation.
+#[test]
+fn follower_leaves_a_node_with_an_earlier_revision() {
+    run(async {
+        let stores: Vec<Rc<FakeStore>> = (0..3).map(|_| Rc::default()).collect();
+        let nodes: Vec<Node> = ["r1", "r2", "z"]
+            .iter()
+            .zip(&stores)
+            .map(|(name, store)| Node::start(name, store, options()))
+            .collect();
+        for store in &stores {
+            store.put("c", b"3");
+            for (node, capacity) in nodes.iter().zip([2.0, 2.0, 1.0]) {
+                let name = node.tier.router.local_node.name.as_str();
+                let record = node_entry(node.tier.peer.address(), capacity);
+                store.put(&format!("n/{name}"), &record);
+            }
+            for name in ["u", "v", "w"] {
+                store.put(&format!("n/{name}"), &node_entry(refusing_address(), 1.0));
+            }
+        }
+        pause(600).await;
+
+        // The nodes that it follows lose the store, and come back with what they knew before.
+        let readers = &stores[..2];
+        readers.iter().for_each(|store| store.unavailable.set(true));
+        pause(3_500).await;
+        stores[2].put("c", b"8");
+        pause(3_500).await;
+        let meanwhile = nodes[2].version();
+        readers.iter().for_each(|store| store.unavailable.set(false));
+        pause(3_000).await;
+        stores[2].put("c", b"9");
+        pause(3_000).await;
+
+        assert_eq!((meanwhile, nodes[2].version()), (8, 9));
+    });
+}
