mirror, announce: a restore shown by any call ends the watch in progress

Cause: a node that watches the store learned of a restore only by the answer to its watch, and the store may leave that one waiting for up to 2.5 s. A node that starts took the state of a neighbour also if the store had already answered in a later era.

Change: after each renewal of the lease, a watch whose revision is from before a restore ends, and everything is read anew; the log line of a full scan says whether a restore was the reason. A start loads only states of the newest era.

Nodes announce themselves again within 2 s, and replicas and nodes that the copy lacks stay in use: both held before, and have tests now.

--- a/crates/kumquatnotch-route/src/announce.rs
+++ b/crates/kumquatnotch-route/src/announce.rs
@@ -146,7 +146,9 @@
         let mut published = Vec::new();
         while self.router.lifecycle.stage() < Stage::Leaving {
             clock::sleep(clock, RENEW_PERIOD).await;
-            match self.store.renew(lease).await {
+            let renewed = self.store.renew(lease).await;
+            self.mirror.note_restore();
+            match renewed {
                 Err(Error::LeaseGone) => {
                     tracing::warn!(lease = lease.id, "announce: the lease has expired");
                     return;
--- a/crates/kumquatnotch-route/src/initial_sync.rs
+++ b/crates/kumquatnotch-route/src/initial_sync.rs
@@ -78,7 +78,7 @@
         let nodes = find_nodes(router, store, entries).await;
         let neighbours = neighbours(router, entries, &nodes);
         if !reads_directly(router, &neighbours)
-            && let Some(state) = fetch_from_peers(router, &neighbours).await
+            && let Some(state) = fetch_from_peers(router, store, &neighbours).await
         {
             return state;
         }
@@ -136,8 +136,13 @@
 
 /// Fetches the full state from one of the nodes that read the store first.
 ///
-/// Returns `None` if none supplies it in time, so that the store is to be read.
-async fn fetch_from_peers(router: &Rc<Router>, neighbours: &[Candidate]) -> Option<InitialState> {
+/// Returns `None` if none supplies it in time, or only a state from before a restore of the store,
+/// so that the store is to be read.
+async fn fetch_from_peers(
+    router: &Rc<Router>,
+    store: &dyn Store,
+    neighbours: &[Candidate],
+) -> Option<InitialState> {
     let clock = &*router.clock;
     let timeout = if router.is_standby() { STANDBY_PEER_TIMEOUT } else { SERVING_PEER_TIMEOUT };
     let until = clock.now() + router.random.jitter(timeout);
@@ -152,7 +157,7 @@
         let reply = follow::fetch(router, &peer, 0, Duration::ZERO);
         match clock::timeout_at(clock, until, reply).await.flatten() {
             Ok(PeerUpdate { update: StoreUpdate::Full(scan), age, grace })
-                if age <= follow::MAX_AGE =>
+                if age <= follow::MAX_AGE && scan.revision >= store.restored_at() =>
             {
                 tracing::info!(
                     node = name.as_str(),
--- a/crates/kumquatnotch-route/src/mirror.rs
+++ b/crates/kumquatnotch-route/src/mirror.rs
@@ -6,11 +6,12 @@
 //! asks other nodes for theirs.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     rc::Rc,
     time::{Duration, Instant},
 };
 
+use futures_channel::oneshot;
 use futures_util::future::{Either, select};
 use kumquatnotch_core::{
     Error, Result, Store, clock,
@@ -87,6 +88,8 @@
     pub(crate) revision: Cell<Option<u64>>,
     /// Whether the store may have been unavailable since its last answer.
     store_failed: Cell<bool>,
+    /// Ends the watch in progress when the store turns out to have been restored.
+    restored: RefCell<Option<oneshot::Sender<()>>>,
 }
 
 impl Mirror {
@@ -98,7 +101,7 @@
         schema: Rc<dyn Schema>,
     ) -> Rc<Mirror> {
         let entries = Rc::new(Entries::new(router.clone(), schema, options.retention));
-        let sources = Sources::new(router.clone());
+        let sources = Sources::new(router.clone(), store.clone());
         Rc::new(Mirror {
             options,
             router,
@@ -107,6 +110,7 @@
             sources,
             revision: Cell::new(None),
             store_failed: Cell::new(false),
+            restored: RefCell::default(),
         })
     }
 
@@ -134,7 +138,12 @@
                 result = self.recover().await;
             }
             if result.is_err() {
-                tracing::info!("mirror: the store has dropped the history, starting a full scan");
+                let (revision, restored) = (self.known_revision(), self.is_outdated());
+                tracing::info!(
+                    revision,
+                    restored,
+                    "mirror: the store has dropped the history, starting a full scan"
+                );
                 self.revision.set(None);
             }
         }
@@ -145,6 +154,23 @@
         self.revision.get().unwrap_or(0)
     }
 
+    /// Whether the store was restored from an older copy after the last known revision.
+    fn is_outdated(&self) -> bool {
+        self.revision.get().is_some_and(|revision| revision < self.store.restored_at())
+    }
+
+    /// Ends the watch in progress if another call has shown that the store was restored.
+    ///
+    /// The store may leave the watch waiting for a revision that it reaches only much later.
+    pub fn note_restore(&self) {
+        if self.is_outdated()
+            && let Some(sender) = self.restored.borrow_mut().take()
+        {
+            // Sending fails if the watch has ended.
+            let _ = sender.send(());
+        }
+    }
+
     /// Loads the full state from the store, or from a node that has contacted this one.
     async fn sync_initially(&self) {
         let store_sync =
@@ -257,10 +283,15 @@
         let is_followed = follow::is_followed(&self.router);
         let wait = if is_followed { self.options.followed_wait } else { self.options.wait };
         let watch = self.store.watch(self.entries.prefix(), after, wait);
-        let late = clock.sleep_until(start + wait + LATE_ANSWER_MARGIN);
+        let (sender, restored) = oneshot::channel();
+        *self.restored.borrow_mut() = Some(sender);
+        let late = select(clock.sleep_until(start + wait + LATE_ANSWER_MARGIN), restored);
         let changes = match select(watch, late).await {
             Either::Left((changes, _)) => changes?,
-            Either::Right(((), watch)) => {
+            Either::Right((Either::Right(_), _)) => {
+                return Err(Error::VersionUnknown { version: after });
+            }
+            Either::Right((Either::Left(_), watch)) => {
                 // The call may have been lost although the store is available.
                 self.note_store_failure();
                 let retrying = std::pin::pin!(self.retry_until_answered(0));
--- a/crates/kumquatnotch-route/tests/restored.rs
+++ b/crates/kumquatnotch-route/tests/restored.rs
@@ -74,6 +74,38 @@
     node
 }
 
+/// Guards against the loss of replicas and nodes that the copy does not have, although they run.
+/// They write their entries again within two seconds.
+#[test]
+fn entries_missing_in_the_copy_are_used_until_they_are_written_again() {
+    run(async {
+        let store = Rc::new(FakeStore::default());
+        store.put("c", b"3");
+        let node = Node::start("me", &store, MirrorOptions::default());
+        pause(100).await;
+        let copy = store.items.borrow().clone();
+        store.put("r/s0.a", b"127.0.0.1:1#4");
+        store.put("n/other", &node_entry(refusing_address(), 1.0));
+        pause(600).await;
+
+        store.restore(&copy);
+        let mut lost = 0;
+        for _ in 0..20 {
+            pause(100).await;
+            let router = &node.tier.router;
+            let is_known = router.fleet.knows(&NodeName::from("other"));
+            lost += u32::from(node.next_replica().is_none() || !is_known);
+        }
+        store.put("r/s0.a", b"127.0.0.1:1#4");
+        store.put("n/other", &node_entry(refusing_address(), 1.0));
+        pause(3_500).await;
+
+        assert_eq!(lost, 0, "checks at which an entry was lost");
+        assert_eq!(node.next_replica().as_deref(), Some("s0.a"));
+        assert!(node.tier.router.fleet.knows(&NodeName::from("other")));
+    });
+}
+
 /// Guards against a node that is never told of a change again, because it follows one that knows
 /// less and whose answers count as confirmation.
 #[test]
@@ -113,3 +145,44 @@
         assert_eq!((meanwhile, nodes[2].version()), (8, 9));
     });
 }
+
+/// Guards against a node that stays unknown to the others after a restore has ended its lease and
+/// removed its entry.
+#[test]
+fn node_announces_itself_again_after_restore() {
+    run(async {
+        let node = node().await;
+        let copy = node.store.items.borrow().clone();
+        node.announce();
+        pause(300).await;
+        let announced = node.store.items.borrow().contains_key("n/me");
+
+        node.store.restore(&copy);
+        pause(2_000).await;
+
+        assert!(announced && node.store.items.borrow().contains_key("n/me"));
+        assert!(node.tier.router.directory.find(&ReplicaId::from("s0.a")).is_some());
+    });
+}
+
+/// Guards against seconds without changes after a restore, because the store leaves the watch in
+/// progress waiting. A renewal of the lease shows the restore meanwhile.
+#[test]
+fn watch_in_progress_ends_when_a_renewal_shows_the_restore() {
+    run(async {
+        let store = Rc::new(FakeStore::default());
+        store.put("c", b"3");
+        let node = Node::start("me", &store, MirrorOptions::default());
+        node.announce();
+        pause(2_000).await;
+        let copy = store.items.borrow().clone();
+        let scans = store.scans.get();
+
+        store.hides_changes.set(true);
+        store.restore(&copy);
+        store.compacted.set(0);
+        pause(1_200).await;
+
+        assert_eq!(store.scans.get() - scans, 1);
+    });
+}
