entries: an older copy of the store does not undo what replicas wrote

Cause: a full state was taken as the newest. After a restore it holds entries of before: a replica that drains looks ready again until it has written anew, and one that has left is back, although nobody writes its entry again and its address may belong to another process.

Change: entries count the writes of their replica. In a full state, an entry with a lower count than the known one of the same incarnation changes nothing; a replica that is known to have left with at least that count is used last. A change after the full state always counts.

Ruled out: ignoring such replicas, as one that runs on would be lost to callers until it changes something besides its count.

Measured: draining_replica_stays_unused_after_restore and replica_that_left_is_used_last_after_restore fail without the comparison, and pass.

--- a/crates/kumquatnotch-route/src/entries.rs
+++ b/crates/kumquatnotch-route/src/entries.rs
@@ -24,8 +24,10 @@
     advice::Candidate,
     change_summary::{Change, ChangeSummary},
     crash_check,
+    departed::Departed,
     directory::PutOutcome,
-    replica::Replica,
+    names::ReplicaId,
+    replica::{Replica, ReplicaSpec},
     route::RouteTable,
     router::Router,
     schema::{Entry, EntryKey, Schema},
@@ -40,6 +42,15 @@
 /// How often retained entries are checked for removal.
 const SWEEP_PERIOD: Duration = Duration::from_millis(200);
 
+/// Where an item comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Origin {
+    /// A state of the store, which may be older than what this node knows.
+    State,
+    /// A change after what this node knows.
+    Change,
+}
+
 /// The entries that the store is known to hold.
 pub struct Entries {
     router: Rc<Router>,
@@ -54,6 +65,8 @@
     node_removal_suspended: Cell<bool>,
     /// Number of times that the entry of each node has vanished.
     removals: RefCell<HashMap<NodeName, u64>>,
+    /// Replicas that have left.
+    departed: Departed,
     /// Counts changes that are logged as a summary, because many come at once.
     summary: ChangeSummary,
 }
@@ -70,6 +83,7 @@
             vanished: RefCell::default(),
             node_removal_suspended: Cell::new(false),
             removals: RefCell::default(),
+            departed: Departed::default(),
             summary: ChangeSummary::default(),
         }
     }
@@ -112,16 +126,18 @@
     /// Applies items that are only a part of what the store holds.
     pub fn apply_items(&self, items: &[StoreItem]) {
         self.summary.begin(items.len());
-        items.iter().for_each(|item| drop(self.apply_item(item)));
+        items.iter().for_each(|item| drop(self.apply_item(item, Origin::State)));
         self.classify_vanished();
         self.summary.end();
     }
 
     /// Applies everything that the store holds; known entries that are missing count as removed.
+    ///
+    /// After a restore of the store, entries of replicas may be older than the known ones.
     pub fn replace_all(&self, items: &[StoreItem]) {
         self.summary.begin(items.len());
-        let seen: HashSet<EntryKey> =
-            items.iter().filter_map(|item| self.apply_item(item)).collect();
+        let applied = items.iter().filter_map(|item| self.apply_item(item, Origin::State));
+        let seen: HashSet<EntryKey> = applied.collect();
         let lost: Vec<EntryKey> = self.known.borrow().difference(&seen).cloned().collect();
         lost.into_iter().for_each(|key| self.note_removed(key));
         self.classify_vanished();
@@ -139,7 +155,7 @@
     fn apply_event(&self, event: &StoreEvent) {
         match event {
             StoreEvent::Written(item) => {
-                self.apply_item(item);
+                self.apply_item(item, Origin::Change);
             }
             StoreEvent::Deleted { key, .. } => {
                 if let Some(key) = self.schema.read_key(key) {
@@ -199,7 +215,7 @@
     }
 
     /// Applies an item. Returns its key if it is relevant to this tier and readable.
-    fn apply_item(&self, item: &StoreItem) -> Option<EntryKey> {
+    fn apply_item(&self, item: &StoreItem, origin: Origin) -> Option<EntryKey> {
         let key = self.schema.read_key(&item.key)?;
         let entry = match self.schema.read(item) {
             Ok(entry) => entry?,
@@ -219,7 +235,7 @@
         {
             replica.set_presumed_gone(false);
         }
-        self.apply_entry(entry, item.revision);
+        self.apply_entry(entry, item.revision, origin);
         Some(key)
     }
 
@@ -235,7 +251,7 @@
         self.vanished.borrow_mut().remove(key);
     }
 
-    fn apply_entry(&self, entry: Entry, revision: u64) {
+    fn apply_entry(&self, entry: Entry, revision: u64, origin: Origin) {
         let router = &self.router;
         match entry {
             Entry::Config(config) => {
@@ -243,28 +259,7 @@
                 let in_force = router.install_table(RouteTable::new(config));
                 tracing::info!(version, revision, in_force, "mirror: a configuration came");
             }
-            Entry::Replica(id, spec) => {
-                let change = if spec.draining { Change::Draining } else { Change::Replica };
-                if !self.summary.coalesce(change) {
-                    tracing::info!(
-                        replica = id.as_str(),
-                        service = spec.service.as_str(),
-                        address = %spec.address,
-                        draining = spec.draining,
-                        revision,
-                        "mirror: replica entry received"
-                    );
-                }
-                let put = router.directory.put(&id, spec, router.clock.now());
-                if put != PutOutcome::Known {
-                    tracing::info!(
-                        replica = id.as_str(),
-                        ?put,
-                        revision,
-                        "mirror: replica entry differs from the known replica"
-                    );
-                }
-            }
+            Entry::Replica(id, spec) => self.apply_replica(&id, spec, revision, origin),
             Entry::Node(name, record) => {
                 if !self.summary.coalesce(Change::Node) {
                     let node = name.as_str();
@@ -285,6 +280,62 @@
         }
     }
 
+    fn apply_replica(&self, id: &ReplicaId, spec: ReplicaSpec, revision: u64, origin: Origin) {
+        let (directory, now) = (&self.router.directory, self.router.clock.now());
+        if origin == Origin::State && self.is_superseded(id, &spec) {
+            tracing::info!(
+                replica = id.as_str(),
+                sequence = spec.sequence,
+                draining = spec.draining,
+                "mirror: the store has an earlier entry of a replica"
+            );
+            return;
+        }
+        let change = if spec.draining { Change::Draining } else { Change::Replica };
+        if !self.summary.coalesce(change) {
+            tracing::info!(
+                replica = id.as_str(),
+                service = spec.service.as_str(),
+                address = %spec.address,
+                draining = spec.draining,
+                revision,
+                "mirror: replica entry received"
+            );
+        }
+        let has_left = self.departed.covers(id, &spec, now);
+        let put = directory.put(id, spec, now);
+        if put != PutOutcome::Known {
+            tracing::info!(
+                replica = id.as_str(),
+                ?put,
+                revision,
+                "mirror: replica entry differs from the known replica"
+            );
+        }
+        let Some(replica) = directory.find(id) else {
+            return;
+        };
+        match origin {
+            Origin::State if has_left => {
+                tracing::info!(replica = id.as_str(), "mirror: a replica that has left is back");
+                replica.set_presumed_gone(true);
+            }
+            Origin::Change if self.departed.forget(id) => replica.set_presumed_gone(false),
+            Origin::State | Origin::Change => {}
+        }
+    }
+
+    /// Whether the same incarnation of a replica is known by a later entry.
+    ///
+    /// It has written that one to the store, which was then restored from an older copy. Until it
+    /// writes again, the older entry would undo that it drains, for example.
+    fn is_superseded(&self, id: &ReplicaId, spec: &ReplicaSpec) -> bool {
+        self.router.directory.find(id).is_some_and(|replica| {
+            let known = replica.spec();
+            known.born == spec.born && known.sequence > spec.sequence && spec.sequence > 0
+        })
+    }
+
     /// Retains nodes whose entries vanish, while the store rejects this node.
     ///
     /// The store rejects other nodes as well, which lose their entries like this one but continue
@@ -333,6 +384,9 @@
                 if !self.summary.coalesce(Change::ReplicaGone) {
                     tracing::info!(replica = id.as_str(), reason, "mirror: replica removed");
                 }
+                if let Some(replica) = router.directory.find(id) {
+                    self.departed.note(id, &replica.spec(), router.clock.now());
+                }
                 router.directory.remove(id);
             }
             EntryKey::Node(name) => {
--- a/crates/kumquatnotch-route/src/fleet.rs
+++ b/crates/kumquatnotch-route/src/fleet.rs
@@ -188,5 +188,6 @@
         slots: PEER_SLOTS,
         draining: false,
         born: None,
+        sequence: 0,
     }
 }
--- a/crates/kumquatnotch-route/src/lib.rs
+++ b/crates/kumquatnotch-route/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod change_summary;
 pub mod connection_pool;
 pub mod crash_check;
+mod departed;
 pub mod directory;
 pub mod entries;
 pub mod fleet;
--- a/crates/kumquatnotch-route/src/replica.rs
+++ b/crates/kumquatnotch-route/src/replica.rs
@@ -38,6 +38,8 @@
     ///
     /// A replica may restart under the same name, without any state from before.
     pub born: Option<u64>,
+    /// Number of times that it has written its entry since its start; zero if it counts none.
+    pub sequence: u64,
 }
 
 /// One incarnation of a replica.
--- a/crates/kumquatnotch-route/tests/advice.rs
+++ b/crates/kumquatnotch-route/tests/advice.rs
@@ -84,6 +84,7 @@
             slots: 2,
             draining: false,
             born: None,
+            sequence: 0,
         };
         directory.put(&ReplicaId::from(&*format!("r{index}")), spec, Instant::now());
     }
--- a/crates/kumquatnotch-route/tests/common/mod.rs
+++ b/crates/kumquatnotch-route/tests/common/mod.rs
@@ -216,6 +216,7 @@
         slots: 2,
         draining,
         born: None,
+        sequence: 0,
     }
 }
 
--- a/crates/kumquatnotch-route/tests/common/schema.rs
+++ b/crates/kumquatnotch-route/tests/common/schema.rs
@@ -15,8 +15,8 @@
 /// Decodes the entries of the fake store.
 ///
 /// - `c`: the version of the configuration.
-/// - `r/ID`: the address of a replica, followed by `!` if it is draining, and by `@` and a
-///   number for its start time. Its service is `SERVICE` if the ID is `SERVICE.REST`, and
+/// - `r/ID`: the address of a replica, followed by `!` if it is draining, by `@` and a number for
+///   its start time, and by `#` and the number of its writes. Its service is `SERVICE` if the ID is `SERVICE.REST`, and
 ///   `s0` otherwise.
 /// - `n/NAME`: the record of a node.
 /// - `x/NAME`: the crashes that a node has detected.
@@ -48,16 +48,20 @@
                 Some(Entry::Config(config(version, vec![single()])))
             }
             Some(EntryKey::Replica(id)) => {
+                let (text, sequence) = match text.split_once('#') {
+                    Some((text, sequence)) => (text, sequence.parse().map_err(Error::protocol)?),
+                    None => (text.as_str(), 0),
+                };
                 let (text, born) = match text.split_once('@') {
                     Some((text, born)) => (text, Some(born.parse().map_err(Error::protocol)?)),
-                    None => (text.as_str(), None),
+                    None => (text, None),
                 };
                 let draining = text.ends_with('!');
                 let address: SocketAddr =
                     text.trim_end_matches('!').parse().map_err(Error::protocol)?;
                 let service = id.as_str().split_once('.').map_or("s0", |(service, _)| service);
                 let spec = spec(service, address, "home", draining);
-                Some(Entry::Replica(id, ReplicaSpec { born, ..spec }))
+                Some(Entry::Replica(id, ReplicaSpec { born, sequence, ..spec }))
             }
             Some(EntryKey::Node(name)) => Some(Entry::Node(name, codec::decode(&item.value)?)),
             Some(EntryKey::Crashes(name)) => {
--- a/crates/kumquatnotch-route/tests/restored.rs
+++ b/crates/kumquatnotch-route/tests/restored.rs
@@ -74,6 +74,49 @@
     node
 }
 
+/// Guards against requests to a replica seconds after it has reported that it drains. The copy is
+/// older than that report, and the replica has not written it again yet.
+#[test]
+fn draining_replica_stays_unused_after_restore() {
+    run(async {
+        let node = node().await;
+        let copy = node.store.items.borrow().clone();
+        node.store.put("r/s0.a", b"127.0.0.1:1!#5");
+        pause(100).await;
+
+        node.store.restore(&copy);
+        pause(400).await;
+        let while_older = node.next_replica();
+        node.store.put("r/s0.a", b"127.0.0.1:1#6");
+        node.store.put("r/s0.b", b"127.0.0.1:2!#5");
+        pause(200).await;
+
+        assert_eq!(while_older.as_deref(), Some("s0.b"));
+        assert_eq!(node.next_replica().as_deref(), Some("s0.a"), "after it has written again");
+    });
+}
+
+/// Guards against requests to a replica that has left, and whose address may belong to another
+/// process. The copy still has its entry, which nobody writes again.
+#[test]
+fn replica_that_left_is_used_last_after_restore() {
+    run(async {
+        let node = node().await;
+        let copy = node.store.items.borrow().clone();
+        node.store.delete("r/s0.a");
+        pause(100).await;
+
+        node.store.restore(&copy);
+        pause(400).await;
+        let while_silent = ["s0.a", "s0.b"].map(|id| node.is_preferred(id));
+        node.store.put("r/s0.a", b"127.0.0.1:1#5");
+        pause(100).await;
+
+        assert_eq!(while_silent, [Some(false), Some(true)]);
+        assert_eq!(node.is_preferred("s0.a"), Some(true), "after it has written again");
+    });
+}
+
 /// Guards against the loss of replicas and nodes that the copy does not have, although they run.
 /// They write their entries again within two seconds.
 #[test]
--- a/crates/measure/src/routes.rs
+++ b/crates/measure/src/routes.rs
@@ -145,6 +145,7 @@
             slots: 2,
             draining: false,
             born: None,
+            sequence: 0,
         };
         let id = ReplicaId::from(&*format!("r{index}"));
         router.directory.put(&id, spec, clock.now());
