mirror: pass on the newest known configuration after a restore

Cause: a node keeps the configuration in force when the store comes back with an earlier one, but what it passes on to others was the state of the store: a node that starts meanwhile, and loads its state from this one, would serve by the older version until the operators write the later one again.

Change: in a full state, a configuration older than the known one is replaced by that one.

Measured: node_passes_on_the_configuration_that_the_copy_lacks fails without (3, not 9) and passes.

--- a/crates/kumquatnotch-route/src/entries.rs
+++ b/crates/kumquatnotch-route/src/entries.rs
@@ -27,6 +27,7 @@
     departed::Departed,
     directory::PutOutcome,
     names::ReplicaId,
+    newest_config,
     replica::{Replica, ReplicaSpec},
     route::RouteTable,
     router::Router,
@@ -131,6 +132,11 @@
         self.summary.end();
     }
 
+    /// Returns a full state of the store with the newest configuration that this node knows.
+    pub(crate) fn with_newest_config(&self, scan: &StoreScan) -> StoreScan {
+        newest_config::insert(scan, &self.router.journal, &*self.schema)
+    }
+
     /// Applies everything that the store holds; known entries that are missing count as removed.
     ///
     /// After a restore of the store, entries of replicas may be older than the known ones.
--- a/crates/kumquatnotch-route/src/lib.rs
+++ b/crates/kumquatnotch-route/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod merge;
 pub mod mirror;
 pub mod names;
+mod newest_config;
 mod outage;
 mod own_share;
 pub mod parts;
--- a/crates/kumquatnotch-route/src/mirror.rs
+++ b/crates/kumquatnotch-route/src/mirror.rs
@@ -318,6 +318,7 @@
         // Without the history, a removed entry can't be distinguished from an expired one.
         self.note_store_failure();
         self.note_store_answer();
+        let scan = &self.entries.with_newest_config(scan);
         self.entries.replace_all(&scan.items);
         self.router.journal.reset(scan, confirmed);
         self.revision.set(Some(scan.revision));
--- a/crates/kumquatnotch-route/tests/restored.rs
+++ b/crates/kumquatnotch-route/tests/restored.rs
@@ -149,6 +149,29 @@
     });
 }
 
+/// Guards against a node that starts after a restore and serves by an older configuration than
+/// the nodes that it loads its state from.
+#[test]
+fn node_passes_on_the_configuration_that_the_copy_lacks() {
+    run(async {
+        let node = node().await;
+        let copy = node.store.items.borrow().clone();
+        node.store.put("c", b"9");
+        pause(100).await;
+
+        node.store.restore(&copy);
+        pause(400).await;
+        let journal = &node.tier.router.journal;
+        let update = journal.updates_after(0, Duration::ZERO).await;
+
+        let kumquatnotch_route::journal::StoreUpdate::Full(StoreScan { items, .. }) = update else {
+            panic!("expected the full state");
+        };
+        let config = items.iter().find(|item| item.key == "c").map(|item| item.value.clone());
+        assert_eq!((config, node.version()), (Some(b"9".to_vec()), 9));
+    });
+}
+
 /// Guards against a node that is never told of a change again, because it follows one that knows
 /// less and whose answers count as confirmation.
 #[test]
