config: write the head again that a restore of the store has lost

After a restore the nodes keep the version in force, but the store stays at the earlier one: a node that starts alone serves it, and a change published on top of it gets a version that the nodes have already, so that it is confirmed and never comes into force. A head that is gone altogether was not even logged.

Change: nodes that read the head keep the newest one. If it is from before a restore and the store has an earlier one or none, they write its values and it again, by compare-and-swap. If another change was published meanwhile, it is published again with a version above the lost one. A head of the same version confirms the one in force only if it has the same manifest.

Ruled out: writing back on any earlier head: without a restore an operator may have done that.

A version that no node has read before the store loses it stays lost.

--- a/crates/kumquatnotch-member/src/config_service.rs
+++ b/crates/kumquatnotch-member/src/config_service.rs
@@ -29,6 +29,7 @@
 use crate::{
     fetch::Wanted,
     freeze_detector::{FreezeDetector, TICK_PERIOD},
+    head_repair::ReadHead,
     head_state::{HeadListener, InForce},
     membership_service::{MEMBERSHIP, MembershipService},
     options::ConfigOptions,
@@ -47,6 +48,8 @@
     pub(crate) wanted: RefCell<Wanted>,
     pub(crate) values: RefCell<HashMap<Digest, Rc<StoredValue>>>,
     pub(crate) backoff: RefCell<Backoff>,
+    /// The newest head that this node has read from the platform.
+    pub(crate) known_head: RefCell<Option<ReadHead>>,
     pub(crate) freeze_detector: FreezeDetector,
     pub(crate) gate: Gate,
     /// The membership generation at which the readers were ranked, and whether this node is one.
@@ -82,6 +85,7 @@
             wanted: RefCell::default(),
             values: RefCell::default(),
             backoff: RefCell::default(),
+            known_head: RefCell::default(),
             freeze_detector: FreezeDetector::new(now, options.freeze_limit),
             gate: Gate::default(),
             reader_cache: Cell::default(),
--- a/crates/kumquatnotch-member/src/fetch.rs
+++ b/crates/kumquatnotch-member/src/fetch.rs
@@ -256,7 +256,7 @@
         missing
     }
 
-    fn value(&self, digest: Digest) -> Result<Rc<StoredValue>> {
+    pub(crate) fn value(&self, digest: Digest) -> Result<Rc<StoredValue>> {
         let value = self.values.borrow().get(&digest).cloned();
         value.ok_or_else(|| Error::internal(format!("value {digest} is missing")))
     }
--- a/crates/kumquatnotch-member/src/lib.rs
+++ b/crates/kumquatnotch-member/src/lib.rs
@@ -19,6 +19,7 @@
 mod fetch;
 mod freeze_detector;
 mod gossip;
+mod head_repair;
 mod head_state;
 mod incarnation;
 mod mark_store;
--- a/crates/kumquatnotch-member/src/readers.rs
+++ b/crates/kumquatnotch-member/src/readers.rs
@@ -22,11 +22,11 @@
     member::{Members, NodeState},
     peer::HeadInfo,
     random::Random,
-    stored::{HEAD_KEY, Head},
+    stored::HEAD_KEY,
 };
 use tracing::warn;
 
-use crate::config_service::ConfigService;
+use crate::{config_service::ConfigService, head_repair::ReadHead};
 
 /// The key by which the readers are ranked.
 const READERS_KEY: &[u8] = b"config-readers";
@@ -81,10 +81,16 @@
         let now = self.clock.now();
         let (period, limit) = (self.options.read_period, self.options.backoff_limit);
         self.backoff.borrow_mut().update(result.is_ok(), period, limit, now, &self.random);
-        let Some(entry) = result? else {
+        let read = match result? {
+            Some(item) => {
+                Some(ReadHead { head: codec::decode(&item.value)?, revision: item.revision })
+            }
+            None => None,
+        };
+        self.note_head(read.as_ref()).await;
+        let Some(ReadHead { head, .. }) = read else {
             return Ok(None);
         };
-        let head: Head = codec::decode(&entry.value)?;
         let age_ms = now.saturating_duration_since(sent_at).as_millis() as u64;
         let head_info = HeadInfo { version: head.version, manifest: head.manifest, age_ms };
         self.apply_read(head_info, sent_at)?;
@@ -148,7 +154,11 @@
             return Err(Error::StaleVersion { version: head_info.version.0 });
         }
         if head_info.version == version {
-            self.members.head_state.confirm(version, sent_at);
+            let in_force = self.members.head_state.in_force();
+            // After a restore, another change may have been published with the same version.
+            if in_force.is_some_and(|state| state.manifest == head_info.manifest) {
+                self.members.head_state.confirm(version, sent_at);
+            }
             return Ok(());
         }
         self.wanted.borrow_mut().add_read(head_info, sent_at);
--- a/crates/kumquatnotch-member/tests/config.rs
+++ b/crates/kumquatnotch-member/tests/config.rs
@@ -227,6 +227,56 @@
     assert_eq!(versions, vec![2; 9]);
 }
 
+/// Guards against a confirmed version that only the running nodes have, after the store was
+/// restored from a copy without it. A node that starts later, and new versions, build on the store.
+#[parameterized(
+    earlier_head = { true },
+    no_head = { false },
+)]
+fn version_lost_in_a_restore_is_written_again(has_head: bool) {
+    let (head, joined, versions) = run(11, async move |cluster| {
+        let empty = cluster.platform.copy();
+        let nodes = start_converged(&cluster, 9).await;
+        let copy = if has_head { cluster.platform.copy() } else { empty };
+        cluster.platform.publish(2, 200);
+        cluster.wait_until(10 * SECOND, || cluster.all_have(2)).await;
+        cluster.sleep(10 * SECOND).await;
+        cluster.platform.restore(copy);
+        cluster.sleep(IN_FORCE_LIMIT).await;
+        let head = cluster.platform.head().map(|head| head.version.0);
+        nodes.iter().for_each(|node| node.process.set(State::Dead));
+        let joiner = cluster.add_configured(20);
+        let joined = cluster.wait_until(60 * SECOND, || joiner.served() == Some(2)).await;
+        (head, joined, nodes.iter().map(|node| node.version()).collect::<Vec<_>>())
+    });
+
+    assert_eq!(head, Some(2));
+    assert!(joined.is_some(), "a later node gets the version, and all its parts");
+    assert_eq!(versions, vec![2; 9]);
+}
+
+/// Guards against a confirmed change that never comes into force. It was published on a restored
+/// store, with the version of a change that the copy lacks and that the nodes have in force.
+#[test]
+fn change_published_on_a_restored_store_comes_into_force() {
+    let (published, head, converged) = run(12, async |cluster| {
+        let nodes = start_converged(&cluster, 9).await;
+        let copy = cluster.platform.copy();
+        cluster.platform.publish(2, 200);
+        cluster.wait_until(10 * SECOND, || cluster.all_have(2)).await;
+        cluster.sleep(10 * SECOND).await;
+        cluster.platform.restore(copy);
+        cluster.platform.publish(2, 199);
+        let published = cluster.platform.head().unwrap().manifest;
+        let converged = cluster.wait_until(IN_FORCE_LIMIT, || cluster.all_have(3)).await;
+        assert_eq!(nodes[4].served(), Some(3));
+        (published, cluster.platform.head().unwrap(), converged)
+    });
+
+    assert!(converged.is_some());
+    assert_eq!((head.version.0, head.manifest), (3, published));
+}
+
 /// Each version leaves parts behind that no later version contains. If a node retained them
 /// all, its memory would grow with 1,100 changes a day, so it retains those of two versions.
 #[test]
