config: a collection of values that spans a restore deletes nothing

Cause: values are listed first, and the head that says which are used is read after a grace. If the store is restored in between, that head is an earlier one, and the values of its successors, which are in force and whose head is written again, would be deleted.

Change: the collection fails if the list is from before a restore.

--- a/crates/kumquatnotch-config/src/document_store.rs
+++ b/crates/kumquatnotch-config/src/document_store.rs
@@ -149,6 +149,11 @@
         let stored = self.store.scan(stored::VALUE_PREFIX).await?;
         sleep(&*self.clock, grace).await;
         let used = self.used_keys().await?;
+        // The head may have been restored from an older copy than the listed values, and its
+        // successors, which are in force, are written again.
+        if stored.revision < self.store.restored_at() {
+            return Err(Error::CompareFailed);
+        }
         let mut count = 0;
         for item in stored.items.iter().filter(|item| !used.contains_key(&item.key)) {
             self.store.write(&StoreWrite::delete(&item.key)).await?;
