--- a/crates/kumquatnotch-config/tests/document_store.rs
+++ b/crates/kumquatnotch-config/tests/document_store.rs
@@ -29,6 +29,9 @@
     revision: Cell<u64>,
     lost_replies: Cell<usize>,
     lost_writes: Cell<usize>,
+    restored_at: Cell<u64>,
+    /// Restores the store after the next scan.
+    restores: Cell<bool>,
 }
 
 impl FakeStore {
@@ -57,7 +60,12 @@
         Box::pin(async move {
             let items = self.items.borrow();
             let items = items.values().filter(|item| item.key.starts_with(prefix)).cloned();
-            Ok(StoreScan { items: items.collect(), revision: self.revision.get() })
+            let revision = self.revision.get();
+            if self.restores.take() {
+                self.restored_at.set(revision + 1);
+                self.revision.set(revision + 1);
+            }
+            Ok(StoreScan { items: items.collect(), revision })
         })
     }
 
@@ -86,6 +94,10 @@
         })
     }
 
+    fn restored_at(&self) -> u64 {
+        self.restored_at.get()
+    }
+
     fn grant(&self, _: Duration) -> LocalFuture<'_, Result<StoreLease>> {
         Box::pin(async { Err(Error::internal("unexpected grant of a lease")) })
     }
@@ -300,3 +312,19 @@
     let oldest = base.head.as_ref().unwrap().history.last().unwrap().version;
     fixture.run(fixture.store.roll_back(&base, oldest, BY)).unwrap();
 }
+
+/// Guards against the deletion of values of the version in force. The store is restored after they
+/// were listed, and its head is an earlier one until the nodes write the lost one again.
+#[test]
+fn collection_during_a_restore_deletes_nothing() {
+    let fixture = Fixture::new();
+    fixture.publish(&fixture.current(), &document(5)).unwrap();
+    let before = fixture.platform.items.borrow().len();
+    fixture.platform.items.borrow_mut().remove(HEAD_KEY);
+    fixture.platform.restores.set(true);
+
+    let result = fixture.run(fixture.store.collect(Duration::from_secs(60)));
+
+    assert_eq!(result, Err(Error::CompareFailed));
+    assert_eq!(fixture.platform.items.borrow().len(), before - 1);
+}
