route tests: a watch of the fake store takes the time that was asked for

Finding: an_outage_ends_with_the_first_answered_call failed in 4 to 12 of 12 to 16 runs on a busy machine, since the replica that left was used on.

Cause, traced: the fake store counted its wait in steps of 10 ms, however long each took. A watch of 2.5 s took 2.78 s on a quiet machine and 2.78 to 2.81 s at a load average of 12; from 2.80 s on an answer is late, which rightly counts as a failure of the store and starts another grace period. In the run that failed the last watch took 2.808 s. The node did what it should; the store of the test was late.

Change: the fake store ends its wait by the clock.

--- a/crates/kumquatnotch-route/tests/common/store.rs
+++ b/crates/kumquatnotch-route/tests/common/store.rs
@@ -5,7 +5,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use kumquatnotch_core::{
@@ -133,7 +133,7 @@
     ) -> LocalFuture<'a, Result<StoreChanges>> {
         Box::pin(async move {
             const STEP: Duration = Duration::from_millis(10);
-            let mut waited = Duration::ZERO;
+            let start = Instant::now();
             loop {
                 self.apply_faults().await?;
                 if after < self.compacted.get() {
@@ -150,11 +150,10 @@
                     })
                     .cloned()
                     .collect();
-                if !events.is_empty() || waited >= wait {
+                if !events.is_empty() || start.elapsed() >= wait {
                     return Ok(StoreChanges { events, revision: self.revision.get() });
                 }
                 monoio::time::sleep(STEP).await;
-                waited += STEP;
             }
         })
     }
