route tests: a late reply among others that arrive in time

Finding: a_late_request_is_not_hedged_to_a_replica_without_a_free_slot failed on a busy machine: the full replica got 1 to 20 requests.

Cause, traced: the usual time was 5 ms, so that a replica without a reply for 20.5 ms counts as silent. On a busy machine the requests that it was to answer meanwhile came later than that, and these, or the late one, went to the full replica, as they should when the other is silent. The case of the test was not reached.

Change: all times are five times as long, and the other requests come as often as before, so that a reply is due every 15 ms and silence begins at 70 ms. The objective, the queue and the late reply keep their proportions; what is asserted is the same.

Ruled out: a forgotten load report (540 of 600 requests were still counted).

--- a/crates/kumquatnotch-route/tests/hedging.rs
+++ b/crates/kumquatnotch-route/tests/hedging.rs
@@ -35,29 +35,36 @@
 }
 
 /// A reply is late at a replica that answers other requests, and all slots of the only
-/// other replica are taken, with three seconds of work queued. A hedged request would only
+/// other replica are taken, with 15 seconds of work queued. A hedged request would only
 /// delay the requests in that queue, so none is sent.
+///
+/// The usual 25 ms are far above the delays of a busy machine. If the replica answered others later
+/// than usual, it would count as silent, and requests would rightly go to the other one.
 #[test]
 fn a_late_request_is_not_hedged_to_a_replica_without_a_free_slot() {
     run(async {
-        let route = Route { objective: Duration::from_secs(1), ..single() };
+        let route = Route {
+            objective: Duration::from_secs(5),
+            timeout: Duration::from_secs(10),
+            ..single()
+        };
         let tier = Tier::serving(route.clone());
         (0..200).for_each(|_| {
-            tier.router.service_times.note(&route.name, route.objective, Duration::from_millis(5))
+            tier.router.service_times.note(&route.name, route.objective, Duration::from_millis(25))
         });
         let slow = scripted_replica(move |request| {
-            let wait = if request.headers["x-request-id"] == "r1" { 200 } else { 1 };
+            let wait = if request.headers["x-request-id"] == "r1" { 1_000 } else { 5 };
             vec![Step::Wait(Duration::from_millis(wait)), proven_reply(request, "p", b"late")]
         });
         let full = replica("q", b"whole");
         tier.add("s0", slow.address);
         let id = tier.add("s0", full.address);
         let other = tier.router.directory.find(&id).unwrap();
-        (0..60).for_each(|_| other.observed.note_service_time(Duration::from_millis(10)));
+        (0..60).for_each(|_| other.observed.note_service_time(Duration::from_millis(50)));
         other.observed.note_load(600, RuntimeClock.now());
 
         let others = async {
-            for index in 0..20 {
+            for index in 0..60 {
                 monoio::time::sleep(Duration::from_millis(10)).await;
                 tier.get("/a/", &format!("o{index}")).await;
             }
