holder: a target is used once its first probe has been answered

To every node it was a new target without a state, used at once. One node called it 21 ms after it had put that version in force, before its first probe, and was refused as draining, which counts as work that the target received.

Change: while a shard has a target that has answered a probe, one that never has gets no calls.

Ruled out: the mark of a draining target, which expires after 10 s and was not set, as nobody knew of the target; narrowing the check to drains of configured targets, as one probe avoids the call.

Measured: added_target_that_drains_gets_no_work fails before (1 call) and passes.

--- a/crates/kumquatnotch-holder/src/selection.rs
+++ b/crates/kumquatnotch-holder/src/selection.rs
@@ -166,6 +166,12 @@
     if request.untried_only || usable.iter().any(untried) {
         usable.retain(untried);
     }
+    // The state of a target that a document has just added is unknown until its first probe: it
+    // may have begun to drain before.
+    let probed = |name: &TargetName| entries[name].last_status.is_some();
+    if usable.iter().any(probed) {
+        usable.retain(probed);
+    }
     // Unresponsive replicas are used only if there are no others, until they answer again.
     let responsive = |name: &TargetName| !entries[name].is_unresponsive();
     if usable.iter().any(responsive) {
--- a/crates/kumquatnotch-holder/tests/holder.rs
+++ b/crates/kumquatnotch-holder/tests/holder.rs
@@ -185,6 +185,27 @@
     assert_eq!(fixture.script("a").calls.borrow().len(), before);
 }
 
+/// Guards against new work for a target seconds after it has begun to drain. A document adds it
+/// only then, so that no holder has learned of the drain before.
+#[test]
+fn added_target_that_drains_gets_no_work() {
+    let fixture = Fixture::new(&PAIR);
+    *fixture.documents.0.borrow_mut() = std::rc::Rc::new(document(&PAIR[1..]));
+
+    fixture.run(async {
+        fixture.warm_up(10).await;
+        fixture.set_behaviour("a", Behaviour::Fail(Error::Draining));
+        fixture.script("a").phase.set(Phase::Draining);
+        *fixture.documents.0.borrow_mut() = std::rc::Rc::new(document(&PAIR));
+        fixture.warm_up(20).await;
+        fixture.pause(2_000).await;
+        fixture.warm_up(20).await;
+    });
+
+    assert_eq!(fixture.script("a").calls.borrow().len(), 0);
+    assert!(fixture.script("b").calls.borrow().len() >= 50);
+}
+
 #[test]
 fn lost_replica_does_not_reduce_coverage() {
     let fixture = Fixture::new(&PAIR);
