--- a/crates/kumquatnotch-route/tests/restored.rs
+++ b/crates/kumquatnotch-route/tests/restored.rs
@@ -13,6 +13,7 @@
 use kumquatnotch_core::{Store, ids::NodeName, store::StoreScan};
 use kumquatnotch_route::{
     announce::{Announcer, NodeKeys},
+    journal::StoreUpdate,
     mirror::{Mirror, MirrorOptions},
     names::ReplicaId,
     replica,
@@ -164,7 +165,7 @@
         let journal = &node.tier.router.journal;
         let update = journal.updates_after(0, Duration::ZERO).await;
 
-        let kumquatnotch_route::journal::StoreUpdate::Full(StoreScan { items, .. }) = update else {
+        let StoreUpdate::Full(StoreScan { items, .. }) = update else {
             panic!("expected the full state");
         };
         let config = items.iter().find(|item| item.key == "c").map(|item| item.value.clone());
@@ -172,6 +173,24 @@
     });
 }
 
+/// Guards against a follower of an earlier release that keeps its revision and skips changes. It
+/// knows no eras, so that its revision is below all those of after a restore.
+#[test]
+fn follower_that_knows_no_eras_gets_the_full_state() {
+    run(async {
+        let node = node().await;
+        let journal = &node.tier.router.journal;
+        let known = journal.revision() + 3;
+        let copy = node.store.items.borrow().clone();
+
+        node.store.restore(&copy);
+        pause(400).await;
+        let update = journal.updates_after(known, Duration::ZERO).await;
+
+        assert!(matches!(&update, StoreUpdate::Full(scan) if scan.revision > known), "{update:?}");
+    });
+}
+
 /// Guards against a node that is never told of a change again, because it follows one that knows
 /// less and whose answers count as confirmation.
 #[test]
