mirror: copy a full state only if its configuration is replaced

The full state was copied at each load, 400 kB for a thousand entries on nodes of 160 MB, although the configuration is replaced only after a restore. Same behaviour; restored.rs, store.rs, initial_sync.rs and follow.rs pass.

--- a/crates/kumquatnotch-route/src/entries.rs
+++ b/crates/kumquatnotch-route/src/entries.rs
@@ -132,8 +132,9 @@
         self.summary.end();
     }
 
-    /// Returns a full state of the store with the newest configuration that this node knows.
-    pub(crate) fn with_newest_config(&self, scan: &StoreScan) -> StoreScan {
+    /// Returns a full state of the store with the newest configuration that this node knows, unless
+    /// the store has that one or a newer one.
+    pub(crate) fn with_newest_config(&self, scan: &StoreScan) -> Option<StoreScan> {
         newest_config::insert(scan, &self.router.journal, &*self.schema)
     }
 
--- a/crates/kumquatnotch-route/src/newest_config.rs
+++ b/crates/kumquatnotch-route/src/newest_config.rs
@@ -11,26 +11,28 @@
     schema::{Entry, EntryKey, Schema},
 };
 
-/// Returns a full state of the store in which a configuration that is older than the one in the
-/// journal is replaced by that one.
-pub(crate) fn insert(scan: &StoreScan, journal: &Journal, schema: &dyn Schema) -> StoreScan {
+/// Returns a full state of the store with the configuration in the journal in place of its own, if
+/// that one is older; otherwise `None`.
+pub(crate) fn insert(
+    scan: &StoreScan,
+    journal: &Journal,
+    schema: &dyn Schema,
+) -> Option<StoreScan> {
     let is_config = |key: &str| schema.read_key(key) == Some(EntryKey::Config);
-    let mut scan = scan.clone();
-    let Some(known) = journal.find(is_config) else {
-        return scan;
-    };
+    let known = journal.find(is_config)?;
     let held = scan.items.iter().position(|item| is_config(&item.key));
     let held_version = held.and_then(|index| version(&scan.items[index], schema));
     let known_version = version(&known, schema);
     if known_version <= held_version {
-        return scan;
+        return None;
     }
     tracing::info!(known_version, held_version, "mirror: the store has an earlier configuration");
+    let mut scan = scan.clone();
     match held {
         Some(index) => scan.items[index] = known,
         None => scan.items.push(known),
     }
-    scan
+    Some(scan)
 }
 
 fn version(item: &StoreItem, schema: &dyn Schema) -> Option<u64> {
