--- a/crates/kumquatnotch-route/src/entries.rs
+++ b/crates/kumquatnotch-route/src/entries.rs
@@ -27,7 +27,7 @@
     departed::Departed,
     directory::PutOutcome,
     names::ReplicaId,
-    newest_config,
+    newest_entries,
     replica::{Replica, ReplicaSpec},
     route::RouteTable,
     router::Router,
@@ -43,15 +43,6 @@
 /// How often retained entries are checked for removal.
 const SWEEP_PERIOD: Duration = Duration::from_millis(200);
 
-/// Where an item comes from.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Origin {
-    /// A state of the store, which may be older than what this node knows.
-    State,
-    /// A change after what this node knows.
-    Change,
-}
-
 /// The entries that the store is known to hold.
 pub struct Entries {
     router: Rc<Router>,
@@ -127,24 +118,22 @@
     /// Applies items that are only a part of what the store holds.
     pub fn apply_items(&self, items: &[StoreItem]) {
         self.summary.begin(items.len());
-        items.iter().for_each(|item| drop(self.apply_item(item, Origin::State)));
+        items.iter().for_each(|item| drop(self.apply_item(item)));
         self.classify_vanished();
         self.summary.end();
     }
 
-    /// Returns a full state of the store with the newest configuration that this node knows, unless
-    /// the store has that one or a newer one.
-    pub(crate) fn with_newest_config(&self, scan: &StoreScan) -> Option<StoreScan> {
-        newest_config::insert(scan, &self.router.journal, &*self.schema)
+    /// Returns a full state of the store with the entries that this node knows in a later form, if
+    /// there are any.
+    pub(crate) fn with_newest(&self, scan: &StoreScan) -> Option<StoreScan> {
+        newest_entries::insert(scan, &self.router.journal, &*self.schema)
     }
 
     /// Applies everything that the store holds; known entries that are missing count as removed.
-    ///
-    /// After a restore of the store, entries of replicas may be older than the known ones.
     pub fn replace_all(&self, items: &[StoreItem]) {
         self.summary.begin(items.len());
-        let applied = items.iter().filter_map(|item| self.apply_item(item, Origin::State));
-        let seen: HashSet<EntryKey> = applied.collect();
+        let seen: HashSet<EntryKey> =
+            items.iter().filter_map(|item| self.apply_item(item)).collect();
         let lost: Vec<EntryKey> = self.known.borrow().difference(&seen).cloned().collect();
         lost.into_iter().for_each(|key| self.note_removed(key));
         self.classify_vanished();
@@ -162,7 +151,7 @@
     fn apply_event(&self, event: &StoreEvent) {
         match event {
             StoreEvent::Written(item) => {
-                self.apply_item(item, Origin::Change);
+                self.apply_item(item);
             }
             StoreEvent::Deleted { key, .. } => {
                 if let Some(key) = self.schema.read_key(key) {
@@ -222,7 +211,7 @@
     }
 
     /// Applies an item. Returns its key if it is relevant to this tier and readable.
-    fn apply_item(&self, item: &StoreItem, origin: Origin) -> Option<EntryKey> {
+    fn apply_item(&self, item: &StoreItem) -> Option<EntryKey> {
         let key = self.schema.read_key(&item.key)?;
         let entry = match self.schema.read(item) {
             Ok(entry) => entry?,
@@ -242,7 +231,7 @@
         {
             replica.set_presumed_gone(false);
         }
-        self.apply_entry(entry, item.revision, origin);
+        self.apply_entry(entry, item.revision);
         Some(key)
     }
 
@@ -258,7 +247,7 @@
         self.vanished.borrow_mut().remove(key);
     }
 
-    fn apply_entry(&self, entry: Entry, revision: u64, origin: Origin) {
+    fn apply_entry(&self, entry: Entry, revision: u64) {
         let router = &self.router;
         match entry {
             Entry::Config(config) => {
@@ -266,7 +255,7 @@
                 let in_force = router.install_table(RouteTable::new(config));
                 tracing::info!(version, revision, in_force, "mirror: a configuration came");
             }
-            Entry::Replica(id, spec) => self.apply_replica(&id, spec, revision, origin),
+            Entry::Replica(id, spec) => self.apply_replica(&id, spec, revision),
             Entry::Node(name, record) => {
                 if !self.summary.coalesce(Change::Node) {
                     let node = name.as_str();
@@ -287,17 +276,8 @@
         }
     }
 
-    fn apply_replica(&self, id: &ReplicaId, spec: ReplicaSpec, revision: u64, origin: Origin) {
+    fn apply_replica(&self, id: &ReplicaId, spec: ReplicaSpec, revision: u64) {
         let (directory, now) = (&self.router.directory, self.router.clock.now());
-        if origin == Origin::State && self.is_superseded(id, &spec) {
-            tracing::info!(
-                replica = id.as_str(),
-                sequence = spec.sequence,
-                draining = spec.draining,
-                "mirror: the store has an earlier entry of a replica"
-            );
-            return;
-        }
         let change = if spec.draining { Change::Draining } else { Change::Replica };
         if !self.summary.coalesce(change) {
             tracing::info!(
@@ -322,27 +302,14 @@
         let Some(replica) = directory.find(id) else {
             return;
         };
-        match origin {
-            Origin::State if has_left => {
-                tracing::info!(replica = id.as_str(), "mirror: a replica that has left is back");
-                replica.set_presumed_gone(true);
-            }
-            Origin::Change if self.departed.forget(id) => replica.set_presumed_gone(false),
-            Origin::State | Origin::Change => {}
+        if has_left {
+            tracing::info!(replica = id.as_str(), "mirror: a replica that has left is back");
+            replica.set_presumed_gone(true);
+        } else if self.departed.forget(id) {
+            replica.set_presumed_gone(false);
         }
     }
 
-    /// Whether the same incarnation of a replica is known by a later entry.
-    ///
-    /// It has written that one to the store, which was then restored from an older copy. Until it
-    /// writes again, the older entry would undo that it drains, for example.
-    fn is_superseded(&self, id: &ReplicaId, spec: &ReplicaSpec) -> bool {
-        self.router.directory.find(id).is_some_and(|replica| {
-            let known = replica.spec();
-            known.born == spec.born && known.sequence > spec.sequence && spec.sequence > 0
-        })
-    }
-
     /// Retains nodes whose entries vanish, while the store rejects this node.
     ///
     /// The store rejects other nodes as well, which lose their entries like this one but continue
--- a/crates/kumquatnotch-route/src/journal.rs
+++ b/crates/kumquatnotch-route/src/journal.rs
@@ -36,8 +36,10 @@
     events: RefCell<VecDeque<StoreEvent>>,
     /// Revision up to which all changes are known; zero before the first scan.
     revision: Cell<u64>,
-    /// Revision after which all changes are kept.
+    /// Revision after which all changes are kept, but those in gaps.
     compacted: Cell<u64>,
+    /// Revisions between which only the differences are kept, from the first to the second.
+    gaps: RefCell<Vec<(u64, u64)>>,
     /// When the store last confirmed that this state is complete.
     confirmed: Cell<Instant>,
     /// Whether this node gets updates neither from the store nor from another node.
@@ -82,6 +84,7 @@
             events: RefCell::default(),
             revision: Cell::new(0),
             compacted: Cell::new(0),
+            gaps: RefCell::default(),
             confirmed,
             source_lost: Cell::new(false),
             last_follower_request: Cell::new(None),
@@ -154,6 +157,11 @@
         update.revision() < self.revision.get()
     }
 
+    /// Returns the known item under a key.
+    pub fn item(&self, key: &str) -> Option<StoreItem> {
+        self.items.borrow().get(key).cloned()
+    }
+
     /// Returns the first known item whose key is wanted.
     pub fn find(&self, is_wanted: impl Fn(&str) -> bool) -> Option<StoreItem> {
         let items = self.items.borrow();
@@ -161,11 +169,24 @@
     }
 
     /// Replaces all state by a scan of the store, confirmed at `confirmed`.
+    ///
+    /// Followers that know the replaced state get the differences. With the full state for each of
+    /// them, a restore of the store would take seconds of the link of a node with many followers.
     pub fn reset(&self, scan: &StoreScan, confirmed: Instant) {
         let items = scan.items.iter().map(|item| (item.key.clone(), item.clone()));
-        *self.items.borrow_mut() = items.collect();
-        self.events.borrow_mut().clear();
-        self.compacted.set(scan.revision);
+        let items: BTreeMap<String, StoreItem> = items.collect();
+        let known = self.items.replace(items);
+        let revision = self.revision.get();
+        if (1..scan.revision).contains(&revision) {
+            let differences = self.differences(&known, scan.revision);
+            self.events.borrow_mut().extend(differences);
+            self.gaps.borrow_mut().push((revision, scan.revision));
+            self.drop_oldest_events();
+        } else {
+            self.events.borrow_mut().clear();
+            self.gaps.borrow_mut().clear();
+            self.compacted.set(scan.revision);
+        }
         // The revision is set even if it was higher: a follower that got the higher revision
         // without the changes up to it would never receive them.
         self.revision.set(scan.revision);
@@ -173,6 +194,18 @@
         self.wake_waiters();
     }
 
+    /// Returns the changes that lead from an earlier state to this one, at `revision`.
+    fn differences(&self, earlier: &BTreeMap<String, StoreItem>, revision: u64) -> Vec<StoreEvent> {
+        let items = self.items.borrow();
+        let value_of = |key: &str| earlier.get(key).map(|item| &item.value);
+        let written = items.values().filter(|item| value_of(&item.key) != Some(&item.value));
+        let written =
+            written.map(|item| StoreEvent::Written(StoreItem { revision, ..item.clone() }));
+        let deleted = earlier.keys().filter(|key| !items.contains_key(*key));
+        let deleted = deleted.map(|key| StoreEvent::Deleted { key: key.clone(), revision });
+        written.chain(deleted).collect()
+    }
+
     /// Adds changes, possibly none, confirmed at `confirmed`.
     pub fn extend(&self, changes: &StoreChanges, confirmed: Instant) {
         {
@@ -185,14 +218,20 @@
                 };
                 events.push_back(event.clone());
             }
-            while events.len() > MAX_EVENTS {
-                let first = events.pop_front();
-                self.compacted.set(first.map_or(self.compacted.get(), |event| event.revision()));
-            }
         }
+        self.drop_oldest_events();
         self.advance(changes.revision, confirmed);
     }
 
+    fn drop_oldest_events(&self) {
+        let mut events = self.events.borrow_mut();
+        while events.len() > MAX_EVENTS {
+            let first = events.pop_front();
+            self.compacted.set(first.map_or(self.compacted.get(), |event| event.revision()));
+        }
+        self.gaps.borrow_mut().retain(|(_, end)| *end > self.compacted.get());
+    }
+
     fn advance(&self, revision: u64, confirmed: Instant) {
         let grew = revision > self.revision.get();
         self.revision.set(revision.max(self.revision.get()));
@@ -228,7 +267,8 @@
                 break;
             }
         }
-        if revision < self.compacted.get() {
+        let is_in_gap = |(start, end): &(u64, u64)| (start + 1..*end).contains(&revision);
+        if revision < self.compacted.get() || self.gaps.borrow().iter().any(is_in_gap) {
             let items = self.items.borrow().values().cloned().collect();
             return StoreUpdate::Full(StoreScan { items, revision: self.revision.get() });
         }
--- a/crates/kumquatnotch-route/src/lib.rs
+++ b/crates/kumquatnotch-route/src/lib.rs
@@ -41,7 +41,7 @@
 pub mod merge;
 pub mod mirror;
 pub mod names;
-mod newest_config;
+mod newest_entries;
 mod outage;
 mod own_share;
 pub mod parts;
--- a/crates/kumquatnotch-route/src/mirror.rs
+++ b/crates/kumquatnotch-route/src/mirror.rs
@@ -318,8 +318,8 @@
         // Without the history, a removed entry can't be distinguished from an expired one.
         self.note_store_failure();
         self.note_store_answer();
-        let with_config = self.entries.with_newest_config(scan);
-        let scan = with_config.as_ref().unwrap_or(scan);
+        let with_newest = self.entries.with_newest(scan);
+        let scan = with_newest.as_ref().unwrap_or(scan);
         self.entries.replace_all(&scan.items);
         self.router.journal.reset(scan, confirmed);
         self.revision.set(Some(scan.revision));
--- a/crates/kumquatnotch-route/tests/restored.rs
+++ b/crates/kumquatnotch-route/tests/restored.rs
@@ -191,6 +191,32 @@
     });
 }
 
+/// Guards against seconds of a link that is taken by full states for dozens of followers. They know
+/// the state before the restore, and few entries differ.
+#[test]
+fn followers_get_the_differences_of_a_restore() {
+    run(async {
+        let node = node().await;
+        let copy = node.store.items.borrow().clone();
+        let journal = &node.tier.router.journal;
+        let earlier = journal.revision();
+        node.store.put("r/s0.c", b"127.0.0.1:3#1");
+        node.store.put("r/s0.a", b"127.0.0.1:1!#5");
+        pause(100).await;
+
+        node.store.restore(&copy);
+        pause(400).await;
+        node.store.put("c", b"9");
+        pause(100).await;
+        let update = journal.updates_after(earlier, Duration::ZERO).await;
+
+        let StoreUpdate::Changes(changes) = update else { panic!("{update:?}") };
+        let keys: Vec<&str> = changes.events.iter().map(|event| event.key()).collect();
+        assert_eq!(keys, ["r/s0.c", "r/s0.a", "r/s0.c", "c"], "written, and gone with the restore");
+        assert_eq!(changes.revision, journal.revision());
+    });
+}
+
 /// Guards against a node that is never told of a change again, because it follows one that knows
 /// less and whose answers count as confirmation.
 #[test]
