route: log lines and metrics that tell how a crashing request came to its replicas

The record of the incident could not tell whether a request was let in for its count, by a node that had no report, or at the end of a refusal: no line said that a suspect was sent to replicas, the line of a crash named neither request nor service, and no metric counted either.

--- a/crates/kumquatnotch-route/src/crash_check.rs
+++ b/crates/kumquatnotch-route/src/crash_check.rs
@@ -31,6 +31,7 @@
     let attempt = stable_hash(&[call.identity.as_bytes()]);
     let crash = Crash { fingerprint: fingerprint(call.request), attempt };
     let (router, replica) = (router.clone(), replica.clone());
+    let (identity, service) = (call.identity.clone(), call.service.clone());
     monoio::spawn(async move {
         let clock = &*router.clock;
         let broken_at = clock.now();
@@ -42,8 +43,11 @@
             replica.pool.put(link, clock.now(), CHECK_KEEP_ALIVE);
             return;
         }
+        metrics::counter!("kumquatnotch_crashes_seen_total").increment(1);
         tracing::info!(
+            request = identity.to_str().unwrap_or_default(),
             replica = replica.id.as_str(),
+            service = service.as_str(),
             print = %crash.fingerprint,
             "crashes: replica crashed while running a request"
         );
--- a/crates/kumquatnotch-route/src/front.rs
+++ b/crates/kumquatnotch-route/src/front.rs
@@ -120,10 +120,12 @@
         let log = RequestLog::new(&self.router, &context);
         let request = strip_hop_headers(request);
         if let Some(retry_after) = self.refused_for(&request, arrival) {
+            metrics::counter!("kumquatnotch_crash_refusals_total").increment(1);
             let refusal = Refusal::not_run("the request has crashed replicas", retry_after);
             log.write(refusal.status, refusal.reason);
             return refusal.reply();
         }
+        self.log_suspect(&context, &request);
         let outcome = match &context.route.destination {
             Destination::Service(service) => self.call(&context, service, &request, &log).await,
             Destination::Weighted(services) => {
@@ -256,6 +258,24 @@
         crashes.refused_for(crash_check::fingerprint(request), now)
     }
 
+    /// Logs that a request which was present at crashes is sent to replicas.
+    fn log_suspect(&self, context: &RequestContext, request: &Request) {
+        let crashes = &self.router.crashes;
+        if crashes.is_empty() {
+            return;
+        }
+        let fingerprint = crash_check::fingerprint(request);
+        let strikes = crashes.strikes_of(fingerprint);
+        if strikes > 0 {
+            tracing::info!(
+                request = context.identity.to_str().unwrap_or_default(),
+                print = %fingerprint,
+                strikes,
+                "crashes: a suspect request is sent to replicas"
+            );
+        }
+    }
+
     /// Clears the suspicion that a request crashes replicas after a complete answer.
     fn clear_suspicion(&self, request: &Request) {
         let crashes = &self.router.crashes;
