--- a/crates/kumquatnotch-policy/src/crashes.rs
+++ b/crates/kumquatnotch-policy/src/crashes.rs
@@ -1,14 +1,15 @@
 //! Requests that crash the replicas that run them.
 //!
-//! The caller of such a request retries it at any node, and each time a replica is lost to everyone
-//! else for seconds. Each node therefore records which requests were in flight to a replica when it
-//! crashed, and publishes them to other nodes through the store. A request that was present at
-//! several crashes, some seconds apart, is refused by all nodes for a while.
+//! The caller of such a request retries it at any node, and each time replicas are lost to
+//! everyone else for seconds; a search takes one replica of every shard with it. What the nodes
+//! know of such a request is therefore counted by replica, shared by all of them, and kept for a
+//! day. From a small number of crashes on, the request runs only in trials: one replica runs it,
+//! and nothing else of it is sent until that one has replied. All nodes together start few
+//! trials, each of which is claimed in the store; after that the request is refused.
 //!
-//! A replica that crashes for another reason also makes suspects of unrelated requests. Such a
-//! request is cleared by a complete answer when it is retried, at the latest when the first attempt
-//! is admitted after the refusal. A partial answer clears nothing, as the other shards of a search
-//! keep answering.
+//! A replica that crashes for another reason takes unrelated requests with it, a rack takes many
+//! replicas at once. A request that does no harm is told apart by replies: one of a service whose
+//! replica it seemed to have crashed acquits it, and so does a complete answer shortly before.
 
 use std::{
     cell::RefCell,
@@ -21,165 +22,305 @@
 };
 use serde::{Deserialize, Serialize};
 
-/// Number of crashes with a request in flight after which it is refused.
+/// Number of crashed replicas from which on a request runs only in trials.
 ///
-/// Two may be a coincidence: a caller that retries after a crash can be present at another one.
-const MIN_STRIKES: u32 = 3;
+/// Fewer may be a coincidence: a caller that retries after a crash can be present at another one.
+pub const MIN_CRASHES: usize = 3;
 
-/// Time within which all crashes with a request count once.
+/// Maximum number of trials of a request, over all nodes.
 ///
-/// A request sent by many callers is in flight to a crashing replica several times, and the loss of
-/// a rack takes many replicas. Other nodes report the same moment up to 2 s later: a lease renewal,
-/// the delivery of a watch and the time of a connection.
-const STRIKE_GAP: Duration = Duration::from_millis(2_500);
+/// Operators tolerate three further attempts that reach replicas. One is left for a node that has
+/// not heard of the crashes yet.
+pub const MAX_TRIALS: u32 = 2;
 
-/// How long a request stays suspect after the last crash.
-const SUSPICION_TIME: Duration = Duration::from_secs(120);
-
-/// Initial refusal time of such a request; it doubles with each further crash.
+/// Time between two trials of a request.
 ///
-/// One attempt is admitted after it. A request that was present by coincidence is then no longer
-/// refused, and one that does crash replicas causes only a few more crashes.
-const INITIAL_REFUSAL: Duration = Duration::from_secs(15);
+/// Long enough for replicas that were lost for another reason to be back.
+pub const TRIAL_INTERVAL: Duration = Duration::from_secs(60);
+
+/// Time for which the outcome of a trial is awaited.
+const TRIAL_TIME: Duration = Duration::from_secs(1);
 
-/// Maximum refusal time.
-const MAX_REFUSAL: Duration = Duration::from_secs(600);
+/// `Retry-After` while the outcome of a trial is awaited.
+const TRIAL_RETRY_AFTER: Duration = Duration::from_millis(200);
 
-/// Maximum number of suspect requests; the oldest is dropped first.
-const MAX_SUSPECTS: usize = 1_024;
+/// How long a record of crashes is kept.
+pub const RECORD_TIME: Duration = Duration::from_secs(24 * 3_600);
 
-/// Maximum number of crashes remembered as counted, about half a megabyte.
+/// How long a complete answer speaks for a request.
 ///
-/// A crash that is reported again after it was forgotten counts once more, as a single crash.
-const MAX_COUNTED: usize = 32_768;
+/// A request that is asked often was answered within this time before a crash that it did not
+/// cause. One that begins to crash replicas after an update of these is told apart later.
+const ANSWER_MEMORY: Duration = Duration::from_secs(10);
+
+/// Maximum number of requests whose complete answers are remembered.
+const MAX_ANSWERED: usize = 4_096;
 
-/// Maximum number of crashes that a node publishes, the latest ones.
-const MAX_PUBLISHED: usize = 64;
+/// Maximum number of suspect requests; of those with the fewest crashes the oldest is dropped.
+const MAX_SUSPECTS: usize = 4_096;
 
-/// A crash of a replica with a request in flight.
+/// Maximum length of the target in a record, in bytes.
+const MAX_TARGET: usize = 200;
+
+/// A crash of a replica while it ran a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Crash {
-    /// Fingerprint of the request's content.
-    #[serde(rename = "print")]
-    pub fingerprint: Fingerprint,
-    /// Hash of the identity of the caller's attempt.
-    pub attempt: u64,
+    /// Hash of the replica's id, which is new with each start.
+    pub replica: u64,
+    /// Hash of the name of its service.
+    pub service: u64,
+}
+
+/// What the nodes share of a request that was running on replicas when these crashed.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashRecord {
+    /// The first crashes, up to the number from which on trials are needed.
+    pub crashes: Vec<Crash>,
+    /// Number of trials that were started and have not shown the request to be harmless.
+    pub trials: u32,
+    /// The beginning of the request's target, for operators.
+    pub target: String,
+    /// Unix time of the first crash, in seconds.
+    pub created_s: u64,
 }
 
-/// A request that is refused from now on.
+/// How a request may run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Refused {
-    /// Fingerprint of its content.
-    pub fingerprint: Fingerprint,
-    /// Number of crashes at which it was present.
-    pub strikes: u32,
-    /// Refusal time.
-    pub span: Duration,
+pub enum Verdict {
+    /// Without restrictions.
+    Free,
+    /// As a trial, if all nodes together may start one.
+    Trial,
+    /// Not now.
+    Refused {
+        /// When the caller may come again.
+        retry_after: Duration,
+    },
 }
 
-/// Requests that were in flight to replicas when these crashed.
+/// Requests that were running on replicas when these crashed.
 #[derive(Debug, Default)]
 pub struct Crashes {
     suspects: RefCell<HashMap<Fingerprint, Suspect>>,
-    /// Counted crashes. Nodes report each crash many times, also after an answer has cleared the
-    /// request.
-    counted: RefCell<HashSet<Crash>>,
-    /// Crashes seen by this node, the latest last.
-    published: RefCell<Vec<Crash>>,
+    /// Requests whose broken connections are being checked, with the services that replied to
+    /// them meanwhile.
+    checks: RefCell<HashMap<Fingerprint, Check>>,
+    /// When requests were last answered completely.
+    answered: RefCell<HashMap<Fingerprint, Instant>>,
 }
 
 #[derive(Debug)]
 struct Suspect {
-    strikes: u32,
-    /// Time of the last strike.
-    last: Instant,
-    /// End of the refusal.
-    until: Option<Instant>,
-    span: Duration,
+    record: CrashRecord,
+    /// When this node first heard of it.
+    since: Instant,
+    /// When this node heard of the latest trial.
+    tried_at: Instant,
 }
 
-impl Crashes {
-    /// Records a crash seen by this node; returns the request if it is refused now.
-    pub fn note(&self, crash: Crash, now: Instant) -> Option<Refused> {
-        let mut published = self.published.borrow_mut();
-        if published.contains(&crash) {
-            return None;
+#[derive(Debug, Default)]
+struct Check {
+    running: u32,
+    replied: HashSet<u64>,
+}
+
+impl CrashRecord {
+    /// Creates the record of a request without crashes.
+    pub fn new(target: &str, created_s: u64) -> CrashRecord {
+        let mut end = target.len().min(MAX_TARGET);
+        while !target.is_char_boundary(end) {
+            end -= 1;
         }
-        if published.len() == MAX_PUBLISHED {
-            published.remove(0);
+        CrashRecord { target: target[..end].to_owned(), created_s, ..CrashRecord::default() }
+    }
+
+    /// Whether the request runs only in trials.
+    pub fn needs_trial(&self) -> bool {
+        self.crashes.len() >= MIN_CRASHES
+    }
+
+    /// Whether the record is too old to count, at this Unix time in seconds.
+    pub fn is_expired(&self, now_s: u64) -> bool {
+        now_s.saturating_sub(self.created_s) >= RECORD_TIME.as_secs()
+    }
+
+    /// Adds what another record knows; returns whether this one has changed.
+    pub fn merge(&mut self, other: &CrashRecord) -> bool {
+        let before = (self.crashes.len(), self.trials);
+        for crash in &other.crashes {
+            self.add(*crash);
         }
-        published.push(crash);
-        self.suspect(crash, now)
+        self.trials = self.trials.max(other.trials);
+        before != (self.crashes.len(), self.trials)
     }
 
-    /// Records the crashes seen by another node; returns the requests that are refused now.
-    pub fn merge(&self, crashes: &[Crash], now: Instant) -> Vec<Refused> {
-        crashes.iter().filter_map(|crash| self.suspect(*crash, now)).collect()
+    fn add(&mut self, crash: Crash) {
+        let is_known = self.crashes.iter().any(|known| known.replica == crash.replica);
+        if !is_known && !self.needs_trial() {
+            self.crashes.push(crash);
+        }
     }
+}
 
-    /// Clears a request that was answered completely.
-    pub fn clear(&self, fingerprint: Fingerprint) {
-        self.suspects.borrow_mut().remove(&fingerprint);
+impl Crashes {
+    /// Notes that a broken connection of a request is being checked.
+    pub fn begin_check(&self, fingerprint: Fingerprint) {
+        self.checks.borrow_mut().entry(fingerprint).or_default().running += 1;
     }
 
-    /// Whether no request is suspect, which is the usual case.
-    pub fn is_empty(&self) -> bool {
-        self.suspects.borrow().is_empty()
+    /// Ends a check; returns whether the service has replied to the request meanwhile.
+    pub fn end_check(&self, fingerprint: Fingerprint, service: u64) -> bool {
+        let mut checks = self.checks.borrow_mut();
+        let Some(check) = checks.get_mut(&fingerprint) else {
+            return false;
+        };
+        check.running = check.running.saturating_sub(1);
+        let has_replied = check.replied.contains(&service);
+        if check.running == 0 {
+            checks.remove(&fingerprint);
+        }
+        has_replied
     }
 
-    /// Remaining refusal time of a request; `None` if it is not refused.
-    pub fn refused_for(&self, fingerprint: Fingerprint, now: Instant) -> Option<Duration> {
-        let until = self.suspects.borrow().get(&fingerprint)?.until?;
-        until.checked_duration_since(now).filter(|left| !left.is_zero())
+    /// Whether no request is suspect or being checked, which is the usual case.
+    pub fn is_idle(&self) -> bool {
+        self.suspects.borrow().is_empty() && self.checks.borrow().is_empty()
     }
 
-    /// Number of crashes at which a request was present.
-    pub fn strikes_of(&self, fingerprint: Fingerprint) -> u32 {
-        self.suspects.borrow().get(&fingerprint).map_or(0, |suspect| suspect.strikes)
+    /// Records a reply of a replica, and whether it acquits the request.
+    pub fn note_reply(&self, fingerprint: Fingerprint, service: u64) -> bool {
+        if let Some(check) = self.checks.borrow_mut().get_mut(&fingerprint) {
+            check.replied.insert(service);
+        }
+        let suspects = self.suspects.borrow();
+        let Some(suspect) = suspects.get(&fingerprint) else {
+            return false;
+        };
+        suspect.record.crashes.iter().any(|crash| crash.service == service)
     }
 
-    /// Crashes that this node publishes to the others.
-    pub fn published(&self) -> Vec<Crash> {
-        self.published.borrow().clone()
+    /// Records a complete answer.
+    pub fn note_answer(&self, fingerprint: Fingerprint, now: Instant) {
+        let mut answered = self.answered.borrow_mut();
+        if answered.len() >= MAX_ANSWERED {
+            answered.retain(|_, at| now.saturating_duration_since(*at) < ANSWER_MEMORY);
+        }
+        if answered.len() < MAX_ANSWERED || answered.contains_key(&fingerprint) {
+            answered.insert(fingerprint, now);
+        }
     }
 
-    fn suspect(&self, crash: Crash, now: Instant) -> Option<Refused> {
-        let mut counted = self.counted.borrow_mut();
-        if counted.len() >= MAX_COUNTED {
-            counted.clear();
+    /// Records a crash; returns whether the other nodes must be told.
+    ///
+    /// `record` is that of the request without crashes.
+    pub fn note_crash(
+        &self,
+        fingerprint: Fingerprint,
+        crash: Crash,
+        record: CrashRecord,
+        now: Instant,
+    ) -> bool {
+        let answered = self.answered.borrow().get(&fingerprint).copied();
+        if answered.is_some_and(|at| now.saturating_duration_since(at) < ANSWER_MEMORY) {
+            return false;
         }
-        if !counted.insert(crash) {
-            return None;
+        self.merge(fingerprint, &CrashRecord { crashes: vec![crash], ..record }, now)
+    }
+
+    /// Applies the record that the store holds, whose number of trials is the valid one.
+    pub fn apply(&self, fingerprint: Fingerprint, record: &CrashRecord, now: Instant) {
+        self.merge(fingerprint, record, now);
+        if let Some(suspect) = self.suspects.borrow_mut().get_mut(&fingerprint) {
+            suspect.record.trials = record.trials;
         }
+    }
+
+    /// Adds what is known elsewhere; returns whether it was new.
+    pub fn merge(&self, fingerprint: Fingerprint, record: &CrashRecord, now: Instant) -> bool {
         let mut suspects = self.suspects.borrow_mut();
-        if suspects.len() >= MAX_SUSPECTS && !suspects.contains_key(&crash.fingerprint) {
-            let oldest = suspects.iter().min_by_key(|(_, suspect)| suspect.last);
-            if let Some(fingerprint) = oldest.map(|(fingerprint, _)| *fingerprint) {
-                suspects.remove(&fingerprint);
+        if suspects.len() >= MAX_SUSPECTS && !suspects.contains_key(&fingerprint) {
+            let rank = |suspect: &Suspect| (suspect.record.crashes.len(), suspect.since);
+            let weakest = suspects.iter().min_by_key(|(_, suspect)| rank(suspect));
+            if let Some(weakest) = weakest.map(|(fingerprint, _)| *fingerprint) {
+                suspects.remove(&weakest);
             }
         }
-        let suspect = suspects.entry(crash.fingerprint).or_insert_with(|| Suspect::new(now));
-        let since = now.saturating_duration_since(suspect.last);
-        if suspect.strikes > 0 && since < STRIKE_GAP {
-            return None;
+        let suspect = suspects.entry(fingerprint).or_insert_with(|| Suspect {
+            record: CrashRecord {
+                crashes: Vec::new(),
+                trials: 0,
+                target: record.target.clone(),
+                created_s: record.created_s,
+            },
+            since: now,
+            tried_at: now,
+        });
+        let trials = suspect.record.trials;
+        let changed = suspect.record.merge(record);
+        if suspect.record.trials != trials {
+            suspect.tried_at = now;
+        }
+        changed
+    }
+
+    /// Forgets a request: it was acquitted, lifted by an operator, or its record has expired.
+    /// Returns whether it was known.
+    pub fn remove(&self, fingerprint: Fingerprint) -> bool {
+        self.suspects.borrow_mut().remove(&fingerprint).is_some()
+    }
+
+    /// Counts a trial that starts now.
+    pub fn note_trial(&self, fingerprint: Fingerprint, now: Instant) {
+        if let Some(suspect) = self.suspects.borrow_mut().get_mut(&fingerprint) {
+            suspect.record.trials += 1;
+            suspect.tried_at = now;
+        }
+    }
+
+    /// Takes back the latest trial, which has reached no replica.
+    pub fn undo_trial(&self, fingerprint: Fingerprint) {
+        if let Some(suspect) = self.suspects.borrow_mut().get_mut(&fingerprint) {
+            suspect.record.trials = suspect.record.trials.saturating_sub(1);
         }
-        if since > SUSPICION_TIME {
-            *suspect = Suspect::new(now);
+    }
+
+    /// Returns how a request may run.
+    pub fn verdict(&self, fingerprint: Fingerprint, now: Instant) -> Verdict {
+        let suspects = self.suspects.borrow();
+        let Some(Suspect { record, since, tried_at }) = suspects.get(&fingerprint) else {
+            return Verdict::Free;
+        };
+        let age = now.saturating_duration_since(*since);
+        if !record.needs_trial() || age >= RECORD_TIME {
+            return Verdict::Free;
         }
-        suspect.strikes += 1;
-        suspect.last = now;
-        if suspect.strikes < MIN_STRIKES {
-            return None;
+        if record.trials == 0 {
+            return Verdict::Trial;
         }
-        let span = suspect.span;
-        suspect.until = Some(now + span);
-        suspect.span = (span * 2).min(MAX_REFUSAL);
-        Some(Refused { fingerprint: crash.fingerprint, strikes: suspect.strikes, span })
+        let elapsed = now.saturating_duration_since(*tried_at);
+        let retry_after = if elapsed < TRIAL_TIME {
+            TRIAL_RETRY_AFTER
+        } else if record.trials >= MAX_TRIALS {
+            RECORD_TIME - age
+        } else if elapsed < TRIAL_INTERVAL {
+            TRIAL_INTERVAL - elapsed
+        } else {
+            return Verdict::Trial;
+        };
+        Verdict::Refused { retry_after }
+    }
+
+    /// Returns the record of a request, if it is suspect.
+    pub fn record(&self, fingerprint: Fingerprint) -> Option<CrashRecord> {
+        self.suspects.borrow().get(&fingerprint).map(|suspect| suspect.record.clone())
     }
-}
 
-impl Suspect {
-    fn new(now: Instant) -> Suspect {
-        Suspect { strikes: 0, last: now, until: None, span: INITIAL_REFUSAL }
+    /// Returns the records of all suspect requests.
+    pub fn records(&self) -> Vec<(Fingerprint, CrashRecord)> {
+        let suspects = self.suspects.borrow();
+        suspects
+            .iter()
+            .map(|(fingerprint, suspect)| (*fingerprint, suspect.record.clone()))
+            .collect()
     }
 }
--- a/crates/kumquatnotch-route/src/announce.rs
+++ b/crates/kumquatnotch-route/src/announce.rs
@@ -3,18 +3,16 @@
 //! A node that leaves deletes its entry; if it is killed or cut off, the entry expires with the
 //! lease. The lease may also expire while the node is alive, because the store was unavailable,
 //! or be lost in a restore of the store, and the store may lose the entry although the lease is
-//! being renewed. In all these cases the node announces itself again, and the crashes that it has
-//! observed.
+//! being renewed. In all these cases the node announces itself again.
 
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use kumquatnotch_core::{
-    Error, Result, Store, clock, codec,
+    Error, Result, Store, clock,
     ids::NodeName,
     lifecycle::Stage,
     store::{StoreLease, StorePut, StoreWrite},
 };
-use kumquatnotch_policy::crashes::Crash;
 
 use crate::{mirror::Mirror, router::Router};
 
@@ -54,32 +52,23 @@
     store: Rc<dyn Store>,
     mirror: Rc<Mirror>,
     name: NodeName,
-    keys: NodeKeys,
+    key: String,
     value: Vec<u8>,
     lease: RefCell<Option<StoreLease>>,
 }
 
-/// Keys of the entries of a node.
-#[derive(Clone, Debug)]
-pub struct NodeKeys {
-    /// Key of its record.
-    pub record: String,
-    /// Key of the crashes that it has observed.
-    pub crashes: String,
-}
-
 impl Announcer {
-    /// Creates an announcer that writes `value` as the record of the node.
+    /// Creates an announcer that writes `value` under `key` as the record of the node.
     pub fn new(
         router: Rc<Router>,
         store: Rc<dyn Store>,
         mirror: Rc<Mirror>,
         name: NodeName,
-        keys: NodeKeys,
+        key: String,
         value: Vec<u8>,
     ) -> Rc<Announcer> {
         let lease = RefCell::default();
-        Rc::new(Announcer { router, store, mirror, name, keys, value, lease })
+        Rc::new(Announcer { router, store, mirror, name, key, value, lease })
     }
 
     /// Starts to announce the node, until it leaves.
@@ -118,18 +107,14 @@
         }
     }
 
-    /// Whether other nodes need the entry: to use this node, or to learn of crashes.
+    /// Whether other nodes need the entry to use this node.
     fn is_needed(&self) -> bool {
-        !self.router.is_standby() || !self.router.crashes.published().is_empty()
+        !self.router.is_standby()
     }
 
     async fn announce(&self) -> Result<StoreLease> {
         let lease = self.store.grant(LEASE_TIME).await?;
-        let put = StorePut {
-            key: self.keys.record.clone(),
-            value: self.value.clone(),
-            lease: Some(lease),
-        };
+        let put = StorePut { key: self.key.clone(), value: self.value.clone(), lease: Some(lease) };
         let write = StoreWrite { puts: vec![put], ..Default::default() };
         let revision = self.store.write(&write).await?;
         *self.lease.borrow_mut() = Some(lease);
@@ -143,7 +128,6 @@
         let removals = self.mirror.entries.removals_of(&self.name);
         let mut missing = 0;
         let mut unneeded = 0;
-        let mut published = Vec::new();
         while self.router.lifecycle.stage() < Stage::Leaving {
             clock::sleep(clock, RENEW_PERIOD).await;
             let renewed = self.store.renew(lease).await;
@@ -161,7 +145,6 @@
                 // replicas that leave soon after that would still be used.
                 Ok(()) => self.mirror.note_store_answer(),
             }
-            self.publish_crashes(lease, &mut published).await;
             unneeded = if self.is_needed() { 0 } else { unneeded + 1 };
             if unneeded >= STANDBY_RENEWALS {
                 tracing::info!(
@@ -181,34 +164,12 @@
         }
     }
 
-    /// Publishes the observed crashes to the other nodes, if they differ from those `published`.
-    async fn publish_crashes(&self, lease: StoreLease, published: &mut Vec<Crash>) {
-        let crashes = self.router.crashes.published();
-        if crashes == *published {
-            return;
-        }
-        match self.write_crashes(lease, &crashes).await {
-            Ok(()) => *published = crashes,
-            // Retried after the next renewal.
-            Err(error) => {
-                tracing::info!(code = error.code(), "announce: crashes not published: {error}");
-            }
-        }
-    }
-
-    async fn write_crashes(&self, lease: StoreLease, crashes: &[Crash]) -> Result<()> {
-        let value = codec::encode(&crashes)?;
-        let put = StorePut { key: self.keys.crashes.clone(), value, lease: Some(lease) };
-        let write = StoreWrite { puts: vec![put], ..Default::default() };
-        self.store.write(&write).await.map(|_| ())
-    }
-
     /// Deletes the entry, so that callers are advised to use other nodes.
     pub async fn leave(&self) {
         if self.lease.borrow().is_none() {
             return;
         }
-        let write = StoreWrite { deletes: vec![self.keys.record.clone()], ..Default::default() };
+        let write = StoreWrite { deletes: vec![self.key.clone()], ..Default::default() };
         if let Err(error) = self.store.write(&write).await {
             // The entry then expires with its lease.
             tracing::warn!(
--- a/crates/kumquatnotch-route/src/attempt.rs
+++ b/crates/kumquatnotch-route/src/attempt.rs
@@ -108,6 +108,7 @@
     };
     match reply {
         Ok(OpaqueReply { reply, idle_limit }) => {
+            crash_check::note_reply(router, call, &reply);
             let (link, took) = in_flight.record_reply();
             if let (Some(link), Some(idle_limit)) = (link, idle_limit) {
                 replica.pool.put(link, clock.now(), idle_limit);
--- a/crates/kumquatnotch-route/src/crash_check.rs
+++ b/crates/kumquatnotch-route/src/crash_check.rs
@@ -5,12 +5,12 @@
 use http::header;
 use kumquatnotch_core::{
     clock,
-    ids::{Fingerprint, stable_hash},
+    ids::{Fingerprint, ServiceName, stable_hash},
 };
-use kumquatnotch_net::message::Request;
-use kumquatnotch_policy::crashes::{Crash, Refused};
+use kumquatnotch_net::message::{Reply, Request};
+use kumquatnotch_policy::crashes::{Crash, CrashRecord};
 
-use crate::{attempt::Call, replica::Replica, router::Router};
+use crate::{attempt::Call, crash_records, replica::Replica, router::Router};
 
 /// Delay between a broken connection and the check whether the replica has crashed.
 ///
@@ -26,43 +26,87 @@
 
 /// Checks whether `replica` has crashed after its connection broke during a request.
 ///
-/// A replica that only lost the reply still accepts a new connection.
+/// A replica that only lost the reply still accepts a new connection. If another replica of the
+/// service replies to the request meanwhile, the request is not the reason of the crash.
 pub fn check(router: &Rc<Router>, call: &Call<'_>, replica: &Rc<Replica>) {
-    let attempt = stable_hash(&[call.identity.as_bytes()]);
-    let crash = Crash { fingerprint: fingerprint(call.request), attempt };
+    let fingerprint = fingerprint(call.request);
+    let crash = Crash {
+        replica: stable_hash(&[replica.id.as_str().as_bytes()]),
+        service: service_hash(call.service),
+    };
     let (router, replica) = (router.clone(), replica.clone());
     let (identity, service) = (call.identity.clone(), call.service.clone());
+    let target = call.request.target();
+    router.crashes.begin_check(fingerprint);
     monoio::spawn(async move {
-        let clock = &*router.clock;
-        let broken_at = clock.now();
-        clock::sleep(clock, CHECK_DELAY).await;
-        if replica.observed.has_replied_since(broken_at) {
-            return;
-        }
-        if let Ok(link) = replica.pool.open(clock, clock.now() + CHECK_TIMEOUT).await {
-            replica.pool.put(link, clock.now(), CHECK_KEEP_ALIVE);
+        let has_crashed = has_crashed(&router, &replica).await;
+        let has_replied = router.crashes.end_check(fingerprint, crash.service);
+        if !has_crashed {
             return;
         }
         metrics::counter!("kumquatnotch_crashes_seen_total").increment(1);
+        let record = CrashRecord::new(&target, crash_records::unix_seconds());
+        let now = router.clock.now();
+        let counted = !has_replied && router.crashes.note_crash(fingerprint, crash, record, now);
         tracing::info!(
             request = identity.to_str().unwrap_or_default(),
             replica = replica.id.as_str(),
             service = service.as_str(),
-            print = %crash.fingerprint,
+            print = %fingerprint,
+            counted,
             "crashes: replica crashed while running a request"
         );
-        router.crashes.note(crash, clock.now()).iter().for_each(log_refused);
+        if counted {
+            router.publish_crashes(fingerprint);
+        }
     });
 }
 
-/// Logs that a request is refused from now on because it crashes replicas.
-pub fn log_refused(refused: &Refused) {
-    tracing::warn!(
-        print = %refused.fingerprint,
-        strikes = refused.strikes,
-        refused_ms = refused.span.as_millis() as u64,
-        "crashes: refusing a request that crashes replicas"
-    );
+/// Returns whether a replica whose connection has just broken no longer runs.
+async fn has_crashed(router: &Router, replica: &Replica) -> bool {
+    let clock = &*router.clock;
+    let broken_at = clock.now();
+    clock::sleep(clock, CHECK_DELAY).await;
+    if replica.observed.has_replied_since(broken_at) {
+        return false;
+    }
+    match replica.pool.open(clock, clock.now() + CHECK_TIMEOUT).await {
+        Ok(link) => {
+            replica.pool.put(link, clock.now(), CHECK_KEEP_ALIVE);
+            false
+        }
+        Err(_) => true,
+    }
+}
+
+/// Records a reply of a replica that has run a request, which did not crash it.
+///
+/// Only replies with a proof count: others do not show that the request was run.
+pub fn note_reply(router: &Router, call: &Call<'_>, reply: &Reply) {
+    if router.crashes.is_idle() || !is_proven(router, reply) {
+        return;
+    }
+    let fingerprint = fingerprint(call.request);
+    if router.crashes.note_reply(fingerprint, service_hash(call.service)) {
+        acquit(router, fingerprint);
+    }
+}
+
+/// Whether a reply shows that a replica has run the request to its end.
+pub fn is_proven(router: &Router, reply: &Reply) -> bool {
+    reply.headers.contains_key(&router.names.proof)
+        && !reply.headers.contains_key(&router.names.rejected)
+}
+
+/// Forgets a suspect request that has turned out to be harmless.
+pub fn acquit(router: &Router, fingerprint: Fingerprint) {
+    tracing::info!(print = %fingerprint, "crashes: a suspect request is acquitted by a reply");
+    router.forget_crashes(fingerprint);
+}
+
+/// Returns the hash of a service's name.
+pub fn service_hash(service: &ServiceName) -> u64 {
+    stable_hash(&[service.as_str().as_bytes()])
 }
 
 /// Returns a hash of the request that is the same when the caller sends it again.
--- a/crates/kumquatnotch-route/src/entries.rs
+++ b/crates/kumquatnotch-route/src/entries.rs
@@ -16,14 +16,15 @@
 use kumquatnotch_core::{
     clock,
     collections::{HashMap, HashSet},
-    ids::NodeName,
+    ids::{Fingerprint, NodeName},
     store::{StoreEvent, StoreItem, StoreScan},
 };
+use kumquatnotch_policy::crashes::CrashRecord;
 
 use crate::{
     advice::Candidate,
     change_summary::{Change, ChangeSummary},
-    crash_check,
+    crash_records,
     departed::Departed,
     directory::PutOutcome,
     names::ReplicaId,
@@ -132,14 +133,31 @@
     /// Applies everything that the store holds; known entries that are missing count as removed.
     pub fn replace_all(&self, items: &[StoreItem]) {
         self.summary.begin(items.len());
+        let known_crashes = self.router.crashes.records();
         let seen: HashSet<EntryKey> =
             items.iter().filter_map(|item| self.apply_item(item)).collect();
+        self.restore_crashes(known_crashes, &seen);
         let lost: Vec<EntryKey> = self.known.borrow().difference(&seen).cloned().collect();
         lost.into_iter().for_each(|key| self.note_removed(key));
         self.classify_vanished();
         self.summary.end();
     }
 
+    /// Keeps what this node knows of requests that crash replicas when it reads everything anew.
+    ///
+    /// The store may have been restored from a copy without these records. If they were lost, the
+    /// requests would be let in again.
+    fn restore_crashes(&self, known: Vec<(Fingerprint, CrashRecord)>, seen: &HashSet<EntryKey>) {
+        let (router, now) = (&self.router, self.router.clock.now());
+        for (fingerprint, record) in known {
+            let is_missing = router.crashes.merge(fingerprint, &record, now);
+            let is_stored = seen.contains(&EntryKey::Crashes(fingerprint));
+            if is_missing || !is_stored {
+                router.publish_crashes(fingerprint);
+            }
+        }
+    }
+
     /// Applies changes in their order.
     pub fn apply_events(&self, events: &[&StoreEvent]) {
         self.summary.begin(events.len());
@@ -153,11 +171,16 @@
             StoreEvent::Written(item) => {
                 self.apply_item(item);
             }
-            StoreEvent::Deleted { key, .. } => {
-                if let Some(key) = self.schema.read_key(key) {
-                    self.note_removed(key);
+            StoreEvent::Deleted { key, .. } => match self.schema.read_key(key) {
+                Some(EntryKey::Crashes(fingerprint)) => {
+                    self.known.borrow_mut().remove(&EntryKey::Crashes(fingerprint));
+                    if self.router.crashes.remove(fingerprint) {
+                        tracing::info!(print = %fingerprint, "mirror: crash record removed");
+                    }
                 }
-            }
+                Some(key) => self.note_removed(key),
+                None => {}
+            },
         }
     }
 
@@ -263,15 +286,18 @@
                 }
                 router.fleet.put(name, record, router.clock.now());
             }
-            Entry::Crashes(name, crashes) => {
+            Entry::Crashes(fingerprint, record) => {
                 tracing::info!(
-                    node = name.as_str(),
-                    count = crashes.len(),
+                    print = %fingerprint,
+                    target = record.target,
+                    crashes = record.crashes.len(),
+                    trials = record.trials,
                     revision,
-                    "mirror: crash reports received"
+                    "mirror: crash record received"
                 );
-                let refused = router.crashes.merge(&crashes, router.clock.now());
-                refused.iter().for_each(crash_check::log_refused);
+                if !record.is_expired(crash_records::unix_seconds()) {
+                    router.crashes.apply(fingerprint, &record, router.clock.now());
+                }
             }
         }
     }
@@ -351,8 +377,8 @@
     fn drop_entry(&self, key: &EntryKey, reason: &'static str) {
         let router = &self.router;
         match key {
-            // The operators never remove the configuration, and the observed crashes remain
-            // valid after the node that observed them has ended.
+            // The operators never remove the configuration, and a crash record is dropped when it
+            // is deleted, not when the store has lost it.
             EntryKey::Config | EntryKey::Crashes(_) => {}
             EntryKey::Replica(id) => {
                 if !self.summary.coalesce(Change::ReplicaGone) {
--- a/crates/kumquatnotch-route/src/front.rs
+++ b/crates/kumquatnotch-route/src/front.rs
@@ -7,6 +7,7 @@
 };
 
 use http::{HeaderMap, HeaderValue, StatusCode, header};
+use kumquatnotch_core::ids::Fingerprint;
 use kumquatnotch_net::{
     message::{Reply, Request},
     opaque_link::remove_hop_headers,
@@ -15,6 +16,7 @@
 use kumquatnotch_policy::{
     answer_time::{self, Due},
     caller_timeouts::CallerTimeouts,
+    crashes::Verdict,
     mechanisms::Mechanism,
     overload::SearchOutcome,
     weights::Weights,
@@ -25,12 +27,13 @@
     attempt::Call,
     call::{self, CallError},
     crash_check,
-    gather::{self, Gathered, Search},
+    gather::{self, FirstPart, Gathered, Search},
     names::ServiceName,
     request_log::{RequestContext, RequestLog},
     route::{Destination, RouteTable, ShardSet},
     router::Router,
     semaphore::PrioritySemaphore,
+    trial::{self, Trial},
 };
 
 /// `Retry-After` when no service of a weighted route has a weight.
@@ -119,29 +122,20 @@
         }
         let log = RequestLog::new(&self.router, &context);
         let request = strip_hop_headers(request);
-        if let Some(retry_after) = self.refused_for(&request, arrival) {
-            metrics::counter!("kumquatnotch_crash_refusals_total").increment(1);
-            let refusal = Refusal::not_run("the request has crashed replicas", retry_after);
-            log.write(refusal.status, refusal.reason);
-            return refusal.reply();
-        }
-        self.log_suspect(&context, &request);
-        let outcome = match &context.route.destination {
-            Destination::Service(service) => self.call(&context, service, &request, &log).await,
-            Destination::Weighted(services) => {
-                match self.weights.pick(&context.route.name, services) {
-                    Some(service) => self.call(&context, service, &request, &log).await,
-                    None => Err(CallError::NotRun {
-                        retry_after: NO_WEIGHT_RETRY_AFTER,
-                        reason: "no service has a weight",
-                    }),
-                }
+        let fingerprint = crash_check::fingerprint(&request);
+        let outcome = match self.verdict(fingerprint, arrival) {
+            Verdict::Free => self.send(&context, &request, None, &log).await,
+            Verdict::Trial => {
+                let (router, context, request, stats) =
+                    (&self.router, &context, &request, &log.stats);
+                let trial = Trial { router, context, request, fingerprint, stats };
+                self.send(context, request, Some(trial), &log).await
             }
-            Destination::Shards(set) => self.search(&context, set, &request, &log).await,
+            Verdict::Refused { retry_after } => Err(trial::refusal(retry_after)),
         };
         let (reply, reason) = into_reply(outcome);
         if reply.status.is_success() && log.missing.get() == 0 {
-            self.clear_suspicion(&request);
+            self.router.crashes.note_answer(fingerprint, self.router.clock.now());
         }
         log.write(reply.status, reason);
         reply
@@ -187,6 +181,36 @@
         Ok((context, table))
     }
 
+    /// Sends a request to the replicas that its route names, after a trial if it needs one.
+    async fn send(
+        &self,
+        context: &RequestContext,
+        request: &Request,
+        trial: Option<Trial<'_>>,
+        log: &RequestLog<'_>,
+    ) -> Result<Reply, CallError> {
+        let service = match &context.route.destination {
+            Destination::Service(service) => service,
+            Destination::Weighted(services) => {
+                self.weights.pick(&context.route.name, services).ok_or(CallError::NotRun {
+                    retry_after: NO_WEIGHT_RETRY_AFTER,
+                    reason: "no service has a weight",
+                })?
+            }
+            Destination::Shards(set) => {
+                let first = match &trial {
+                    Some(trial) => Some(trial.run_search(set).await?),
+                    None => None,
+                };
+                return self.search(context, set, request, first, log).await;
+            }
+        };
+        match &trial {
+            Some(trial) => trial.run_single(service).await,
+            None => self.call(context, service, request, log).await,
+        }
+    }
+
     async fn call(
         &self,
         context: &RequestContext,
@@ -213,6 +237,7 @@
         context: &RequestContext,
         set: &ShardSet,
         request: &Request,
+        first: Option<FirstPart>,
         log: &RequestLog<'_>,
     ) -> Result<Reply, CallError> {
         let mut search = Search {
@@ -236,7 +261,7 @@
             }
         }
         let Gathered { answer, parts, missing, relayed } =
-            gather::gather(&self.router, &search, &log.stats).await;
+            gather::gather(&self.router, &search, first, &log.stats).await;
         drop(permit);
         if !context.is_late_retry {
             self.record_outcome(context, &answer);
@@ -249,38 +274,11 @@
 }
 
 impl RouteFront {
-    /// Returns how much longer a request is refused because it crashes replicas.
-    fn refused_for(&self, request: &Request, now: Instant) -> Option<Duration> {
-        let crashes = &self.router.crashes;
-        if crashes.is_empty() || !self.router.uses(Mechanism::Containment) {
-            return None;
-        }
-        crashes.refused_for(crash_check::fingerprint(request), now)
-    }
-
-    /// Logs that a request which was present at crashes is sent to replicas.
-    fn log_suspect(&self, context: &RequestContext, request: &Request) {
-        let crashes = &self.router.crashes;
-        if crashes.is_empty() {
-            return;
-        }
-        let fingerprint = crash_check::fingerprint(request);
-        let strikes = crashes.strikes_of(fingerprint);
-        if strikes > 0 {
-            tracing::info!(
-                request = context.identity.to_str().unwrap_or_default(),
-                print = %fingerprint,
-                strikes,
-                "crashes: a suspect request is sent to replicas"
-            );
-        }
-    }
-
-    /// Clears the suspicion that a request crashes replicas after a complete answer.
-    fn clear_suspicion(&self, request: &Request) {
-        let crashes = &self.router.crashes;
-        if !crashes.is_empty() {
-            crashes.clear(crash_check::fingerprint(request));
+    /// Returns how a request may run, given the crashes that it was present at.
+    fn verdict(&self, fingerprint: Fingerprint, now: Instant) -> Verdict {
+        match self.router.uses(Mechanism::Containment) {
+            true => self.router.crashes.verdict(fingerprint, now),
+            false => Verdict::Free,
         }
     }
 
--- a/crates/kumquatnotch-route/src/gather.rs
+++ b/crates/kumquatnotch-route/src/gather.rs
@@ -77,8 +77,21 @@
     covered: HashSet<usize>,
 }
 
-/// Queries one replica of each shard and merges the parts.
-pub async fn gather(router: &Rc<Router>, search: &Search<'_>, stats: &CallStats) -> Gathered {
+/// A part that was received before the rest of its search was sent.
+pub struct FirstPart {
+    /// Index of its shard into the set.
+    pub shard: usize,
+    /// The reply of the replica.
+    pub reply: Reply,
+}
+
+/// Queries one replica of each shard, except that of the `first` part, and merges the parts.
+pub async fn gather(
+    router: &Rc<Router>,
+    search: &Search<'_>,
+    first: Option<FirstPart>,
+    stats: &CallStats,
+) -> Gathered {
     let clock = &*router.clock;
     let total = search.set.shards.len();
     let min_parts = search.set.min_parts();
@@ -87,8 +100,13 @@
         let answer = Err(CallError::NotRun { retry_after, reason });
         return Gathered { answer, parts: 0, missing: total, relayed: 0 };
     }
-    let shards: Vec<usize> = (0..total).collect();
-    let mut outstanding = total;
+    let mut progress = Progress::default();
+    let mut shards: Vec<usize> = (0..total).collect();
+    if let Some(FirstPart { shard, reply }) = first {
+        shards.retain(|index| *index != shard);
+        progress.record_shard(router, shard, Ok(reply));
+    }
+    let mut outstanding = shards.len();
     let Plan { direct, groups } = relay_plan::plan(router, search.route, search.set, &shards);
     let relayed = outstanding - direct.len();
     for group in groups {
@@ -102,7 +120,6 @@
     }
     let mut due_timer = clock.sleep_until(search.due).fuse();
     let mut deadline_timer = clock.sleep_until(search.deadline).fuse();
-    let mut progress = Progress::default();
     let mut completion = Completion::new(total, min_parts);
     let mut timed_out = false;
     loop {
--- a/crates/kumquatnotch-route/src/router.rs
+++ b/crates/kumquatnotch-route/src/router.rs
@@ -2,7 +2,7 @@
 //! nodes, and what was learned of them.
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::{Cell, OnceCell, RefCell},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -10,7 +10,7 @@
 
 use kumquatnotch_core::{
     Clock, Result,
-    ids::{DataCentre, NodeName, Region},
+    ids::{DataCentre, Fingerprint, NodeName, Region},
     lifecycle::Lifecycle,
     random::Random,
     registry::Registry,
@@ -32,6 +32,7 @@
 
 use crate::{
     advice::{AdviceCache, Candidate, HostAdvice},
+    crash_records::CrashRecords,
     directory::Directory,
     fleet::{Fleet, PEER_SERVICE},
     headers::HeaderNames,
@@ -101,6 +102,8 @@
     pub service_times: ServiceTimes,
     /// Requests that were running on replicas when these crashed.
     pub crashes: Crashes,
+    /// Shares these with the other nodes.
+    crash_records: OnceCell<Rc<CrashRecords>>,
     /// Overload of replicas, by route.
     pub overload: Overload,
     /// The budget for repeats (retries and hedges).
@@ -143,6 +146,7 @@
             caller_rtt: CallerRtt::default(),
             service_times: ServiceTimes::default(),
             crashes: Crashes::default(),
+            crash_records: OnceCell::new(),
             overload: Overload::default(),
             mechanisms: options.mechanisms,
             table: RefCell::default(),
@@ -158,6 +162,32 @@
         self.mechanisms.uses(mechanism)
     }
 
+    /// Sets what shares crashes of replicas with the other nodes; only the first call counts.
+    pub fn set_crash_records(&self, records: Rc<CrashRecords>) {
+        // A node has one store.
+        let _ = self.crash_records.set(records);
+    }
+
+    /// Returns what shares crashes of replicas with the other nodes, unless this node is alone.
+    pub fn crash_records(&self) -> Option<&Rc<CrashRecords>> {
+        self.crash_records.get()
+    }
+
+    /// Tells the other nodes what this one knows of a request that crashes replicas.
+    pub fn publish_crashes(&self, fingerprint: Fingerprint) {
+        if let Some(records) = self.crash_records() {
+            records.publish(fingerprint);
+        }
+    }
+
+    /// Forgets the crashes of a request, on all nodes.
+    pub fn forget_crashes(&self, fingerprint: Fingerprint) {
+        match self.crash_records() {
+            Some(records) => records.delete(fingerprint),
+            None => drop(self.crashes.remove(fingerprint)),
+        }
+    }
+
     /// Returns the configuration in force.
     pub fn table(&self) -> Option<Rc<RouteTable>> {
         self.table.borrow().clone()
--- a/crates/kumquatnotch-route/src/schema.rs
+++ b/crates/kumquatnotch-route/src/schema.rs
@@ -1,7 +1,11 @@
 //! The interpretation of keys and values of the store.
 
-use kumquatnotch_core::{Result, ids::NodeName, store::StoreItem};
-use kumquatnotch_policy::crashes::Crash;
+use kumquatnotch_core::{
+    Result,
+    ids::{Fingerprint, NodeName},
+    store::StoreItem,
+};
+use kumquatnotch_policy::crashes::CrashRecord;
 
 use crate::{fleet::NodeRecord, names::ReplicaId, replica::ReplicaSpec, route::RouteConfig};
 
@@ -14,8 +18,8 @@
     Replica(ReplicaId, ReplicaSpec),
     /// A node of this tier.
     Node(NodeName, NodeRecord),
-    /// The crashes that a node has detected.
-    Crashes(NodeName, Vec<Crash>),
+    /// What is known of a request that crashes replicas.
+    Crashes(Fingerprint, CrashRecord),
 }
 
 /// A decoded key of the store.
@@ -27,8 +31,8 @@
     Replica(ReplicaId),
     /// A node of this tier.
     Node(NodeName),
-    /// The crashes that a node has detected.
-    Crashes(NodeName),
+    /// What is known of a request that crashes replicas.
+    Crashes(Fingerprint),
 }
 
 /// Decodes the keys and values of the store.
--- /dev/null
+++ b/crates/kumquatnotch-route/src/trial.rs
@@ -0,0 +1,138 @@
+//! Trials of requests that seem to crash replicas.
+//!
+//! One replica runs the request, once. A search is sent to the other shards only after that
+//! replica has replied, so that a trial costs one replica and not one of each shard.
+
+use std::{cell::Cell, rc::Rc, time::Duration};
+
+use kumquatnotch_core::ids::Fingerprint;
+use kumquatnotch_net::message::{Reply, Request};
+use kumquatnotch_policy::observed::Fitness;
+
+use crate::{
+    attempt::Call,
+    call::{self, CallError, CallStats},
+    crash_check,
+    crash_records::Claim,
+    gather::FirstPart,
+    names::ServiceName,
+    request_log::RequestContext,
+    route::{Route, ShardSet},
+    router::Router,
+};
+
+/// Reason of a refusal because of crashes.
+const REASON: &str = "the request has crashed replicas";
+
+/// `Retry-After` if no replica can run the trial.
+const NO_REPLICA_RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// A request that needs a trial.
+pub(crate) struct Trial<'a> {
+    pub(crate) router: &'a Rc<Router>,
+    pub(crate) context: &'a RequestContext,
+    pub(crate) request: &'a Request,
+    pub(crate) fingerprint: Fingerprint,
+    pub(crate) stats: &'a CallStats,
+}
+
+/// Returns the refusal of a request that has crashed replicas.
+pub(crate) fn refusal(retry_after: Duration) -> CallError {
+    metrics::counter!("kumquatnotch_crash_refusals_total").increment(1);
+    CallError::NotRun { retry_after, reason: REASON }
+}
+
+impl Trial<'_> {
+    /// Runs the trial of a request to one service, which is the request itself.
+    pub(crate) async fn run_single(&self, service: &ServiceName) -> Result<Reply, CallError> {
+        if !has_replica(self.router, service) {
+            return Err(no_replica());
+        }
+        self.claim().await?;
+        self.run_at(service).await
+    }
+
+    /// Runs the trial of a search at one of its shards; returns that part.
+    pub(crate) async fn run_search(&self, set: &ShardSet) -> Result<FirstPart, CallError> {
+        let Some(shard) = self.trial_shard(set) else {
+            return Err(no_replica());
+        };
+        self.claim().await?;
+        let reply = self.run_at(&set.shards[shard]).await?;
+        Ok(FirstPart { shard, reply })
+    }
+
+    /// Selects the shard for the trial: one that has lost a replica, if it has another.
+    ///
+    /// Only a reply of such a shard shows that its data is not the reason. If the shard is lost
+    /// for good, the search must not be refused for ever, so any shard will do.
+    fn trial_shard(&self, set: &ShardSet) -> Option<usize> {
+        let record = self.router.crashes.record(self.fingerprint).unwrap_or_default();
+        let has_crashed = |shard: &ServiceName| {
+            let service = crash_check::service_hash(shard);
+            record.crashes.iter().any(|crash| crash.service == service)
+        };
+        let usable = |index: &usize| has_replica(self.router, &set.shards[*index]);
+        let shards = 0..set.shards.len();
+        let struck = shards.clone().filter(|index| has_crashed(&set.shards[*index])).find(usable);
+        struck.or_else(|| shards.clone().find(usable))
+    }
+
+    async fn claim(&self) -> Result<(), CallError> {
+        let claim = match self.router.crash_records() {
+            Some(records) => records.claim(self.fingerprint).await,
+            None => {
+                self.router.crashes.note_trial(self.fingerprint, self.router.clock.now());
+                Claim::Granted
+            }
+        };
+        match claim {
+            Claim::Granted | Claim::Acquitted => Ok(()),
+            Claim::Refused(retry_after) => Err(refusal(retry_after)),
+        }
+    }
+
+    /// Sends the request to one replica of a service, once.
+    async fn run_at(&self, service: &ServiceName) -> Result<Reply, CallError> {
+        let context = self.context;
+        let route = Route { attempts: 1, ..(*context.route).clone() };
+        let call = Call {
+            route: &route,
+            service,
+            request: self.request,
+            identity: &context.identity,
+            due: context.due,
+            deadline: context.deadline,
+            allowed: Vec::new(),
+            is_retry: false,
+            is_answered: Cell::new(false),
+        };
+        let result = call::call(self.router, &call, self.stats).await;
+        match &result {
+            Ok(reply) | Err(CallError::Failed(reply)) => {
+                // A reply of a service without crashes has not acquitted it yet.
+                if crash_check::is_proven(self.router, reply)
+                    && self.router.crashes.record(self.fingerprint).is_some()
+                {
+                    crash_check::acquit(self.router, self.fingerprint);
+                }
+            }
+            Err(CallError::NotRun { .. }) => match self.router.crash_records() {
+                Some(records) => records.release(self.fingerprint).await,
+                None => self.router.crashes.undo_trial(self.fingerprint),
+            },
+            Err(CallError::Unknown | CallError::TimedOut) => {}
+        }
+        result
+    }
+}
+
+fn has_replica(router: &Router, service: &ServiceName) -> bool {
+    let replicas = router.directory.of(service);
+    let mut fit = replicas.iter().filter(|replica| replica.observed.fitness() == Fitness::Fit);
+    fit.any(|replica| replica.takes_requests())
+}
+
+fn no_replica() -> CallError {
+    CallError::NotRun { retry_after: NO_REPLICA_RETRY_AFTER, reason: "no replica" }
+}
--- a/crates/kumquatnotch-route/tests/common/store.rs
+++ b/crates/kumquatnotch-route/tests/common/store.rs
@@ -164,6 +164,12 @@
     fn write<'a>(&'a self, write: &'a StoreWrite) -> LocalFuture<'a, Result<u64>> {
         Box::pin(async move {
             self.apply_faults().await?;
+            for (key, expected) in &write.expect {
+                let items = self.items.borrow();
+                if items.get(key).map_or(0, |item| item.revision) != *expected {
+                    return Err(Error::CompareFailed);
+                }
+            }
             for put in &write.puts {
                 if put.lease.is_some_and(|lease| self.ended_leases.borrow().contains(&lease.id)) {
                     return Err(Error::LeaseGone);
