route: a search that loses many parts sends two of them again, not all

Callers of all other searches lost both replicas of each shard to one search: its parts crashed one of each, and its lost parts, sent again at once, the other one.

From the third lost part of a search on, the others wait until one that was sent again has been replied to; if none of these is, they are left out, and no copies of late parts are sent. If a rack is lost for another reason, the parts come one reply later. A relay and the node that asks it count separately, so that each may send two again.

Weighed: asking one shard first with each search that was not seen before, as the product's own interface does. Here nearly all searches are new, and it would add the time of a reply to each.

--- a/crates/kumquatnotch-policy/src/lib.rs
+++ b/crates/kumquatnotch-policy/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod lags;
 pub mod lateness;
 pub mod limit;
+pub mod mass_loss;
 pub mod mechanisms;
 pub mod observed;
 pub mod overload;
--- a/crates/kumquatnotch-route/src/attempt.rs
+++ b/crates/kumquatnotch-route/src/attempt.rs
@@ -13,7 +13,7 @@
     message::{Reply, Request},
     opaque_link::OpaqueReply,
 };
-use kumquatnotch_policy::{mechanisms::Mechanism, observed::Fitness};
+use kumquatnotch_policy::{mass_loss::MassLoss, mechanisms::Mechanism, observed::Fitness};
 
 use crate::{
     crash_check,
@@ -53,6 +53,8 @@
     pub allowed: Vec<ReplicaId>,
     /// Whether even the first attempt counts as a retry.
     pub is_retry: bool,
+    /// What was lost of the search that this is a part of, if it is one.
+    pub losses: Option<&'a MassLoss>,
     /// Whether a reply was received, so that attempts still running may end by themselves.
     pub is_answered: Cell<bool>,
 }
--- a/crates/kumquatnotch-route/src/call.rs
+++ b/crates/kumquatnotch-route/src/call.rs
@@ -9,6 +9,7 @@
 use kumquatnotch_policy::{
     attempts::{Allowance, AttemptOutcome, Attempts, Verdict},
     hedge_timing, lateness,
+    mass_loss::{Advice, MassLoss},
     mechanisms::Mechanism,
 };
 
@@ -23,6 +24,9 @@
 /// Interval at which a late call looks again for a replica to hedge to.
 const HEDGE_RETRY_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Interval at which a lost part of a search checks whether it may be sent again.
+const LOSS_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// `Retry-After` when no replica is known.
 const NO_REPLICA_RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -63,6 +67,8 @@
     tried: Vec<ReplicaId>,
     attempts: Attempts,
     failed: Option<Reply>,
+    /// Whether an attempt after a loss is running, which the other lost parts wait for.
+    is_probing: Cell<bool>,
 }
 
 /// Sends a request to a replica of a service, with retries and hedged requests as far as
@@ -73,10 +79,17 @@
     stats: &CallStats,
 ) -> Result<Reply, CallError> {
     let (tried, attempts) = (Vec::new(), Attempts::default());
-    let mut progress = Progress { router, call, tried, attempts, failed: None };
+    let is_probing = Cell::new(false);
+    let mut progress = Progress { router, call, tried, attempts, failed: None, is_probing };
     let clock = &*router.clock;
     let sent = Cell::new(false);
     let mut running = FuturesUnordered::new();
+    if call.is_retry {
+        progress.note_lost();
+        if !progress.admit_retry().await {
+            return Err(CallError::Unknown);
+        }
+    }
     let Some(first) = progress.pick() else {
         return Err(CallError::NotRun {
             retry_after: NO_REPLICA_RETRY_AFTER,
@@ -97,6 +110,7 @@
             (replica, result) = running.select_next_some() => {
                 match result {
                     AttemptResult::Replied(reply) if !reply.status.is_server_error() => {
+                        progress.end_retry(true);
                         call.is_answered.set(true);
                         return Ok(reply);
                     }
@@ -105,6 +119,9 @@
                 if !running.is_empty() {
                     continue;
                 }
+                if !progress.admit_retry().await {
+                    return Err(progress.final_error());
+                }
                 let Some(next) = progress.next_retry() else {
                     return Err(progress.final_error());
                 };
@@ -113,7 +130,7 @@
                 running.push(run_attempt(router, call, next, &sent));
             }
             () = hedge_timer => {
-                let may_hedge = router.uses(Mechanism::Copies);
+                let may_hedge = router.uses(Mechanism::Copies) && !progress.is_loss_alarming();
                 if !may_hedge || !progress.attempts.may_hedge(progress.allowance(), running.len() as u32) {
                     continue;
                 }
@@ -146,7 +163,52 @@
     (replica, result)
 }
 
+impl Drop for Progress<'_> {
+    fn drop(&mut self) {
+        self.end_retry(false);
+    }
+}
+
 impl Progress<'_> {
+    /// Records that this part of a search was lost.
+    fn note_lost(&self) {
+        if let Some(losses) = self.call.losses {
+            losses.note_lost();
+        }
+    }
+
+    /// Whether so many parts of the search were lost that it may have crashed the replicas.
+    fn is_loss_alarming(&self) -> bool {
+        self.call.losses.is_some_and(MassLoss::is_alarming)
+    }
+
+    /// Waits until a lost part may be sent again; false if it may not.
+    async fn admit_retry(&self) -> bool {
+        let Some(losses) = self.call.losses else {
+            return true;
+        };
+        loop {
+            match losses.advice() {
+                Advice::Retry => break,
+                Advice::Wait => clock::sleep(&*self.router.clock, LOSS_POLL_INTERVAL).await,
+                Advice::GiveUp => return false,
+            }
+        }
+        if !self.is_probing.replace(true) {
+            losses.begin_retry();
+        }
+        true
+    }
+
+    /// Records the outcome of an attempt after a loss, if there was one.
+    fn end_retry(&self, replied: bool) {
+        if let Some(losses) = self.call.losses
+            && self.is_probing.replace(false)
+        {
+            losses.end_retry(replied);
+        }
+    }
+
     fn allowance(&self) -> Allowance {
         let route = self.call.route;
         Allowance {
@@ -250,6 +312,8 @@
             AttemptResult::Rejected | AttemptResult::Replaced => AttemptOutcome::Rejected,
             AttemptResult::NotSent => AttemptOutcome::NotSent,
             AttemptResult::Lost(error) => {
+                self.end_retry(false);
+                self.note_lost();
                 tracing::info!(
                     request = self.call.identity.to_str().unwrap_or_default(),
                     replica = replica.id.as_str(),
--- a/crates/kumquatnotch-route/src/front.rs
+++ b/crates/kumquatnotch-route/src/front.rs
@@ -17,6 +17,7 @@
     answer_time::{self, Due},
     caller_timeouts::CallerTimeouts,
     crashes::Verdict,
+    mass_loss::MassLoss,
     mechanisms::Mechanism,
     overload::SearchOutcome,
     weights::Weights,
@@ -227,6 +228,7 @@
             deadline: context.deadline,
             allowed: Vec::new(),
             is_retry: false,
+            losses: None,
             is_answered: Cell::new(false),
         };
         call::call(&self.router, &call, &log.stats).await
@@ -248,6 +250,7 @@
             due: context.due,
             deadline: context.deadline,
             is_late_retry: context.is_late_retry,
+            losses: MassLoss::default(),
         };
         let mut permit = None;
         if context.is_late_retry && self.router.uses(Mechanism::WaitingCallers) {
--- a/crates/kumquatnotch-route/src/gather.rs
+++ b/crates/kumquatnotch-route/src/gather.rs
@@ -13,7 +13,10 @@
 use http::HeaderValue;
 use kumquatnotch_core::{LocalFuture, clock, collections::HashSet};
 use kumquatnotch_net::message::{Reply, Request};
-use kumquatnotch_policy::completion::{Completion, Next};
+use kumquatnotch_policy::{
+    completion::{Completion, Next},
+    mass_loss::MassLoss,
+};
 
 use crate::{
     admission::{self, Refused},
@@ -43,6 +46,8 @@
     pub deadline: Instant,
     /// Whether the caller retries so late that the answer can't meet the objective.
     pub is_late_retry: bool,
+    /// The parts that this node has lost.
+    pub losses: MassLoss,
 }
 
 /// How a search ended.
@@ -242,6 +247,7 @@
             deadline: search.deadline,
             allowed,
             is_retry,
+            losses: Some(&search.losses),
             is_answered: Cell::new(false),
         };
         PartOutcome::Shard(index, call::call(router, &call, stats).await)
--- a/crates/kumquatnotch-route/src/relay_front.rs
+++ b/crates/kumquatnotch-route/src/relay_front.rs
@@ -92,6 +92,7 @@
             due: now + Duration::from_micros(message.due_us),
             deadline: now + Duration::from_micros(message.left_us),
             is_late_retry: false,
+            losses: Default::default(),
         };
         let stats = CallStats::default();
         let (parts, missing, ran) =
--- a/crates/kumquatnotch-route/src/trial.rs
+++ b/crates/kumquatnotch-route/src/trial.rs
@@ -105,6 +105,7 @@
             deadline: context.deadline,
             allowed: Vec::new(),
             is_retry: false,
+            losses: None,
             is_answered: Cell::new(false),
         };
         let result = call::call(self.router, &call, self.stats).await;
--- a/crates/kumquatnotch-route/tests/admission.rs
+++ b/crates/kumquatnotch-route/tests/admission.rs
@@ -9,7 +9,7 @@
 use http::HeaderValue;
 use kumquatnotch_core::{Clock, clock::RuntimeClock};
 use kumquatnotch_net::message::Request;
-use kumquatnotch_policy::{observed::Fitness, overload::SearchOutcome};
+use kumquatnotch_policy::{mass_loss::MassLoss, observed::Fitness, overload::SearchOutcome};
 use kumquatnotch_route::{
     admission,
     gather::Search,
@@ -25,7 +25,8 @@
     let now = RuntimeClock.now();
     let due = now + Duration::from_millis(150);
     let deadline = now + Duration::from_secs(2);
-    Search { route, set, request, identity, due, deadline, is_late_retry: false }
+    let losses = MassLoss::default();
+    Search { route, set, request, identity, due, deadline, is_late_retry: false, losses }
 }
 
 /// Tries to admit a search that has just arrived; returns the `Retry-After` if refused.
--- a/crates/kumquatnotch-route/tests/crashes.rs
+++ b/crates/kumquatnotch-route/tests/crashes.rs
@@ -71,6 +71,22 @@
     request
 }
 
+/// Guards against a search that crashes both replicas of each shard: one of each by its parts, and
+/// the other one by sending the lost parts again.
+#[test]
+fn search_that_crashes_replicas_leaves_one_of_nearly_every_shard() {
+    run(async {
+        let tier = Tier::serving(shards(SHARDS, 0.5));
+        let replicas = Replicas::start(&tier, SHARDS);
+
+        let answer = tier.get("/a/crash", "first").await;
+        pause(DETECTION_MS).await;
+
+        assert_eq!(answer.status, 502);
+        assert_eq!(replicas.crashed(), SHARDS + 2);
+    });
+}
+
 /// Guards against retries of such a search that reach all shards again: each trial costs one
 /// replica, and after the last of them the search reaches none.
 #[test]
@@ -137,6 +153,24 @@
     });
 }
 
+/// Guards against callers of other requests that are refused beside one that crashes replicas.
+#[test]
+fn other_requests_are_not_refused() {
+    run(async {
+        let tier = Tier::serving(shards(SHARDS, 0.5));
+        let replicas = Replicas::start(&tier, SHARDS);
+
+        tier.get("/a/crash", "first").await;
+        pause(DETECTION_MS).await;
+        let others = [tier.get("/a/popular", "r1").await, tier.get("/a/crash?x", "r2").await];
+
+        // The second one is another request, and crashes replicas as the stand-ins look at paths.
+        assert_eq!(others[0].status, 200);
+        assert_ne!(others[1].status, 503);
+        assert!(replicas.reached.borrow().len() > SHARDS);
+    });
+}
+
 /// Guards against a request to one service that crashes one replica after the other: it is
 /// refused once three have crashed and its trials have failed, and reaches no more than that.
 #[test]
