ctl: suspects lists the requests that crash replicas, and lifts a refusal

Operators could neither see which request is refused nor let it in again. The records lie in the store, so the command reads and deletes them there, and all nodes follow.

--- a/crates/kumquatnotch-ctl/src/context.rs
+++ b/crates/kumquatnotch-ctl/src/context.rs
@@ -37,12 +37,17 @@
         }
     }
 
-    /// Returns the document store at the address given by `--platform`.
-    pub fn store(&self) -> Result<DocumentStore> {
+    /// Returns a client of the platform's store at the address given by `--platform`.
+    pub fn store_client(&self) -> Result<StoreClient> {
         let Some(address) = self.platform else {
             return Err(Error::bad_request("this command needs --platform ADDRESS"));
         };
-        let client = Rc::new(StoreClient::new(StoreOptions::new(address), self.clock.clone()));
+        Ok(StoreClient::new(StoreOptions::new(address), self.clock.clone()))
+    }
+
+    /// Returns the document store at the address given by `--platform`.
+    pub fn store(&self) -> Result<DocumentStore> {
+        let client = Rc::new(self.store_client()?);
         Ok(DocumentStore::new(client, self.clock.clone(), self.random.clone()))
     }
 
--- a/crates/kumquatnotch-ctl/src/main.rs
+++ b/crates/kumquatnotch-ctl/src/main.rs
@@ -13,6 +13,7 @@
 mod options;
 mod status_command;
 mod story_command;
+mod suspects_command;
 
 use std::process::ExitCode;
 
@@ -60,6 +61,7 @@
         Command::Drain(args) => config_commands::drain(context, args).await,
         Command::Collect(args) => config_commands::collect(context, args).await,
         Command::Status(args) => status_command::status(context, args).await,
+        Command::Suspects(args) => suspects_command::suspects(context, args).await,
         Command::Story(args) => story_command::story(args),
         Command::Explain(args) => explain_command::explain(args),
         Command::KeyDigest(_) => caller_commands::key_digest(),
--- a/crates/kumquatnotch-ctl/src/options.rs
+++ b/crates/kumquatnotch-ctl/src/options.rs
@@ -50,6 +50,7 @@
     Drain(DrainArgs),
     Collect(CollectArgs),
     Status(StatusArgs),
+    Suspects(SuspectsArgs),
     Story(StoryArgs),
     Explain(ExplainArgs),
     KeyDigest(KeyDigestArgs),
@@ -233,6 +234,15 @@
     pub wait: u64,
 }
 
+/// List the requests that are refused because they crash replicas, or lift a refusal.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "suspects")]
+pub struct SuspectsArgs {
+    /// request to let in again, by its id in the list
+    #[argh(option)]
+    pub lift: Option<String>,
+}
+
 /// Read a caller's key from standard input and print its digest for use in a document.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "key-digest")]
--- a/crates/kumquatnotch-ctl/tests/ctl.rs
+++ b/crates/kumquatnotch-ctl/tests/ctl.rs
@@ -14,6 +14,10 @@
     time::Duration,
 };
 
+use kumquatnotch::{
+    core::codec,
+    policy::crashes::{Crash, CrashRecord},
+};
 use standin_store::{StoreServer, faults::StoreFaultChange};
 
 /// Interval at which the thread of the platform checks whether to stop.
@@ -29,6 +33,15 @@
 
 impl Fixture {
     fn start(name: &str, change: StoreFaultChange) -> Fixture {
+        Fixture::start_with(name, change, |_| {})
+    }
+
+    /// Starts a platform whose store is filled by `fill`.
+    fn start_with(
+        name: &str,
+        change: StoreFaultChange,
+        fill: impl FnOnce(&StoreServer) + Send + 'static,
+    ) -> Fixture {
         let stop = Arc::new(AtomicBool::new(false));
         let (sender, receiver) = mpsc::channel();
         let stop_flag = stop.clone();
@@ -36,6 +49,7 @@
             standins::block_on(async move {
                 let platform = StoreServer::start(0).unwrap();
                 platform.apply(&change);
+                fill(&platform);
                 sender.send(platform.address).unwrap();
                 while !stop_flag.load(Ordering::Relaxed) {
                     monoio::time::sleep(STOP_POLL_INTERVAL).await;
@@ -148,13 +162,36 @@
     assert!(text.contains("faulty.toml:4: targets.t0.shard"), "{text}");
 }
 
+/// Guards against a refusal that operators can neither see nor lift.
+#[test]
+fn refused_request_is_listed_and_lifted() {
+    let fixture = Fixture::start_with("suspects", StoreFaultChange::default(), |platform| {
+        let crashes = (0..3).map(|replica| Crash { replica, service: 1 }).collect();
+        let created_s = kumquatnotch_route::crash_records::unix_seconds();
+        let record = CrashRecord { crashes, trials: 2, ..CrashRecord::new("/all/x?y", created_s) };
+        let value = codec::encode(&record).unwrap();
+        platform.state.put("kumquatnotch/suspects/00000000000000ab", &value, 0);
+    });
+
+    let listed = text(&fixture.run(&["suspects"]));
+    let unknown = fixture.run(&["suspects", "--lift", "cd"]);
+    let lifted = fixture.run(&["suspects", "--lift", "00000000000000ab"]);
+    let after = text(&fixture.run(&["suspects"]));
+
+    assert!(listed.contains("00000000000000ab") && listed.contains("refused"), "{listed}");
+    assert!(listed.contains("/all/x?y"), "{listed}");
+    assert_eq!((unknown.status.code(), lifted.status.code()), (Some(1), Some(0)));
+    assert!(!after.contains("00000000000000ab"), "{after}");
+}
+
 #[test]
 fn help_names_every_command() {
     let fixture = Fixture::start("help", StoreFaultChange::default());
 
     let help = text(&fixture.run(&["--help"]));
 
-    for command in ["apply", "diff", "status", "rollback", "drain", "check", "history"] {
+    for command in ["apply", "diff", "status", "rollback", "drain", "check", "history", "suspects"]
+    {
         assert!(help.contains(command), "{help}");
     }
 }
