route: a node that has just answered a request speaks for it

A node that has just started knows no answers, and records a popular search as suspect if it was running on several replicas that crashed; every node would then let it in on trial only, or refuse it for a minute if that trial meets another crash. A node that answered it completely in the last 10 s deletes the record. Test: node_that_answered_a_request_speaks_for_it; without the change the record stays and the request is on trial.

--- a/crates/kumquatnotch-policy/src/crashes.rs
+++ b/crates/kumquatnotch-policy/src/crashes.rs
@@ -210,6 +210,12 @@
         }
     }
 
+    /// Whether the request was answered completely a short time ago.
+    pub fn was_answered(&self, fingerprint: Fingerprint, now: Instant) -> bool {
+        let answered = self.answered.borrow().get(&fingerprint).copied();
+        answered.is_some_and(|at| now.saturating_duration_since(at) < ANSWER_MEMORY)
+    }
+
     /// Records a crash; returns whether the other nodes must be told.
     ///
     /// `record` is that of the request without crashes.
@@ -220,8 +226,7 @@
         record: CrashRecord,
         now: Instant,
     ) -> bool {
-        let answered = self.answered.borrow().get(&fingerprint).copied();
-        if answered.is_some_and(|at| now.saturating_duration_since(at) < ANSWER_MEMORY) {
+        if self.was_answered(fingerprint, now) {
             return false;
         }
         self.merge(fingerprint, &CrashRecord { crashes: vec![crash], ..record }, now)
--- a/crates/kumquatnotch-route/src/entries.rs
+++ b/crates/kumquatnotch-route/src/entries.rs
@@ -24,7 +24,7 @@
 use crate::{
     advice::Candidate,
     change_summary::{Change, ChangeSummary},
-    crash_records,
+    crash_check, crash_records,
     departed::Departed,
     directory::PutOutcome,
     names::ReplicaId,
@@ -295,7 +295,10 @@
                     revision,
                     "mirror: crash record received"
                 );
-                if !record.is_expired(crash_records::unix_seconds()) {
+                if router.crashes.was_answered(fingerprint, router.clock.now()) {
+                    // The node that saw the crashes has not answered the request itself.
+                    crash_check::acquit(router, fingerprint);
+                } else if !record.is_expired(crash_records::unix_seconds()) {
                     router.crashes.apply(fingerprint, &record, router.clock.now());
                 }
             }
--- a/crates/kumquatnotch-route/tests/crash_records.rs
+++ b/crates/kumquatnotch-route/tests/crash_records.rs
@@ -205,6 +205,23 @@
     });
 }
 
+/// Guards against a popular request that is refused everywhere because a node that has just started
+/// saw it at crashes: another node has answered it a moment before.
+#[test]
+fn node_that_answered_a_request_speaks_for_it() {
+    run(async {
+        let store = store();
+        let nodes = [(); 2].map(|()| Node::start(&store));
+        pause(50).await;
+
+        nodes[1].tier.router.crashes.note_answer(PRINT, RuntimeClock.now());
+        nodes[0].crash(&[1, 2, 3]);
+        pause(300).await;
+
+        assert_eq!((nodes[0].verdict(), stored(&store)), (Verdict::Free, None));
+    });
+}
+
 /// Guards against a trial that reached no replica and counts as failed, so that a harmless request
 /// waits for a minute.
 #[test]
