route: a node whose search loses its parts warns the others at once

The caller of a search that crashes replicas sends it again at another node as soon as it has failed, some 10 ms later. Crashes are confirmed after 150 ms and read from the store later still, so that the second node sent the search to the replicas that were left of each shard, and callers of all searches were refused for seconds.

A trial goes on to the next shard while no replica has run it, as a warned node does not know which replicas are lost.

Weighed: refusing it on warned nodes. A harmless search that was lost with a rack would then be refused; a trial serves it one reply later.

--- a/crates/kumquatnotch-policy/src/mass_loss.rs
+++ b/crates/kumquatnotch-policy/src/mass_loss.rs
@@ -6,7 +6,9 @@
 //! others wait until one of these has been replied to. If a rack was lost for another reason, they
 //! wait for the time of one reply.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+
+use crate::crashes::Crash;
 
 /// Number of lost parts from which on others wait.
 const MIN_LOSSES: u32 = 3;
@@ -26,15 +28,28 @@
 #[derive(Debug, Default)]
 pub struct MassLoss {
     losses: Cell<u32>,
+    /// The replicas with which the first parts were lost.
+    replicas: RefCell<Vec<Crash>>,
     /// Number of parts that were sent again and have no outcome yet.
     running: Cell<u32>,
     replied: Cell<bool>,
 }
 
 impl MassLoss {
+    /// Creates the state of a search that is known to do no harm.
+    pub fn harmless() -> MassLoss {
+        MassLoss { replied: Cell::new(true), ..MassLoss::default() }
+    }
+
     /// Records that a part was lost: sent, and the connection broke before its reply.
-    pub fn note_lost(&self) {
+    ///
+    /// Returns the replicas with which parts were lost when there are so many for the first time
+    /// that the search itself may be the reason.
+    pub fn note_lost(&self, replica: Option<Crash>) -> Option<Vec<Crash>> {
+        let was_alarming = self.is_alarming();
         self.losses.set(self.losses.get() + 1);
+        self.replicas.borrow_mut().extend(replica.filter(|_| !was_alarming));
+        (!was_alarming && self.is_alarming()).then(|| self.replicas.take())
     }
 
     /// Whether so many parts were lost that the search itself may be the reason.
--- a/crates/kumquatnotch-policy/tests/mass_loss.rs
+++ b/crates/kumquatnotch-policy/tests/mass_loss.rs
@@ -6,7 +6,7 @@
 fn lose(losses: &MassLoss, count: u32) -> usize {
     let mut waiting = 0;
     for _ in 0..count {
-        losses.note_lost();
+        losses.note_lost(None);
         match losses.advice() {
             Advice::Retry => losses.begin_retry(),
             Advice::Wait => waiting += 1,
--- a/crates/kumquatnotch-route/src/call.rs
+++ b/crates/kumquatnotch-route/src/call.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     attempt::{self, AttemptResult, Call},
+    crash_alarm, crash_check,
     names::ReplicaId,
     replica::{self, Pick, Replica},
     route::RouteKind,
@@ -85,7 +86,7 @@
     let sent = Cell::new(false);
     let mut running = FuturesUnordered::new();
     if call.is_retry {
-        progress.note_lost();
+        progress.note_lost(None);
         if !progress.admit_retry().await {
             return Err(CallError::Unknown);
         }
@@ -170,10 +171,14 @@
 }
 
 impl Progress<'_> {
-    /// Records that this part of a search was lost.
-    fn note_lost(&self) {
-        if let Some(losses) = self.call.losses {
-            losses.note_lost();
+    /// Records that this part of a search was lost, and with which replica.
+    fn note_lost(&self, replica: Option<&Replica>) {
+        let Some(losses) = self.call.losses else {
+            return;
+        };
+        let crash = replica.map(|replica| crash_check::crash(self.call, replica));
+        if let Some(crashes) = losses.note_lost(crash) {
+            crash_alarm::raise(self.router, self.call, crashes);
         }
     }
 
@@ -313,7 +318,7 @@
             AttemptResult::NotSent => AttemptOutcome::NotSent,
             AttemptResult::Lost(error) => {
                 self.end_retry(false);
-                self.note_lost();
+                self.note_lost(Some(replica));
                 tracing::info!(
                     request = self.call.identity.to_str().unwrap_or_default(),
                     replica = replica.id.as_str(),
--- a/crates/kumquatnotch-route/src/crash_check.rs
+++ b/crates/kumquatnotch-route/src/crash_check.rs
@@ -30,10 +30,7 @@
 /// service replies to the request meanwhile, the request is not the reason of the crash.
 pub fn check(router: &Rc<Router>, call: &Call<'_>, replica: &Rc<Replica>) {
     let fingerprint = fingerprint(call.request);
-    let crash = Crash {
-        replica: stable_hash(&[replica.id.as_str().as_bytes()]),
-        service: service_hash(call.service),
-    };
+    let crash = crash(call, replica);
     let (router, replica) = (router.clone(), replica.clone());
     let (identity, service) = (call.identity.clone(), call.service.clone());
     let target = call.request.target();
@@ -62,6 +59,14 @@
     });
 }
 
+/// Returns the crash of a replica while it ran a request.
+pub fn crash(call: &Call<'_>, replica: &Replica) -> Crash {
+    Crash {
+        replica: stable_hash(&[replica.id.as_str().as_bytes()]),
+        service: service_hash(call.service),
+    }
+}
+
 /// Returns whether a replica whose connection has just broken no longer runs.
 async fn has_crashed(router: &Router, replica: &Replica) -> bool {
     let clock = &*router.clock;
--- a/crates/kumquatnotch-route/src/crash_records.rs
+++ b/crates/kumquatnotch-route/src/crash_records.rs
@@ -31,6 +31,9 @@
 /// The loss of many replicas at once may make suspects of all requests that were running there.
 const MAX_QUEUED: usize = 256;
 
+/// Maximum number of written records that are remembered.
+const MAX_WRITTEN: usize = 1_024;
+
 /// Maximum number of times that a write is retried because another node was faster.
 const MAX_CONFLICTS: u32 = 8;
 
@@ -66,6 +69,8 @@
     changes: UnboundedSender<Change>,
     queue: RefCell<Option<UnboundedReceiver<Change>>>,
     queued: RefCell<HashSet<Change>>,
+    /// Records that this node has written.
+    written: RefCell<HashSet<Fingerprint>>,
 }
 
 /// Returns the key of a request's record.
@@ -87,9 +92,15 @@
     /// Creates the writer of the records under `prefix` and registers it with the router.
     pub fn new(router: Rc<Router>, store: Rc<dyn Store>, prefix: &'static str) -> Rc<CrashRecords> {
         let (changes, queue) = unbounded();
-        let (queue, queued) = (RefCell::new(Some(queue)), RefCell::default());
-        let records =
-            Rc::new(CrashRecords { router: router.clone(), store, prefix, changes, queue, queued });
+        let records = Rc::new(CrashRecords {
+            router: router.clone(),
+            store,
+            prefix,
+            changes,
+            queue: RefCell::new(Some(queue)),
+            queued: RefCell::default(),
+            written: RefCell::default(),
+        });
         router.set_crash_records(records.clone());
         records
     }
@@ -137,14 +148,24 @@
 
     async fn write_change(&self, change: Change) -> Result<()> {
         match change {
-            Change::Delete(fingerprint) => {
-                let write = StoreWrite::delete(&self.key(fingerprint));
-                self.store.write(&write).await.map(drop)
-            }
+            Change::Delete(fingerprint) => self.delete_record(fingerprint).await,
             Change::Publish(fingerprint) => self.write_record(fingerprint).await,
         }
     }
 
+    /// Deletes the record of a request, if the store has one.
+    async fn delete_record(&self, fingerprint: Fingerprint) -> Result<()> {
+        let key = self.key(fingerprint);
+        // Most requests are acquitted before a record is written.
+        let is_written = self.written.borrow().contains(&fingerprint);
+        if !is_written && self.known(&key).is_none() {
+            return Ok(());
+        }
+        self.store.write(&StoreWrite::delete(&key)).await?;
+        self.written.borrow_mut().remove(&fingerprint);
+        Ok(())
+    }
+
     /// Writes what this node knows of a request, unless the store knows as much.
     async fn write_record(&self, fingerprint: Fingerprint) -> Result<()> {
         let key = self.key(fingerprint);
@@ -160,6 +181,7 @@
                 return Ok(());
             }
             let write = StoreWrite::put(&key, &codec::encode(&record)?, revision);
+            self.note_written(fingerprint);
             match self.store.write(&write).await {
                 Err(Error::CompareFailed) => stored = self.read(&key).await?,
                 result => return result.map(drop),
@@ -203,6 +225,8 @@
             record.trials += 1;
             let revision = stored.as_ref().map_or(0, |(_, revision)| *revision);
             let write = StoreWrite::put(&key, &codec::encode(&record)?, revision);
+            self.note_written(fingerprint);
+            self.written.borrow_mut().insert(fingerprint);
             match self.store.write(&write).await {
                 Ok(_) => {
                     self.router.crashes.note_trial(fingerprint, self.router.clock.now());
@@ -260,6 +284,15 @@
         }
     }
 
+    fn note_written(&self, fingerprint: Fingerprint) {
+        let mut written = self.written.borrow_mut();
+        if written.len() >= MAX_WRITTEN {
+            // Other nodes have acquitted most of them.
+            written.clear();
+        }
+        written.insert(fingerprint);
+    }
+
     fn key(&self, fingerprint: Fingerprint) -> String {
         record_key(self.prefix, fingerprint)
     }
--- a/crates/kumquatnotch-route/src/front.rs
+++ b/crates/kumquatnotch-route/src/front.rs
@@ -17,7 +17,6 @@
     answer_time::{self, Due},
     caller_timeouts::CallerTimeouts,
     crashes::Verdict,
-    mass_loss::MassLoss,
     mechanisms::Mechanism,
     overload::SearchOutcome,
     weights::Weights,
@@ -28,7 +27,7 @@
     attempt::Call,
     call::{self, CallError},
     crash_check,
-    gather::{self, FirstPart, Gathered, Search},
+    gather::{self, FirstPart, Gathered, Search, losses_of},
     names::ServiceName,
     request_log::{RequestContext, RequestLog},
     route::{Destination, RouteTable, ShardSet},
@@ -250,7 +249,7 @@
             due: context.due,
             deadline: context.deadline,
             is_late_retry: context.is_late_retry,
-            losses: MassLoss::default(),
+            losses: losses_of(&self.router, request),
         };
         let mut permit = None;
         if context.is_late_retry && self.router.uses(Mechanism::WaitingCallers) {
--- a/crates/kumquatnotch-route/src/gather.rs
+++ b/crates/kumquatnotch-route/src/gather.rs
@@ -22,6 +22,7 @@
     admission::{self, Refused},
     attempt::Call,
     call::{self, CallError, CallStats},
+    crash_check,
     names::ReplicaId,
     parts::Parts,
     relay::{self, RelayOutcome},
@@ -82,6 +83,17 @@
     covered: HashSet<usize>,
 }
 
+/// Returns the state of the lost parts of a search that has lost none.
+///
+/// One that was answered a moment ago does not crash replicas, however many of its parts are lost.
+pub(crate) fn losses_of(router: &Router, request: &Request) -> MassLoss {
+    let fingerprint = crash_check::fingerprint(request);
+    match router.crashes.was_answered(fingerprint, router.clock.now()) {
+        true => MassLoss::harmless(),
+        false => MassLoss::default(),
+    }
+}
+
 /// A part that was received before the rest of its search was sent.
 pub struct FirstPart {
     /// Index of its shard into the set.
--- a/crates/kumquatnotch-route/src/lib.rs
+++ b/crates/kumquatnotch-route/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod call;
 pub mod change_summary;
 pub mod connection_pool;
+pub mod crash_alarm;
 pub mod crash_check;
 pub mod crash_records;
 mod departed;
--- a/crates/kumquatnotch-route/src/relay.rs
+++ b/crates/kumquatnotch-route/src/relay.rs
@@ -43,7 +43,7 @@
 const RUNNING_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Maximum idle time of a connection between nodes.
-const PEER_MAX_IDLE: Duration = Duration::from_secs(30);
+pub(crate) const PEER_MAX_IDLE: Duration = Duration::from_secs(30);
 
 /// Time that both nodes spend on a relayed gather, excluding the round trip.
 ///
--- a/crates/kumquatnotch-route/src/relay_front.rs
+++ b/crates/kumquatnotch-route/src/relay_front.rs
@@ -12,8 +12,9 @@
 
 use crate::{
     call::CallStats,
+    crash_alarm::{self, ALARM_PATH},
     follow::{self, FOLLOW_PATH},
-    gather::{self, Search},
+    gather::{self, Search, losses_of},
     names::ReplicaId,
     relay::{PEER_ADDRESS_HEADER, PROBE_PATH, RELAY_PATH, RUNNING_PATH},
     relay_message::{RelayReply, RelayRequest},
@@ -92,7 +93,7 @@
             due: now + Duration::from_micros(message.due_us),
             deadline: now + Duration::from_micros(message.left_us),
             is_late_retry: false,
-            losses: Default::default(),
+            losses: losses_of(router, &request),
         };
         let stats = CallStats::default();
         let (parts, missing, ran) =
@@ -134,6 +135,10 @@
                     Err(error) => Reply::error(&error),
                 }
             }),
+            ALARM_PATH => Work::ready(match crash_alarm::receive(&self.router, &request.body) {
+                Ok(()) => Reply::text(StatusCode::OK, ""),
+                Err(error) => Reply::error(&error),
+            }),
             RUNNING_PATH => {
                 let identity = request.query_param("request").unwrap_or_default();
                 let running = self.running.borrow();
--- a/crates/kumquatnotch-route/src/router.rs
+++ b/crates/kumquatnotch-route/src/router.rs
@@ -32,6 +32,7 @@
 
 use crate::{
     advice::{AdviceCache, Candidate, HostAdvice},
+    crash_alarm::AlarmLimit,
     crash_records::CrashRecords,
     directory::Directory,
     fleet::{Fleet, PEER_SERVICE},
@@ -102,6 +103,8 @@
     pub service_times: ServiceTimes,
     /// Requests that were running on replicas when these crashed.
     pub crashes: Crashes,
+    /// Limits how often this node warns others of searches that seem to crash replicas.
+    pub(crate) alarm_limit: AlarmLimit,
     /// Shares these with the other nodes.
     crash_records: OnceCell<Rc<CrashRecords>>,
     /// Overload of replicas, by route.
@@ -146,6 +149,7 @@
             caller_rtt: CallerRtt::default(),
             service_times: ServiceTimes::default(),
             crashes: Crashes::default(),
+            alarm_limit: AlarmLimit::default(),
             crash_records: OnceCell::new(),
             overload: Overload::default(),
             mechanisms: options.mechanisms,
--- a/crates/kumquatnotch-route/src/trial.rs
+++ b/crates/kumquatnotch-route/src/trial.rs
@@ -24,6 +24,11 @@
 /// Reason of a refusal because of crashes.
 const REASON: &str = "the request has crashed replicas";
 
+/// Maximum number of shards that are asked until one runs the trial of a search.
+///
+/// A node that was only warned does not know which replicas are lost.
+const MAX_SHARDS: usize = 4;
+
 /// `Retry-After` if no replica can run the trial.
 const NO_REPLICA_RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -49,33 +54,47 @@
             return Err(no_replica());
         }
         self.claim().await?;
-        self.run_at(service).await
+        let result = self.run_at(service).await;
+        if matches!(result, Err(CallError::NotRun { .. })) {
+            self.release().await;
+        }
+        result
     }
 
     /// Runs the trial of a search at one of its shards; returns that part.
     pub(crate) async fn run_search(&self, set: &ShardSet) -> Result<FirstPart, CallError> {
-        let Some(shard) = self.trial_shard(set) else {
+        let shards = self.trial_shards(set);
+        if shards.is_empty() {
             return Err(no_replica());
-        };
+        }
         self.claim().await?;
-        let reply = self.run_at(&set.shards[shard]).await?;
-        Ok(FirstPart { shard, reply })
+        let mut result = Err(no_replica());
+        for shard in shards.into_iter().take(MAX_SHARDS) {
+            result = self.run_at(&set.shards[shard]).await.map(|reply| FirstPart { shard, reply });
+            if !matches!(result, Err(CallError::NotRun { .. })) {
+                return result;
+            }
+        }
+        self.release().await;
+        result
     }
 
-    /// Selects the shard for the trial: one that has lost a replica, if it has another.
+    /// Returns the shards with replicas, those first that have lost another one.
     ///
-    /// Only a reply of such a shard shows that its data is not the reason. If the shard is lost
+    /// Only a reply of such a shard shows that its data is not the reason. If all of them are lost
     /// for good, the search must not be refused for ever, so any shard will do.
-    fn trial_shard(&self, set: &ShardSet) -> Option<usize> {
+    fn trial_shards(&self, set: &ShardSet) -> Vec<usize> {
         let record = self.router.crashes.record(self.fingerprint).unwrap_or_default();
         let has_crashed = |shard: &ServiceName| {
             let service = crash_check::service_hash(shard);
             record.crashes.iter().any(|crash| crash.service == service)
         };
-        let usable = |index: &usize| has_replica(self.router, &set.shards[*index]);
         let shards = 0..set.shards.len();
-        let struck = shards.clone().filter(|index| has_crashed(&set.shards[*index])).find(usable);
-        struck.or_else(|| shards.clone().find(usable))
+        let usable = shards.filter(|index| has_replica(self.router, &set.shards[*index]));
+        let (mut struck, others): (Vec<usize>, Vec<usize>) =
+            usable.partition(|index| has_crashed(&set.shards[*index]));
+        struck.extend(others);
+        struck
     }
 
     async fn claim(&self) -> Result<(), CallError> {
@@ -118,14 +137,18 @@
                     crash_check::acquit(self.router, self.fingerprint);
                 }
             }
-            Err(CallError::NotRun { .. }) => match self.router.crash_records() {
-                Some(records) => records.release(self.fingerprint).await,
-                None => self.router.crashes.undo_trial(self.fingerprint),
-            },
-            Err(CallError::Unknown | CallError::TimedOut) => {}
+            Err(CallError::NotRun { .. } | CallError::Unknown | CallError::TimedOut) => {}
         }
         result
     }
+
+    /// Takes the trial back, as no replica has run it.
+    async fn release(&self) {
+        match self.router.crash_records() {
+            Some(records) => records.release(self.fingerprint).await,
+            None => self.router.crashes.undo_trial(self.fingerprint),
+        }
+    }
 }
 
 fn has_replica(router: &Router, service: &ServiceName) -> bool {
--- a/crates/kumquatnotch-route/tests/crashes.rs
+++ b/crates/kumquatnotch-route/tests/crashes.rs
@@ -87,6 +87,30 @@
     });
 }
 
+/// Guards against a caller that sends such a search again at another node as soon as it has failed,
+/// before the crashes are confirmed: the replicas that are left of each shard would run it.
+#[test]
+fn other_nodes_are_warned_before_the_caller_comes_to_them() {
+    run(async {
+        let tier = Tier::serving(shards(SHARDS, 0.5));
+        let other = Tier::named("other", 100.0, "home");
+        other.put(1, vec![shards(SHARDS, 0.5)]);
+        tier.add_node("other", "home", other.peer.address());
+        let replicas = Replicas::start(&tier, SHARDS);
+        for index in 0..2 * SHARDS {
+            let address = replicas.running.borrow()[index].as_ref().unwrap().address;
+            other.add(&format!("s{}", index / 2), address);
+        }
+
+        tier.get("/a/crash", "first").await;
+        let again = other.get("/a/crash", "again").await;
+        let once_more = other.get("/a/crash", "once more").await;
+
+        assert_eq!((again.status, once_more.status), (502, 503));
+        assert_eq!(replicas.crashed(), SHARDS + 3);
+    });
+}
+
 /// Guards against retries of such a search that reach all shards again: each trial costs one
 /// replica, and after the last of them the search reaches none.
 #[test]
