route: a trial goes on without its caller, and counts only if a replica crashed

The trial now runs on its own; only a crash that is confirmed counts. Tests: trial_goes_on_after_its_caller_has_left, trial_whose_reply_is_lost_without_a_crash_is_taken_back.

--- a/crates/kumquatnotch-policy/src/crashes.rs
+++ b/crates/kumquatnotch-policy/src/crashes.rs
@@ -116,6 +116,8 @@
     since: Instant,
     /// When this node heard of the latest trial.
     tried_at: Instant,
+    /// Number of crashes that this node has confirmed, also beyond those in the record.
+    confirmed: u64,
 }
 
 #[derive(Debug, Default)]
@@ -240,6 +242,18 @@
         }
     }
 
+    /// Counts a crash that this node has confirmed.
+    pub fn note_confirmed(&self, fingerprint: Fingerprint) {
+        if let Some(suspect) = self.suspects.borrow_mut().get_mut(&fingerprint) {
+            suspect.confirmed += 1;
+        }
+    }
+
+    /// Number of crashes that this node has confirmed while the request was suspect.
+    pub fn confirmed(&self, fingerprint: Fingerprint) -> u64 {
+        self.suspects.borrow().get(&fingerprint).map_or(0, |suspect| suspect.confirmed)
+    }
+
     /// Adds what is known elsewhere; returns whether it was new.
     pub fn merge(&self, fingerprint: Fingerprint, record: &CrashRecord, now: Instant) -> bool {
         let mut suspects = self.suspects.borrow_mut();
@@ -259,6 +273,7 @@
             },
             since: now,
             tried_at: now,
+            confirmed: 0,
         });
         let trials = suspect.record.trials;
         let changed = suspect.record.merge(record);
@@ -292,7 +307,7 @@
     /// Returns how a request may run.
     pub fn verdict(&self, fingerprint: Fingerprint, now: Instant) -> Verdict {
         let suspects = self.suspects.borrow();
-        let Some(Suspect { record, since, tried_at }) = suspects.get(&fingerprint) else {
+        let Some(Suspect { record, since, tried_at, .. }) = suspects.get(&fingerprint) else {
             return Verdict::Free;
         };
         let age = now.saturating_duration_since(*since);
--- a/crates/kumquatnotch-route/src/crash_check.rs
+++ b/crates/kumquatnotch-route/src/crash_check.rs
@@ -21,6 +21,9 @@
 /// Maximum time in which a running replica accepts a connection.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Maximum duration of a check, with some time for its own work.
+pub const MAX_DURATION: Duration = Duration::from_millis(700);
+
 /// How long the connection opened by the check is kept for the next request.
 const CHECK_KEEP_ALIVE: Duration = Duration::from_secs(2);
 
@@ -45,6 +48,7 @@
         let record = CrashRecord::new(&target, crash_records::unix_seconds());
         let now = router.clock.now();
         let counted = !has_replied && router.crashes.note_crash(fingerprint, crash, record, now);
+        router.crashes.note_confirmed(fingerprint);
         tracing::info!(
             request = identity.to_str().unwrap_or_default(),
             replica = replica.id.as_str(),
--- a/crates/kumquatnotch-route/src/front.rs
+++ b/crates/kumquatnotch-route/src/front.rs
@@ -126,10 +126,8 @@
         let outcome = match self.verdict(fingerprint, arrival) {
             Verdict::Free => self.send(&context, &request, None, &log).await,
             Verdict::Trial => {
-                let (router, context, request, stats) =
-                    (&self.router, &context, &request, &log.stats);
-                let trial = Trial { router, context, request, fingerprint, stats };
-                self.send(context, request, Some(trial), &log).await
+                let trial = Trial::new(&self.router, &context, &request, fingerprint);
+                self.send(&context, &request, Some(trial), &log).await
             }
             Verdict::Refused { retry_after } => Err(trial::refusal(retry_after)),
         };
@@ -186,7 +184,7 @@
         &self,
         context: &RequestContext,
         request: &Request,
-        trial: Option<Trial<'_>>,
+        trial: Option<Trial>,
         log: &RequestLog<'_>,
     ) -> Result<Reply, CallError> {
         let service = match &context.route.destination {
@@ -198,14 +196,14 @@
                 })?
             }
             Destination::Shards(set) => {
-                let first = match &trial {
+                let first = match trial {
                     Some(trial) => Some(trial.run_search(set).await?),
                     None => None,
                 };
                 return self.search(context, set, request, first, log).await;
             }
         };
-        match &trial {
+        match trial {
             Some(trial) => trial.run_single(service).await,
             None => self.call(context, service, request, log).await,
         }
--- a/crates/kumquatnotch-route/src/trial.rs
+++ b/crates/kumquatnotch-route/src/trial.rs
@@ -1,11 +1,17 @@
 //! Trials of requests that seem to crash replicas.
 //!
 //! One replica runs the request, once. A search is sent to the other shards only after that
-//! replica has replied, so that a trial costs one replica and not one of each shard.
+//! replica has replied, so that a trial costs one replica and not one of each shard. A trial goes
+//! on if its caller leaves: few may be started, and its outcome is what the next callers wait for.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{
+    cell::Cell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
-use kumquatnotch_core::ids::Fingerprint;
+use http::HeaderValue;
+use kumquatnotch_core::{clock, ids::Fingerprint};
 use kumquatnotch_net::message::{Reply, Request};
 use kumquatnotch_policy::observed::Fitness;
 
@@ -32,13 +38,16 @@
 /// `Retry-After` if no replica can run the trial.
 const NO_REPLICA_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// A request that needs a trial.
-pub(crate) struct Trial<'a> {
-    pub(crate) router: &'a Rc<Router>,
-    pub(crate) context: &'a RequestContext,
-    pub(crate) request: &'a Request,
-    pub(crate) fingerprint: Fingerprint,
-    pub(crate) stats: &'a CallStats,
+/// A trial of a request.
+pub(crate) struct Trial {
+    router: Rc<Router>,
+    /// The route, with a single attempt.
+    route: Route,
+    request: Request,
+    fingerprint: Fingerprint,
+    identity: HeaderValue,
+    due: Instant,
+    deadline: Instant,
 }
 
 /// Returns the refusal of a request that has crashed replicas.
@@ -47,36 +56,40 @@
     CallError::NotRun { retry_after, reason: REASON }
 }
 
-impl Trial<'_> {
-    /// Runs the trial of a request to one service, which is the request itself.
-    pub(crate) async fn run_single(&self, service: &ServiceName) -> Result<Reply, CallError> {
-        if !has_replica(self.router, service) {
-            return Err(no_replica());
-        }
-        self.claim().await?;
-        let result = self.run_at(service).await;
-        if matches!(result, Err(CallError::NotRun { .. })) {
-            self.release().await;
+impl Trial {
+    /// Creates the trial of a request.
+    pub(crate) fn new(
+        router: &Rc<Router>,
+        context: &RequestContext,
+        request: &Request,
+        fingerprint: Fingerprint,
+    ) -> Trial {
+        Trial {
+            router: router.clone(),
+            route: Route { attempts: 1, ..(*context.route).clone() },
+            request: request.clone(),
+            fingerprint,
+            identity: context.identity.clone(),
+            due: context.due,
+            deadline: context.deadline,
         }
-        result
+    }
+
+    /// Runs the trial of a request to one service, which is the request itself.
+    pub(crate) async fn run_single(self, service: &ServiceName) -> Result<Reply, CallError> {
+        let services = match has_replica(&self.router, service) {
+            true => vec![service.clone()],
+            false => Vec::new(),
+        };
+        monoio::spawn(self.run(services)).await.map(|(_, reply)| reply)
     }
 
     /// Runs the trial of a search at one of its shards; returns that part.
-    pub(crate) async fn run_search(&self, set: &ShardSet) -> Result<FirstPart, CallError> {
+    pub(crate) async fn run_search(self, set: &ShardSet) -> Result<FirstPart, CallError> {
         let shards = self.trial_shards(set);
-        if shards.is_empty() {
-            return Err(no_replica());
-        }
-        self.claim().await?;
-        let mut result = Err(no_replica());
-        for shard in shards.into_iter().take(MAX_SHARDS) {
-            result = self.run_at(&set.shards[shard]).await.map(|reply| FirstPart { shard, reply });
-            if !matches!(result, Err(CallError::NotRun { .. })) {
-                return result;
-            }
-        }
-        self.release().await;
-        result
+        let services = shards.iter().map(|index| set.shards[*index].clone()).collect();
+        let (position, reply) = monoio::spawn(self.run(services)).await?;
+        Ok(FirstPart { shard: shards[position], reply })
     }
 
     /// Returns the shards with replicas, those first that have lost another one.
@@ -90,13 +103,47 @@
             record.crashes.iter().any(|crash| crash.service == service)
         };
         let shards = 0..set.shards.len();
-        let usable = shards.filter(|index| has_replica(self.router, &set.shards[*index]));
+        let usable = shards.filter(|index| has_replica(&self.router, &set.shards[*index]));
         let (mut struck, others): (Vec<usize>, Vec<usize>) =
             usable.partition(|index| has_crashed(&set.shards[*index]));
         struck.extend(others);
+        struck.truncate(MAX_SHARDS);
         struck
     }
 
+    /// Runs the request on one replica of the first of `services` that has one for it.
+    ///
+    /// Returns the position of that service and the reply.
+    async fn run(self, services: Vec<ServiceName>) -> Result<(usize, Reply), CallError> {
+        if services.is_empty() {
+            return Err(no_replica());
+        }
+        self.claim().await?;
+        let crashes = self.router.crashes.confirmed(self.fingerprint);
+        let mut result = Err(no_replica());
+        for (position, service) in services.iter().enumerate() {
+            result = self.run_at(service).await.map(|reply| (position, reply));
+            if !matches!(result, Err(CallError::NotRun { .. })) {
+                break;
+            }
+        }
+        match &result {
+            Ok((_, reply)) | Err(CallError::Failed(reply)) => {
+                // A reply of a service without crashes has not acquitted it yet.
+                if crash_check::is_proven(&self.router, reply)
+                    && self.router.crashes.record(self.fingerprint).is_some()
+                {
+                    crash_check::acquit(&self.router, self.fingerprint);
+                }
+            }
+            Err(CallError::NotRun { .. } | CallError::TimedOut) => self.release().await,
+            Err(CallError::Unknown) => {
+                monoio::spawn(self.release_unless_crashed(crashes));
+            }
+        }
+        result
+    }
+
     async fn claim(&self) -> Result<(), CallError> {
         let claim = match self.router.crash_records() {
             Some(records) => records.claim(self.fingerprint).await,
@@ -113,36 +160,32 @@
 
     /// Sends the request to one replica of a service, once.
     async fn run_at(&self, service: &ServiceName) -> Result<Reply, CallError> {
-        let context = self.context;
-        let route = Route { attempts: 1, ..(*context.route).clone() };
         let call = Call {
-            route: &route,
+            route: &self.route,
             service,
-            request: self.request,
-            identity: &context.identity,
-            due: context.due,
-            deadline: context.deadline,
+            request: &self.request,
+            identity: &self.identity,
+            due: self.due,
+            deadline: self.deadline,
             allowed: Vec::new(),
             is_retry: false,
             losses: None,
             is_answered: Cell::new(false),
         };
-        let result = call::call(self.router, &call, self.stats).await;
-        match &result {
-            Ok(reply) | Err(CallError::Failed(reply)) => {
-                // A reply of a service without crashes has not acquitted it yet.
-                if crash_check::is_proven(self.router, reply)
-                    && self.router.crashes.record(self.fingerprint).is_some()
-                {
-                    crash_check::acquit(self.router, self.fingerprint);
-                }
-            }
-            Err(CallError::NotRun { .. } | CallError::Unknown | CallError::TimedOut) => {}
+        call::call(&self.router, &call, &CallStats::default()).await
+    }
+
+    /// Takes the trial back if the replica that lost its reply has not crashed.
+    ///
+    /// Otherwise a harmless request whose replies are lost could be refused for a day.
+    async fn release_unless_crashed(self, crashes: u64) {
+        clock::sleep(&*self.router.clock, crash_check::MAX_DURATION).await;
+        if self.router.crashes.confirmed(self.fingerprint) == crashes {
+            self.release().await;
         }
-        result
     }
 
-    /// Takes the trial back, as no replica has run it.
+    /// Takes the trial back, as it has shown nothing.
     async fn release(&self) {
         match self.router.crash_records() {
             Some(records) => records.release(self.fingerprint).await,
--- a/crates/kumquatnotch-route/tests/crashes.rs
+++ b/crates/kumquatnotch-route/tests/crashes.rs
@@ -255,6 +255,46 @@
     });
 }
 
+/// Guards against a harmless request that is refused for a day because the replies to its trials
+/// were lost, although no replica crashed.
+#[test]
+fn trial_whose_reply_is_lost_without_a_crash_is_taken_back() {
+    run(async {
+        let tier = Tier::serving(single());
+        let replica = scripted_replica(|_| vec![Step::Close]);
+        tier.add("s0", replica.address);
+        note_crashes(&tier, &sent("/a/x"), MIN_CRASHES as u64);
+
+        let answer = tier.get("/a/x", "r1").await;
+        pause(DETECTION_MS + 200).await;
+
+        let fingerprint = crash_check::fingerprint(&sent("/a/x"));
+        let verdict = tier.router.crashes.verdict(fingerprint, RuntimeClock.now());
+        assert_eq!((answer.status, verdict), (502, Verdict::Trial));
+    });
+}
+
+/// Guards against a harmless request that is refused for a minute because the caller left during
+/// its trial.
+#[test]
+fn trial_goes_on_after_its_caller_has_left() {
+    run(async {
+        let tier = Tier::serving(single());
+        let replica = scripted_replica(|request| {
+            vec![Step::Wait(Duration::from_millis(300)), proven_reply(request, "p", b"body")]
+        });
+        tier.add("s0", replica.address);
+        note_crashes(&tier, &sent("/a/x"), MIN_CRASHES as u64);
+        let fingerprint = crash_check::fingerprint(&sent("/a/x"));
+
+        let impatient = monoio::time::timeout(Duration::from_millis(100), tier.get("/a/x", "r1"));
+        assert!(impatient.await.is_err());
+        pause(400).await;
+
+        assert_eq!(tier.router.crashes.verdict(fingerprint, RuntimeClock.now()), Verdict::Free);
+    });
+}
+
 /// A replica closes connections without a reply but keeps running. The requests are not
 /// suspected.
 #[test]
