--- a/crates/kumquatnotch-holder/src/crash.rs
+++ b/crates/kumquatnotch-holder/src/crash.rs
@@ -9,7 +9,7 @@
     Result, clock::sleep, document::TargetSpec, ids::TargetName, marks::MarkKind,
     target::TargetStatus,
 };
-use kumquatnotch_policy::containment::Running;
+use kumquatnotch_policy::containment::{Contained, Running};
 
 use crate::{core::Core, table::Entry};
 
@@ -131,9 +131,9 @@
             self.meters.crashes.increment(1);
             tracing::warn!(%target, beside = in_flight.len(), "holder: target crashed");
             let mut containment = self.containment.borrow_mut();
-            if let Some(fingerprint) = containment.on_crash(in_flight, *alone, self.now()) {
-                let span = containment.span();
-                drop(containment);
+            let contained = containment.on_crash(in_flight, *alone, self.now());
+            drop(containment);
+            if let Some(Contained { fingerprint, span }) = contained {
                 self.set_mark(MarkKind::Contained(fingerprint), span);
                 tracing::warn!(
                     print = %fingerprint,
--- a/crates/kumquatnotch-policy/src/containment.rs
+++ b/crates/kumquatnotch-policy/src/containment.rs
@@ -3,7 +3,8 @@
 //! When a target crashes, every request in flight to it becomes a suspect. From then on a suspect
 //! runs alone on its replica, so that the next crash identifies the culprit and affects no other
 //! request. A request that crashes a target while alone, after an earlier crash, is contained: it
-//! is refused until the mark expires. A suspect is cleared by an answer of the shard that crashed.
+//! is refused until the mark expires, for minutes the first time and then for a day. A suspect is
+//! cleared by an answer of the shard that crashed.
 
 use std::time::{Duration, Instant};
 
@@ -32,6 +33,15 @@
     pub shard: ShardName,
 }
 
+/// A request that is refused from now on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Contained {
+    /// Fingerprint of its content.
+    pub fingerprint: Fingerprint,
+    /// How long it is refused.
+    pub span: Duration,
+}
+
 /// Decides which requests are kept from targets.
 pub trait Containment {
     /// Returns how a request may run.
@@ -41,13 +51,10 @@
     /// contained now.
     ///
     /// `alone` is true if the target ran a suspect in isolation.
-    fn on_crash(&mut self, present: &[Running], alone: bool, now: Instant) -> Option<Fingerprint>;
+    fn on_crash(&mut self, present: &[Running], alone: bool, now: Instant) -> Option<Contained>;
 
     /// Records an answer of a shard to a request.
     fn on_answer(&mut self, fingerprint: Fingerprint, shard: &ShardName);
-
-    /// How long a contained request is refused.
-    fn span(&self) -> Duration;
 }
 
 /// Runs every request without restrictions. The baseline.
@@ -59,28 +66,23 @@
         Verdict::Free
     }
 
-    fn on_crash(
-        &mut self,
-        _present: &[Running],
-        _alone: bool,
-        _now: Instant,
-    ) -> Option<Fingerprint> {
+    fn on_crash(&mut self, _present: &[Running], _alone: bool, _now: Instant) -> Option<Contained> {
         None
     }
 
     fn on_answer(&mut self, _fingerprint: Fingerprint, _shard: &ShardName) {}
-
-    fn span(&self) -> Duration {
-        Duration::ZERO
-    }
 }
 
 /// Number of crashes after which a request is contained.
 const MIN_STRIKES: u32 = 2;
-/// How long a contained request is refused.
+/// How long a request is refused when it is contained for the first time.
 const CONTAINMENT_TIME: Duration = Duration::from_secs(600);
+/// How long it is refused when it crashes a target again after that.
+///
+/// Its caller may send it all day, and each time that it is let in costs a target.
+const LONG_CONTAINMENT_TIME: Duration = Duration::from_secs(24 * 3600);
 /// How long a request stays suspect after the last crash.
-const SUSPICION_TIME: Duration = Duration::from_secs(3600);
+const SUSPICION_TIME: Duration = Duration::from_secs(25 * 3600);
 /// Maximum number of suspects; the oldest are dropped first.
 const MAX_SUSPECTS: usize = 4096;
 
@@ -110,7 +112,7 @@
         }
     }
 
-    fn on_crash(&mut self, present: &[Running], alone: bool, now: Instant) -> Option<Fingerprint> {
+    fn on_crash(&mut self, present: &[Running], alone: bool, now: Instant) -> Option<Contained> {
         self.make_room(now);
         for running in present {
             let suspect = self.suspects.entry(running.fingerprint).or_insert_with(|| Suspect {
@@ -139,8 +141,12 @@
         if suspect.strikes < MIN_STRIKES {
             return None;
         }
-        suspect.until = Some(now + CONTAINMENT_TIME);
-        Some(running.fingerprint)
+        let span = match suspect.until {
+            None => CONTAINMENT_TIME,
+            Some(_) => LONG_CONTAINMENT_TIME,
+        };
+        suspect.until = Some(now + span);
+        Some(Contained { fingerprint: running.fingerprint, span })
     }
 
     fn on_answer(&mut self, fingerprint: Fingerprint, shard: &ShardName) {
@@ -154,10 +160,6 @@
             self.suspects.remove(&fingerprint);
         }
     }
-
-    fn span(&self) -> Duration {
-        CONTAINMENT_TIME
-    }
 }
 
 impl StrikeContainment {
@@ -166,11 +168,13 @@
             return;
         }
         let age = |suspect: &Suspect| now.saturating_duration_since(suspect.last);
-        self.suspects.retain(|_, suspect| age(suspect) < CONTAINMENT_TIME);
+        let is_contained = |suspect: &Suspect| suspect.until.is_some_and(|until| until > now);
+        self.suspects.retain(|_, suspect| is_contained(suspect) || age(suspect) < CONTAINMENT_TIME);
         if self.suspects.len() < MAX_SUSPECTS {
             return;
         }
-        let oldest = self.suspects.iter().max_by_key(|(_, suspect)| age(suspect));
+        let oldest =
+            self.suspects.iter().max_by_key(|(_, suspect)| (!is_contained(suspect), age(suspect)));
         if let Some(fingerprint) = oldest.map(|(fingerprint, _)| *fingerprint) {
             self.suspects.remove(&fingerprint);
         }
--- a/crates/kumquatnotch-policy/tests/calls.rs
+++ b/crates/kumquatnotch-policy/tests/calls.rs
@@ -312,9 +312,33 @@
     let now = Instant::now();
     let mut containment = StrikeContainment::default();
     containment.on_crash(&[running(7, "a")], true, now);
-    assert_eq!(containment.on_crash(&[running(7, "a")], true, now), Some(Fingerprint(7)));
+    let contained = containment.on_crash(&[running(7, "a")], true, now).unwrap();
 
-    let later = now + containment.span() + MS;
+    let verdicts =
+        [now, now + contained.span + MS].map(|time| containment.verdict(Fingerprint(7), time));
 
-    assert_eq!(containment.verdict(Fingerprint(7), later), Verdict::Alone);
+    assert_eq!(contained.fingerprint, Fingerprint(7));
+    assert_eq!(verdicts, [Verdict::Refused(contained.span), Verdict::Alone]);
+}
+
+/// Guards against a request that crashes a target each time that its containment ends: its caller
+/// sends it once a minute all day. Operators tolerate three crashes and three further attempts.
+#[test]
+fn request_crashes_few_targets_in_a_day() {
+    let start = Instant::now();
+    let mut containment = StrikeContainment::default();
+
+    let mut crashes = 0;
+    for minute in 0..24 * 60 {
+        let now = start + Duration::from_secs(60 * minute);
+        let alone = match containment.verdict(Fingerprint(7), now) {
+            Verdict::Free => false,
+            Verdict::Alone => true,
+            Verdict::Refused(_) => continue,
+        };
+        crashes += 1;
+        containment.on_crash(&[running(7, "a")], alone, now);
+    }
+
+    assert!(crashes <= 6, "{crashes} targets crashed");
 }
