core: a fingerprint is written as 16 hexadecimal digits, as in the key of its record

Log lines had it in decimal, so that operators could not find the lines of a request that kumquatnotch-ctl suspects lists.

--- a/crates/kumquatnotch-core/src/ids.rs
+++ b/crates/kumquatnotch-core/src/ids.rs
@@ -105,8 +105,19 @@
     IndexVersion,
     /// A query, unique with the incarnation of the node that runs it.
     QueryId,
-    /// A hash of the content of a request, which identifies repetitions.
-    Fingerprint,
+}
+
+/// A hash of the content of a request, which identifies repetitions.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Fingerprint(pub u64);
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
 }
 
 /// The digest of a stored value.
--- a/crates/kumquatnotch-route/src/crash_records.rs
+++ b/crates/kumquatnotch-route/src/crash_records.rs
@@ -75,7 +75,7 @@
 
 /// Returns the key of a request's record.
 pub fn record_key(prefix: &str, fingerprint: Fingerprint) -> String {
-    format!("{prefix}{:016x}", fingerprint.0)
+    format!("{prefix}{fingerprint}")
 }
 
 /// Parses what follows the prefix in the key of a record.
