route: a search that ran in its trial is not refused as not run

After the trial of a suspect search had been answered by one shard, the search could still be refused for crowded or missing shards, or for lack of room for a late one: 503, which promises that it has not run, although a replica had run it. search_that_ran_in_its_trial_is_not_refused_as_not_run failed with 503. Such a search is now let in; found by reading the path of the first part.

--- a/crates/kumquatnotch-route/src/front.rs
+++ b/crates/kumquatnotch-route/src/front.rs
@@ -250,7 +250,8 @@
             losses: losses_of(&self.router, request),
         };
         let mut permit = None;
-        if context.is_late_retry && self.router.uses(Mechanism::WaitingCallers) {
+        let may_wait = first.is_none() && self.router.uses(Mechanism::WaitingCallers);
+        if context.is_late_retry && may_wait {
             permit =
                 admission::wait_for_capacity(&self.router, &self.late_retries, &mut search).await;
             if permit.is_none() {
--- a/crates/kumquatnotch-route/src/gather.rs
+++ b/crates/kumquatnotch-route/src/gather.rs
@@ -113,7 +113,9 @@
     let total = search.set.shards.len();
     let min_parts = search.set.min_parts();
     let mut running = Running::default();
-    if let Err(Refused { retry_after, reason }) = admission::admit(router, search) {
+    // A search of which a part has run can't be refused as not run any more.
+    let admitted = if first.is_none() { admission::admit(router, search) } else { Ok(()) };
+    if let Err(Refused { retry_after, reason }) = admitted {
         let answer = Err(CallError::NotRun { retry_after, reason });
         return Gathered { answer, parts: 0, missing: total, relayed: 0 };
     }
--- a/crates/kumquatnotch-route/tests/crashes.rs
+++ b/crates/kumquatnotch-route/tests/crashes.rs
@@ -255,6 +255,21 @@
     });
 }
 
+/// Guards against a search that is refused as not run although a replica has run it in its trial:
+/// too few of its shards have replicas.
+#[test]
+fn search_that_ran_in_its_trial_is_not_refused_as_not_run() {
+    run(async {
+        let tier = Tier::serving(shards(SHARDS, 0.5));
+        let _replicas = Replicas::start(&tier, 2);
+        note_crashes(&tier, &sent("/a/new"), MIN_CRASHES as u64);
+
+        let answer = tier.get("/a/new", "r1").await;
+
+        assert_eq!(answer.status, 502);
+    });
+}
+
 /// Guards against a harmless request that is refused for a day because the replies to its trials
 /// were lost, although no replica crashed.
 #[test]
