route: crash records are applied where they are written; weak ones are bounded

From 1,024 suspects on, requests that were present at one or two crashes are no longer recorded, which bounds what lies in the store.

--- a/crates/kumquatnotch-policy/src/crashes.rs
+++ b/crates/kumquatnotch-policy/src/crashes.rs
@@ -335,6 +335,11 @@
         self.suspects.borrow().get(&fingerprint).map(|suspect| suspect.record.clone())
     }
 
+    /// Number of suspect requests.
+    pub fn count(&self) -> usize {
+        self.suspects.borrow().len()
+    }
+
     /// Returns the records of all suspect requests.
     pub fn records(&self) -> Vec<(Fingerprint, CrashRecord)> {
         let suspects = self.suspects.borrow();
--- a/crates/kumquatnotch-route/src/crash_records.rs
+++ b/crates/kumquatnotch-route/src/crash_records.rs
@@ -18,7 +18,7 @@
 };
 use kumquatnotch_policy::crashes::{CrashRecord, Verdict};
 
-use crate::router::Router;
+use crate::{crash_check, router::Router};
 
 /// Maximum time for which a caller waits for the claim of a trial.
 ///
@@ -31,6 +31,11 @@
 /// The loss of many replicas at once may make suspects of all requests that were running there.
 const MAX_QUEUED: usize = 256;
 
+/// Number of suspect requests from which on only those that need a trial are recorded.
+///
+/// It bounds what lies in the store, and what a node that starts reads.
+const MAX_WEAK_RECORDS: usize = 1_024;
+
 /// Maximum number of written records that are remembered.
 const MAX_WRITTEN: usize = 1_024;
 
@@ -88,6 +93,47 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs()
 }
 
+/// Applies a record that the store holds.
+pub(crate) fn apply(
+    router: &Router,
+    fingerprint: Fingerprint,
+    record: &CrashRecord,
+    revision: u64,
+) {
+    tracing::info!(
+        print = %fingerprint,
+        target = record.target,
+        crashes = record.crashes.len(),
+        trials = record.trials,
+        revision,
+        "mirror: crash record received"
+    );
+    if router.crashes.was_answered(fingerprint, router.clock.now()) {
+        // The node that saw the crashes has not answered the request itself.
+        crash_check::acquit(router, fingerprint);
+    } else if !record.is_expired(unix_seconds()) {
+        router.crashes.apply(fingerprint, record, router.clock.now());
+    }
+}
+
+/// Keeps the records that this node knew before it read everything anew.
+///
+/// The store may have been restored from a copy without them. If they were lost, the requests would
+/// be let in again.
+pub(crate) fn restore(
+    router: &Router,
+    known: Vec<(Fingerprint, CrashRecord)>,
+    is_stored: impl Fn(Fingerprint) -> bool,
+) {
+    let now = router.clock.now();
+    for (fingerprint, record) in known {
+        let knows_more = router.crashes.merge(fingerprint, &record, now);
+        if knows_more || !is_stored(fingerprint) {
+            router.publish_crashes(fingerprint);
+        }
+    }
+}
+
 impl CrashRecords {
     /// Creates the writer of the records under `prefix` and registers it with the router.
     pub fn new(router: Rc<Router>, store: Rc<dyn Store>, prefix: &'static str) -> Rc<CrashRecords> {
@@ -174,6 +220,9 @@
             let Some(own) = self.router.crashes.record(fingerprint) else {
                 return Ok(());
             };
+            if !own.needs_trial() && self.router.crashes.count() > MAX_WEAK_RECORDS {
+                return Ok(());
+            }
             let (mut record, revision) = stored.unwrap_or_default();
             if revision == 0 {
                 record = own;
--- a/crates/kumquatnotch-route/src/entries.rs
+++ b/crates/kumquatnotch-route/src/entries.rs
@@ -16,15 +16,14 @@
 use kumquatnotch_core::{
     clock,
     collections::{HashMap, HashSet},
-    ids::{Fingerprint, NodeName},
+    ids::NodeName,
     store::{StoreEvent, StoreItem, StoreScan},
 };
-use kumquatnotch_policy::crashes::CrashRecord;
 
 use crate::{
     advice::Candidate,
     change_summary::{Change, ChangeSummary},
-    crash_check, crash_records,
+    crash_records,
     departed::Departed,
     directory::PutOutcome,
     names::ReplicaId,
@@ -136,28 +135,15 @@
         let known_crashes = self.router.crashes.records();
         let seen: HashSet<EntryKey> =
             items.iter().filter_map(|item| self.apply_item(item)).collect();
-        self.restore_crashes(known_crashes, &seen);
+        crash_records::restore(&self.router, known_crashes, |fingerprint| {
+            seen.contains(&EntryKey::Crashes(fingerprint))
+        });
         let lost: Vec<EntryKey> = self.known.borrow().difference(&seen).cloned().collect();
         lost.into_iter().for_each(|key| self.note_removed(key));
         self.classify_vanished();
         self.summary.end();
     }
 
-    /// Keeps what this node knows of requests that crash replicas when it reads everything anew.
-    ///
-    /// The store may have been restored from a copy without these records. If they were lost, the
-    /// requests would be let in again.
-    fn restore_crashes(&self, known: Vec<(Fingerprint, CrashRecord)>, seen: &HashSet<EntryKey>) {
-        let (router, now) = (&self.router, self.router.clock.now());
-        for (fingerprint, record) in known {
-            let is_missing = router.crashes.merge(fingerprint, &record, now);
-            let is_stored = seen.contains(&EntryKey::Crashes(fingerprint));
-            if is_missing || !is_stored {
-                router.publish_crashes(fingerprint);
-            }
-        }
-    }
-
     /// Applies changes in their order.
     pub fn apply_events(&self, events: &[&StoreEvent]) {
         self.summary.begin(events.len());
@@ -287,20 +273,7 @@
                 router.fleet.put(name, record, router.clock.now());
             }
             Entry::Crashes(fingerprint, record) => {
-                tracing::info!(
-                    print = %fingerprint,
-                    target = record.target,
-                    crashes = record.crashes.len(),
-                    trials = record.trials,
-                    revision,
-                    "mirror: crash record received"
-                );
-                if router.crashes.was_answered(fingerprint, router.clock.now()) {
-                    // The node that saw the crashes has not answered the request itself.
-                    crash_check::acquit(router, fingerprint);
-                } else if !record.is_expired(crash_records::unix_seconds()) {
-                    router.crashes.apply(fingerprint, &record, router.clock.now());
-                }
+                crash_records::apply(router, fingerprint, &record, revision);
             }
         }
     }
