policy: a share of the fixed repeats that grows is used after a window

Nodes that start again had their parts of the fixed number once more, and those that are left when others are lost had larger parts at once, although what was sent within the window counts.

Each node uses the smallest share that it had within the window, and none at its start unless the whole tier starts for the first time. What follows from its own requests it may send at once.

The signature of set_share takes the time; the first life in the tests is one that has not run before.

--- a/crates/kumquatnotch-route/src/call.rs
+++ b/crates/kumquatnotch-route/src/call.rs
@@ -99,7 +99,7 @@
     };
     let mut deadline_timer = clock.sleep_until(call.deadline).fuse();
     let mut hedge_timer = clock::sleep(clock, progress.hedge_delay(&first)).fuse();
-    router.budget.set_share(router.own_share());
+    router.budget.set_share(router.own_share(), clock.now());
     if !call.is_retry {
         router.budget.note_first(call.service, clock.now());
     } else if !progress.spend_budget() {
--- a/crates/kumquatnotch-route/src/router.rs
+++ b/crates/kumquatnotch-route/src/router.rs
@@ -54,6 +54,8 @@
     pub names: HeaderNames,
     /// The budget for repeats (retries and hedges).
     pub budget: BudgetOptions,
+    /// Whether the whole tier starts for the first time.
+    pub first_start: bool,
     /// This node.
     pub local_node: LocalNode,
     /// The mechanisms in use: all of them, except in experiments.
@@ -135,7 +137,10 @@
             names: options.names,
             local_node: options.local_node,
             journal: Journal::new(clock.clone()),
-            budget: Budget::new(options.budget, clock.now()),
+            budget: match options.first_start {
+                true => Budget::new(options.budget, clock.now()),
+                false => Budget::after_restart(options.budget, clock.now()),
+            },
             inbound_peers: RefCell::default(),
             started: clock.now(),
             clock,
--- a/crates/kumquatnotch-route/tests/common/mod.rs
+++ b/crates/kumquatnotch-route/tests/common/mod.rs
@@ -128,6 +128,7 @@
         let options = RouterOptions {
             names: HeaderNames::default(),
             budget: BudgetOptions { ratio: 0.2, slack, window: Duration::from_secs(10) },
+            first_start: true,
             local_node: LocalNode {
                 name: NodeName::from(name),
                 centre: DataCentre::from(centre),
--- a/crates/measure/src/routes.rs
+++ b/crates/measure/src/routes.rs
@@ -132,6 +132,7 @@
     let options = RouterOptions {
         names: HeaderNames::default(),
         budget,
+        first_start: true,
         local_node,
         mechanisms: Mechanisms::default(),
     };
