--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -20,6 +20,7 @@
 MAX_VALUE_BYTES = 1_048_576
 PAGE_ITEMS = 500
 PAGE_BYTES = 1_000_000
+WATCH_BYTES = 2_000_000
 
 
 class CannotRun(Exception):
@@ -84,12 +85,11 @@
         self.record = record
         self.revision = 1
         self.items = {}  # key -> (value, revision, created, lease)
-        self.events = []  # (revision, time, event)
+        self.events = []  # (revision, time, key, event)
         self.forgotten = 0
         self.leases = {}  # id -> [ttl, expires]
         self.next_lease = 1
         self.changed = asyncio.Event()
-        self.largest_watch = 0
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -116,7 +116,7 @@
         self.revision += 1
         created = self.items[key][2] if key in self.items else self.revision
         self.items[key] = (value, self.revision, created, lease)
-        self.events.append((self.revision, time.monotonic(), self.show(key)))
+        self.events.append((self.revision, time.monotonic(), key, self.show(key)))
         self.notify()
         return self.revision
 
@@ -125,7 +125,7 @@
             return
         self.revision += 1
         event = {"key": key, "revision": self.revision, "deleted": True}
-        self.events.append((self.revision, time.monotonic(), json.dumps(event)))
+        self.events.append((self.revision, time.monotonic(), key, json.dumps(event)))
         self.notify()
 
     def put_json(self, key, value):
@@ -200,13 +200,17 @@
         while True:
             if after < self.forgotten:
                 return 410, "{}"
-            found = [text for revision, _, text in self.events if revision > after
-                     and json.loads(text[:text.index(',')] + "}")["key"].startswith(prefix)]
+            found, at_rev, size = [], self.revision, 0
+            for revision, key, text in [(r, k, t) for r, _, k, t in self.events if r > after]:
+                if found and size + len(text) > WATCH_BYTES:
+                    at_rev = revision - 1
+                    break
+                if key.startswith(prefix):
+                    found.append(text)
+                    size += len(text)
             left = end - time.monotonic()
             if found or left <= 0:
-                text = '{"events":[%s],"atRev":%d}' % (",".join(found), self.revision)
-                self.largest_watch = max(self.largest_watch, len(text))
-                return 200, text
+                return 200, '{"events":[%s],"atRev":%d}' % (",".join(found), at_rev)
             changed = self.changed
             try:
                 await asyncio.wait_for(changed.wait(), left)
@@ -270,6 +274,9 @@
         await self.process.wait()
         self.log.close()
 
+    def runs(self):
+        return self.process.returncode is None
+
     def memory_mb(self):
         with open(f"/proc/{self.process.pid}/status") as file:
             for line in file:
