review: a leaving node passes on requests that it then cuts

A node that is closing goes on forwarding until 4.3 s after its SIGTERM, and exits at 5.75 s. In a roll of three nodes, 35 to 55 requests of two seconds are cut while their replica is at work.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/bin/bash
+cd "$(dirname "$0")" && exec python3 -B case.py
