net: a request that is cut at the exit is logged with its stage and age

The server lists the requests that it has begun to read, and writes one line for each that is left at the deadline of its shutdown: identity, stage (reading, running, replying), age, and how long after the start of the shutdown it was read. This tells the hypotheses of the incident apart: read late, read early and slow, or answered and not delivered.

--- a/crates/kumquatnotch-net/src/lib.rs
+++ b/crates/kumquatnotch-net/src/lib.rs
@@ -23,6 +23,7 @@
 mod client_connection;
 mod exchange;
 mod latency;
+mod open_requests;
 mod outbound;
 mod pool;
 mod reader;
--- a/crates/kumquatnotch-net/src/server.rs
+++ b/crates/kumquatnotch-net/src/server.rs
@@ -22,7 +22,8 @@
 use monoio::net::TcpListener;
 
 use crate::{
-    message::{Reply, Request},
+    message::{REQUEST_ID_HEADER, Reply, Request},
+    open_requests::OpenRequests,
     server_connection, socket,
 };
 
@@ -43,6 +44,12 @@
     /// Starts to process `request`.
     fn start(&self, request: Request) -> Work<'_>;
 
+    /// Returns the identity of a request for the log; empty if it has none.
+    fn identity<'a>(&self, request: &'a Request) -> &'a str {
+        let value = request.headers.get(REQUEST_ID_HEADER);
+        value.and_then(|value| value.to_str().ok()).unwrap_or_default()
+    }
+
     /// Records the round trip to a client.
     ///
     /// For clients that ask in their request to close the connection, this is the time from
@@ -116,12 +123,13 @@
     pub(crate) options: ServerOptions,
     pub(crate) clock: Rc<dyn Clock>,
     pub(crate) handler: Rc<dyn Handler>,
-    pub(crate) draining: Cell<bool>,
+    /// When clients were first asked to close their connections.
+    pub(crate) drained: Cell<Option<Instant>>,
     pub(crate) closing: Shared<oneshot::Receiver<()>>,
     /// Connections that wait for a request, longest idle first.
     pub(crate) idle: RefCell<VecDeque<oneshot::Sender<()>>>,
     pub(crate) open: Cell<usize>,
-    pub(crate) in_flight: Cell<usize>,
+    pub(crate) requests: OpenRequests,
 }
 
 /// An HTTP server.
@@ -150,11 +158,11 @@
             options,
             clock,
             handler,
-            draining: Cell::new(false),
+            drained: Cell::new(None),
             closing: closing.shared(),
             idle: RefCell::default(),
             open: Cell::new(0),
-            in_flight: Cell::new(0),
+            requests: OpenRequests::default(),
         });
         monoio::spawn(accept(listener, shared.clone()));
         tracing::info!("net: {name} listens at {address}");
@@ -173,12 +181,13 @@
 
     /// Returns the number of requests in flight.
     pub fn requests(&self) -> usize {
-        self.shared.in_flight.get()
+        self.shared.requests.count()
     }
 
     /// Asks clients with each reply from now on to close their connection.
     pub fn drain(&self) {
-        self.shared.draining.set(true);
+        let drained = &self.shared.drained;
+        drained.set(drained.get().or_else(|| Some(self.shared.clock.now())));
     }
 
     /// Closes idle connections, stops listening, and waits for requests in flight; returns
@@ -191,6 +200,7 @@
         let clock = &*self.shared.clock;
         while self.shared.open.get() > 0 {
             if clock.now() >= deadline {
+                self.log_cut();
                 return false;
             }
             clock::sleep(clock, CLOSE_POLL_PERIOD).await;
@@ -199,6 +209,16 @@
     }
 }
 
+impl Server {
+    /// Logs the requests that get no answer, as the process exits.
+    fn log_cut(&self) {
+        let Context { options, clock, drained, requests, .. } = &*self.shared;
+        for request in requests.list() {
+            request.log_cut(options.name, clock.now(), drained.get());
+        }
+    }
+}
+
 impl Context {
     /// Registers an idle connection; the receiver completes if the connection must be closed
     /// in favour of a new one.
--- a/crates/kumquatnotch-net/src/server_connection.rs
+++ b/crates/kumquatnotch-net/src/server_connection.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     message::{REQUEST_ID_HEADER, Reply, Request},
+    open_requests::OpenGuard,
     reader::{Peek, ReadError, RequestReader},
     server::{Context, Work},
 };
@@ -28,7 +29,7 @@
 
 type Encoder = GenericEncoder<OwnedWriteHalf<TcpStream>>;
 
-/// Counts a connection or request until it is dropped.
+/// Counts a connection until it is dropped.
 struct CountGuard<'a>(&'a Cell<usize>);
 
 impl<'a> CountGuard<'a> {
@@ -52,9 +53,9 @@
     let mut encoder = Encoder::new(write);
     let mut is_first = true;
     while await_request(&mut reader, &context).await {
-        let in_flight = CountGuard::new(&context.in_flight);
-        let next = serve_request(&mut reader, &mut encoder, &context, is_first).await;
-        drop(in_flight);
+        let open = context.requests.add(context.clock.now());
+        let next = serve_request(&mut reader, &mut encoder, &context, is_first, &open).await;
+        drop(open);
         match next {
             Next::Request => is_first = false,
             Next::AwaitClose => return await_close(&mut reader, &mut encoder, &context).await,
@@ -107,6 +108,7 @@
     encoder: &mut Encoder,
     context: &Context,
     is_first: bool,
+    open: &OpenGuard<'_>,
 ) -> Next {
     let deadline = context.clock.now() + context.options.transfer_timeout;
     let read = read_request(reader, encoder);
@@ -130,13 +132,15 @@
     };
     request.is_first = is_first;
     let request_id = request.headers.get(REQUEST_ID_HEADER).cloned();
+    open.start(context.handler.identity(&request));
     let work = context.handler.start(request);
     let Some(reply) = run(work, reader, encoder, context).await else {
         return Next::End;
     };
     // A client that was asked to close the connection but sends another request is served:
     // if the connection were closed at once, the request would look lost in transit.
-    let keep_open = keep_alive && !context.draining.get();
+    let keep_open = keep_alive && context.drained.get().is_none();
+    open.reply();
     match send(encoder, reply, request_id, keep_open, context).await {
         true if keep_alive => Next::Request,
         true => Next::AwaitClose,
--- a/crates/kumquatnotch-route/src/front.rs
+++ b/crates/kumquatnotch-route/src/front.rs
@@ -306,6 +306,10 @@
         let arrival = self.router.clock.now();
         Work::new(self.answer(request, arrival))
     }
+
+    fn identity<'a>(&self, request: &'a Request) -> &'a str {
+        header_text(&request.headers, &self.router.names.request).unwrap_or_default()
+    }
 }
 
 /// Removes the headers that only concern the connection to the caller.
