net: the time to linger runs from the start of the closing

What callers saw: requests of usual length closed without an answer at the exit of the node, on connections that they used until then.

Cause: a server that closes answers late requests for a second and then closes idle connections. Each connection waited for the start of the closing and then a whole second, counted from its own last reply. A connection with a request every second was never closed, and its requests were passed on until the process exited and cut the last ones.

The end of that second is now one moment, set when the closing starts. It is at most half of the time until the deadline of the closing, so that a short one ends by itself too.

--- a/crates/kumquatnotch-net/src/server.rs
+++ b/crates/kumquatnotch-net/src/server.rs
@@ -27,7 +27,7 @@
     server_connection, socket,
 };
 
-/// Time for which new requests are still answered after the start of the shutdown.
+/// Maximum time for which new requests are still answered after the start of the shutdown.
 ///
 /// Some clients reuse a connection without checking whether it was closed. This time exceeds
 /// the one-way latency to any client, so that their requests get a refusal that says "not run".
@@ -126,6 +126,8 @@
     /// When clients were first asked to close their connections.
     pub(crate) drained: Cell<Option<Instant>>,
     pub(crate) closing: Shared<oneshot::Receiver<()>>,
+    /// When idle connections are closed, once the server closes.
+    linger_end: Cell<Option<Instant>>,
     /// Connections that wait for a request, longest idle first.
     pub(crate) idle: RefCell<VecDeque<oneshot::Sender<()>>>,
     pub(crate) open: Cell<usize>,
@@ -160,6 +162,7 @@
             handler,
             drained: Cell::new(None),
             closing: closing.shared(),
+            linger_end: Cell::new(None),
             idle: RefCell::default(),
             open: Cell::new(0),
             requests: OpenRequests::default(),
@@ -194,10 +197,13 @@
     /// false if some have not completed by `deadline`.
     pub async fn close(&self, deadline: Instant) -> bool {
         self.drain();
+        let clock = &*self.shared.clock;
         if let Some(closer) = self.closer.borrow_mut().take() {
-            let _ = closer.send(());
+            let now = clock.now();
+            let linger = LINGER_TIME.min(deadline.saturating_duration_since(now) / 2);
+            self.shared.linger_end.set(Some(now + linger));
+            drop(closer);
         }
-        let clock = &*self.shared.clock;
         while self.shared.open.get() > 0 {
             if clock.now() >= deadline {
                 self.log_cut();
@@ -248,7 +254,9 @@
     /// Completes when the linger time after the start of the shutdown has elapsed.
     pub(crate) async fn linger_elapsed(&self) {
         let _ = self.closing.clone().await;
-        clock::sleep(&*self.clock, LINGER_TIME).await;
+        if let Some(end) = self.linger_end.get() {
+            self.clock.sleep_until(end).await;
+        }
     }
 }
 
