net: an answer that was sent isn't lost by the close of its connection

What callers see: a connection that ends in the middle of an answer which the node had sent whole, when it closes idle connections in its shutdown.

Cause: the socket was closed at once. What the client sends from then on is met by a reset, and the reset discards what the client hasn't received of the answer.

The server closes its own end first and discards what the client sends for up to half a second or until it has closed too, as it did already after a refusal of what it could not read.

Evidence: the new test, an answer of 3 MB to a client that reads late and sends on, got 128,085 of 3,145,728 bytes before (1 of 1) and all since.

--- a/crates/kumquatnotch-net/src/server_connection.rs
+++ b/crates/kumquatnotch-net/src/server_connection.rs
@@ -21,7 +21,7 @@
     server::{Context, Work},
 };
 
-/// Maximum time for which the rest of a refused request is read and discarded.
+/// Maximum time for which the data of a client is read and discarded after this end is closed.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Maximum time for a client that asked to close its connection to close its end.
@@ -52,7 +52,12 @@
     let mut reader = RequestReader::new(read, context.options.max_body);
     let mut encoder = Encoder::new(write);
     let mut is_first = true;
-    while await_request(&mut reader, &context).await {
+    loop {
+        match await_request(&mut reader, &context).await {
+            Await::Request => {}
+            Await::Drop => return,
+            Await::Close => return close(&mut reader, &mut encoder, &context).await,
+        }
         let open = context.requests.add(context.clock.now());
         let next = serve_request(&mut reader, &mut encoder, &context, is_first, &open).await;
         drop(open);
@@ -64,6 +69,16 @@
     }
 }
 
+/// What happens to a connection that waited for a request.
+enum Await {
+    /// A request has begun to arrive.
+    Request,
+    /// It is dropped: the client has closed it, or it was idle for too long.
+    Drop,
+    /// It is closed in the shutdown of the server.
+    Close,
+}
+
 /// What happens to a connection after a request.
 enum Next {
     /// It waits for the next request.
@@ -88,17 +103,27 @@
     }
 }
 
-/// Waits for the first byte of a request; returns false if the connection is to be closed.
-async fn await_request(reader: &mut RequestReader, context: &Context) -> bool {
+/// Closes this end of a connection, and discards what the client still sends.
+///
+/// Closing a socket with unread data resets the connection, and the reset can make the client
+/// lose a reply that was sent before.
+async fn close(reader: &mut RequestReader, encoder: &mut Encoder, context: &Context) {
+    let _ = Sink::<Response<HttpBody>>::close(encoder).await;
+    let deadline = context.clock.now() + DISCARD_TIMEOUT;
+    let _ = clock::timeout_at(&*context.clock, deadline, reader.discard()).await;
+}
+
+/// Waits for the first byte of a request.
+async fn await_request(reader: &mut RequestReader, context: &Context) -> Await {
     let mut idle = clock::sleep(&*context.clock, context.options.idle_timeout).fuse();
     let mut linger_elapsed = pin!(context.linger_elapsed().fuse());
     let mut evicted = context.register_idle().fuse();
     let mut peek = pin!(reader.peek().fuse());
     select_biased! {
-        peek = peek => peek == Peek::Data,
-        _ = evicted => false,
-        () = linger_elapsed => false,
-        () = idle => false,
+        peek = peek => if peek == Peek::Data { Await::Request } else { Await::Drop },
+        _ = evicted => Await::Drop,
+        () = linger_elapsed => Await::Close,
+        () = idle => Await::Drop,
     }
 }
 
@@ -156,9 +181,7 @@
     error: Error,
 ) {
     if send(encoder, Reply::error(&error), None, false, context).await {
-        let _ = Sink::<Response<HttpBody>>::close(encoder).await;
-        let deadline = context.clock.now() + DISCARD_TIMEOUT;
-        let _ = clock::timeout_at(&*context.clock, deadline, reader.discard()).await;
+        close(reader, encoder, context).await;
     }
 }
 
--- a/crates/kumquatnotch-net/tests/shutdown.rs
+++ b/crates/kumquatnotch-net/tests/shutdown.rs
@@ -37,3 +37,33 @@
         assert_eq!(client.await, "");
     });
 }
+
+/// Guards against an answer that is written and lost: the server closed its socket, and data that
+/// the client sent afterwards reset the connection with the rest of the answer still to be read.
+#[test]
+fn answer_reaches_a_slow_client_that_sends_on_after_the_close() {
+    run(async {
+        let body = "a".repeat(3 << 20);
+        let length = body.len();
+        let (server, _) = serve(ServerOptions::default(), move |_| reply_after(1, &body));
+        let mut stream = TcpStream::connect_addr(server.address()).await.unwrap();
+        write(&mut stream, GET).await;
+        pause(100).await;
+        let closer = server.clone();
+        let close = monoio::spawn(async move { closer.close(after(5_000)).await });
+        pause(1_200).await;
+
+        write(&mut stream, GET).await;
+        pause(100).await;
+        let mut received = 0;
+        loop {
+            match read(&mut stream).await.len() {
+                0 => break,
+                count => received += count,
+            }
+        }
+
+        assert!(received > length, "{received} of {length} bytes");
+        assert!(close.await);
+    });
+}
