A leaving node refuses what it can't finish, and says where to go

What callers saw: requests that a node had read after its SIGTERM were passed on and cut at its exit.

Cause: nothing refused requests in Stage::Closing, although its docs say that a closing node accepts none; the front passed them on for as long as connections were open. Before that stage, a leaving node accepted requests that take longer than it still runs, and let them wait for a slot.

The front looks at the stage. A closing node refuses each request with 503, a short Retry-After and the other nodes that it knows in Alt-Svc (RFC 7838). What waited before the SIGTERM keeps its place as long as it can be finished.

--- a/crates/kumquatnotch-core/src/lifecycle.rs
+++ b/crates/kumquatnotch-core/src/lifecycle.rs
@@ -1,6 +1,24 @@
 //! The lifecycle stage of a node, shared between its services.
 
-use std::{cell::Cell, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use futures_channel::oneshot;
+
+/// Fraction of the time for a shutdown that is kept free for the replies to ended requests.
+const END_MARGIN_FRACTION: f64 = 1.0 / 24.0;
+
+/// Maximum time that is kept free for them.
+const MAX_END_MARGIN: Duration = Duration::from_millis(250);
+
+/// Returns the time to keep free at the end of a shutdown that takes up to `total`, for the
+/// replies to the requests that are ended.
+pub fn end_margin(total: Duration) -> Duration {
+    total.mul_f64(END_MARGIN_FRACTION).min(MAX_END_MARGIN)
+}
 
 /// The lifecycle stage of a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -13,30 +31,80 @@
     Leaving,
     /// Accepts no new requests and finishes the running ones.
     Closing,
+    /// Replies to the requests that are still running that they were not finished, and exits.
+    Ending,
 }
 
 /// The shared lifecycle stage, which only moves forward.
-#[derive(Clone, Debug)]
+#[derive(Clone, Default)]
 pub struct Lifecycle {
-    stage: Rc<Cell<Stage>>,
+    shared: Rc<Shared>,
 }
 
-impl Default for Lifecycle {
-    fn default() -> Lifecycle {
-        Lifecycle { stage: Rc::new(Cell::new(Stage::Starting)) }
+struct Shared {
+    stage: Cell<Stage>,
+    /// When the stage [`Stage::Ending`] begins, once the node leaves.
+    ends_at: Cell<Option<Instant>>,
+    waiters: RefCell<Vec<(Stage, oneshot::Sender<()>)>>,
+}
+
+impl Default for Shared {
+    fn default() -> Shared {
+        Shared {
+            stage: Cell::new(Stage::Starting),
+            ends_at: Cell::new(None),
+            waiters: RefCell::default(),
+        }
     }
 }
 
 impl Lifecycle {
     /// Returns the current stage.
     pub fn stage(&self) -> Stage {
-        self.stage.get()
+        self.shared.stage.get()
     }
 
     /// Advances to `stage`; does nothing if the current stage is the same or later.
     pub fn advance(&self, stage: Stage) {
-        if stage > self.stage.get() {
-            self.stage.set(stage);
+        if stage <= self.stage() {
+            return;
+        }
+        self.shared.stage.set(stage);
+        let mut waiters = self.shared.waiters.borrow_mut();
+        // Dropping the sender wakes the waiter.
+        waiters.retain(|(awaited, sender)| *awaited > stage && !sender.is_canceled());
+    }
+
+    /// Completes once `stage` or a later one is reached.
+    pub async fn reached(&self, stage: Stage) {
+        if self.stage() >= stage {
+            return;
+        }
+        let (sender, receiver) = oneshot::channel();
+        {
+            let mut waiters = self.shared.waiters.borrow_mut();
+            // Removes the waiters that were dropped, at an amortised constant cost.
+            if waiters.len() == waiters.capacity() {
+                waiters.retain(|(_, sender)| !sender.is_canceled());
+            }
+            waiters.push((stage, sender));
         }
+        let _ = receiver.await;
+    }
+
+    /// Begins to leave: requests that are still running at `ends_at` will not be finished.
+    pub fn leave(&self, ends_at: Instant) {
+        self.shared.ends_at.set(Some(ends_at));
+        self.advance(Stage::Leaving);
+    }
+
+    /// Returns when the node stops working on requests, or `None` if it does not leave.
+    pub fn ends_at(&self) -> Option<Instant> {
+        self.shared.ends_at.get()
+    }
+
+    /// Returns the time that a leaving node still has for requests, or `None` if it does not leave.
+    pub fn time_left(&self, now: Instant) -> Option<Duration> {
+        self.ends_at().map(|end| end.saturating_duration_since(now))
     }
 }
--- a/crates/kumquatnotch-member/src/membership_service.rs
+++ b/crates/kumquatnotch-member/src/membership_service.rs
@@ -262,7 +262,7 @@
             match stage {
                 None | Some(Stage::Starting) => {}
                 Some(Stage::Serving) => self.announce_serving(),
-                Some(Stage::Leaving | Stage::Closing) => self.leave(),
+                Some(Stage::Leaving | Stage::Closing | Stage::Ending) => self.leave(),
             }
         }
     }
--- a/crates/kumquatnotch-query/src/front.rs
+++ b/crates/kumquatnotch-query/src/front.rs
@@ -126,7 +126,7 @@
             Stage::Starting => Err(Error::NotReady),
             // Callers cache the entry advice, so a leaving node still serves.
             Stage::Serving | Stage::Leaving => self.documents.current().ok_or(Error::NotReady),
-            Stage::Closing => Err(Error::Leaving),
+            Stage::Closing | Stage::Ending => Err(Error::Leaving),
         }
     }
 
--- a/crates/kumquatnotch-query/src/tickets.rs
+++ b/crates/kumquatnotch-query/src/tickets.rs
@@ -124,7 +124,9 @@
         };
         let valid = match self.lifecycle.stage() {
             // Outcomes are lost with this process, which is about to exit.
-            Stage::Leaving | Stage::Closing => self.options.leaving_valid.min(self.options.valid),
+            Stage::Leaving | Stage::Closing | Stage::Ending => {
+                self.options.leaving_valid.min(self.options.valid)
+            }
             _ => self.options.valid,
         };
         Ok(TicketGrant { ticket: ticket.to_string(), valid_ms: valid.as_millis() as u64 })
@@ -296,7 +298,7 @@
 
     /// Returns the document under which the request runs, if it may run now.
     fn check(&self, request: &ExclusiveRequest) -> Result<Rc<Document>> {
-        if self.lifecycle.stage() == Stage::Closing {
+        if self.lifecycle.stage() >= Stage::Closing {
             return Err(Error::Leaving);
         }
         if self.outcomes.counts().0 > self.options.max_runs {
--- a/crates/kumquatnotch-route/src/admission.rs
+++ b/crates/kumquatnotch-route/src/admission.rs
@@ -54,6 +54,7 @@
     let wait = search.due.saturating_duration_since(start);
     let time_left = search.deadline.saturating_duration_since(start);
     let until = start + time_left.mul_f64(MAX_WAIT_SHARE);
+    let until = router.lifecycle.ends_at().map_or(until, |end| until.min(end));
     let mut permit = None;
     if !router.overload.is_refusing(&search.route.name, start) {
         let acquire = semaphore.acquire(search.route.priority);
--- a/crates/kumquatnotch-route/src/call.rs
+++ b/crates/kumquatnotch-route/src/call.rs
@@ -1,7 +1,7 @@
 //! One request to one service: the first attempt, a hedged request if the reply is
 //! late, and retries after failures.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{cell::Cell, pin::pin, rc::Rc, time::Duration};
 
 use futures_util::{FutureExt, StreamExt, select_biased, stream::FuturesUnordered};
 use kumquatnotch_core::clock;
@@ -15,7 +15,7 @@
 
 use crate::{
     attempt::{self, AttemptResult, Call},
-    crash_alarm, crash_check,
+    crash_alarm, crash_check, leaving,
     names::ReplicaId,
     replica::{self, Pick, Replica},
     route::RouteKind,
@@ -99,6 +99,7 @@
     };
     let mut deadline_timer = clock.sleep_until(call.deadline).fuse();
     let mut hedge_timer = clock::sleep(clock, progress.hedge_delay(&first)).fuse();
+    let mut too_late = pin!(leaving::too_late(router, call).fuse());
     router.budget.set_share(router.own_share(), clock.now());
     if !call.is_retry {
         router.budget.note_first(call.service, clock.now());
@@ -149,6 +150,11 @@
                 let in_progress = sent.get() && !running.is_empty();
                 return Err(progress.timeout_error(in_progress));
             }
+            () = too_late => {
+                if !sent.get() {
+                    return Err(progress.exit_error());
+                }
+            }
         }
     }
 }
@@ -343,6 +349,16 @@
         }
     }
 
+    /// Returns the error for a call that the node can't finish before it exits.
+    fn exit_error(&mut self) -> CallError {
+        match self.final_error() {
+            CallError::NotRun { retry_after, .. } => {
+                CallError::NotRun { retry_after, reason: leaving::REASON }
+            }
+            error => error,
+        }
+    }
+
     fn final_error(&mut self) -> CallError {
         match (self.attempts.verdict(), self.failed.take()) {
             (Verdict::Failed, Some(reply)) => CallError::Failed(reply),
--- a/crates/kumquatnotch-route/src/front.rs
+++ b/crates/kumquatnotch-route/src/front.rs
@@ -28,6 +28,7 @@
     call::{self, CallError},
     crash_check,
     gather::{self, FirstPart, Gathered, Search, losses_of},
+    leaving,
     names::ServiceName,
     request_log::{RequestContext, RequestLog},
     route::{Destination, RouteTable, ShardSet},
@@ -59,22 +60,42 @@
 }
 
 /// A refusal or failure that this node generates itself.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Refusal {
     status: StatusCode,
     reason: &'static str,
     /// Value of `Retry-After`; set only if the request has not run.
     retry_after: Option<Duration>,
+    /// Value of `Alt-Svc`: the nodes to use instead.
+    alternatives: Option<HeaderValue>,
 }
 
 impl Refusal {
     fn new(status: StatusCode, reason: &'static str) -> Refusal {
-        Refusal { status, reason, retry_after: None }
+        Refusal { status, reason, retry_after: None, alternatives: None }
     }
 
     /// A refusal that guarantees that the request has not run and never will.
     fn not_run(reason: &'static str, retry_after: Duration) -> Refusal {
-        Refusal { status: StatusCode::SERVICE_UNAVAILABLE, reason, retry_after: Some(retry_after) }
+        let refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, reason);
+        Refusal { retry_after: Some(retry_after), ..refusal }
+    }
+
+    /// A refusal by a leaving node, for a caller of `host`.
+    fn leaving(router: &Router, host: &str) -> Refusal {
+        let (retry_after, alternatives) = leaving::alternatives(router, host);
+        Refusal { alternatives, ..Refusal::not_run(leaving::REASON, retry_after) }
+    }
+
+    /// Returns the refusal for a call that has no usable reply; `Err` has the reply of a replica.
+    fn of_call(router: &Router, host: &str, error: CallError) -> Result<Refusal, Reply> {
+        Ok(match error {
+            CallError::Failed(reply) => return Err(reply),
+            CallError::NotRun { reason: leaving::REASON, .. } => Refusal::leaving(router, host),
+            CallError::NotRun { retry_after, reason } => Refusal::not_run(reason, retry_after),
+            CallError::Unknown => Refusal::new(StatusCode::BAD_GATEWAY, "outcome unknown"),
+            CallError::TimedOut => Refusal::new(StatusCode::GATEWAY_TIMEOUT, "timed out"),
+        })
     }
 
     fn reply(self) -> Reply {
@@ -86,6 +107,9 @@
                 reply.headers.insert(header::RETRY_AFTER, value);
             }
         }
+        if let Some(alternatives) = self.alternatives {
+            reply.headers.insert(header::ALT_SVC, alternatives);
+        }
         reply
     }
 }
@@ -131,7 +155,7 @@
             }
             Verdict::Refused { retry_after } => Err(trial::refusal(retry_after)),
         };
-        let (reply, reason) = into_reply(outcome);
+        let (reply, reason) = into_reply(&self.router, &context.route.host, outcome);
         if reply.status.is_success() && log.missing.get() == 0 {
             self.router.crashes.note_answer(fingerprint, self.router.clock.now());
         }
@@ -146,6 +170,10 @@
         arrival: Instant,
     ) -> Result<(RequestContext, Rc<RouteTable>), Refusal> {
         let names = &self.router.names;
+        let host = header_text(&request.headers, &header::HOST).unwrap_or_default();
+        if leaving::is_closing(&self.router) {
+            return Err(Refusal::leaving(&self.router, host));
+        }
         let caller_timeout =
             header_text(&request.headers, &names.deadline).and_then(|text| text.parse().ok());
         let caller_timeout = caller_timeout.map(Duration::from_millis);
@@ -157,10 +185,12 @@
         let Some(identity) = request.headers.get(&names.request).cloned() else {
             return Err(Refusal::new(StatusCode::BAD_REQUEST, "the request has no identity"));
         };
-        let host = header_text(&request.headers, &header::HOST).unwrap_or_default();
         let Some(route) = table.find(host, &request.path).cloned() else {
             return Err(Refusal::new(StatusCode::NOT_FOUND, "no route"));
         };
+        if !leaving::can_finish(&self.router, &route, arrival) {
+            return Err(Refusal::leaving(&self.router, host));
+        }
         let deadline = arrival + caller_timeout.unwrap_or(Duration::MAX).min(route.timeout);
         let waited = caller_timeout.map_or(Duration::ZERO, |caller_timeout| {
             self.caller_timeouts.waited(&route.name, caller_timeout, route.timeout)
@@ -320,16 +350,23 @@
     request
 }
 
-/// Returns the reply to the caller and the reason for the log.
-fn into_reply(outcome: Result<Reply, CallError>) -> (Reply, &'static str) {
-    let refusal = match outcome {
+/// Returns the reply to a caller of `host` and the reason for the log.
+fn into_reply(
+    router: &Router,
+    host: &str,
+    outcome: Result<Reply, CallError>,
+) -> (Reply, &'static str) {
+    let error = match outcome {
         Ok(reply) => return (reply, "answered"),
-        Err(CallError::Failed(reply)) => return (reply, "failed at the replica"),
-        Err(CallError::NotRun { retry_after, reason }) => Refusal::not_run(reason, retry_after),
-        Err(CallError::Unknown) => Refusal::new(StatusCode::BAD_GATEWAY, "outcome unknown"),
-        Err(CallError::TimedOut) => Refusal::new(StatusCode::GATEWAY_TIMEOUT, "timed out"),
+        Err(error) => error,
     };
-    (refusal.reply(), refusal.reason)
+    match Refusal::of_call(router, host, error) {
+        Ok(refusal) => {
+            let reason = refusal.reason;
+            (refusal.reply(), reason)
+        }
+        Err(reply) => (reply, "failed at the replica"),
+    }
 }
 
 fn header_text<'a>(headers: &'a HeaderMap, name: &header::HeaderName) -> Option<&'a str> {
--- a/crates/kumquatnotch-route/src/lib.rs
+++ b/crates/kumquatnotch-route/src/lib.rs
@@ -40,6 +40,7 @@
 mod in_flight;
 mod initial_sync;
 pub mod journal;
+mod leaving;
 pub mod merge;
 pub mod mirror;
 pub mod names;
