Requests that are running when their node exits are answered

What callers saw: a closed connection, without an answer, for each request that was at a slow replica when the time of its node was over.

Cause: the servers of both daemons waited for requests in flight up to a deadline, and the process then exited and dropped them. Class: a bound on time that drops work without telling those who wait for it. It stood twice, in the platform's node and in the tier's own.

The lifecycle has a last stage, Ending, and says from the start of the leaving when it begins. Calls and searches that are still running then stop: a search answers with the parts that it has if they are enough, a request that no replica got is refused as not run, and one that may have run gets 502 (the own interface: outcome unknown, or still running for a ticket that its issuer knows). The server refuses requests that it hasn't read whole. One function, Server::shut_down, does this for both daemons.

Half-read requests, running ones, and a process that wakes late have tests of the server. A request that is cut all the same, as its caller doesn't read, has its log line tested. Ruled out: ending requests earlier, as a replica that answers within the time can still be heard.

--- a/crates/kumquatnotch-net/src/entry.rs
+++ b/crates/kumquatnotch-net/src/entry.rs
@@ -1,11 +1,13 @@
 //! HTTP routes for callers and operators.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{cell::Cell, pin::pin, rc::Rc, time::Duration};
 
+use futures_util::future::{Either, select};
 use http::{Method, StatusCode};
 use kumquatnotch_core::{
     Error, LocalFuture, Result,
     front::{ExclusiveBody, Front},
+    lifecycle::{Lifecycle, Stage},
     registry::Registry,
     report::ConfigReport,
     services,
@@ -80,7 +82,19 @@
             let key = key_of(&request)?;
             self.front()?.search(key, request.json()?).await
         };
-        to_reply(answer.await)
+        to_reply(self.until_end(answer, Error::OutcomeUnknown).await)
+    }
+
+    /// Returns the result of `work`, or `error` if the node exits first.
+    async fn until_end<T>(&self, work: impl Future<Output = Result<T>>, error: Error) -> Result<T> {
+        let Ok(lifecycle) = self.registry.find::<Lifecycle>(services::LIFECYCLE) else {
+            return work.await;
+        };
+        let (work, ended) = (pin!(work), pin!(lifecycle.reached(Stage::Ending)));
+        match select(work, ended).await {
+            Either::Left((result, _)) => result,
+            Either::Right(_) => Err(error),
+        }
     }
 
     fn ticket(&self, request: &Request) -> Reply {
@@ -93,7 +107,8 @@
             let body: ExclusiveBody = request.json()?;
             self.front()?.exclusive(key, body).await
         };
-        match outcome.await {
+        // Another node can tell the outcome, or that it is unknown.
+        match self.until_end(outcome, Error::StillRunning).await {
             Ok(Outcome::Done(done)) => Reply::json(StatusCode::OK, &Done { done }),
             Ok(Outcome::Failed(error)) | Err(error) => Reply::error(&error),
         }
--- a/crates/kumquatnotch-net/src/server.rs
+++ b/crates/kumquatnotch-net/src/server.rs
@@ -3,7 +3,8 @@
 //! A graceful shutdown has two steps. [`Server::drain`] asks clients with each reply to close
 //! their connection. [`Server::close`] waits a short time, in which requests that were sent
 //! before the client saw the shutdown are still answered, closes idle connections, stops
-//! listening, and waits for requests in flight.
+//! listening, and waits for requests in flight. [`Server::shut_down`] also ends those that are
+//! still running when the time for the shutdown runs out.
 
 use std::{
     cell::{Cell, RefCell},
@@ -18,7 +19,10 @@
     FutureExt,
     future::{Either, Shared, select},
 };
-use kumquatnotch_core::{Clock, Error, LocalFuture, Result, clock};
+use kumquatnotch_core::{
+    Clock, Error, LocalFuture, Result, clock,
+    lifecycle::{Lifecycle, Stage},
+};
 use monoio::net::TcpListener;
 
 use crate::{
@@ -36,6 +40,11 @@
 /// Interval between checks whether all connections are closed.
 const CLOSE_POLL_PERIOD: Duration = Duration::from_millis(5);
 
+/// Minimum number of these checks after the handlers were told to end their requests.
+///
+/// A process that wakes up after its deadline still has to write their replies.
+const MIN_END_POLLS: u32 = 4;
+
 /// Pause of the accept loop when no more connections can be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -50,6 +59,11 @@
         value.and_then(|value| value.to_str().ok()).unwrap_or_default()
     }
 
+    /// Returns the reply to a request that is refused before it was read, as the process exits.
+    fn refuse_unread(&self) -> Reply {
+        Reply::error(&Error::Leaving)
+    }
+
     /// Records the round trip to a client.
     ///
     /// For clients that ask in their request to close the connection, this is the time from
@@ -128,6 +142,7 @@
     pub(crate) closing: Shared<oneshot::Receiver<()>>,
     /// When idle connections are closed, once the server closes.
     linger_end: Cell<Option<Instant>>,
+    ending: Shared<oneshot::Receiver<()>>,
     /// Connections that wait for a request, longest idle first.
     pub(crate) idle: RefCell<VecDeque<oneshot::Sender<()>>>,
     pub(crate) open: Cell<usize>,
@@ -140,6 +155,7 @@
     shared: Rc<Context>,
     address: SocketAddr,
     closer: Rc<RefCell<Option<oneshot::Sender<()>>>>,
+    ender: Rc<RefCell<Option<oneshot::Sender<()>>>>,
 }
 
 impl Server {
@@ -156,6 +172,7 @@
             detail: format!("failed to listen on {}: {error}", options.address),
         })?;
         let (closer, closing) = oneshot::channel();
+        let (ender, ending) = oneshot::channel();
         let shared = Rc::new(Context {
             options,
             clock,
@@ -163,13 +180,15 @@
             drained: Cell::new(None),
             closing: closing.shared(),
             linger_end: Cell::new(None),
+            ending: ending.shared(),
             idle: RefCell::default(),
             open: Cell::new(0),
             requests: OpenRequests::default(),
         });
         monoio::spawn(accept(listener, shared.clone()));
         tracing::info!("net: {name} listens at {address}");
-        Ok(Server { shared, address, closer: Rc::new(RefCell::new(Some(closer))) })
+        let [closer, ender] = [closer, ender].map(|sender| Rc::new(RefCell::new(Some(sender))));
+        Ok(Server { shared, address, closer, ender })
     }
 
     /// Returns the address of the listener.
@@ -196,6 +215,37 @@
     /// Closes idle connections, stops listening, and waits for requests in flight; returns
     /// false if some have not completed by `deadline`.
     pub async fn close(&self, deadline: Instant) -> bool {
+        let closed = self.wait_closed(deadline).await;
+        if !closed {
+            self.log_cut();
+        }
+        closed
+    }
+
+    /// Closes the server like [`Server::close`], and ends what is still running when the time of
+    /// `lifecycle` is over: its handlers learn this from [`Stage::Ending`], and requests that are
+    /// still being read are refused.
+    ///
+    /// Returns false if requests had to be ended. Those whose reply is not sent by `deadline` are
+    /// cut and logged.
+    pub async fn shut_down(&self, lifecycle: &Lifecycle, deadline: Instant) -> bool {
+        let end = lifecycle.ends_at().unwrap_or(deadline).min(deadline);
+        if self.wait_closed(end).await || self.requests() == 0 {
+            return true;
+        }
+        lifecycle.advance(Stage::Ending);
+        drop(self.ender.borrow_mut().take());
+        let clock = &*self.shared.clock;
+        let mut polls = 0;
+        while self.requests() > 0 && (polls < MIN_END_POLLS || clock.now() < deadline) {
+            clock::sleep(clock, CLOSE_POLL_PERIOD).await;
+            polls += 1;
+        }
+        self.log_cut();
+        false
+    }
+
+    async fn wait_closed(&self, deadline: Instant) -> bool {
         self.drain();
         let clock = &*self.shared.clock;
         if let Some(closer) = self.closer.borrow_mut().take() {
@@ -206,7 +256,6 @@
         }
         while self.shared.open.get() > 0 {
             if clock.now() >= deadline {
-                self.log_cut();
                 return false;
             }
             clock::sleep(clock, CLOSE_POLL_PERIOD).await;
@@ -258,6 +307,11 @@
             self.clock.sleep_until(end).await;
         }
     }
+
+    /// Completes when the requests that are still open must end.
+    pub(crate) async fn ended(&self) {
+        let _ = self.ending.clone().await;
+    }
 }
 
 async fn accept(listener: TcpListener, shared: Rc<Context>) {
--- a/crates/kumquatnotch-net/src/server_connection.rs
+++ b/crates/kumquatnotch-net/src/server_connection.rs
@@ -64,6 +64,7 @@
         match next {
             Next::Request => is_first = false,
             Next::AwaitClose => return await_close(&mut reader, &mut encoder, &context).await,
+            Next::Close => return close(&mut reader, &mut encoder, &context).await,
             Next::End => return,
         }
     }
@@ -85,7 +86,9 @@
     Request,
     /// The client asked to close it and has been sent the reply.
     AwaitClose,
-    /// It ends: it broke, or the request could not be read.
+    /// It is closed: the request could not be read and was refused.
+    Close,
+    /// It ends, as it broke.
     End,
 }
 
@@ -136,23 +139,30 @@
     open: &OpenGuard<'_>,
 ) -> Next {
     let deadline = context.clock.now() + context.options.transfer_timeout;
-    let read = read_request(reader, encoder);
-    let (mut request, keep_alive) = match clock::timeout_at(&*context.clock, deadline, read).await {
-        Ok(Ok(request)) => request,
+    let read = read_or_end(reader, encoder, context);
+    let read = clock::timeout_at(&*context.clock, deadline, read).await;
+    let result = match read {
+        Ok(Ok(Some(request))) => Ok(request),
+        Ok(Ok(None)) => Err(context.handler.refuse_unread()),
         Ok(Err(ReadError::Closed)) => return Next::End,
-        Ok(Err(ReadError::Malformed(detail))) => {
-            refuse(reader, encoder, context, Error::bad_request(detail)).await;
-            return Next::End;
-        }
+        Ok(Err(ReadError::Malformed(detail))) => Err(Reply::error(&Error::bad_request(detail))),
         Ok(Err(ReadError::TooLong)) => {
             let limit = context.options.max_body as u64;
-            refuse(reader, encoder, context, Error::BodyTooLarge { limit }).await;
-            return Next::End;
+            Err(Reply::error(&Error::BodyTooLarge { limit }))
         }
         Err(_) => {
             let error = Error::bad_request("the request did not arrive in time");
-            refuse(reader, encoder, context, error).await;
-            return Next::End;
+            Err(Reply::error(&error))
+        }
+    };
+    let (mut request, keep_alive) = match result {
+        Ok(request) => request,
+        Err(reply) => {
+            open.reply();
+            return match send(encoder, reply, None, false, context).await {
+                true => Next::Close,
+                false => Next::End,
+            };
         }
     };
     request.is_first = is_first;
@@ -173,15 +183,17 @@
     }
 }
 
-/// Refuses a request that could not be read, and closes the connection.
-async fn refuse(
+/// Reads a request like [`read_request`]; returns `None` if the open requests must end first.
+async fn read_or_end(
     reader: &mut RequestReader,
     encoder: &mut Encoder,
     context: &Context,
-    error: Error,
-) {
-    if send(encoder, Reply::error(&error), None, false, context).await {
-        close(reader, encoder, context).await;
+) -> Result<Option<(Request, bool)>, ReadError> {
+    let mut read = pin!(read_request(reader, encoder).fuse());
+    let mut ended = pin!(context.ended().fuse());
+    select_biased! {
+        read = read => read.map(Some),
+        () = ended => Ok(None),
     }
 }
 
--- a/crates/kumquatnotch-net/tests/shutdown.rs
+++ b/crates/kumquatnotch-net/tests/shutdown.rs
@@ -2,11 +2,21 @@
 
 mod common;
 
-use std::time::Instant;
+use std::{
+    io::{self, Write},
+    sync::{Arc, Mutex},
+    time::Instant,
+};
 
 use common::{after, pause, read, reply_after, run, serve, write};
-use kumquatnotch_net::server::ServerOptions;
+use http::StatusCode;
+use kumquatnotch_core::lifecycle::{Lifecycle, Stage};
+use kumquatnotch_net::{
+    message::Reply,
+    server::{ServerOptions, Work},
+};
 use monoio::net::TcpStream;
+use yare::parameterized;
 
 const GET: &str = "GET /x HTTP/1.1\r\nhost: x\r\n\r\n";
 
@@ -67,3 +77,99 @@
         assert!(close.await);
     });
 }
+
+/// Guards against a request that is cut at the exit while its body is still on its way, without an
+/// answer that says that it has not run.
+#[test]
+fn request_that_is_not_read_at_the_end_is_refused() {
+    run(async {
+        let (server, handler) = serve(ServerOptions::default(), |_| reply_after(1, "whole"));
+        let mut stream = TcpStream::connect_addr(server.address()).await.unwrap();
+        write(&mut stream, "POST /x HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\nhalf").await;
+        pause(50).await;
+        let lifecycle = Lifecycle::default();
+        lifecycle.leave(after(300));
+
+        let ended = server.shut_down(&lifecycle, after(600)).await;
+        let reply = read(&mut stream).await;
+
+        assert!(!ended);
+        assert!(reply.starts_with("HTTP/1.1 503 "), "{reply}");
+        assert!(reply.contains("\"not_run\":true"), "{reply}");
+        assert!(handler.paths.borrow().is_empty());
+    });
+}
+
+/// Guards against a request that is cut at the exit although its handler could tell its outcome,
+/// also if the process wakes up after the deadline.
+#[parameterized(in_time = { 300, 600 }, woken_late = { 0, 0 })]
+fn running_request_is_answered_at_the_end(ends_ms: u64, deadline_ms: u64) {
+    run(async {
+        let lifecycle = Lifecycle::default();
+        let watched = lifecycle.clone();
+        let answer = move |_| {
+            let watched = watched.clone();
+            Work::new(async move {
+                watched.reached(Stage::Ending).await;
+                Reply::text(StatusCode::BAD_GATEWAY, "ended")
+            })
+        };
+        let (server, _) = serve(ServerOptions::default(), answer);
+        let mut stream = TcpStream::connect_addr(server.address()).await.unwrap();
+        write(&mut stream, GET).await;
+        pause(50).await;
+        lifecycle.leave(after(ends_ms));
+
+        let ended = server.shut_down(&lifecycle, after(deadline_ms)).await;
+        let reply = read(&mut stream).await;
+
+        assert!(!ended);
+        assert!(reply.starts_with("HTTP/1.1 502 ") && reply.ends_with("ended"), "{reply}");
+    });
+}
+
+/// Log output of this thread.
+#[derive(Clone, Default)]
+struct LogBuffer(Arc<Mutex<Vec<u8>>>);
+
+impl LogBuffer {
+    fn text(&self) -> String {
+        String::from_utf8_lossy(&self.0.lock().unwrap()).into_owned()
+    }
+}
+
+impl Write for LogBuffer {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().write(bytes)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against requests that are cut at the exit without a line in the log of the node.
+#[test]
+fn request_cut_at_the_exit_is_logged_with_stage_and_age() {
+    run(async {
+        let log = LogBuffer::default();
+        let writer = log.clone();
+        let subscriber = tracing_subscriber::fmt().with_writer(move || writer.clone()).finish();
+        let _guard = tracing::subscriber::set_default(subscriber);
+        let (server, _) = serve(ServerOptions::default(), |_| reply_after(5_000, "too late"));
+        let mut stream = TcpStream::connect_addr(server.address()).await.unwrap();
+        write(&mut stream, "GET /x HTTP/1.1\r\nhost: x\r\nx-request-id: r7\r\n\r\n").await;
+        pause(50).await;
+        let lifecycle = Lifecycle::default();
+        lifecycle.leave(after(100));
+
+        let ended = server.shut_down(&lifecycle, after(200)).await;
+
+        assert!(!ended);
+        let text = log.text();
+        let line = text.lines().find(|line| line.contains("net: request cut at the exit"));
+        let line = line.expect("the request is logged");
+        assert!(line.contains("r7") && line.contains("running"), "{line}");
+        assert!(line.contains("age_ms") && line.contains("read_after_drain_ms"), "{line}");
+    });
+}
--- a/crates/kumquatnotch-route/src/call.rs
+++ b/crates/kumquatnotch-route/src/call.rs
@@ -4,7 +4,7 @@
 use std::{cell::Cell, pin::pin, rc::Rc, time::Duration};
 
 use futures_util::{FutureExt, StreamExt, select_biased, stream::FuturesUnordered};
-use kumquatnotch_core::clock;
+use kumquatnotch_core::{clock, lifecycle::Stage};
 use kumquatnotch_net::message::Reply;
 use kumquatnotch_policy::{
     attempts::{Allowance, AttemptOutcome, Attempts, Verdict},
@@ -50,6 +50,8 @@
     Unknown,
     /// The deadline passed while a replica was running the request.
     TimedOut,
+    /// The node exits while a replica is running the request.
+    Ended,
 }
 
 /// Counters of a call.
@@ -100,6 +102,7 @@
     let mut deadline_timer = clock.sleep_until(call.deadline).fuse();
     let mut hedge_timer = clock::sleep(clock, progress.hedge_delay(&first)).fuse();
     let mut too_late = pin!(leaving::too_late(router, call).fuse());
+    let mut ended = pin!(router.lifecycle.reached(Stage::Ending).fuse());
     router.budget.set_share(router.own_share(), clock.now());
     if !call.is_retry {
         router.budget.note_first(call.service, clock.now());
@@ -152,9 +155,13 @@
             }
             () = too_late => {
                 if !sent.get() {
-                    return Err(progress.exit_error());
+                    return Err(progress.exit_error(false));
                 }
             }
+            () = ended => {
+                let in_progress = sent.get() && !running.is_empty();
+                return Err(progress.exit_error(in_progress));
+            }
         }
     }
 }
@@ -349,9 +356,10 @@
         }
     }
 
-    /// Returns the error for a call that the node can't finish before it exits.
-    fn exit_error(&mut self) -> CallError {
+    /// Returns the error for a call that is still running when the node exits.
+    fn exit_error(&mut self, in_progress: bool) -> CallError {
         match self.final_error() {
+            CallError::NotRun { .. } if in_progress => CallError::Ended,
             CallError::NotRun { retry_after, .. } => {
                 CallError::NotRun { retry_after, reason: leaving::REASON }
             }
--- a/crates/kumquatnotch-route/src/front.rs
+++ b/crates/kumquatnotch-route/src/front.rs
@@ -87,17 +87,6 @@
         Refusal { alternatives, ..Refusal::not_run(leaving::REASON, retry_after) }
     }
 
-    /// Returns the refusal for a call that has no usable reply; `Err` has the reply of a replica.
-    fn of_call(router: &Router, host: &str, error: CallError) -> Result<Refusal, Reply> {
-        Ok(match error {
-            CallError::Failed(reply) => return Err(reply),
-            CallError::NotRun { reason: leaving::REASON, .. } => Refusal::leaving(router, host),
-            CallError::NotRun { retry_after, reason } => Refusal::not_run(reason, retry_after),
-            CallError::Unknown => Refusal::new(StatusCode::BAD_GATEWAY, "outcome unknown"),
-            CallError::TimedOut => Refusal::new(StatusCode::GATEWAY_TIMEOUT, "timed out"),
-        })
-    }
-
     fn reply(self) -> Reply {
         let mut reply = Reply::text(self.status, format!("{}\n", self.reason));
         if let Some(retry_after) = self.retry_after {
@@ -340,6 +329,10 @@
     fn identity<'a>(&self, request: &'a Request) -> &'a str {
         header_text(&request.headers, &self.router.names.request).unwrap_or_default()
     }
+
+    fn refuse_unread(&self) -> Reply {
+        Refusal::leaving(&self.router, "").reply()
+    }
 }
 
 /// Removes the headers that only concern the connection to the caller.
@@ -356,17 +349,17 @@
     host: &str,
     outcome: Result<Reply, CallError>,
 ) -> (Reply, &'static str) {
-    let error = match outcome {
+    let refusal = match outcome {
         Ok(reply) => return (reply, "answered"),
-        Err(error) => error,
+        Err(CallError::Failed(reply)) => return (reply, "failed at the replica"),
+        Err(CallError::NotRun { reason: leaving::REASON, .. }) => Refusal::leaving(router, host),
+        Err(CallError::NotRun { retry_after, reason }) => Refusal::not_run(reason, retry_after),
+        Err(CallError::Unknown) => Refusal::new(StatusCode::BAD_GATEWAY, "outcome unknown"),
+        Err(CallError::Ended) => Refusal::new(StatusCode::BAD_GATEWAY, "ended at the exit"),
+        Err(CallError::TimedOut) => Refusal::new(StatusCode::GATEWAY_TIMEOUT, "timed out"),
     };
-    match Refusal::of_call(router, host, error) {
-        Ok(refusal) => {
-            let reason = refusal.reason;
-            (refusal.reply(), reason)
-        }
-        Err(reply) => (reply, "failed at the replica"),
-    }
+    let reason = refusal.reason;
+    (refusal.reply(), reason)
 }
 
 fn header_text<'a>(headers: &'a HeaderMap, name: &header::HeaderName) -> Option<&'a str> {
--- a/crates/kumquatnotch-route/src/trial.rs
+++ b/crates/kumquatnotch-route/src/trial.rs
@@ -136,7 +136,9 @@
                     crash_check::acquit(&self.router, self.fingerprint);
                 }
             }
-            Err(CallError::NotRun { .. } | CallError::TimedOut) => self.release().await,
+            Err(CallError::NotRun { .. } | CallError::TimedOut | CallError::Ended) => {
+                self.release().await
+            }
             Err(CallError::Unknown) => {
                 monoio::spawn(self.release_unless_crashed(crashes));
             }
--- a/crates/kumquatnotch/src/node.rs
+++ b/crates/kumquatnotch/src/node.rs
@@ -12,7 +12,7 @@
     Clock, LocalFuture, Result, Store,
     clock::{self, RuntimeClock},
     ids::{DataCentre, NodeName, Region},
-    lifecycle::{Lifecycle, Stage},
+    lifecycle::{self, Lifecycle, Stage},
     random::Random,
     registry::Registry,
     services,
@@ -190,7 +190,8 @@
         }
     }
 
-    /// Leaves gracefully: requests in flight are completed unless the time runs out.
+    /// Leaves gracefully: requests in flight are completed unless the time runs out. Those that
+    /// are still running then get an error that says whether they may have run.
     ///
     /// A superseded node may continue to serve while it leaves. A ticket names the
     /// incarnation that issued it, so the later process never runs a request that
@@ -207,17 +208,19 @@
         // callers that other nodes advised in the meantime, as the model of leaving in
         // `crates/spec` shows.
         tracing::info!("node: leaving, serving until earlier advice has expired");
-        self.lifecycle.advance(Stage::Leaving);
+        let AdviceSettings { valid, spread } = self.settings.advice;
+        let shutdown = self.settings.limits.shutdown;
+        let serving_until = self.clock.now() + spread + valid + MAX_REPLY_DELAY;
+        let deadline = serving_until + shutdown;
+        self.lifecycle.leave(deadline - lifecycle::end_margin(shutdown));
         self.members.leave();
         self.entry.drain();
-        let AdviceSettings { valid, spread } = self.settings.advice;
-        clock::sleep(&*self.clock, spread + valid + MAX_REPLY_DELAY).await;
+        self.clock.sleep_until(serving_until).await;
 
         // From now on new requests are refused, with an error that names the reason.
         tracing::info!("node: closing with {} requests in flight", self.entry.requests());
         self.lifecycle.advance(Stage::Closing);
-        let deadline = self.clock.now() + self.settings.limits.shutdown;
-        let entry = self.entry.close(deadline).await;
+        let entry = self.entry.shut_down(&self.lifecycle, deadline).await;
 
         // Peers are notified last, because they may have forwarded requests until
         // now. Peers that have not yet received the notice are served for a short
