--- a/crates/kumquatnotch-route/src/relay_front.rs
+++ b/crates/kumquatnotch-route/src/relay_front.rs
@@ -15,6 +15,7 @@
     crash_alarm::{self, ALARM_PATH},
     follow::{self, FOLLOW_PATH},
     gather::{self, Search, losses_of},
+    leaving,
     names::ReplicaId,
     relay::{PEER_ADDRESS_HEADER, PROBE_PATH, RELAY_PATH, RUNNING_PATH},
     relay_message::{RelayReply, RelayRequest},
@@ -57,6 +58,11 @@
         RelayFront { router, running: RefCell::default() }
     }
 
+    /// Returns the number of requests that are running.
+    pub fn running(&self) -> usize {
+        self.running.borrow().len()
+    }
+
     async fn gather(&self, request: Request) -> Reply {
         match self.try_gather(request).await {
             Ok(message) => Reply::new(StatusCode::OK, "application/msgpack", message),
@@ -69,6 +75,9 @@
         if !router.is_ready() {
             return Err(Error::NotReady);
         }
+        if leaving::is_closing(router) {
+            return Err(Error::Leaving);
+        }
         let now = router.clock.now();
         let message: RelayRequest = codec::decode(&request.body)?;
         let route = message.route();
--- a/crates/kumquatnotch-route/tests/searches.rs
+++ b/crates/kumquatnotch-route/tests/searches.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::*;
-use kumquatnotch_core::{Clock, clock::RuntimeClock};
+use kumquatnotch_core::{Clock, clock::RuntimeClock, lifecycle::Stage};
 use kumquatnotch_route::{names::ReplicaId, relay::PROBE_PATH};
 use standins::scripted::{Scripted, Step, answer};
 
@@ -208,6 +208,21 @@
     });
 }
 
+/// Guards against shards that are missing from an answer because their relay is about to exit.
+#[test]
+fn shards_are_queried_directly_if_the_relay_is_closing() {
+    run(async {
+        let regions = TwoRegions::new();
+        regions.away.router.lifecycle.advance(Stage::Closing);
+
+        let answer = regions.home.get("/a/", "r1").await;
+
+        assert_eq!(answer.status, 200);
+        assert_eq!(answer.headers["x-missing"], "0");
+        assert!(regions.replicas.iter().all(|replica| replica.requests().len() == 1));
+    });
+}
+
 /// The relay accepts the request and then never replies, not even when asked whether it is
 /// running the request. The answer is late but complete.
 #[test]
