--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -185,13 +185,20 @@
 pub struct Client {
     address: SocketAddr,
     timeout: Duration,
+    /// Whether the connection is kept also after a response that asks to close it.
+    stays_open: bool,
     idle: RefCell<Option<ClientCodec<TcpStream>>>,
 }
 
 impl Client {
     /// Creates a client of `address` whose requests time out after `timeout`.
     pub fn new(address: SocketAddr, timeout: Duration) -> Client {
-        Client { address, timeout, idle: RefCell::new(None) }
+        Client { address, timeout, stays_open: false, idle: RefCell::new(None) }
+    }
+
+    /// Keeps the connection until the server closes it, also if a response asks to close it.
+    pub fn until_closed(self) -> Client {
+        Client { stays_open: true, ..self }
     }
 
     /// Returns the server's address.
@@ -266,7 +273,7 @@
             }
         }
         let closes = parts.headers.get("connection").is_some_and(|value| value == "close");
-        if !closes {
+        if !closes || self.stays_open {
             self.idle.replace(Some(codec));
         }
         let status = parts.status.as_u16();
