--- a/crates/kumquatnotch-net/tests/shutdown.rs
+++ b/crates/kumquatnotch-net/tests/shutdown.rs
@@ -3,7 +3,9 @@
 mod common;
 
 use std::{
+    cell::Cell,
     io::{self, Write},
+    rc::Rc,
     sync::{Arc, Mutex},
     time::Instant,
 };
@@ -15,7 +17,7 @@
     message::Reply,
     server::{ServerOptions, Work},
 };
-use monoio::net::TcpStream;
+use monoio::{io::AsyncWriteRentExt, net::TcpStream};
 use yare::parameterized;
 
 const GET: &str = "GET /x HTTP/1.1\r\nhost: x\r\n\r\n";
@@ -78,6 +80,40 @@
     });
 }
 
+/// Guards against a request that is read whole as its connection closes, and gets no answer: those
+/// that arrive while the time for late requests ends are either answered or not begun.
+#[test]
+fn request_that_arrives_as_its_connection_closes_is_answered_or_not_begun() {
+    run(async {
+        let (server, handler) = serve(ServerOptions::default(), |_| reply_after(20, "whole"));
+        let answered = Rc::new(Cell::new(0));
+        let mut clients = Vec::new();
+        for index in 0..200 {
+            let mut stream = TcpStream::connect_addr(server.address()).await.unwrap();
+            let answered = answered.clone();
+            clients.push(monoio::spawn(async move {
+                // The connections are closed 1 s after the start of the closing.
+                pause(950 + index / 2).await;
+                let request = GET.as_bytes().to_vec();
+                if stream.write_all(request).await.0.is_ok()
+                    && read(&mut stream).await.ends_with("whole")
+                {
+                    answered.set(answered.get() + 1);
+                }
+            }));
+        }
+
+        let closed = server.close(after(5_000)).await;
+        for client in clients {
+            client.await;
+        }
+
+        assert!(closed);
+        assert_eq!(handler.paths.borrow().len(), answered.get());
+        assert!((1..200).contains(&answered.get()), "{} were answered", answered.get());
+    });
+}
+
 /// Guards against a request that is cut at the exit while its body is still on its way, without an
 /// answer that says that it has not run.
 #[test]
