route: a replica that restarts with its clock set back is known as a new incarnation

What callers saw: requests were sent to a replica by what was known of its earlier incarnation, also after the replica had reported that it drains, for as long as its entry stayed.

Cause: an entry with an earlier start than the known one counted as a late write of an earlier incarnation, for good. Class: an order taken from the clocks of others, where the store orders the writes.

Change: such an entry is held (held_entries.rs). A running replica overwrites a late write with its next heartbeat, so what has stayed for 2 s is current and is applied as a restart. A report of draining in it makes the replica the last choice at once. A held entry ends with any other write of the replica and with its removal.

Not changed: a late write of the earlier incarnation with the later start replaces the running one at once, until that writes again and 2 s have passed; before, it did so for good.

--- a/crates/kumquatnotch-route/src/directory.rs
+++ b/crates/kumquatnotch-route/src/directory.rs
@@ -23,7 +23,7 @@
     Restarted,
     /// The service or address has changed.
     Moved,
-    /// An earlier incarnation than the known one.
+    /// An earlier start than that of the known incarnation; nothing has changed.
     Stale,
 }
 
@@ -64,7 +64,7 @@
         if let Some(replica) = known {
             put = PutOutcome::compare(&replica.spec(), &spec);
             match put {
-                // A write of the earlier incarnation that arrived after the restart.
+                // A late write of an earlier incarnation, as long as nothing else shows.
                 PutOutcome::Stale => return put,
                 PutOutcome::Known => {
                     replica.update(spec);
@@ -82,6 +82,12 @@
         put
     }
 
+    /// Replaces whatever is known of a replica, also if its start is an earlier one.
+    pub fn replace(&self, id: &ReplicaId, spec: ReplicaSpec, now: Instant) {
+        self.remove(id);
+        self.put(id, spec, now);
+    }
+
     /// Removes a replica. Nothing is sent to it any more.
     pub fn remove(&self, id: &ReplicaId) {
         let Some(replica) = self.replicas.borrow_mut().remove(id) else {
--- a/crates/kumquatnotch-route/src/entries.rs
+++ b/crates/kumquatnotch-route/src/entries.rs
@@ -25,10 +25,9 @@
     change_summary::{Change, ChangeSummary},
     crash_records,
     departed::Departed,
-    directory::PutOutcome,
-    names::ReplicaId,
+    held_entries::HeldEntries,
     newest_entries,
-    replica::{Replica, ReplicaSpec},
+    replica::Replica,
     route::RouteTable,
     router::Router,
     schema::{Entry, EntryKey, Schema},
@@ -45,7 +44,7 @@
 
 /// The entries that the store is known to hold.
 pub struct Entries {
-    router: Rc<Router>,
+    pub(crate) router: Rc<Router>,
     schema: Rc<dyn Schema>,
     /// How long an entry that vanished around an outage is retained.
     retention: Duration,
@@ -58,9 +57,11 @@
     /// Number of times that the entry of each node has vanished.
     removals: RefCell<HashMap<NodeName, u64>>,
     /// Replicas that have left.
-    departed: Departed,
+    pub(crate) departed: Departed,
+    /// Entries that may be late writes of earlier incarnations.
+    pub(crate) held: HeldEntries,
     /// Counts changes that are logged as a summary, because many come at once.
-    summary: ChangeSummary,
+    pub(crate) summary: ChangeSummary,
 }
 
 impl Entries {
@@ -76,6 +77,7 @@
             node_removal_suspended: Cell::new(false),
             removals: RefCell::default(),
             departed: Departed::default(),
+            held: HeldEntries::default(),
             summary: ChangeSummary::default(),
         }
     }
@@ -278,40 +280,6 @@
         }
     }
 
-    fn apply_replica(&self, id: &ReplicaId, spec: ReplicaSpec, revision: u64) {
-        let (directory, now) = (&self.router.directory, self.router.clock.now());
-        let change = if spec.draining { Change::Draining } else { Change::Replica };
-        if !self.summary.coalesce(change) {
-            tracing::info!(
-                replica = id.as_str(),
-                service = spec.service.as_str(),
-                address = %spec.address,
-                draining = spec.draining,
-                revision,
-                "mirror: replica entry received"
-            );
-        }
-        let has_left = self.departed.covers(id, &spec, now);
-        let put = directory.put(id, spec, now);
-        if put != PutOutcome::Known {
-            tracing::info!(
-                replica = id.as_str(),
-                ?put,
-                revision,
-                "mirror: replica entry differs from the known replica"
-            );
-        }
-        let Some(replica) = directory.find(id) else {
-            return;
-        };
-        if has_left {
-            tracing::info!(replica = id.as_str(), "mirror: a replica that has left is back");
-            replica.set_presumed_gone(true);
-        } else if self.departed.forget(id) {
-            replica.set_presumed_gone(false);
-        }
-    }
-
     /// Retains nodes whose entries vanish, while the store rejects this node.
     ///
     /// The store rejects other nodes as well, which lose their entries like this one but continue
@@ -339,8 +307,12 @@
     /// Handles the removal of a key from the store.
     fn note_removed(&self, key: EntryKey) {
         self.known.borrow_mut().remove(&key);
-        if let EntryKey::Node(name) = &key {
-            *self.removals.borrow_mut().entry(name.clone()).or_default() += 1;
+        match &key {
+            EntryKey::Node(name) => {
+                *self.removals.borrow_mut().entry(name.clone()).or_default() += 1;
+            }
+            EntryKey::Replica(id) => drop(self.held.release(id)),
+            EntryKey::Config | EntryKey::Crashes(_) => {}
         }
         if self.router.remaining_grace() == Duration::ZERO && !self.is_removal_suspended(&key) {
             self.drop_entry(&key, "left the store");
@@ -357,6 +329,7 @@
             // is deleted, not when the store has lost it.
             EntryKey::Config | EntryKey::Crashes(_) => {}
             EntryKey::Replica(id) => {
+                self.held.release(id);
                 if !self.summary.coalesce(Change::ReplicaGone) {
                     tracing::info!(replica = id.as_str(), reason, "mirror: replica removed");
                 }
@@ -379,6 +352,7 @@
         loop {
             clock::sleep(&*self.router.clock, SWEEP_PERIOD).await;
             let now = self.router.clock.now();
+            self.apply_held(now);
             let due: Vec<EntryKey> = {
                 let vanished = self.vanished.borrow();
                 let due = vanished
