route: an entry of another service with a later start does not lock out a replica

What callers saw: a replica whose entry another writer had replaced, with a later start and a service that nobody knows, stayed unused for good, although it wrote its entry again.

Cause: the start decided before the service was looked at, so the replica's own entry counted as a late write. A replica has one service in all of its incarnations, so the starts of two entries of different services can't be compared; the later write counts.

Ruled out: treating services without a route as unreadable (replicas of a new partitioning start before a configuration names their service).

Not covered: an entry of another writer that is right in all fields, names the replica's own service and has a later start; the replica is used by it until its own entry has stayed for 2 s.

Measured: entry_of_another_service_with_a_later_start_does_not_lock_out_the_replica failed before (0 replicas of the service, wanted 1) and passes; incarnations, store, restored and vanished pass.

--- a/crates/kumquatnotch-route/src/directory.rs
+++ b/crates/kumquatnotch-route/src/directory.rs
@@ -30,9 +30,12 @@
 impl PutOutcome {
     fn compare(known: &ReplicaSpec, new: &ReplicaSpec) -> PutOutcome {
         match (known.born, new.born) {
+            // A replica has one service in all of its incarnations: one of the two entries is that
+            // of another writer, whose start says nothing.
+            _ if known.service != new.service => PutOutcome::Moved,
             (Some(known), Some(new)) if new < known => PutOutcome::Stale,
             (known, new) if known != new => PutOutcome::Restarted,
-            _ if known.service != new.service || known.address != new.address => PutOutcome::Moved,
+            _ if known.address != new.address => PutOutcome::Moved,
             _ => PutOutcome::Known,
         }
     }
--- a/crates/kumquatnotch-route/tests/incarnations.rs
+++ b/crates/kumquatnotch-route/tests/incarnations.rs
@@ -1,4 +1,5 @@
-//! Replicas that restart under their name, and late writes of earlier incarnations.
+//! Replicas that restart under their name, late writes of earlier incarnations, and entries of
+//! other writers.
 
 mod common;
 #[path = "common/store.rs"]
@@ -6,7 +7,10 @@
 #[path = "common/schema.rs"]
 mod schema;
 
-use std::{rc::Rc, time::Duration};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use common::*;
 use fake::FakeStore;
@@ -14,7 +18,7 @@
 use kumquatnotch_route::{
     mirror::{Mirror, MirrorOptions},
     names::ReplicaId,
-    replica::{self, Replica},
+    replica::{self, Replica, ReplicaSpec},
 };
 use schema::TestSchema;
 
@@ -151,3 +155,26 @@
         assert_eq!(node.next_replica(), None);
     });
 }
+
+/// Guards against a replica that stays unused after another writer has put an entry under its name
+/// that has a later start and a service that nobody knows.
+#[test]
+fn entry_of_another_service_with_a_later_start_does_not_lock_out_the_replica() {
+    run(async {
+        let tier = Tier::new();
+        let (directory, now) = (&tier.router.directory, Instant::now());
+        let id = ReplicaId::from("a");
+        let entry = |name, born| {
+            let spec = spec(name, refusing_address(), "home", false);
+            ReplicaSpec { born: Some(born), ..spec }
+        };
+        directory.put(&id, entry("s0", 200), now);
+
+        directory.put(&id, entry("unknown", 900), now);
+        let meanwhile = directory.of(&service("s0")).len();
+        directory.put(&id, entry("s0", 200), now);
+
+        assert_eq!(meanwhile, 0);
+        assert_eq!(directory.of(&service("s0")).len(), 1);
+    });
+}
