route: replicas that leave together get no requests after the drain limit

What callers saw: requests to replicas that had left without draining, later than 3 s after their entries were removed (DRAIN), if four or more left at once, or the only one of its service left soon after an outage.

Cause: such entries may have expired in an outage that no call noticed, and are retained, with their priority, for 2.6 s from the moment at which the removal is known. A pause of up to 0.3 s between two watches comes before, and a check every 0.2 s after it: 3.1 s. An entry that was removed late in the grace period after an outage was retained for another 2.6 s from then on.

Change: the check comes when the first entry is due. If no failure of the store was seen and the watch answered at once, the retention counts from the previous answer, as the removal may be as old as that. A replica's entry is retained until the end of the grace period, not for a time of its own: expired entries are back soon after the store is, whenever they were removed. Entries of nodes keep their time.

Ruled out: a shorter retention (expired entries are back within about two seconds, and the pause between two watches comes on top); no pause while entries are missing (calls to the store, when all replicas write at once).

Left: if the store drops its history while four or more leave, the time of the removal is unknown, and they are used for up to 2.6 s from the full scan on.

--- a/crates/kumquatnotch-route/src/entries.rs
+++ b/crates/kumquatnotch-route/src/entries.rs
@@ -39,7 +39,7 @@
 /// Minimum share of all entries that they must make up.
 const MASS_EXPIRY_SHARE: f64 = 0.15;
 
-/// How often retained entries are checked for removal.
+/// Longest time between two checks for entries that are due.
 const SWEEP_PERIOD: Duration = Duration::from_millis(200);
 
 /// The entries that the store is known to hold.
@@ -318,8 +318,11 @@
             self.drop_entry(&key, "left the store");
             return;
         }
-        let until = self.router.clock.now() + self.retention;
-        self.vanished.borrow_mut().insert(key, until);
+        let grace = self.router.remaining_grace();
+        // A replica whose entry has expired writes it again soon after the store is back, whenever
+        // it is removed; a node that the store rejects may need longer.
+        let retention = if matches!(key, EntryKey::Replica(_)) { grace } else { self.retention };
+        self.vanished.borrow_mut().insert(key, self.router.clock.now() + retention);
     }
 
     fn drop_entry(&self, key: &EntryKey, reason: &'static str) {
@@ -347,10 +350,19 @@
         }
     }
 
+    /// Returns the time until the first retained entry is due, at most the sweep period.
+    fn time_to_sweep(&self) -> Duration {
+        let now = self.router.clock.now();
+        let vanished = self.vanished.borrow();
+        let due = vanished.iter().filter(|(key, _)| !self.is_removal_suspended(key));
+        let due = due.map(|(_, at)| at.saturating_duration_since(now)).min();
+        due.map_or(SWEEP_PERIOD, |due| due.min(SWEEP_PERIOD))
+    }
+
     /// Periodically drops entries that have been missing for longer than the retention time.
     pub async fn sweep(self: Rc<Entries>) {
         loop {
-            clock::sleep(&*self.router.clock, SWEEP_PERIOD).await;
+            clock::sleep(&*self.router.clock, self.time_to_sweep()).await;
             let now = self.router.clock.now();
             self.apply_held(now);
             let due: Vec<EntryKey> = {
--- a/crates/kumquatnotch-route/src/mirror.rs
+++ b/crates/kumquatnotch-route/src/mirror.rs
@@ -73,6 +73,9 @@
 /// How late the answer to a watch may be before the store counts as unavailable.
 const LATE_ANSWER_MARGIN: Duration = Duration::from_millis(300);
 
+/// Time within which a watch returns changes that are older than its start.
+const PROMPT_ANSWER: Duration = Duration::from_millis(100);
+
 /// Wait of a watch that returns the existing changes at once.
 pub(crate) const NO_WAIT: Duration = Duration::from_millis(1);
 
@@ -262,6 +265,17 @@
         }
     }
 
+    /// Notes that many entries vanished at once, although no failure of the store was seen.
+    ///
+    /// Their replicas may have left instead, and must then get no requests once they have ended.
+    /// Changes that a watch returns promptly may be as old as the previous answer.
+    fn note_mass_expiry(&self, watch_start: Instant) {
+        let is_prompt = self.router.clock.now() < watch_start + PROMPT_ANSWER;
+        let age = if is_prompt { self.router.journal.age() } else { Duration::ZERO };
+        let age = age.min(self.options.batch_delay);
+        self.router.extend_grace(self.options.retention.saturating_sub(age));
+    }
+
     /// Reads the full state, or the changes since the last revision.
     async fn read(&self) -> Result<()> {
         match self.revision.get() {
@@ -302,8 +316,8 @@
             }
         };
         let now = clock.now();
-        if self.entries.is_mass_expiry(&changes.events) {
-            self.note_store_failure();
+        if self.entries.is_mass_expiry(&changes.events) && !self.store_failed.get() {
+            self.note_mass_expiry(start);
         }
         self.note_store_answer();
         self.apply_changes(&changes, now);
--- a/crates/kumquatnotch-route/tests/vanished.rs
+++ b/crates/kumquatnotch-route/tests/vanished.rs
@@ -13,9 +13,11 @@
 
 use common::*;
 use fake::FakeStore;
+use futures_util::future::join_all;
 use kumquatnotch_core::{Store, ids::NodeName};
 use kumquatnotch_route::{
     announce::Announcer,
+    follow,
     mirror::{Mirror, MirrorOptions},
     replica,
 };
@@ -46,14 +48,26 @@
     Fixture { tier, store, mirror }
 }
 
+fn next_replica(tier: &Tier, name: &str) -> Option<String> {
+    let router = &tier.router;
+    let replicas = router.directory.of(&service(name));
+    let profile = router.profile(&single());
+    let pick = replica::pick(&replicas, &[], profile, router.clock.now())?;
+    Some(pick.replica.id.as_str().to_owned())
+}
+
+async fn pause_until(end: Instant) {
+    monoio::time::sleep(end.saturating_duration_since(Instant::now())).await;
+}
+
+fn delete_all_of_s0(store: &FakeStore) {
+    ["a", "b", "c", "d"].iter().for_each(|name| store.delete(&format!("r/s0.{name}")));
+}
+
 impl Fixture {
     /// Returns the replica of a service that the next request would be sent to.
     fn next_replica(&self, name: &str) -> Option<String> {
-        let router = &self.tier.router;
-        let replicas = router.directory.of(&service(name));
-        let profile = router.profile(&single());
-        let pick = replica::pick(&replicas, &[], profile, router.clock.now())?;
-        Some(pick.replica.id.as_str().to_owned())
+        next_replica(&self.tier, name)
     }
 
     /// Returns the replicas of a service that requests would be sent to until `end`.
@@ -177,3 +191,92 @@
         assert_eq!(fixture.next_replica("s0"), None);
     });
 }
+
+/// Four replicas leave without draining in the pause after a return of the watch, out of so few that
+/// their entries count as expired. Whenever the pause, the time for which expired entries are
+/// retained and the check for their removal add up to more than operators allow, requests would
+/// be sent to replicas that have ended.
+#[test]
+fn replicas_that_leave_together_get_no_requests_after_the_drain_limit() {
+    run(async {
+        let tests = (0..12).map(|phase| async move {
+            let fixture = fixture(&["s0.a", "s0.b", "s0.c", "s0.d", "s1.stays"]).await;
+            pause(3_000 + 20 * phase).await;
+            fixture.store.put("c", b"4");
+            pause(15).await;
+            delete_all_of_s0(&fixture.store);
+            let removed = Instant::now();
+            pause(1_000).await;
+            let soon = fixture.next_replica("s0");
+            pause_until(removed + DRAIN_LIMIT).await;
+            (soon.is_some(), fixture.next_replica("s0"))
+        });
+        let used = join_all(tests).await;
+
+        assert_eq!(used, vec![(true, None); 12], "used after a second, and at the limit");
+    });
+}
+
+/// The same on a node that follows another one, which gets the changes later.
+#[test]
+fn follower_sends_nothing_to_replicas_that_left_together_after_the_drain_limit() {
+    run(async {
+        let tests = (0..12).map(|phase| async move {
+            let store = Rc::new(FakeStore::default());
+            store.put("c", b"3");
+            for name in ["s0.a", "s0.b", "s0.c", "s0.d", "s1.stays"] {
+                store.put(&format!("r/{name}"), b"127.0.0.1:1");
+            }
+            let tiers = [("r1", 2.0), ("r2", 2.0), ("z", 1.0)]
+                .map(|(name, capacity)| (name, capacity, Tier::named(name, 100.0, "home")));
+            for (name, capacity, tier) in &tiers {
+                store.put(&format!("n/{name}"), &node_entry(tier.peer.address(), *capacity));
+            }
+            for name in ["u", "v", "w"] {
+                store.put(&format!("n/{name}"), &node_entry(refusing_address(), 1.0));
+            }
+            for (.., tier) in &tiers {
+                let (options, store) = (MirrorOptions::default(), store.clone());
+                Mirror::new(options, tier.router.clone(), store, Rc::new(TestSchema)).start();
+            }
+            let [.., (.., follower)] = &tiers;
+            pause(6_000 + 20 * phase).await;
+            assert!(follow::is_follower(&follower.router));
+            store.put("c", b"4");
+            pause(15).await;
+            delete_all_of_s0(&store);
+            let removed = Instant::now();
+            pause(1_000).await;
+            let soon = next_replica(follower, "s0");
+            pause_until(removed + DRAIN_LIMIT).await;
+            (soon.is_some(), next_replica(follower, "s0"))
+        });
+        let used = join_all(tests).await;
+
+        assert_eq!(used, vec![(true, None); 12], "used after a second, and at the limit");
+    });
+}
+
+/// The only replica of a service leaves without draining, soon after an outage in which entries may
+/// have expired. The same times add up for it, as its entry is retained like an expired one.
+#[test]
+fn only_replica_that_left_soon_after_an_outage_gets_no_requests_after_the_drain_limit() {
+    run(async {
+        let tests = (0..12).map(|phase| async move {
+            let fixture = fixture(&["s0.left", "s1.stays"]).await;
+            pause(3_000 + 20 * phase).await;
+            fixture.store.unavailable.set(true);
+            pause(300).await;
+            fixture.store.unavailable.set(false);
+            pause(1_500).await;
+            fixture.store.put("c", b"4");
+            pause(15).await;
+            fixture.store.delete("r/s0.left");
+            pause_until(Instant::now() + DRAIN_LIMIT).await;
+            fixture.next_replica("s0")
+        });
+        let used = join_all(tests).await;
+
+        assert_eq!(used, vec![None; 12]);
+    });
+}
