--- a/crates/kumquatnotch-route/src/entries.rs
+++ b/crates/kumquatnotch-route/src/entries.rs
@@ -25,10 +25,9 @@
     change_summary::{Change, ChangeSummary},
     crash_records,
     departed::Departed,
-    directory::PutOutcome,
-    names::ReplicaId,
+    held_entries::HeldEntries,
     newest_entries,
-    replica::{Replica, ReplicaSpec},
+    replica::Replica,
     route::RouteTable,
     router::Router,
     schema::{Entry, EntryKey, Schema},
@@ -40,12 +39,12 @@
 /// Minimum share of all entries that they must make up.
 const MASS_EXPIRY_SHARE: f64 = 0.15;
 
-/// How often retained entries are checked for removal.
+/// Longest time between two checks for entries that are due.
 const SWEEP_PERIOD: Duration = Duration::from_millis(200);
 
 /// The entries that the store is known to hold.
 pub struct Entries {
-    router: Rc<Router>,
+    pub(crate) router: Rc<Router>,
     schema: Rc<dyn Schema>,
     /// How long an entry that vanished around an outage is retained.
     retention: Duration,
@@ -58,9 +57,11 @@
     /// Number of times that the entry of each node has vanished.
     removals: RefCell<HashMap<NodeName, u64>>,
     /// Replicas that have left.
-    departed: Departed,
+    pub(crate) departed: Departed,
+    /// Entries that may be late writes of earlier incarnations.
+    pub(crate) held: HeldEntries,
     /// Counts changes that are logged as a summary, because many come at once.
-    summary: ChangeSummary,
+    pub(crate) summary: ChangeSummary,
 }
 
 impl Entries {
@@ -76,6 +77,7 @@
             node_removal_suspended: Cell::new(false),
             removals: RefCell::default(),
             departed: Departed::default(),
+            held: HeldEntries::default(),
             summary: ChangeSummary::default(),
         }
     }
@@ -278,40 +280,6 @@
         }
     }
 
-    fn apply_replica(&self, id: &ReplicaId, spec: ReplicaSpec, revision: u64) {
-        let (directory, now) = (&self.router.directory, self.router.clock.now());
-        let change = if spec.draining { Change::Draining } else { Change::Replica };
-        if !self.summary.coalesce(change) {
-            tracing::info!(
-                replica = id.as_str(),
-                service = spec.service.as_str(),
-                address = %spec.address,
-                draining = spec.draining,
-                revision,
-                "mirror: replica entry received"
-            );
-        }
-        let has_left = self.departed.covers(id, &spec, now);
-        let put = directory.put(id, spec, now);
-        if put != PutOutcome::Known {
-            tracing::info!(
-                replica = id.as_str(),
-                ?put,
-                revision,
-                "mirror: replica entry differs from the known replica"
-            );
-        }
-        let Some(replica) = directory.find(id) else {
-            return;
-        };
-        if has_left {
-            tracing::info!(replica = id.as_str(), "mirror: a replica that has left is back");
-            replica.set_presumed_gone(true);
-        } else if self.departed.forget(id) {
-            replica.set_presumed_gone(false);
-        }
-    }
-
     /// Retains nodes whose entries vanish, while the store rejects this node.
     ///
     /// The store rejects other nodes as well, which lose their entries like this one but continue
@@ -339,15 +307,22 @@
     /// Handles the removal of a key from the store.
     fn note_removed(&self, key: EntryKey) {
         self.known.borrow_mut().remove(&key);
-        if let EntryKey::Node(name) = &key {
-            *self.removals.borrow_mut().entry(name.clone()).or_default() += 1;
+        match &key {
+            EntryKey::Node(name) => {
+                *self.removals.borrow_mut().entry(name.clone()).or_default() += 1;
+            }
+            EntryKey::Replica(id) => drop(self.held.release(id)),
+            EntryKey::Config | EntryKey::Crashes(_) => {}
         }
         if self.router.remaining_grace() == Duration::ZERO && !self.is_removal_suspended(&key) {
             self.drop_entry(&key, "left the store");
             return;
         }
-        let until = self.router.clock.now() + self.retention;
-        self.vanished.borrow_mut().insert(key, until);
+        let grace = self.router.remaining_grace();
+        // A replica whose entry has expired writes it again soon after the store is back, whenever
+        // it is removed; a node that the store rejects may need longer.
+        let retention = if matches!(key, EntryKey::Replica(_)) { grace } else { self.retention };
+        self.vanished.borrow_mut().insert(key, self.router.clock.now() + retention);
     }
 
     fn drop_entry(&self, key: &EntryKey, reason: &'static str) {
@@ -357,6 +332,7 @@
             // is deleted, not when the store has lost it.
             EntryKey::Config | EntryKey::Crashes(_) => {}
             EntryKey::Replica(id) => {
+                self.held.release(id);
                 if !self.summary.coalesce(Change::ReplicaGone) {
                     tracing::info!(replica = id.as_str(), reason, "mirror: replica removed");
                 }
@@ -374,11 +350,21 @@
         }
     }
 
+    /// Returns the time until the first retained entry is due, at most the sweep period.
+    fn time_to_sweep(&self) -> Duration {
+        let now = self.router.clock.now();
+        let vanished = self.vanished.borrow();
+        let due = vanished.iter().filter(|(key, _)| !self.is_removal_suspended(key));
+        let due = due.map(|(_, at)| at.saturating_duration_since(now)).min();
+        due.map_or(SWEEP_PERIOD, |due| due.min(SWEEP_PERIOD))
+    }
+
     /// Periodically drops entries that have been missing for longer than the retention time.
     pub async fn sweep(self: Rc<Entries>) {
         loop {
-            clock::sleep(&*self.router.clock, SWEEP_PERIOD).await;
+            clock::sleep(&*self.router.clock, self.time_to_sweep()).await;
             let now = self.router.clock.now();
+            self.apply_held(now);
             let due: Vec<EntryKey> = {
                 let vanished = self.vanished.borrow();
                 let due = vanished
