route: the memory of a node doesn't grow with each configuration

Change: the changes share the current values with the known state (route/history.rs). Older values of a key are kept up to 1 MiB in all; the largest go first, so that each change of the small entries of replicas and nodes still reaches followers (whether one drained before it left). A follower that is behind a value left out gets the later one of that key and ends at the same state; one that is behind all kept changes gets the full state, as before. By reading: a reply to a follower was also longer than the 4 MiB that it reads, as soon as four such configurations had come since its last one.

Ruled out: a bound by bytes alone that drops whole changes (by reading): in a storm it would send the full state to each follower for every batch.

--- a/crates/kumquatnotch-route/src/journal.rs
+++ b/crates/kumquatnotch-route/src/journal.rs
@@ -6,7 +6,6 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, VecDeque},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -18,10 +17,7 @@
     store::{StoreChanges, StoreEvent, StoreItem, StoreScan},
 };
 
-/// Number of changes that are kept for followers.
-///
-/// A follower is a few seconds behind at most; one that is further behind gets the full state.
-const MAX_EVENTS: usize = 2_000;
+use crate::history::{Entries, Entry, History, Value};
 
 /// Time reserved for sending the full state, for each item.
 ///
@@ -32,14 +28,10 @@
 /// The state of the store that this node knows.
 pub struct Journal {
     clock: Rc<dyn Clock>,
-    items: RefCell<BTreeMap<String, StoreItem>>,
-    events: RefCell<VecDeque<StoreEvent>>,
+    entries: RefCell<Entries>,
+    history: RefCell<History>,
     /// Revision up to which all changes are known; zero before the first scan.
     revision: Cell<u64>,
-    /// Revision after which all changes are kept, but those in gaps.
-    compacted: Cell<u64>,
-    /// Revisions between which only the differences are kept, from the first to the second.
-    gaps: RefCell<Vec<(u64, u64)>>,
     /// When the store last confirmed that this state is complete.
     confirmed: Cell<Instant>,
     /// Whether this node gets updates neither from the store nor from another node.
@@ -80,11 +72,9 @@
     pub fn new(clock: Rc<dyn Clock>) -> Journal {
         let confirmed = Cell::new(clock.now());
         Journal {
-            items: RefCell::default(),
-            events: RefCell::default(),
+            entries: RefCell::default(),
+            history: RefCell::default(),
             revision: Cell::new(0),
-            compacted: Cell::new(0),
-            gaps: RefCell::default(),
             confirmed,
             source_lost: Cell::new(false),
             last_follower_request: Cell::new(None),
@@ -106,7 +96,7 @@
 
     /// Returns the number of items and the number of changes that are kept.
     pub fn sizes(&self) -> (usize, usize) {
-        (self.items.borrow().len(), self.events.borrow().len())
+        (self.entries.borrow().len(), self.history.borrow().len())
     }
 
     /// Returns when another node last followed this one.
@@ -126,7 +116,7 @@
             return false;
         }
         self.full_transfer_until
-            .set(now + FULL_TRANSFER_TIME_PER_ITEM * self.items.borrow().len() as u32);
+            .set(now + FULL_TRANSFER_TIME_PER_ITEM * self.entries.borrow().len() as u32);
         true
     }
 
@@ -159,13 +149,13 @@
 
     /// Returns the known item under a key.
     pub fn item(&self, key: &str) -> Option<StoreItem> {
-        self.items.borrow().get(key).cloned()
+        self.entries.borrow().get(key).map(|entry| entry.to_item(key))
     }
 
     /// Returns the first known item whose key is wanted.
     pub fn find(&self, is_wanted: impl Fn(&str) -> bool) -> Option<StoreItem> {
-        let items = self.items.borrow();
-        items.iter().find(|(key, _)| is_wanted(key)).map(|(_, item)| item.clone())
+        let entries = self.entries.borrow();
+        entries.iter().find(|(key, _)| is_wanted(key)).map(|(key, entry)| entry.to_item(key))
     }
 
     /// Replaces all state by a scan of the store, confirmed at `confirmed`.
@@ -173,20 +163,29 @@
     /// Followers that know the replaced state get the differences. With the full state for each of
     /// them, a restore of the store would take seconds of the link of a node with many followers.
     pub fn reset(&self, scan: &StoreScan, confirmed: Instant) {
-        let items = scan.items.iter().map(|item| (item.key.clone(), item.clone()));
-        let items: BTreeMap<String, StoreItem> = items.collect();
-        let known = self.items.replace(items);
+        let known = std::mem::take(&mut *self.entries.borrow_mut());
+        let entry = |item: &StoreItem| {
+            // Unchanged values stay shared with the changes that wrote them.
+            let earlier = known.get(&item.key).map(|entry| &entry.value);
+            let value = match earlier.filter(|value| ***value == *item.value) {
+                Some(value) => value.clone(),
+                None => Value::from(&*item.value),
+            };
+            (item.key.clone(), Entry { value, revision: item.revision })
+        };
+        let entries: Entries = scan.items.iter().map(entry).collect();
         let revision = self.revision.get();
-        if (1..scan.revision).contains(&revision) {
-            let differences = self.differences(&known, scan.revision);
-            self.events.borrow_mut().extend(differences);
-            self.gaps.borrow_mut().push((revision, scan.revision));
-            self.drop_oldest_events();
-        } else {
-            self.events.borrow_mut().clear();
-            self.gaps.borrow_mut().clear();
-            self.compacted.set(scan.revision);
+        {
+            let mut history = self.history.borrow_mut();
+            if (1..scan.revision).contains(&revision) {
+                history.add_gap(revision, scan.revision);
+                add_differences(&mut history, &known, &entries, scan.revision);
+            } else {
+                history.restart(scan.revision);
+            }
+            history.trim(&entries);
         }
+        self.entries.replace(entries);
         // The revision is set even if it was higher: a follower that got the higher revision
         // without the changes up to it would never receive them.
         self.revision.set(scan.revision);
@@ -194,44 +193,29 @@
         self.wake_waiters();
     }
 
-    /// Returns the changes that lead from an earlier state to this one, at `revision`.
-    fn differences(&self, earlier: &BTreeMap<String, StoreItem>, revision: u64) -> Vec<StoreEvent> {
-        let items = self.items.borrow();
-        let value_of = |key: &str| earlier.get(key).map(|item| &item.value);
-        let written = items.values().filter(|item| value_of(&item.key) != Some(&item.value));
-        let written =
-            written.map(|item| StoreEvent::Written(StoreItem { revision, ..item.clone() }));
-        let deleted = earlier.keys().filter(|key| !items.contains_key(*key));
-        let deleted = deleted.map(|key| StoreEvent::Deleted { key: key.clone(), revision });
-        written.chain(deleted).collect()
-    }
-
     /// Adds changes, possibly none, confirmed at `confirmed`.
     pub fn extend(&self, changes: &StoreChanges, confirmed: Instant) {
         {
-            let mut items = self.items.borrow_mut();
-            let mut events = self.events.borrow_mut();
+            let mut entries = self.entries.borrow_mut();
+            let mut history = self.history.borrow_mut();
             for event in &changes.events {
                 match event {
-                    StoreEvent::Written(item) => items.insert(item.key.clone(), item.clone()),
-                    StoreEvent::Deleted { key, .. } => items.remove(key),
-                };
-                events.push_back(event.clone());
+                    StoreEvent::Written(StoreItem { key, value, revision }) => {
+                        let (value, revision) = (Value::from(&**value), *revision);
+                        history.push(key, revision, Some(value.clone()));
+                        entries.insert(key.clone(), Entry { value, revision });
+                    }
+                    StoreEvent::Deleted { key, revision } => {
+                        history.push(key, *revision, None);
+                        entries.remove(key);
+                    }
+                }
             }
+            history.trim(&entries);
         }
-        self.drop_oldest_events();
         self.advance(changes.revision, confirmed);
     }
 
-    fn drop_oldest_events(&self) {
-        let mut events = self.events.borrow_mut();
-        while events.len() > MAX_EVENTS {
-            let first = events.pop_front();
-            self.compacted.set(first.map_or(self.compacted.get(), |event| event.revision()));
-        }
-        self.gaps.borrow_mut().retain(|(_, end)| *end > self.compacted.get());
-    }
-
     fn advance(&self, revision: u64, confirmed: Instant) {
         let grew = revision > self.revision.get();
         self.revision.set(revision.max(self.revision.get()));
@@ -267,16 +251,34 @@
                 break;
             }
         }
-        let is_in_gap = |(start, end): &(u64, u64)| (start + 1..*end).contains(&revision);
-        if revision < self.compacted.get() || self.gaps.borrow().iter().any(is_in_gap) {
-            let items = self.items.borrow().values().cloned().collect();
+        let history = self.history.borrow();
+        if !history.covers(revision) {
+            let entries = self.entries.borrow();
+            let items = entries.iter().map(|(key, entry)| entry.to_item(key)).collect();
             return StoreUpdate::Full(StoreScan { items, revision: self.revision.get() });
         }
-        let events = self.events.borrow();
-        let newer = events.iter().filter(|event| event.revision() > revision).cloned();
         StoreUpdate::Changes(StoreChanges {
-            events: newer.collect(),
+            events: history.after(revision),
             revision: self.revision.get(),
         })
     }
 }
+
+impl Entry {
+    fn to_item(&self, key: &str) -> StoreItem {
+        let (value, revision) = (self.value.to_vec(), self.revision);
+        StoreItem { key: key.to_owned(), value, revision }
+    }
+}
+
+/// Adds the changes that lead from an earlier state to a later one, at `revision`.
+fn add_differences(history: &mut History, earlier: &Entries, later: &Entries, revision: u64) {
+    for (key, Entry { value, .. }) in later {
+        if earlier.get(key).is_none_or(|entry| !Rc::ptr_eq(&entry.value, value)) {
+            history.push(key, revision, Some(value.clone()));
+        }
+    }
+    for key in earlier.keys().filter(|key| !later.contains_key(*key)) {
+        history.push(key, revision, None);
+    }
+}
--- a/crates/kumquatnotch-route/src/lib.rs
+++ b/crates/kumquatnotch-route/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod front;
 pub mod gather;
 pub mod headers;
+mod history;
 mod in_flight;
 mod initial_sync;
 pub mod journal;
