--- a/crates/kumquatnotch-route/src/lib.rs
+++ b/crates/kumquatnotch-route/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod gather;
 pub mod headers;
 mod held_entries;
+mod history;
 mod in_flight;
 mod initial_sync;
 pub mod journal;
