net: limit the interim replies before a reply

Cause: both clients read interim (1xx) replies in a loop. While more of them have arrived, reading never waits, so the thread runs no timer and no other task: a sender that floods a connection with interim replies stops the whole node, deadlines included.

Change: at most 1,000 interim replies before a reply, then a protocol error.

Ruled out: the other loops over a connection, which end with the byte budget of their message.

--- a/crates/kumquatnotch-net/src/exchange.rs
+++ b/crates/kumquatnotch-net/src/exchange.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     message::{REQUEST_ID_HEADER, Reply, Request},
-    reader::{Peek, ReadError, ResponseReader},
+    reader::{MAX_INTERIM_REPLIES, Peek, ReadError, ResponseReader},
 };
 
 /// The read and write halves of a client connection.
@@ -59,7 +59,7 @@
     ) -> Result<ExchangeResult> {
         let request = self.build_request(request, request_id)?;
         self.encoder.send_and_flush(request).await.map_err(|_| Error::ConnectionLost)?;
-        loop {
+        for _ in 0..=MAX_INTERIM_REPLIES {
             let head = read_head(&mut self.reader, silence_timeout, clock).await?;
             let (head, decoder) = head;
             if head.status.is_informational() {
@@ -72,6 +72,7 @@
             let keep_alive = keeps_alive(&reply);
             return Ok(ExchangeResult { reply, keep_alive });
         }
+        Err(Error::protocol("received only interim replies"))
     }
 
     fn build_request(&self, request: Request, request_id: u64) -> Result<http::Request<HttpBody>> {
--- a/crates/kumquatnotch-net/src/opaque_link.rs
+++ b/crates/kumquatnotch-net/src/opaque_link.rs
@@ -20,7 +20,7 @@
 
 use crate::{
     message::{Reply, Request},
-    reader::{ReadError, ResponseReader},
+    reader::{MAX_INTERIM_REPLIES, ReadError, ResponseReader},
     socket,
 };
 
@@ -120,7 +120,7 @@
     }
 
     async fn receive_any(&mut self) -> Result<OpaqueReply> {
-        loop {
+        for _ in 0..=MAX_INTERIM_REPLIES {
             let (head, decoder) = self.reader.head().await.map_err(to_error)?;
             if head.status.is_informational() {
                 continue;
@@ -139,6 +139,7 @@
                 idle_limit,
             });
         }
+        Err(Error::protocol("received only interim replies"))
     }
 }
 
--- a/crates/kumquatnotch-net/src/reader.rs
+++ b/crates/kumquatnotch-net/src/reader.rs
@@ -28,6 +28,12 @@
 /// Maximum size of the head of a message, in bytes.
 const HEAD_LIMIT: usize = 32 << 10;
 
+/// Maximum number of interim replies before a reply.
+///
+/// Reading them never waits while more have arrived, so that no timer of this thread would fire
+/// while a sender floods the connection with them.
+pub(crate) const MAX_INTERIM_REPLIES: usize = 1_000;
+
 /// Bytes allowed in addition to the length of a body, for chunk framing.
 const FRAMING_ALLOWANCE: usize = 64 << 10;
 
