net: limit heads that arrive in a large buffer

Cause: the head decoders of monoio-http unwrap the conversion of a header name, which fails above 64 KB. The byte budget of a reader (32 KB for a head) does not keep longer ones away: it is checked before each read, and a read returns as much as the buffer holds, which is megabytes after a large body. One request of a caller, or one reply of a replica, ended the process.

Change: decoders around those of monoio-http reject a head that has no end within 32 KB, also if it has arrived whole.

Red tests: endless_input, head_in_a_large_buffer_is_limited and head_of_a_request_in_a_large_buffer_is_limited: panicked in decoder.rs at 'called Result::unwrap() on an Err value: InvalidHeaderName'.

After: the reply is a protocol error, the request is refused with a status of the 400s. monoio-codec, which has the trait of the decoders, was already a dependency of monoio-http.

--- a/crates/kumquatnotch-net/src/reader.rs
+++ b/crates/kumquatnotch-net/src/reader.rs
@@ -18,15 +18,11 @@
     common::error::HttpError,
     h1::{
         FramedRead,
-        codec::decoder::{
-            ChunkedBodyDecoder, DecodeError, DirectHeadDecoder, DirectWrapper, FixedBodyDecoder,
-            GenericHeadDecoder, PayloadDecoder, RequestHeadDecoder,
-        },
+        codec::decoder::{ChunkedBodyDecoder, DecodeError, FixedBodyDecoder, PayloadDecoder},
     },
 };
 
-/// Maximum size of the head of a message, in bytes.
-const HEAD_LIMIT: usize = 32 << 10;
+use crate::decoders::{HEAD_LIMIT, RequestHeads, ResponseHeads};
 
 /// Maximum number of interim replies before a reply.
 ///
@@ -38,11 +34,10 @@
 const FRAMING_ALLOWANCE: usize = 64 << 10;
 
 /// Reads requests.
-pub(crate) type RequestReader =
-    MessageReader<GenericHeadDecoder<(), RequestHeadDecoder, DirectWrapper>>;
+pub(crate) type RequestReader = MessageReader<RequestHeads>;
 
 /// Reads responses.
-pub(crate) type ResponseReader = MessageReader<DirectHeadDecoder>;
+pub(crate) type ResponseReader = MessageReader<ResponseHeads>;
 
 type BodyDecoder = PayloadDecoder<FixedBodyDecoder, ChunkedBodyDecoder>;
 
