net: reject what can't become a reply at once

Cause: the decoders of monoio-http look at a head only when it is complete, and scan the line before a chunk from its start after each read. Other bytes that trickle in held a request until its deadline, and a chunk line of zeros cost quadratic time up to the 4 MB that a body may have.

Change: a reply must start with 'HTTP/1.', apart from blank lines, and the line before a chunk has at most 256 bytes.

Sibling: bytes within a chunk, or a length, are bounded by the limit of a body; long_chunks_after_short_lines_are_read guards them.

--- a/crates/kumquatnotch-net/src/decoders.rs
+++ b/crates/kumquatnotch-net/src/decoders.rs
@@ -1,20 +1,28 @@
-//! Decoders that limit the size of heads.
+//! Decoders that reject what is no message as soon as that is certain.
 //!
-//! The decoders of `monoio-http` panic on a header name of more than 64 KB. The byte budget of a
-//! reader does not prevent that: the read that uses it up may return as much as the buffer holds.
+//! The decoders of `monoio-http` look at a head only when it is complete, and scan the line before
+//! a chunk from its start after each read. A sender of other bytes would hold the reader until its
+//! byte budget or its deadline is used up.
 
 use bytes::BytesMut;
 use monoio_codec::{Decoded, Decoder};
 use monoio_http::{
     common::error::HttpError,
     h1::codec::decoder::{
-        DecodeError, DirectHeadDecoder, DirectWrapper, GenericHeadDecoder, RequestHeadDecoder,
+        ChunkedBodyDecoder, DecodeError, DirectHeadDecoder, DirectWrapper, GenericHeadDecoder,
+        RequestHeadDecoder,
     },
 };
 
 /// Maximum size of the head of a message, in bytes.
 pub(crate) const HEAD_LIMIT: usize = 32 << 10;
 
+/// Maximum size of the line before a chunk, in bytes.
+const CHUNK_LINE_LIMIT: usize = 256;
+
+/// Start of each reply.
+const REPLY_START: &[u8] = b"HTTP/1.";
+
 /// End of each head.
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
@@ -41,6 +49,11 @@
     type Error = HttpError;
 
     fn decode(&mut self, src: &mut BytesMut) -> Result<Decoded<Self::Item>, HttpError> {
+        let text = src.trim_ascii_start();
+        let count = text.len().min(REPLY_START.len());
+        if text[..count] != REPLY_START[..count] {
+            return Err(DecodeError::Header.into());
+        }
         check_length(src)?;
         self.0.decode(src)
     }
@@ -57,3 +70,36 @@
     }
     Err(DecodeError::Header.into())
 }
+
+/// Decodes the chunks of a body.
+pub(crate) struct ChunkDecoder {
+    chunks: ChunkedBodyDecoder,
+    /// Whether the line before the current chunk has been read.
+    in_chunk: bool,
+}
+
+impl ChunkDecoder {
+    /// Creates a decoder for a body that has not been read yet.
+    pub(crate) fn new(chunks: ChunkedBodyDecoder) -> ChunkDecoder {
+        ChunkDecoder { chunks, in_chunk: false }
+    }
+}
+
+impl Decoder for ChunkDecoder {
+    type Item = <ChunkedBodyDecoder as Decoder>::Item;
+    type Error = DecodeError;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Decoded<Self::Item>, DecodeError> {
+        let length = src.len();
+        let decoded = self.chunks.decode(src)?;
+        // The line is removed as soon as it is complete.
+        self.in_chunk = match decoded {
+            Decoded::Some(_) => false,
+            _ => self.in_chunk || src.len() < length,
+        };
+        if !self.in_chunk && matches!(decoded, Decoded::Insufficient) && length > CHUNK_LINE_LIMIT {
+            return Err(DecodeError::Chunked);
+        }
+        Ok(decoded)
+    }
+}
--- a/crates/kumquatnotch-net/src/reader.rs
+++ b/crates/kumquatnotch-net/src/reader.rs
@@ -22,7 +22,7 @@
     },
 };
 
-use crate::decoders::{HEAD_LIMIT, RequestHeads, ResponseHeads};
+use crate::decoders::{ChunkDecoder, HEAD_LIMIT, RequestHeads, ResponseHeads};
 
 /// Maximum number of interim replies before a reply.
 ///
@@ -132,7 +132,8 @@
         }
     }
 
-    async fn chunks(&mut self, mut decoder: ChunkedBodyDecoder) -> Result<Bytes, ReadError> {
+    async fn chunks(&mut self, decoder: ChunkedBodyDecoder) -> Result<Bytes, ReadError> {
+        let mut decoder = ChunkDecoder::new(decoder);
         let mut body = BytesMut::new();
         loop {
             match self.framed.next_with(&mut decoder).await {
--- a/crates/kumquatnotch-net/tests/endless_input.rs
+++ b/crates/kumquatnotch-net/tests/endless_input.rs
@@ -19,6 +19,7 @@
     opaque_link::OpaqueReply,
     server::{ServerOptions, Work},
 };
+use yare::parameterized;
 
 /// Maximum size of a reply body.
 const BODY_LIMIT: usize = 4 << 20;
@@ -126,3 +127,56 @@
         assert!(refusal.starts_with("HTTP/1.1 4"), "{refusal}");
     });
 }
+
+/// Guards against a node that awaits the rest of what can't become a reply.
+#[parameterized(
+    no_http = { "220 mail.example ESMTP\r\n" },
+    other_version = { "HTTP/2.0 200 X\r\n" },
+    blank_lines = { "\r\n\r\nx" },
+    chunk_line = { "HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\n\r\nZEROES" },
+    later_chunk_line = {
+        "HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\n\r\n4\r\nbody\r\nZEROES"
+    },
+    trailers = { "HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\n\r\n0\r\na: b\r\n" },
+)]
+fn what_is_no_reply_is_rejected_at_once(bytes: &str) {
+    run(async {
+        let bytes = bytes.replace("ZEROES", &"0".repeat(1_000));
+        let address = server(move |mut stream| {
+            stream.write_all(bytes.as_bytes()).unwrap();
+            thread::sleep(Duration::from_secs(1));
+        });
+        let mut link = connect(address).await;
+
+        let reply = exchange(&mut link).await;
+
+        assert!(matches!(reply, Err(Error::Protocol { .. })), "{reply:?}");
+    });
+}
+
+/// Guards against a limit on the lines before chunks that counts the chunks as well.
+#[test]
+fn long_chunks_after_short_lines_are_read() {
+    run(async {
+        let address = server(|mut stream| {
+            stream.write_all(b"HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\n\r\n").unwrap();
+            for _ in 0..3 {
+                stream.write_all(b"00000400\r\n").unwrap();
+                thread::sleep(Duration::from_millis(5));
+                stream.write_all(&[b'x'; 600]).unwrap();
+                thread::sleep(Duration::from_millis(5));
+                stream.write_all(&[b'x'; 424]).unwrap();
+                stream.write_all(b"\r").unwrap();
+                thread::sleep(Duration::from_millis(5));
+                stream.write_all(b"\n").unwrap();
+            }
+            stream.write_all(b"0\r\n\r\n").unwrap();
+            thread::sleep(Duration::from_secs(1));
+        });
+        let mut link = connect(address).await;
+
+        let reply = exchange(&mut link).await.unwrap();
+
+        assert_eq!(reply.reply.body.len(), 3 * 1_024);
+    });
+}
