net: refuse a head beyond the limit as too large again

Change: both limits fail with the same kind of error, from which the reader tells 'too long', in place of the remaining budget.

--- a/crates/kumquatnotch-net/src/decoders.rs
+++ b/crates/kumquatnotch-net/src/decoders.rs
@@ -4,6 +4,8 @@
 //! a chunk from its start after each read. A sender of other bytes would hold the reader until its
 //! byte budget or its deadline is used up.
 
+use std::io;
+
 use bytes::BytesMut;
 use monoio_codec::{Decoded, Decoder};
 use monoio_http::{
@@ -59,6 +61,11 @@
     }
 }
 
+/// Error of a read beyond the size limit.
+pub(crate) fn too_long() -> io::Error {
+    io::ErrorKind::FileTooLarge.into()
+}
+
 /// Rejects a head beyond the limit, also one that has arrived whole in a large buffer.
 fn check_length(src: &[u8]) -> Result<(), HttpError> {
     if src.len() < HEAD_LIMIT {
@@ -68,7 +75,7 @@
     if ends.any(|window| window == HEAD_END) {
         return Ok(());
     }
-    Err(DecodeError::Header.into())
+    Err(DecodeError::Io(too_long()).into())
 }
 
 /// Decodes the chunks of a body.
--- a/crates/kumquatnotch-net/src/reader.rs
+++ b/crates/kumquatnotch-net/src/reader.rs
@@ -22,7 +22,7 @@
     },
 };
 
-use crate::decoders::{ChunkDecoder, HEAD_LIMIT, RequestHeads, ResponseHeads};
+use crate::decoders::{ChunkDecoder, HEAD_LIMIT, RequestHeads, ResponseHeads, too_long};
 
 /// Maximum number of interim replies before a reply.
 ///
@@ -105,7 +105,7 @@
         self.budget.set(HEAD_LIMIT);
         match self.framed.next().await {
             Some(Ok(head)) => Ok(head),
-            Some(Err(error)) => Err(self.read_error(error)),
+            Some(Err(error)) => Err(read_error(error)),
             None => Err(ReadError::Closed),
         }
     }
@@ -125,7 +125,7 @@
             PayloadDecoder::None => Ok(Bytes::new()),
             PayloadDecoder::Fixed(mut decoder) => match self.framed.next_with(&mut decoder).await {
                 Some(Ok(body)) => Ok(body),
-                Some(Err(error)) => Err(self.read_error(error.into())),
+                Some(Err(error)) => Err(read_error(error.into())),
                 None => Err(ReadError::Closed),
             },
             PayloadDecoder::Streamed(decoder) => self.chunks(decoder).await,
@@ -139,7 +139,7 @@
             match self.framed.next_with(&mut decoder).await {
                 Some(Ok(Some(chunk))) => body.extend_from_slice(&chunk),
                 Some(Ok(None)) => return Ok(body.freeze()),
-                Some(Err(error)) => return Err(self.read_error(error.into())),
+                Some(Err(error)) => return Err(read_error(error.into())),
                 None => return Err(ReadError::Closed),
             }
             if body.len() > self.limit {
@@ -158,8 +158,7 @@
             match self.framed.peek_data().await {
                 Ok([]) => return Ok(body.freeze()),
                 Ok(_) => body.unsplit(self.framed.read_buffer_mut().split()),
-                Err(_) if self.budget.get() == 0 => return Err(ReadError::TooLong),
-                Err(_) => return Err(ReadError::Closed),
+                Err(error) => return Err(read_error(error.into())),
             }
             if body.len() > self.limit {
                 return Err(ReadError::TooLong);
@@ -182,18 +181,18 @@
             budget -= count;
         }
     }
+}
 
-    fn read_error(&self, error: HttpError) -> ReadError {
-        if self.budget.get() == 0 {
-            return ReadError::TooLong;
-        }
-        match error {
-            HttpError::IOError(_) | HttpError::H1DecodeError(DecodeError::Io(_)) => {
-                ReadError::Closed
-            }
-            HttpError::H1DecodeError(DecodeError::UnexpectedEof) => ReadError::Closed,
-            error => ReadError::Malformed(error.to_string()),
+fn read_error(error: HttpError) -> ReadError {
+    match error {
+        HttpError::IOError(error) | HttpError::H1DecodeError(DecodeError::Io(error))
+            if error.kind() == too_long().kind() =>
+        {
+            ReadError::TooLong
         }
+        HttpError::IOError(_) | HttpError::H1DecodeError(DecodeError::Io(_)) => ReadError::Closed,
+        HttpError::H1DecodeError(DecodeError::UnexpectedEof) => ReadError::Closed,
+        error => ReadError::Malformed(error.to_string()),
     }
 }
 
@@ -233,7 +232,7 @@
 impl AsyncReadRent for Bounded {
     async fn read<T: IoBufMut>(&mut self, buf: T) -> BufResult<usize, T> {
         if self.budget.get() == 0 {
-            return (Err(io::ErrorKind::InvalidData.into()), buf);
+            return (Err(too_long()), buf);
         }
         let (result, buf) = self.half.read(buf).await;
         (self.spend(result), buf)
@@ -241,7 +240,7 @@
 
     async fn readv<T: IoVecBufMut>(&mut self, buf: T) -> BufResult<usize, T> {
         if self.budget.get() == 0 {
-            return (Err(io::ErrorKind::InvalidData.into()), buf);
+            return (Err(too_long()), buf);
         }
         let (result, buf) = self.half.readv(buf).await;
         (self.spend(result), buf)
--- a/crates/kumquatnotch-net/tests/endless_input.rs
+++ b/crates/kumquatnotch-net/tests/endless_input.rs
@@ -124,7 +124,7 @@
             }
         };
 
-        assert!(refusal.starts_with("HTTP/1.1 4"), "{refusal}");
+        assert!(refusal.starts_with("HTTP/1.1 413 "), "{refusal}");
     });
 }
 
