route: suspect a replica that sends bytes which are no reply

Cause: an attempt that ended with a protocol error only raised the failure rate of its replica. Its next requests went there again, each held up to the 4 MB that a reply may have, or until a copy was answered.

Change: a protocol error makes the replica a suspect, like a failed connect; its probes decide when it gets requests again.

--- a/crates/kumquatnotch-route/src/attempt.rs
+++ b/crates/kumquatnotch-route/src/attempt.rs
@@ -121,6 +121,9 @@
             in_flight.record_broken();
             replica.observed.note_outcome(true, clock.now());
             replica.observed.note_failed_after(clock.now().saturating_duration_since(sent_at));
+            if matches!(error, Error::Protocol { .. }) {
+                probe::suspect(router, replica, "no valid reply");
+            }
             // The idle connections to this replica are probably broken too.
             replica.pool.drop_idle();
             crash_check::check(router, call, replica);
--- a/crates/standins/src/scripted.rs
+++ b/crates/standins/src/scripted.rs
@@ -29,6 +29,8 @@
 pub enum Step {
     /// Sends these bytes.
     Send(Vec<u8>),
+    /// Sends these bytes again and again, with this pause between them, until the peer closes.
+    Repeat(Vec<u8>, Duration),
     /// Sends nothing for this time.
     Wait(Duration),
     /// Sends nothing more and keeps the connection open.
@@ -55,6 +57,7 @@
     script: Box<Script>,
     requests: RefCell<Vec<Request>>,
     disconnects: Cell<u32>,
+    repeated: Cell<u64>,
 }
 
 /// A scripted server, stopped on drop.
@@ -80,6 +83,7 @@
             script: Box::new(script),
             requests: RefCell::default(),
             disconnects: Cell::new(0),
+            repeated: Cell::new(0),
         });
         let stop = Rc::new(Signal::default());
         monoio::spawn(accept(listener, shared.clone(), stop.clone()));
@@ -95,6 +99,11 @@
     pub fn disconnects(&self) -> u32 {
         self.shared.disconnects.get()
     }
+
+    /// Number of bytes sent by [`Step::Repeat`], including those in the buffers of the kernel.
+    pub fn repeated_bytes(&self) -> u64 {
+        self.shared.repeated.get()
+    }
 }
 
 async fn accept(listener: TcpListener, shared: Rc<Shared>, stop: Rc<Signal>) {
@@ -117,7 +126,7 @@
         shared.requests.borrow_mut().push(request);
         // Reads ahead while the response is played, to notice that the peer closes the
         // connection or pipelines the next request.
-        let played = std::pin::pin!(play(&mut writer, steps));
+        let played = std::pin::pin!(play(&mut writer, steps, &shared.repeated));
         let next_request = std::pin::pin!(read(&mut decoder));
         next = match select(played, next_request).await {
             Either::Left((true, next_request)) => next_request.await,
@@ -146,7 +155,11 @@
 }
 
 /// Plays the steps; returns false if the connection is to be closed.
-async fn play(writer: &mut OwnedWriteHalf<TcpStream>, steps: Vec<Step>) -> bool {
+async fn play(
+    writer: &mut OwnedWriteHalf<TcpStream>,
+    steps: Vec<Step>,
+    repeated: &Cell<u64>,
+) -> bool {
     for step in steps {
         match step {
             Step::Send(bytes) => {
@@ -154,6 +167,7 @@
                     return false;
                 }
             }
+            Step::Repeat(bytes, pause) => return repeat(writer, bytes, pause, repeated).await,
             Step::Wait(time) => monoio::time::sleep(time).await,
             Step::Silence => std::future::pending().await,
             Step::Close => return false,
@@ -161,3 +175,21 @@
     }
     true
 }
+
+/// Sends bytes again and again until the peer closes; returns false.
+async fn repeat(
+    writer: &mut OwnedWriteHalf<TcpStream>,
+    mut bytes: Vec<u8>,
+    pause: Duration,
+    repeated: &Cell<u64>,
+) -> bool {
+    loop {
+        let (result, sent) = writer.write_all(bytes).await;
+        bytes = sent;
+        let Ok(count) = result else { return false };
+        repeated.set(repeated.get() + count as u64);
+        if !pause.is_zero() {
+            monoio::time::sleep(pause).await;
+        }
+    }
+}
