--- /dev/null
+++ b/crates/kumquatnotch-net/src/decoders.rs
@@ -0,0 +1,112 @@
+//! Decoders that reject what is no message as soon as that is certain.
+//!
+//! The decoders of `monoio-http` look at a head only when it is complete, and scan the line before
+//! a chunk from its start after each read. A sender of other bytes would hold the reader until its
+//! byte budget or its deadline is used up.
+
+use std::io;
+
+use bytes::BytesMut;
+use monoio_codec::{Decoded, Decoder};
+use monoio_http::{
+    common::error::HttpError,
+    h1::codec::decoder::{
+        ChunkedBodyDecoder, DecodeError, DirectHeadDecoder, DirectWrapper, GenericHeadDecoder,
+        RequestHeadDecoder,
+    },
+};
+
+/// Maximum size of the head of a message, in bytes.
+pub(crate) const HEAD_LIMIT: usize = 32 << 10;
+
+/// Maximum size of the line before a chunk, in bytes.
+const CHUNK_LINE_LIMIT: usize = 256;
+
+/// Start of each reply.
+const REPLY_START: &[u8] = b"HTTP/1.";
+
+/// End of each head.
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
+/// Decodes the heads of requests.
+#[derive(Default)]
+pub(crate) struct RequestHeads(GenericHeadDecoder<(), RequestHeadDecoder, DirectWrapper>);
+
+/// Decodes the heads of replies.
+#[derive(Default)]
+pub(crate) struct ResponseHeads(DirectHeadDecoder);
+
+impl Decoder for RequestHeads {
+    type Item = <GenericHeadDecoder<(), RequestHeadDecoder, DirectWrapper> as Decoder>::Item;
+    type Error = HttpError;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Decoded<Self::Item>, HttpError> {
+        check_length(src)?;
+        self.0.decode(src)
+    }
+}
+
+impl Decoder for ResponseHeads {
+    type Item = <DirectHeadDecoder as Decoder>::Item;
+    type Error = HttpError;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Decoded<Self::Item>, HttpError> {
+        let text = src.trim_ascii_start();
+        let count = text.len().min(REPLY_START.len());
+        if text[..count] != REPLY_START[..count] {
+            return Err(DecodeError::Header.into());
+        }
+        check_length(src)?;
+        self.0.decode(src)
+    }
+}
+
+/// Error of a read beyond the size limit.
+pub(crate) fn too_long() -> io::Error {
+    io::ErrorKind::FileTooLarge.into()
+}
+
+/// Rejects a head beyond the limit, also one that has arrived whole in a large buffer.
+fn check_length(src: &[u8]) -> Result<(), HttpError> {
+    if src.len() < HEAD_LIMIT {
+        return Ok(());
+    }
+    let mut ends = src[..HEAD_LIMIT].windows(HEAD_END.len());
+    if ends.any(|window| window == HEAD_END) {
+        return Ok(());
+    }
+    Err(DecodeError::Io(too_long()).into())
+}
+
+/// Decodes the chunks of a body.
+pub(crate) struct ChunkDecoder {
+    chunks: ChunkedBodyDecoder,
+    /// Whether the line before the current chunk has been read.
+    in_chunk: bool,
+}
+
+impl ChunkDecoder {
+    /// Creates a decoder for a body that has not been read yet.
+    pub(crate) fn new(chunks: ChunkedBodyDecoder) -> ChunkDecoder {
+        ChunkDecoder { chunks, in_chunk: false }
+    }
+}
+
+impl Decoder for ChunkDecoder {
+    type Item = <ChunkedBodyDecoder as Decoder>::Item;
+    type Error = DecodeError;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Decoded<Self::Item>, DecodeError> {
+        let length = src.len();
+        let decoded = self.chunks.decode(src)?;
+        // The line is removed as soon as it is complete.
+        self.in_chunk = match decoded {
+            Decoded::Some(_) => false,
+            _ => self.in_chunk || src.len() < length,
+        };
+        if !self.in_chunk && matches!(decoded, Decoded::Insufficient) && length > CHUNK_LINE_LIMIT {
+            return Err(DecodeError::Chunked);
+        }
+        Ok(decoded)
+    }
+}
--- a/crates/kumquatnotch-net/src/opaque_link.rs
+++ b/crates/kumquatnotch-net/src/opaque_link.rs
@@ -20,7 +20,7 @@
 
 use crate::{
     message::{Reply, Request},
-    reader::{ReadError, ResponseReader},
+    reader::{MAX_INTERIM_REPLIES, ReadError, ResponseReader},
     socket,
 };
 
@@ -120,7 +120,7 @@
     }
 
     async fn receive_any(&mut self) -> Result<OpaqueReply> {
-        loop {
+        for _ in 0..=MAX_INTERIM_REPLIES {
             let (head, decoder) = self.reader.head().await.map_err(to_error)?;
             if head.status.is_informational() {
                 continue;
@@ -139,6 +139,7 @@
                 idle_limit,
             });
         }
+        Err(Error::protocol("received only interim replies"))
     }
 }
 
@@ -173,6 +174,9 @@
 /// lost.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
+/// Longest idle time that is taken from a reply.
+const MAX_IDLE: Duration = Duration::from_secs(3_600);
+
 /// Returns the maximum idle time of a connection, according to the headers of a reply.
 fn idle_time(headers: &HeaderMap) -> Option<Duration> {
     let text = |name| headers.get(name).and_then(|value: &HeaderValue| value.to_str().ok());
@@ -185,7 +189,7 @@
         .filter_map(|part| part.trim().strip_prefix("timeout="))
         .find_map(|seconds| seconds.parse::<u64>().ok());
     let idle = advertised.map_or(DEFAULT_IDLE, Duration::from_secs);
-    Some(idle.saturating_sub(IDLE_MARGIN))
+    Some(idle.min(MAX_IDLE).saturating_sub(IDLE_MARGIN))
 }
 
 fn to_error(error: ReadError) -> Error {
