net: a connection is reused only after a whole request and a whole reply

Cause: the connection of a losing attempt was kept if no byte of its reply had arrived. That also holds while the body is still being written; the write was dropped half way, the early reply was read, and the connection went back to the pool. The users of a connection had to see to the order of sending, receiving and pooling. Also, a reply was read only after the request had been written whole: an early one was found late or, once the replica did not read for 600 ms (TCP_USER_TIMEOUT), not at all.

OpaqueLink is now a connection with nothing outstanding. Sending takes it, and only the Exchange that has written its request whole and read its reply whole returns it, if nothing follows the reply; so no pool can be given any other. The exchange keeps its state if it is not polled for a while, so that a losing attempt is drained without the check for a first byte, which was also wrong after an interim reply with a part of the next head. It reads while it writes: an early final reply is delivered, the rest isn't sent, the connection is closed. After a failed write, what the replica sent before is still read (a rejection followed by a close), but a reply that ends with its connection is not: the write has consumed the error, and a reset would look like the end of the reply. Losing attempts are drained only if sent whole; others are closed, which also tells the replica to stop.

Tests: the scripted stand-in plays steps as soon as it has a head and reads the body then, behind a window of 4 KB and segments of 1,460 bytes, which block the writer.

Ruled out: Expect: 100-continue (by reading: removed before a request is passed on; the node has its whole body by then), framing of bodies (the encoder writes the length of what it has; `+5` and two lengths are refused), interim replies (skipped), bytes beyond a reply (found when the reply ends, and again when the connection is taken), unfinished calls of the store, probes, relays, followers and warnings (all by exchange, which is dropped with its connection).

--- a/crates/kumquatnotch-net/src/lib.rs
+++ b/crates/kumquatnotch-net/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod target_links;
 
 mod client_connection;
+mod duplex;
 mod exchange;
 mod latency;
 mod outbound;
--- a/crates/kumquatnotch-net/src/opaque_link.rs
+++ b/crates/kumquatnotch-net/src/opaque_link.rs
@@ -1,17 +1,21 @@
 //! A connection that forwards third-party requests unchanged, one at a time.
 //!
 //! The other connections of this crate use the protocol of this tier and add a request id to
-//! each request. Here the head and body of a request are passed through as received, and the
-//! user of the connection decides which reply belongs to which request.
+//! each request. Here the head and body of a request are passed through as received, and an
+//! [`Echo`] says which reply belongs to the request.
 
 use std::{
+    cell::Cell,
     net::SocketAddr,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll},
     time::{Duration, Instant},
 };
 
 use futures_util::FutureExt;
-use http::{HeaderMap, HeaderValue, Method, StatusCode, Uri, header};
-use kumquatnotch_core::{Clock, Error, Result, clock};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri, header};
+use kumquatnotch_core::{Clock, Error, LocalFuture, Result, clock};
 use monoio::{
     io::{OwnedWriteHalf, Splitable, sink::SinkExt},
     net::TcpStream,
@@ -19,6 +23,7 @@
 use monoio_http::{common::body::HttpBody, h1::codec::encoder::GenericEncoder};
 
 use crate::{
+    duplex::{self, Sending},
     message::{Reply, Request},
     reader::{ReadError, ResponseReader},
     socket,
@@ -42,21 +47,75 @@
 /// A faulty replica may send a reply twice; the duplicate arrives before the next reply.
 const MAX_REPLIES_READ: usize = 4;
 
-/// A reply, and whether its connection can be reused.
-#[derive(Debug)]
+/// The header in which the other side repeats the identity of a request.
+#[derive(Clone, Debug)]
+pub struct Echo {
+    /// Name of the header.
+    pub name: HeaderName,
+    /// The identity.
+    pub identity: HeaderValue,
+}
+
+impl Echo {
+    /// Whether a reply belongs to the request with this identity.
+    ///
+    /// A reply without one is accepted, since any earlier request on this connection was answered
+    /// before this one was sent.
+    fn matches(&self, reply: &Reply) -> bool {
+        reply.headers.get(&self.name).is_none_or(|echoed| echoed == self.identity)
+    }
+}
+
+/// A reply, and its connection if that can be reused.
 pub struct OpaqueReply {
     /// The reply, without hop-by-hop headers.
     pub reply: Reply,
-    /// Maximum idle time of the connection; `None` if it must be closed.
-    pub idle_limit: Option<Duration>,
+    /// The connection; `None` if it was closed.
+    pub kept: Option<KeptLink>,
+}
+
+/// A connection that can be reused after a reply.
+pub struct KeptLink {
+    /// The connection.
+    pub link: OpaqueLink,
+    /// Maximum idle time of the connection.
+    pub idle_limit: Duration,
 }
 
 /// A connection that forwards third-party requests unchanged.
+///
+/// No request is outstanding on it. Sending one takes the connection, and only an [`Exchange`] that
+/// has sent its request whole and read its reply whole gives it back. A connection that was given
+/// up half way can therefore not be used for another request, which the other side would read as
+/// the rest of the first one.
 pub struct OpaqueLink {
     reader: ResponseReader,
     encoder: GenericEncoder<OwnedWriteHalf<TcpStream>>,
 }
 
+/// A request that is being sent, and its reply.
+///
+/// Completes with the reply. Dropping it closes the connection.
+pub struct Exchange {
+    work: LocalFuture<'static, Result<OpaqueReply>>,
+    is_sent: Rc<Cell<bool>>,
+}
+
+impl Exchange {
+    /// Whether the request was sent whole.
+    pub fn is_sent(&self) -> bool {
+        self.is_sent.get()
+    }
+}
+
+impl Future for Exchange {
+    type Output = Result<OpaqueReply>;
+
+    fn poll(mut self: Pin<&mut Exchange>, context: &mut Context<'_>) -> Poll<Self::Output> {
+        self.work.as_mut().poll(context)
+    }
+}
+
 impl OpaqueLink {
     /// Opens a connection; reply bodies may have up to `limit` bytes.
     pub async fn connect(
@@ -82,63 +141,108 @@
         self.reader.peek().now_or_never().is_none()
     }
 
-    /// Returns whether no byte of the reply has arrived, so that
-    /// [`receive`](OpaqueLink::receive) can be dropped and called again for the same request.
-    pub fn awaits_first_byte(&self) -> bool {
-        self.reader.awaits_first_byte()
+    /// Sends a request and reads its reply, which `echo` identifies if it is given.
+    ///
+    /// The reply may arrive while the request is being sent. The rest of the request is then not
+    /// sent, and the connection is closed. On an error, part of the request may have been
+    /// delivered.
+    pub fn exchange(self, request: &Request, echo: Option<Echo>) -> Exchange {
+        let is_sent = Rc::new(Cell::new(false));
+        let message = build_message(request);
+        let sent = is_sent.clone();
+        let work = Box::pin(async move { self.run(message?, echo, &sent).await });
+        Exchange { work, is_sent }
     }
 
-    /// Sends a request.
-    ///
-    /// On an error, part of the request may have been delivered.
-    pub async fn send(&mut self, request: &Request) -> Result<()> {
-        let uri: Uri = request.target().parse().map_err(Error::internal)?;
-        let body = if request.body.is_empty() { None } else { Some(request.body.clone()) };
-        let mut message = http::Request::new(HttpBody::Ready(body));
-        *message.method_mut() = request.method.clone();
-        *message.uri_mut() = uri;
-        *message.headers_mut() = request.headers.clone();
-        if request.method == Method::POST || request.method == Method::PUT {
-            // An empty body would otherwise be sent without a length.
-            let length = HeaderValue::from(request.body.len());
-            message.headers_mut().insert(header::CONTENT_LENGTH, length);
+    async fn run(
+        mut self,
+        message: http::Request<HttpBody>,
+        echo: Option<Echo>,
+        is_sent: &Cell<bool>,
+    ) -> Result<OpaqueReply> {
+        let OpaqueLink { reader, encoder } = &mut self;
+        let send = async {
+            let sent = encoder.send_and_flush(message).await;
+            is_sent.set(sent.is_ok());
+            sent
+        };
+        let (reply, sending) = duplex::read_while_sending(send, receive(reader, echo)).await?;
+        let ReceivedReply { reply, end, idle_limit } = reply;
+        if sending == Sending::Failed && end == ReplyEnd::Closed {
+            // The error was reported to the sender, so that the reader can't tell a reset from the
+            // end of the reply.
+            return Err(Error::ConnectionLost);
         }
-        self.encoder.send_and_flush(message).await.map_err(|_| Error::ConnectionLost)
+        let is_reusable = sending == Sending::Complete && self.is_reusable();
+        let idle_limit = idle_limit.filter(|_| is_reusable);
+        let kept = idle_limit.map(|idle_limit| KeptLink { link: self, idle_limit });
+        Ok(OpaqueReply { reply, kept })
     }
+}
 
-    /// Reads the reply to the last request, for which `is_match` returns true.
-    ///
-    /// Late or duplicate replies to earlier requests are skipped.
-    pub async fn receive(&mut self, is_match: &dyn Fn(&Reply) -> bool) -> Result<OpaqueReply> {
-        for _ in 0..MAX_REPLIES_READ {
-            let answer = self.receive_any().await?;
-            if is_match(&answer.reply) {
-                return Ok(answer);
-            }
+/// How the end of a reply was found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReplyEnd {
+    /// The reply says how long it is.
+    Framed,
+    /// The other side closed the connection.
+    Closed,
+}
+
+/// A reply as it was read.
+struct ReceivedReply {
+    reply: Reply,
+    end: ReplyEnd,
+    /// Maximum idle time of the connection; `None` if it must be closed.
+    idle_limit: Option<Duration>,
+}
+
+fn build_message(request: &Request) -> Result<http::Request<HttpBody>> {
+    let uri: Uri = request.target().parse().map_err(Error::internal)?;
+    let body = if request.body.is_empty() { None } else { Some(request.body.clone()) };
+    let mut message = http::Request::new(HttpBody::Ready(body));
+    *message.method_mut() = request.method.clone();
+    *message.uri_mut() = uri;
+    *message.headers_mut() = request.headers.clone();
+    if request.method == Method::POST || request.method == Method::PUT {
+        // An empty body would otherwise be sent without a length.
+        let length = HeaderValue::from(request.body.len());
+        message.headers_mut().insert(header::CONTENT_LENGTH, length);
+    }
+    Ok(message)
+}
+
+/// Reads the reply to the last request.
+///
+/// Late or duplicate replies to earlier requests are skipped.
+async fn receive(reader: &mut ResponseReader, echo: Option<Echo>) -> Result<ReceivedReply> {
+    for _ in 0..MAX_REPLIES_READ {
+        let received = receive_any(reader).await?;
+        if echo.as_ref().is_none_or(|echo| echo.matches(&received.reply)) {
+            return Ok(received);
         }
-        Err(Error::protocol("received only replies to other requests"))
     }
+    Err(Error::protocol("received only replies to other requests"))
+}
 
-    async fn receive_any(&mut self) -> Result<OpaqueReply> {
-        loop {
-            let (head, decoder) = self.reader.head().await.map_err(to_error)?;
-            if head.status.is_informational() {
-                continue;
-            }
-            let framed = has_length(&head.headers) || is_bodiless(head.status);
-            let body = if framed {
-                self.reader.body(&head.headers, decoder).await.map_err(to_error)?
-            } else {
-                self.reader.body_to_end().await.map_err(to_error)?
-            };
-            let idle_limit = if framed { idle_time(&head.headers) } else { None };
-            let mut headers = head.headers;
-            remove_hop_headers(&mut headers);
-            return Ok(OpaqueReply {
-                reply: Reply { status: head.status, headers, body },
-                idle_limit,
-            });
+async fn receive_any(reader: &mut ResponseReader) -> Result<ReceivedReply> {
+    loop {
+        let (head, decoder) = reader.head().await.map_err(to_error)?;
+        if head.status.is_informational() {
+            continue;
         }
+        let is_framed = has_length(&head.headers) || is_bodiless(head.status);
+        let body = if is_framed {
+            reader.body(&head.headers, decoder).await.map_err(to_error)?
+        } else {
+            reader.body_to_end().await.map_err(to_error)?
+        };
+        let end = if is_framed { ReplyEnd::Framed } else { ReplyEnd::Closed };
+        let idle_limit = if is_framed { idle_time(&head.headers) } else { None };
+        let mut headers = head.headers;
+        remove_hop_headers(&mut headers);
+        let reply = Reply { status: head.status, headers, body };
+        return Ok(ReceivedReply { reply, end, idle_limit });
     }
 }
 
--- a/crates/kumquatnotch-net/src/reader.rs
+++ b/crates/kumquatnotch-net/src/reader.rs
@@ -89,13 +89,6 @@
         }
     }
 
-    /// Returns whether no byte of the current message has arrived.
-    ///
-    /// If so, the future that reads its head can be dropped and the read started again.
-    pub(crate) fn awaits_first_byte(&self) -> bool {
-        self.budget.get() == HEAD_LIMIT
-    }
-
     /// Reads a head, and returns it with the decoder for its body.
     pub(crate) async fn head<H>(&mut self) -> Result<(H, BodyDecoder), ReadError>
     where
--- a/crates/kumquatnotch-route/src/attempt.rs
+++ b/crates/kumquatnotch-route/src/attempt.rs
@@ -11,14 +11,14 @@
 use kumquatnotch_net::{
     OpaqueLink,
     message::{Reply, Request},
-    opaque_link::OpaqueReply,
+    opaque_link::{Echo, KeptLink, OpaqueReply},
 };
 use kumquatnotch_policy::{mass_loss::MassLoss, mechanisms::Mechanism, observed::Fitness};
 
 use crate::{
     crash_check,
     headers::HeaderNames,
-    in_flight::{self, InFlight},
+    in_flight::InFlight,
     names::{ReplicaId, ServiceName},
     probe,
     replica::Replica,
@@ -102,17 +102,19 @@
     sent.set(true);
     replica.observed.note_sent(sent_at);
     let usual = router.profile(call.route).usual;
+    let echo = Echo { name: router.names.request.clone(), identity: call.identity.clone() };
+    let exchange = link.exchange(&request, Some(echo));
     let mut in_flight =
-        InFlight { router, replica, call, held: Some((link, permit)), usual, sent_at };
+        InFlight { router, replica, call, held: Some((exchange, permit)), usual, sent_at };
     let reply = match &mut in_flight.held {
-        Some((link, _)) => exchange(router, call, link, &request).await,
+        Some((exchange, _)) => exchange.await,
         None => Err(Error::ConnectionLost),
     };
     match reply {
-        Ok(OpaqueReply { reply, idle_limit }) => {
+        Ok(OpaqueReply { reply, kept }) => {
             crash_check::note_reply(router, call, &reply);
-            let (link, took) = in_flight.record_reply();
-            if let (Some(link), Some(idle_limit)) = (link, idle_limit) {
+            let took = in_flight.record_reply();
+            if let Some(KeptLink { link, idle_limit }) = kept {
                 replica.pool.put(link, clock.now(), idle_limit);
             }
             process_reply(router, call, replica, reply, took)
@@ -171,17 +173,6 @@
     request
 }
 
-/// Sends a request and reads its reply.
-async fn exchange(
-    router: &Router,
-    call: &Call<'_>,
-    link: &mut OpaqueLink,
-    request: &Request,
-) -> Result<OpaqueReply, Error> {
-    link.send(request).await?;
-    link.receive(&|reply| in_flight::is_reply_to(router, call.identity, reply)).await
-}
-
 /// The load that a replica reports.
 #[derive(Clone, Copy)]
 struct Load {
--- a/crates/kumquatnotch-route/src/crash_alarm.rs
+++ b/crates/kumquatnotch-route/src/crash_alarm.rs
@@ -12,7 +12,7 @@
 
 use http::{HeaderValue, StatusCode, header};
 use kumquatnotch_core::{Error, Result, clock, codec, ids::Fingerprint};
-use kumquatnotch_net::message::Request;
+use kumquatnotch_net::{message::Request, opaque_link::KeptLink};
 use kumquatnotch_policy::crashes::{Crash, CrashRecord};
 use serde::{Deserialize, Serialize};
 
@@ -112,16 +112,15 @@
 
 async fn send(router: &Router, peer: &Replica, message: Vec<u8>) -> Result<()> {
     let clock = &*router.clock;
-    let mut link = match peer.pool.take(clock.now(), PEER_MAX_IDLE) {
+    let link = match peer.pool.take(clock.now(), PEER_MAX_IDLE) {
         Some(link) => link,
         None => peer.pool.open(clock, clock.now() + TIMEOUT).await?,
     };
     let mut request = Request::post(ALARM_PATH, "application/msgpack", message);
     let host = HeaderValue::from_str(&peer.spec().address.to_string()).map_err(Error::internal)?;
     request.headers.insert(header::HOST, host);
-    link.send(&request).await?;
-    let answer = link.receive(&|_| true).await?;
-    if let Some(idle_limit) = answer.idle_limit {
+    let answer = link.exchange(&request, None).await?;
+    if let Some(KeptLink { link, idle_limit }) = answer.kept {
         peer.pool.put(link, clock.now(), idle_limit.max(PEER_MAX_IDLE));
     }
     match answer.reply.status {
--- a/crates/kumquatnotch-route/src/follow.rs
+++ b/crates/kumquatnotch-route/src/follow.rs
@@ -10,7 +10,7 @@
     ids::DataCentre,
     store::{StoreChanges, StoreEvent, StoreItem, StoreScan},
 };
-use kumquatnotch_net::message::Request;
+use kumquatnotch_net::{message::Request, opaque_link::KeptLink};
 use kumquatnotch_policy::mechanisms::Mechanism;
 use serde::{Deserialize, Serialize};
 
@@ -166,7 +166,7 @@
 ) -> Result<FollowReply> {
     let clock = &*router.clock;
     let now = clock.now();
-    let mut link = match peer.pool.take(now, FOLLOW_WAIT) {
+    let link = match peer.pool.take(now, FOLLOW_WAIT) {
         Some(link) => link,
         None => peer.pool.open(clock, now + CHANGES_TIMEOUT).await?,
     };
@@ -174,9 +174,8 @@
     let mut request = Request::get(&format!("{FOLLOW_PATH}?after={after}&wait_ms={wait_ms}"));
     let host = HeaderValue::from_str(&peer.spec().address.to_string()).map_err(Error::internal)?;
     request.headers.insert(http::header::HOST, host);
-    link.send(&request).await?;
-    let answer = link.receive(&|_| true).await?;
-    if let Some(idle_limit) = answer.idle_limit {
+    let answer = link.exchange(&request, None).await?;
+    if let Some(KeptLink { link, idle_limit }) = answer.kept {
         peer.pool.put(link, clock.now(), idle_limit);
     }
     match answer.reply.status {
--- a/crates/kumquatnotch-route/src/in_flight.rs
+++ b/crates/kumquatnotch-route/src/in_flight.rs
@@ -5,9 +5,8 @@
     time::{Duration, Instant},
 };
 
-use http::HeaderValue;
 use kumquatnotch_core::clock;
-use kumquatnotch_net::{OpaqueLink, message::Reply, opaque_link::OpaqueReply};
+use kumquatnotch_net::opaque_link::{Exchange, KeptLink, OpaqueReply};
 use kumquatnotch_policy::{hedge_timing, lateness, mechanisms::Mechanism};
 
 use crate::{attempt::Call, probe, replica::Replica, router::Router, semaphore::Permit};
@@ -17,8 +16,8 @@
     pub(crate) router: &'a Rc<Router>,
     pub(crate) replica: &'a Rc<Replica>,
     pub(crate) call: &'a Call<'a>,
-    /// The connection that the request was sent on, and its permit.
-    pub(crate) held: Option<(OpaqueLink, Permit)>,
+    /// The request and its permit.
+    pub(crate) held: Option<(Exchange, Permit)>,
     /// Usual duration of the request, without the round trip.
     pub(crate) usual: Duration,
     /// When the request was sent.
@@ -26,12 +25,12 @@
 }
 
 impl InFlight<'_> {
-    /// Records a reply of any status; returns the connection and the elapsed time.
-    pub(crate) fn record_reply(&mut self) -> (Option<OpaqueLink>, Duration) {
+    /// Records a reply of any status; returns the elapsed time.
+    pub(crate) fn record_reply(&mut self) -> Duration {
         let now = self.router.clock.now();
         self.replica.observed.note_end(self.sent_at, Some(now));
-        let link = self.held.take().map(|(link, _)| link);
-        (link, now.saturating_duration_since(self.sent_at))
+        self.held = None;
+        now.saturating_duration_since(self.sent_at)
     }
 
     /// Records that the connection broke.
@@ -43,7 +42,7 @@
 
 impl Drop for InFlight<'_> {
     fn drop(&mut self) {
-        let Some((link, permit)) = self.held.take() else {
+        let Some((exchange, permit)) = self.held.take() else {
             return;
         };
         // Another replica replied first, the deadline passed, or the caller left. If this
@@ -61,16 +60,15 @@
         }
         let may_drain = self.router.uses(Mechanism::KeptConnections)
             && self.call.is_answered.get()
-            && link.awaits_first_byte();
+            && exchange.is_sent();
         if may_drain && hedge_timing::should_await_loser(observed, self.usual, took, now) {
             let drain = ReplyDrain {
                 router: self.router.clone(),
                 replica: self.replica.clone(),
-                identity: self.call.identity.clone(),
                 sent_at: self.sent_at,
                 until: self.sent_at + late,
             };
-            monoio::spawn(drain.run(link, permit));
+            monoio::spawn(drain.run(exchange, permit));
             return;
         }
         observed.note_end(self.sent_at, None);
@@ -82,30 +80,20 @@
 struct ReplyDrain {
     router: Rc<Router>,
     replica: Rc<Replica>,
-    identity: HeaderValue,
     sent_at: Instant,
     until: Instant,
 }
 
 impl ReplyDrain {
     /// Waits for the reply until it is late, then returns the connection to the pool.
-    async fn run(self, mut link: OpaqueLink, _permit: Permit) {
+    async fn run(self, exchange: Exchange, _permit: Permit) {
         let clock = &*self.router.clock;
-        let is_reply_to = |reply: &Reply| is_reply_to(&self.router, &self.identity, reply);
-        let reply = clock::timeout_at(clock, self.until, link.receive(&is_reply_to)).await;
+        let reply = clock::timeout_at(clock, self.until, exchange).await;
         let now = clock.now();
         let replied_at = matches!(reply, Ok(Ok(_))).then_some(now);
         self.replica.observed.note_end(self.sent_at, replied_at);
-        if let Ok(Ok(OpaqueReply { idle_limit: Some(idle_limit), .. })) = reply {
+        if let Ok(Ok(OpaqueReply { kept: Some(KeptLink { link, idle_limit }), .. })) = reply {
             self.replica.pool.put(link, now, idle_limit);
         }
     }
 }
-
-/// Whether a reply belongs to the request with this identity.
-///
-/// Replicas echo the identity of the request. A reply without one is accepted, since any
-/// earlier request on this connection was answered before this one was sent.
-pub(crate) fn is_reply_to(router: &Router, identity: &HeaderValue, reply: &Reply) -> bool {
-    reply.headers.get(&router.names.request).is_none_or(|echoed| echoed == identity)
-}
--- a/crates/kumquatnotch-route/src/probe.rs
+++ b/crates/kumquatnotch-route/src/probe.rs
@@ -8,7 +8,10 @@
 
 use http::HeaderValue;
 use kumquatnotch_core::clock;
-use kumquatnotch_net::message::{Reply, Request};
+use kumquatnotch_net::{
+    message::{Reply, Request},
+    opaque_link::KeptLink,
+};
 use kumquatnotch_policy::{mechanisms::Mechanism, observed::Fitness};
 
 use crate::{fleet::PEER_SERVICE, relay::PEER_ADDRESS_HEADER, replica::Replica, router::Router};
@@ -73,7 +76,7 @@
     let service = replica.spec().service.clone();
     let path = router.probe_path(&service)?;
     let start = clock.now();
-    let mut link = replica.pool.open(clock, start + PROBE_TIMEOUT).await.ok()?;
+    let link = replica.pool.open(clock, start + PROBE_TIMEOUT).await.ok()?;
     replica.observed.note_connect(clock.now().saturating_duration_since(start));
     let mut request = Request::get(&path);
     let host = replica.spec().address.to_string();
@@ -86,9 +89,8 @@
         request.headers.insert(PEER_ADDRESS_HEADER, own);
     }
     metrics::counter!("kumquatnotch_probes_total").increment(1);
-    link.send(&request).await.ok()?;
-    let answer = link.receive(&|_| true).await.ok()?;
-    if let Some(idle_limit) = answer.idle_limit {
+    let answer = link.exchange(&request, None).await.ok()?;
+    if let Some(KeptLink { link, idle_limit }) = answer.kept {
         replica.pool.put(link, clock.now(), idle_limit);
     }
     Some(answer.reply)
--- a/crates/kumquatnotch-route/src/relay.rs
+++ b/crates/kumquatnotch-route/src/relay.rs
@@ -11,7 +11,7 @@
 use futures_util::future::{Either, select};
 use http::{HeaderValue, StatusCode};
 use kumquatnotch_core::{Error, Result, clock, codec};
-use kumquatnotch_net::message::Request;
+use kumquatnotch_net::{message::Request, opaque_link::KeptLink};
 use kumquatnotch_policy::observed::Fitness;
 
 use crate::{
@@ -123,14 +123,13 @@
 /// Asks a node whether it is running a request.
 async fn is_running(router: &Router, search: &Search<'_>, peer: &Replica) -> Result<bool> {
     let clock = &*router.clock;
-    let mut link = peer.pool.open(clock, clock.now() + RUNNING_TIMEOUT).await?;
+    let link = peer.pool.open(clock, clock.now() + RUNNING_TIMEOUT).await?;
     let identity = search.identity.to_str().map_err(Error::internal)?;
     let mut request = Request::get(&format!("{RUNNING_PATH}?request={identity}"));
     let host = HeaderValue::from_str(&peer.spec().address.to_string()).map_err(Error::internal)?;
     request.headers.insert(http::header::HOST, host);
-    link.send(&request).await?;
-    let answer = link.receive(&|_| true).await?;
-    if let Some(idle_limit) = answer.idle_limit {
+    let answer = link.exchange(&request, None).await?;
+    if let Some(KeptLink { link, idle_limit }) = answer.kept {
         peer.pool.put(link, clock.now(), idle_limit);
     }
     Ok(answer.reply.status == StatusCode::OK)
@@ -145,7 +144,7 @@
     let clock = &*router.clock;
     let peer = &group.peer;
     let start = clock.now();
-    let mut link = match peer.pool.take(start, PEER_MAX_IDLE) {
+    let link = match peer.pool.take(start, PEER_MAX_IDLE) {
         Some(link) => link,
         None => {
             let link = peer.pool.open(clock, search.due).await?;
@@ -161,9 +160,8 @@
     sent.set(true);
     peer.observed.note_sent(sent_at);
     let _open = OpenRequest { peer, sent_at };
-    link.send(&request).await?;
-    let answer = link.receive(&|_| true).await?;
-    if let Some(idle_limit) = answer.idle_limit {
+    let answer = link.exchange(&request, None).await?;
+    if let Some(KeptLink { link, idle_limit }) = answer.kept {
         peer.pool.put(link, clock.now(), idle_limit.max(PEER_MAX_IDLE));
     }
     if answer.reply.status != StatusCode::OK {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -28,6 +28,7 @@
 };
 
 use monoio::net::{ListenerOpts, TcpListener};
+use socket2::{Domain, Protocol, Socket, Type};
 
 /// Listens on `port` of the loopback address; zero selects a free port.
 ///
@@ -38,6 +39,27 @@
     TcpListener::bind_with_config(address, &ListenerOpts::new().reuse_port(false))
 }
 
+/// Receive buffer and maximum segment size of [`listen_with_small_window`], in bytes.
+///
+/// With the segments of 64 KB of a loopback connection, the sender's kernel would buffer megabytes.
+const SMALL_WINDOW: (usize, u32) = (4_096, 1_460);
+
+/// Listens on a free port of the loopback address, with a receive window so small that a long
+/// message blocks its sender until it is read.
+pub fn listen_with_small_window() -> io::Result<TcpListener> {
+    let (window, segment) = SMALL_WINDOW;
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_nonblocking(true)?;
+    socket.set_mss(segment)?;
+    socket.set_recv_buffer_size(window)?;
+    socket.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, 0)).into())?;
+    socket.listen(BACKLOG)?;
+    TcpListener::from_std(socket.into())
+}
+
+/// Maximum number of connections that wait to be accepted.
+const BACKLOG: i32 = 1_024;
+
 /// Microseconds since the Unix epoch, comparable between processes of one machine.
 pub fn now_us() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |span| span.as_micros() as u64)
--- a/crates/standins/src/scripted.rs
+++ b/crates/standins/src/scripted.rs
@@ -2,7 +2,9 @@
 //!
 //! Stands in for misbehaving replicas: the script receives each request and returns the
 //! exact bytes, pauses and closures to play on the connection, which need not form a valid
-//! response.
+//! response. A server that responds early plays steps as soon as it has the head of a request,
+//! and reads the body only then; its receive window is so small that a long body blocks its
+//! sender.
 
 use std::{
     cell::{Cell, RefCell},
@@ -12,6 +14,7 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use futures_util::future::{Either, select};
 use monoio::{
     io::{AsyncWriteRentExt, OwnedReadHalf, OwnedWriteHalf, Splitable, stream::Stream},
@@ -19,10 +22,13 @@
 };
 use monoio_http::{
     common::body::BodyExt,
-    h1::codec::decoder::{FillPayload, RequestDecoder},
+    h1::{
+        codec::decoder::{FillPayload, RequestDecoder},
+        payload::Payload,
+    },
 };
 
-use crate::{http::Request, listen, server, signal::Signal};
+use crate::{http::Request, listen, listen_with_small_window, server, signal::Signal};
 
 /// A step of the response to a request.
 #[derive(Clone, Debug)]
@@ -52,11 +58,19 @@
 type Script = dyn Fn(&Request) -> Vec<Step>;
 
 struct Shared {
+    /// Returns the steps to play before the body of a request is read.
+    early: Box<Script>,
     script: Box<Script>,
     requests: RefCell<Vec<Request>>,
     disconnects: Cell<u32>,
 }
 
+impl Shared {
+    fn count_disconnect(&self) {
+        self.disconnects.set(self.disconnects.get() + 1);
+    }
+}
+
 /// A scripted server, stopped on drop.
 pub struct Scripted {
     /// The address that it listens on.
@@ -74,10 +88,28 @@
 impl Scripted {
     /// Starts a server on a free port of the loopback address.
     pub fn start(script: impl Fn(&Request) -> Vec<Step> + 'static) -> io::Result<Scripted> {
-        let listener = listen(0)?;
+        Scripted::serve(listen(0)?, Box::new(|_| Vec::new()), Box::new(script))
+    }
+
+    /// Starts a server that responds early to the requests for whose head `early` returns steps.
+    ///
+    /// It plays them, then reads the body, and does not run the script.
+    pub fn start_early(
+        early: impl Fn(&Request) -> Vec<Step> + 'static,
+        script: impl Fn(&Request) -> Vec<Step> + 'static,
+    ) -> io::Result<Scripted> {
+        Scripted::serve(listen_with_small_window()?, Box::new(early), Box::new(script))
+    }
+
+    fn serve(
+        listener: TcpListener,
+        early: Box<Script>,
+        script: Box<Script>,
+    ) -> io::Result<Scripted> {
         let address = listener.local_addr()?;
         let shared = Rc::new(Shared {
-            script: Box::new(script),
+            early,
+            script,
             requests: RefCell::default(),
             disconnects: Cell::new(0),
         });
@@ -91,7 +123,8 @@
         self.shared.requests.borrow().clone()
     }
 
-    /// Number of connections that the peer closed while a response was being played.
+    /// Number of connections that the peer closed while a response was being played or a body
+    /// was being read.
     pub fn disconnects(&self) -> u32 {
         self.shared.disconnects.get()
     }
@@ -111,38 +144,54 @@
     let _ = stream.set_nodelay(true);
     let (reader, mut writer) = stream.into_split();
     let mut decoder = RequestDecoder::new(reader);
-    let mut next = read(&mut decoder).await;
-    while let Some(request) = next {
-        let steps = (shared.script)(&request);
+    let mut next = read_head(&mut decoder).await;
+    while let Some((head, body)) = next {
+        let early = (shared.early)(&head);
+        let is_early = !early.is_empty();
+        if !play(&mut writer, early).await {
+            return;
+        }
+        let Some(request) = read_body(&mut decoder, head, body).await else {
+            shared.count_disconnect();
+            return;
+        };
+        let steps = if is_early { Vec::new() } else { (shared.script)(&request) };
         shared.requests.borrow_mut().push(request);
         // Reads ahead while the response is played, to notice that the peer closes the
         // connection or pipelines the next request.
         let played = std::pin::pin!(play(&mut writer, steps));
-        let next_request = std::pin::pin!(read(&mut decoder));
-        next = match select(played, next_request).await {
-            Either::Left((true, next_request)) => next_request.await,
+        let next_head = std::pin::pin!(read_head(&mut decoder));
+        next = match select(played, next_head).await {
+            Either::Left((true, next_head)) => next_head.await,
             Either::Left((false, _)) => return,
-            Either::Right((Some(request), played)) => played.await.then_some(request),
+            Either::Right((Some(head), played)) => played.await.then_some(head),
             Either::Right((None, _)) => {
-                shared.disconnects.set(shared.disconnects.get() + 1);
+                shared.count_disconnect();
                 return;
             }
         };
     }
 }
 
-/// Reads the next request; `None` once the connection is closed.
-async fn read(decoder: &mut RequestDecoder<OwnedReadHalf<TcpStream>>) -> Option<Request> {
-    let request = decoder.next().await?.ok()?;
-    decoder.fill_payload().await.ok()?;
-    let (parts, body) = request.into_parts();
-    Some(Request {
+type Decoder = RequestDecoder<OwnedReadHalf<TcpStream>>;
+
+/// Reads the head of the next request; `None` once the connection is closed.
+async fn read_head(decoder: &mut Decoder) -> Option<(Request, Payload)> {
+    let (parts, payload) = decoder.next().await?.ok()?.into_parts();
+    let head = Request {
         method: parts.method.to_string(),
         path: parts.uri.path().to_owned(),
         query: parts.uri.query().unwrap_or_default().to_owned(),
         headers: parts.headers,
-        body: body.bytes().await.ok()?,
-    })
+        body: Bytes::new(),
+    };
+    Some((head, payload))
+}
+
+/// Reads the body that belongs to `head`; `None` if the connection is closed before its end.
+async fn read_body(decoder: &mut Decoder, head: Request, payload: Payload) -> Option<Request> {
+    decoder.fill_payload().await.ok()?;
+    Some(Request { body: payload.bytes().await.ok()?, ..head })
 }
 
 /// Plays the steps; returns false if the connection is to be closed.
