net: the own interface reads a reply while its request is being sent

A target that sheds a long call before it has read it, and reads on later, was understood only once it had read on: the test's call returned after 317 ms, when the target read on after 300, and would have ended at its deadline or with the connection at a target that does not. No connection was reused half way here: the task of a connection closes it unless the exchange has completed.

After a reply to a request that was sent in part, the connection is closed. The silence of a node counts from when the request was sent, as before, since a node sends no interim responses while it reads one; the test of a long message that is read slowly fails if silence counts from the start (by trial).

--- a/crates/kumquatnotch-net/src/exchange.rs
+++ b/crates/kumquatnotch-net/src/exchange.rs
@@ -1,10 +1,15 @@
 //! One request and its reply on a client connection.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    cell::Cell,
+    net::SocketAddr,
+    pin::pin,
+    time::{Duration, Instant},
+};
 
 use futures_util::future::{Either, select};
 use http::{HeaderValue, Uri, header, response::Parts};
-use kumquatnotch_core::{Clock, Error, Result, clock};
+use kumquatnotch_core::{Clock, Error, Result};
 use monoio::{
     io::{OwnedWriteHalf, Splitable, sink::SinkExt},
     net::TcpStream,
@@ -12,6 +17,7 @@
 use monoio_http::{common::body::HttpBody, h1::codec::encoder::GenericEncoder};
 
 use crate::{
+    duplex::{self, Sending},
     message::{REQUEST_ID_HEADER, Reply, Request},
     reader::{Peek, ReadError, ResponseReader},
 };
@@ -45,7 +51,7 @@
         self.reader.peek().await
     }
 
-    /// Sends `request` and reads its reply.
+    /// Sends `request` and reads its reply, which may arrive while the request is being sent.
     ///
     /// `silence_timeout` is set if the other side is a node of this tier. Nodes send interim
     /// responses periodically while they process a request, so a connection without any
@@ -58,20 +64,18 @@
         clock: &dyn Clock,
     ) -> Result<ExchangeResult> {
         let request = self.build_request(request, request_id)?;
-        self.encoder.send_and_flush(request).await.map_err(|_| Error::ConnectionLost)?;
-        loop {
-            let head = read_head(&mut self.reader, silence_timeout, clock).await?;
-            let (head, decoder) = head;
-            if head.status.is_informational() {
-                continue;
-            }
-            let body = self.reader.body(&head.headers, decoder).await.map_err(to_error)?;
-            let Parts { status, headers, .. } = head;
-            let reply = Reply { status, headers, body };
-            check_request_id(&reply, request_id)?;
-            let keep_alive = keeps_alive(&reply);
-            return Ok(ExchangeResult { reply, keep_alive });
-        }
+        let ClientStream { reader, encoder, .. } = self;
+        let sent_at = Cell::new(None);
+        let send = async {
+            let sent = encoder.send_and_flush(request).await;
+            sent_at.set(Some(clock.now()));
+            sent
+        };
+        let silence = silence_timeout.map(|timeout| Silence { timeout, sent_at: &sent_at, clock });
+        let read = receive(reader, request_id, silence);
+        let (exchanged, sending) = duplex::read_while_sending(send, read).await?;
+        let keep_alive = exchanged.keep_alive && sending == Sending::Complete;
+        Ok(ExchangeResult { keep_alive, ..exchanged })
     }
 
     fn build_request(&self, request: Request, request_id: u64) -> Result<http::Request<HttpBody>> {
@@ -94,16 +98,56 @@
 type Fixed = monoio_http::h1::codec::decoder::FixedBodyDecoder;
 type Chunked = monoio_http::h1::codec::decoder::ChunkedBodyDecoder;
 
-async fn read_head(
+/// Detects that a connection to a node is silent.
+#[derive(Clone, Copy)]
+struct Silence<'a> {
+    timeout: Duration,
+    /// When the request was sent; until then, the other side sends no interim responses.
+    sent_at: &'a Cell<Option<Instant>>,
+    clock: &'a dyn Clock,
+}
+
+impl Silence<'_> {
+    /// Completes when there was no response since `start` for too long.
+    async fn wait(self, start: Instant) {
+        loop {
+            let now = self.clock.now();
+            let since = self.sent_at.get().map_or(now, |sent_at| sent_at.max(start));
+            let end = since + self.timeout;
+            if now >= end {
+                return;
+            }
+            self.clock.sleep_until(end).await;
+        }
+    }
+}
+
+/// Reads the reply to a request.
+async fn receive(
     reader: &mut ResponseReader,
-    silence_timeout: Option<Duration>,
-    clock: &dyn Clock,
-) -> Result<Head> {
+    request_id: u64,
+    silence: Option<Silence<'_>>,
+) -> Result<ExchangeResult> {
+    loop {
+        let (head, decoder) = read_head(reader, silence).await?;
+        if head.status.is_informational() {
+            continue;
+        }
+        let body = reader.body(&head.headers, decoder).await.map_err(to_error)?;
+        let Parts { status, headers, .. } = head;
+        let reply = Reply { status, headers, body };
+        check_request_id(&reply, request_id)?;
+        let keep_alive = keeps_alive(&reply);
+        return Ok(ExchangeResult { reply, keep_alive });
+    }
+}
+
+async fn read_head(reader: &mut ResponseReader, silence: Option<Silence<'_>>) -> Result<Head> {
     let head = reader.head();
-    let Some(silence_timeout) = silence_timeout else {
+    let Some(silence) = silence else {
         return head.await.map_err(to_error);
     };
-    match select(std::pin::pin!(head), clock::sleep(clock, silence_timeout)).await {
+    match select(pin!(head), pin!(silence.wait(silence.clock.now()))).await {
         Either::Left((head, _)) => head.map_err(to_error),
         Either::Right(_) => Err(Error::ConnectionSilent),
     }
--- a/crates/kumquatnotch-net/tests/peer_links.rs
+++ b/crates/kumquatnotch-net/tests/peer_links.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-use common::{accept, after, pause, read, registry, run};
+use common::{accept, after, pause, read, registry, run, write};
 use kumquatnotch_core::{
     Error, LocalFuture, Peers, Result,
     clock::RuntimeClock,
@@ -24,8 +24,11 @@
     ticket::{ExclusiveRequest, Outcome},
 };
 use kumquatnotch_net::{
-    PeerLinks, Server, peer_links::PeerLinkOptions, peer_route::PeerRoute, server::ServerOptions,
-    silence::INTERIM_PERIOD,
+    PeerLinks, Server,
+    peer_links::PeerLinkOptions,
+    peer_route::PeerRoute,
+    server::ServerOptions,
+    silence::{INTERIM_PERIOD, SILENCE_TIMEOUT},
 };
 use yare::parameterized;
 
@@ -164,6 +167,35 @@
     });
 }
 
+/// Guards against a node that counts as silent while it still reads a long message, during which it
+/// sends no interim response.
+#[test]
+fn a_node_that_reads_a_long_message_slowly_is_not_silent() {
+    run(async {
+        const LONG: usize = 1 << 20;
+        let listener = standins::listen_with_small_window().unwrap();
+        let address = listener.local_addr().unwrap();
+        monoio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut left = LONG;
+            while left > 0 {
+                left = left.saturating_sub(read(&mut stream).await.len());
+                pause(2).await;
+            }
+            write(&mut stream, "HTTP/1.1 418 X\r\ncontent-length: 0\r\n\r\n").await;
+            pause(1_000).await;
+        });
+        let PeerMessage::Exclusive(mut message) = exclusive() else { unreachable!() };
+        message.body = "x".repeat(LONG);
+        let start = Instant::now();
+
+        let reply = links().send(address, &PeerMessage::Exclusive(message), after(5_000)).await;
+
+        assert_eq!(reply, Err(Error::protocol("unexpected status 418")));
+        assert!(start.elapsed() > SILENCE_TIMEOUT, "{:?}", start.elapsed());
+    });
+}
+
 /// The sender drops a message, as the root does when a hedge has won. The holder sees the end
 /// of the connection and stops a search, but completes an exclusive request.
 #[parameterized(
--- a/crates/kumquatnotch-net/tests/target_links.rs
+++ b/crates/kumquatnotch-net/tests/target_links.rs
@@ -2,7 +2,11 @@
 
 mod common;
 
-use std::{cell::Cell, rc::Rc, time::Instant};
+use std::{
+    cell::Cell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use common::{
     accept, after, booking, hit_body, links, links_with, mutated, name, pause, raw_reply, read,
@@ -16,7 +20,12 @@
     server::{ServerOptions, Work},
     target_links::TargetLinkOptions,
 };
-use standins::{plan::Plan, records::RunEnd, targets::Fleet};
+use standins::{
+    plan::Plan,
+    records::RunEnd,
+    scripted::{Scripted, Step, answer},
+    targets::Fleet,
+};
 use yare::parameterized;
 
 fn fleet(change: impl Fn(&mut Plan)) -> Fleet {
@@ -280,3 +289,37 @@
         }
     });
 }
+
+/// Guards against a long call that waits for its deadline although the target has shed it before it
+/// was sent whole, and against another call on that connection, which the target would read as the
+/// rest of the first one.
+#[test]
+fn a_call_that_is_shed_early_fails_at_once_and_ends_its_connection() {
+    run(async {
+        let target = Scripted::start_early(
+            |request| match request.headers["content-length"].len() > 5 {
+                true => {
+                    let shed = answer(429, &[], b"{\"retry_ms\":9}");
+                    vec![shed, Step::Wait(Duration::from_millis(300))]
+                }
+                false => vec![],
+            },
+            |_| vec![answer(200, &[], hit_body("k").as_bytes())],
+        );
+        let target = target.unwrap();
+        let (links, spec) = (links(), spec(target.address));
+        let mut long = search(1);
+        long.body = "x".repeat(256 << 10);
+        let start = Instant::now();
+
+        let shed = links.call(&name(), &spec, &long, after(1_000)).await;
+        let took = start.elapsed();
+        let next = links.call(&name(), &spec, &search(2), after(1_000)).await;
+        pause(400).await;
+
+        assert_eq!(shed, Err(Error::Shed { retry_ms: 9 }));
+        assert!(took < Duration::from_millis(200), "{took:?}");
+        assert!(next.is_ok(), "{next:?}");
+        assert_eq!((target.requests().len(), target.disconnects()), (1, 1));
+    });
+}
