--- a/crates/kumquatnotch-net/src/lib.rs
+++ b/crates/kumquatnotch-net/src/lib.rs
@@ -22,6 +22,7 @@
 
 mod client_connection;
 mod decoders;
+mod duplex;
 mod exchange;
 mod latency;
 mod open_requests;
--- a/crates/kumquatnotch-net/tests/endless_input.rs
+++ b/crates/kumquatnotch-net/tests/endless_input.rs
@@ -11,6 +11,7 @@
 };
 
 use common::{pause, run, serve};
+use futures_util::FutureExt;
 use http::StatusCode;
 use kumquatnotch_core::{Clock, Error, clock, clock::RuntimeClock};
 use kumquatnotch_net::{
@@ -40,10 +41,13 @@
     OpaqueLink::connect(address, BODY_LIMIT, &RuntimeClock, deadline).await.unwrap()
 }
 
-async fn exchange(link: &mut OpaqueLink) -> Result<OpaqueReply, Error> {
-    link.send(&Request::get("/")).await?;
+async fn exchange(link: OpaqueLink) -> Result<OpaqueReply, Error> {
     let deadline = RuntimeClock.now() + Duration::from_millis(300);
-    clock::timeout_at(&RuntimeClock, deadline, link.receive(&|_| true)).await?
+    clock::timeout_at(&RuntimeClock, deadline, link.exchange(&Request::get("/"), None)).await?
+}
+
+async fn reply(link: OpaqueLink) -> Result<Reply, Error> {
+    exchange(link).await.map(|answer| answer.reply)
 }
 
 /// Guards against a replica that stops all timers of a node, and with them all its deadlines, by
@@ -55,10 +59,10 @@
             let flood = "HTTP/1.1 103 X\r\n\r\n".repeat(10_000);
             while stream.write_all(flood.as_bytes()).is_ok() {}
         });
-        let mut link = connect(address).await;
+        let link = connect(address).await;
 
         let start = Instant::now();
-        let reply = exchange(&mut link).await;
+        let reply = reply(link).await;
 
         assert!(reply.is_err(), "{reply:?}");
         assert!(start.elapsed() < Duration::from_secs(1), "{:?}", start.elapsed());
@@ -82,12 +86,13 @@
             let _ = stream.write_all(second.as_bytes());
             thread::sleep(Duration::from_secs(1));
         });
-        let mut link = connect(address).await;
+        let link = connect(address).await;
 
-        let first = exchange(&mut link).await.unwrap();
-        link.send(&Request::get("/")).await.unwrap();
+        let first = exchange(link).await.unwrap();
+        let mut second = first.kept.unwrap().link.exchange(&Request::get("/"), None);
+        assert!((&mut second).now_or_never().is_none());
         thread::sleep(Duration::from_millis(200));
-        let second = link.receive(&|_| true).await;
+        let second = second.await.map(|answer| answer.reply);
 
         assert_eq!(first.reply.body.len(), 3 << 20);
         assert!(matches!(second, Err(Error::Protocol { .. })), "{second:?}");
@@ -146,9 +151,9 @@
             stream.write_all(bytes.as_bytes()).unwrap();
             thread::sleep(Duration::from_secs(1));
         });
-        let mut link = connect(address).await;
+        let link = connect(address).await;
 
-        let reply = exchange(&mut link).await;
+        let reply = reply(link).await;
 
         assert!(matches!(reply, Err(Error::Protocol { .. })), "{reply:?}");
     });
@@ -173,10 +178,10 @@
             stream.write_all(b"0\r\n\r\n").unwrap();
             thread::sleep(Duration::from_secs(1));
         });
-        let mut link = connect(address).await;
+        let link = connect(address).await;
 
-        let reply = exchange(&mut link).await.unwrap();
+        let reply = reply(link).await.unwrap();
 
-        assert_eq!(reply.reply.body.len(), 3 * 1_024);
+        assert_eq!(reply.body.len(), 3 * 1_024);
     });
 }
