net: bodies in flight are bounded in bytes

What callers would see: 50 uploads of 8 MiB at once take a node over the 260 MB of its machine; it is killed, with all requests that it has passed on.

Cause: each connection may hold a body of the maximum size, and nothing bounds them together.

A body with a length takes its room before it is read and before 100 Continue; a chunked one takes it as it arrives, twice, because a chunk lies in the read buffer and in the body. Requests without a body need no room. The room is held until the request is answered, and given back when a connection breaks. One body of the maximum size of its server is always admitted when no other is in flight.

Ruled out: read buffers that keep their size on idle connections.

Tests: table_row_matches_code in core/tests/errors.rs has a row more, for the new code; nothing was taken away.

--- a/crates/kumquatnotch-core/src/errors.rs
+++ b/crates/kumquatnotch-core/src/errors.rs
@@ -85,6 +85,11 @@
     Draining,
     /// request cancelled by the caller, not run
     Cancelled,
+    /// the requests in flight take all room for bodies, not run; retry in {retry_ms} ms
+    BodiesFull {
+        /// Time until a retry is useful, in milliseconds.
+        retry_ms: u64,
+    },
     /// outcome unknown: the request may have run once and will not be run again
     OutcomeUnknown,
     /// the request is still running; ask again with the same ticket
@@ -206,6 +211,7 @@
             Error::Shed { .. } => 2007,
             Error::Draining => 2008,
             Error::Cancelled => 2009,
+            Error::BodiesFull { .. } => 2010,
             Error::OutcomeUnknown => 3001,
             Error::StillRunning => 3002,
             Error::IssuerUnreachable => 3003,
@@ -250,6 +256,7 @@
             | Error::Shed { .. }
             | Error::Draining
             | Error::Cancelled
+            | Error::BodiesFull { .. }
             | Error::ConnectFailed
             | Error::ConnectRefused
             | Error::VersionGone { .. } => true,
@@ -264,6 +271,7 @@
             Error::Overloaded { retry_ms }
             | Error::Contained { retry_ms }
             | Error::GivenUp { retry_ms }
+            | Error::BodiesFull { retry_ms }
             | Error::Shed { retry_ms } => Some(Duration::from_millis(*retry_ms)),
             _ => None,
         }
--- a/crates/kumquatnotch-core/tests/errors.rs
+++ b/crates/kumquatnotch-core/tests/errors.rs
@@ -35,6 +35,7 @@
 #[parameterized(
     overloaded = { Error::Overloaded { retry_ms: 5 } },
     contained = { Error::Contained { retry_ms: 5 } },
+    bodies_full = { Error::BodiesFull { retry_ms: 5 } },
     shed = { Error::Shed { retry_ms: 5 } },
     expired_in_queue = { Error::ExpiredInQueue },
     connect_failed = { Error::ConnectFailed },
--- a/crates/kumquatnotch-net/src/lib.rs
+++ b/crates/kumquatnotch-net/src/lib.rs
@@ -9,6 +9,7 @@
 
 #![forbid(unsafe_code)]
 
+mod body_budget;
 pub mod call_counts;
 pub mod caller_client;
 pub mod entry;
--- a/crates/kumquatnotch-net/src/reader.rs
+++ b/crates/kumquatnotch-net/src/reader.rs
@@ -25,6 +25,8 @@
     },
 };
 
+use crate::body_budget::BodyLease;
+
 /// Maximum size of the head of a message, in bytes.
 const HEAD_LIMIT: usize = 32 << 10;
 
@@ -65,14 +67,27 @@
     framed: FramedRead<Bounded, D>,
     budget: Rc<Cell<usize>>,
     limit: usize,
+    lease: Option<Rc<BodyLease>>,
 }
 
 impl<D: Default> MessageReader<D> {
     /// Creates a reader that accepts bodies of up to `limit` bytes.
     pub(crate) fn new(half: OwnedReadHalf<TcpStream>, limit: usize) -> MessageReader<D> {
         let budget = Rc::new(Cell::new(HEAD_LIMIT));
-        let input = Bounded { half, budget: budget.clone() };
-        MessageReader { framed: FramedRead::new(input, D::default()), budget, limit }
+        let input = Bounded { half, budget: budget.clone(), lease: None };
+        MessageReader { framed: FramedRead::new(input, D::default()), budget, limit, lease: None }
+    }
+
+    /// Creates a reader that accepts bodies of up to `limit` bytes while the lease has room.
+    pub(crate) fn with_lease(
+        half: OwnedReadHalf<TcpStream>,
+        limit: usize,
+        lease: Rc<BodyLease>,
+    ) -> MessageReader<D> {
+        let budget = Rc::new(Cell::new(HEAD_LIMIT));
+        let input = Bounded { half, budget: budget.clone(), lease: Some(lease.clone()) };
+        let framed = FramedRead::new(input, D::default());
+        MessageReader { framed, budget, limit, lease: Some(lease) }
     }
 }
 
@@ -109,16 +124,33 @@
         }
     }
 
+    /// Takes room for the body that follows a head, if its length is known.
+    ///
+    /// If there is none, the lease tells so.
+    pub(crate) fn reserve(&self, headers: &HeaderMap) -> Result<(), ReadError> {
+        let length = self.body_length(headers)?;
+        match &self.lease {
+            Some(lease) if !lease.reserve(length.unwrap_or(0)) => Err(ReadError::Closed),
+            _ => Ok(()),
+        }
+    }
+
+    /// Returns the length of a body, if its head tells one.
+    fn body_length(&self, headers: &HeaderMap) -> Result<Option<usize>, ReadError> {
+        check_framing(headers)?;
+        match content_length(headers) {
+            Some(length) if length > self.limit as u64 => Err(ReadError::TooLong),
+            length => Ok(length.map(|length| length as usize)),
+        }
+    }
+
     /// Reads the body that follows a head.
     pub(crate) async fn body(
         &mut self,
         headers: &HeaderMap,
         decoder: BodyDecoder,
     ) -> Result<Bytes, ReadError> {
-        check_framing(headers)?;
-        if content_length(headers).is_some_and(|length| length > self.limit as u64) {
-            return Err(ReadError::TooLong);
-        }
+        self.body_length(headers)?;
         self.budget.set(self.limit + FRAMING_ALLOWANCE);
         match decoder {
             PayloadDecoder::None => Ok(Bytes::new()),
@@ -127,7 +159,13 @@
                 Some(Err(error)) => Err(self.read_error(error.into())),
                 None => Err(ReadError::Closed),
             },
-            PayloadDecoder::Streamed(decoder) => self.chunks(decoder).await,
+            PayloadDecoder::Streamed(decoder) => {
+                let lease = self.lease.clone();
+                lease.iter().for_each(|lease| lease.start_counting());
+                let body = self.chunks(decoder).await;
+                lease.iter().for_each(|lease| lease.stop_counting());
+                body
+            }
         }
     }
 
@@ -165,6 +203,11 @@
         }
     }
 
+    /// Frees what has arrived of a message that will not be read.
+    pub(crate) fn free_buffer(&mut self) {
+        *self.framed.read_buffer_mut() = BytesMut::new();
+    }
+
     /// Reads and discards incoming data, up to the maximum body size.
     ///
     /// Closing a connection with unread data resets it, and the reset can make the client lose
@@ -218,13 +261,17 @@
 pub(crate) struct Bounded {
     half: OwnedReadHalf<TcpStream>,
     budget: Rc<Cell<usize>>,
+    lease: Option<Rc<BodyLease>>,
 }
 
 impl Bounded {
     fn spend(&self, result: io::Result<usize>) -> io::Result<usize> {
         let count = result?;
         self.budget.set(self.budget.get().saturating_sub(count));
-        Ok(count)
+        match &self.lease {
+            Some(lease) if !lease.count(count) => Err(io::ErrorKind::OutOfMemory.into()),
+            _ => Ok(count),
+        }
     }
 }
 
--- a/crates/kumquatnotch-net/src/server_connection.rs
+++ b/crates/kumquatnotch-net/src/server_connection.rs
@@ -15,6 +15,7 @@
 use monoio_http::{common::body::HttpBody, h1::codec::encoder::GenericEncoder};
 
 use crate::{
+    body_budget::{self, BodyLease},
     message::{REQUEST_ID_HEADER, Reply, Request},
     reader::{Peek, ReadError, RequestReader},
     server::{Context, Work},
@@ -26,6 +27,9 @@
 /// Maximum time for a client that asked to close its connection to close its end.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time after which a request is worth a retry that was refused for lack of room for its body.
+const BODY_RETRY_TIME: Duration = Duration::from_secs(1);
+
 type Encoder = GenericEncoder<OwnedWriteHalf<TcpStream>>;
 
 /// Counts a connection or request until it is dropped.
@@ -48,12 +52,14 @@
 pub(crate) async fn serve(stream: TcpStream, context: Rc<Context>) {
     let _open = CountGuard::new(&context.open);
     let (read, write) = stream.into_split();
-    let mut reader = RequestReader::new(read, context.options.max_body);
+    let lease = BodyLease::new(context.options.max_body);
+    let mut reader = RequestReader::with_lease(read, context.options.max_body, lease.clone());
     let mut encoder = Encoder::new(write);
     let mut is_first = true;
     while await_request(&mut reader, &context).await {
         let in_flight = CountGuard::new(&context.in_flight);
-        let next = serve_request(&mut reader, &mut encoder, &context, is_first).await;
+        let next = serve_request(&mut reader, &mut encoder, &context, &lease, is_first).await;
+        lease.release();
         drop(in_flight);
         match next {
             Next::Request => is_first = false,
@@ -106,12 +112,26 @@
     reader: &mut RequestReader,
     encoder: &mut Encoder,
     context: &Context,
+    lease: &BodyLease,
     is_first: bool,
 ) -> Next {
     let deadline = context.clock.now() + context.options.transfer_timeout;
     let read = read_request(reader, encoder);
     let (mut request, keep_alive) = match clock::timeout_at(&*context.clock, deadline, read).await {
         Ok(Ok(request)) => request,
+        Ok(Err(_)) if lease.is_refused() => {
+            tracing::info!(
+                bytes = body_budget::held_bytes(),
+                "net: {} refused a request: too many bytes of bodies are in flight",
+                context.options.name
+            );
+            // Otherwise, many chunked bodies that arrive together would all be refused.
+            reader.free_buffer();
+            lease.release();
+            let retry_ms = BODY_RETRY_TIME.as_millis() as u64;
+            refuse(reader, encoder, context, Error::BodiesFull { retry_ms }).await;
+            return Next::End;
+        }
         Ok(Err(ReadError::Closed)) => return Next::End,
         Ok(Err(ReadError::Malformed(detail))) => {
             refuse(reader, encoder, context, Error::bad_request(detail)).await;
@@ -164,6 +184,7 @@
     encoder: &mut Encoder,
 ) -> Result<(Request, bool), ReadError> {
     let (head, decoder): (Parts, _) = reader.head().await?;
+    reader.reserve(&head.headers)?;
     if expects_continue(&head) {
         let interim = Response::builder().status(StatusCode::CONTINUE).body(HttpBody::Ready(None));
         // The builder has only valid input, so it does not fail.
