--- a/crates/kumquatnotch-net/src/server_connection.rs
+++ b/crates/kumquatnotch-net/src/server_connection.rs
@@ -15,6 +15,7 @@
 use monoio_http::{common::body::HttpBody, h1::codec::encoder::GenericEncoder};
 
 use crate::{
+    body_budget::{self, BodyLease},
     message::{REQUEST_ID_HEADER, Reply, Request},
     open_requests::OpenGuard,
     reader::{Peek, ReadError, RequestReader},
@@ -27,6 +28,9 @@
 /// Maximum time for a client that asked to close its connection to close its end.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time after which a request is worth a retry that was refused for lack of room for its body.
+const BODY_RETRY_TIME: Duration = Duration::from_secs(1);
+
 type Encoder = GenericEncoder<OwnedWriteHalf<TcpStream>>;
 
 /// Counts a connection until it is dropped.
@@ -49,7 +53,8 @@
 pub(crate) async fn serve(stream: TcpStream, context: Rc<Context>) {
     let _open = CountGuard::new(&context.open);
     let (read, write) = stream.into_split();
-    let mut reader = RequestReader::new(read, context.options.max_body);
+    let lease = BodyLease::new(context.options.max_body);
+    let mut reader = RequestReader::with_lease(read, context.options.max_body, lease.clone());
     let mut encoder = Encoder::new(write);
     let mut is_first = true;
     loop {
@@ -59,7 +64,9 @@
             Await::Close => return close(&mut reader, &mut encoder, &context).await,
         }
         let open = context.requests.add(context.clock.now());
-        let next = serve_request(&mut reader, &mut encoder, &context, is_first, &open).await;
+        let next =
+            serve_request(&mut reader, &mut encoder, &context, &lease, is_first, &open).await;
+        lease.release();
         drop(open);
         match next {
             Next::Request => is_first = false,
@@ -135,6 +142,7 @@
     reader: &mut RequestReader,
     encoder: &mut Encoder,
     context: &Context,
+    lease: &BodyLease,
     is_first: bool,
     open: &OpenGuard<'_>,
 ) -> Next {
@@ -144,6 +152,18 @@
     let result = match read {
         Ok(Ok(Some(request))) => Ok(request),
         Ok(Ok(None)) => Err(context.handler.refuse_unread()),
+        Ok(Err(_)) if lease.is_refused() => {
+            tracing::info!(
+                bytes = body_budget::held_bytes(),
+                "net: {} refused a request: too many bytes of bodies are in flight",
+                context.options.name
+            );
+            // Otherwise, many chunked bodies that arrive together would all be refused.
+            reader.free_buffer();
+            lease.release();
+            let retry_ms = BODY_RETRY_TIME.as_millis() as u64;
+            Err(Reply::error(&Error::BodiesFull { retry_ms }))
+        }
         Ok(Err(ReadError::Closed)) => return Next::End,
         Ok(Err(ReadError::Malformed(detail))) => Err(Reply::error(&Error::bad_request(detail))),
         Ok(Err(ReadError::TooLong)) => {
@@ -203,6 +223,7 @@
     encoder: &mut Encoder,
 ) -> Result<(Request, bool), ReadError> {
     let (head, decoder): (Parts, _) = reader.head().await?;
+    reader.reserve(&head.headers)?;
     if expects_continue(&head) {
         let interim = Response::builder().status(StatusCode::CONTINUE).body(HttpBody::Ready(None));
         // The builder has only valid input, so it does not fail.
