route: what waits in a leaving node ends with it, and says truly whether it ran

The call counts the attempts that are at a replica now, not whether there ever was one, and looks again before a retry or a copy whether it can still be finished. - The reply to a trial waited at the exit until the trial was taken back in the store (no reply after 1.0 s with a silent store). It is taken back after the reply. The claim of a trial ends as well. - A late retry that waited for capacity when the node began to leave waited on (its test took over 300 ms and failed). Searches leave it to their calls and relays to end, so that one that no replica got is told so, and each refusal of a leaving node names others.

--- a/crates/kumquatnotch-route/src/admission.rs
+++ b/crates/kumquatnotch-route/src/admission.rs
@@ -2,11 +2,13 @@
 //! refused.
 
 use std::{
+    pin::pin,
     rc::Rc,
     time::{Duration, Instant},
 };
 
-use kumquatnotch_core::clock;
+use futures_util::future::{Either, select};
+use kumquatnotch_core::{clock, lifecycle::Stage};
 use kumquatnotch_policy::{
     forecast::{Forecast, Requirements},
     mechanisms::Mechanism,
@@ -44,17 +46,31 @@
 /// After an outage many callers retry at the same time. If all of them were admitted as
 /// soon as there is capacity, none would be left for first-time searches. `semaphore`
 /// therefore admits only a few at a time, each until its permit is dropped.
+///
+/// Returns `None` if there is none in time, or the node exits first.
 pub async fn wait_for_capacity(
     router: &Router,
     semaphore: &Rc<PrioritySemaphore>,
     search: &mut Search<'_>,
+) -> Option<Permit> {
+    let wait = pin!(wait_in_time(router, semaphore, search));
+    let ended = pin!(router.lifecycle.reached(Stage::Ending));
+    match select(wait, ended).await {
+        Either::Left((permit, _)) => permit,
+        Either::Right(_) => None,
+    }
+}
+
+async fn wait_in_time(
+    router: &Router,
+    semaphore: &Rc<PrioritySemaphore>,
+    search: &mut Search<'_>,
 ) -> Option<Permit> {
     let clock = &*router.clock;
     let start = clock.now();
     let wait = search.due.saturating_duration_since(start);
     let time_left = search.deadline.saturating_duration_since(start);
     let until = start + time_left.mul_f64(MAX_WAIT_SHARE);
-    let until = router.lifecycle.ends_at().map_or(until, |end| until.min(end));
     let mut permit = None;
     if !router.overload.is_refusing(&search.route.name, start) {
         let acquire = semaphore.acquire(search.route.priority);
--- a/crates/kumquatnotch-route/src/attempt.rs
+++ b/crates/kumquatnotch-route/src/attempt.rs
@@ -59,6 +59,31 @@
     pub is_answered: Cell<bool>,
 }
 
+/// Number of running attempts of a call whose replica may have received the request.
+#[derive(Debug, Default)]
+pub struct SentCount(Cell<u32>);
+
+impl SentCount {
+    /// Whether a replica may be running the request.
+    pub fn is_running(&self) -> bool {
+        self.0.get() > 0
+    }
+
+    fn enter(&self) -> SentGuard<'_> {
+        self.0.set(self.0.get() + 1);
+        SentGuard(self)
+    }
+}
+
+/// Guard that counts an attempt as sent until it is dropped.
+struct SentGuard<'a>(&'a SentCount);
+
+impl Drop for SentGuard<'_> {
+    fn drop(&mut self) {
+        self.0.0.set(self.0.0.get() - 1);
+    }
+}
+
 /// How an attempt ended.
 #[derive(Debug)]
 pub enum AttemptResult {
@@ -77,12 +102,12 @@
 /// Sends a request to `replica` and waits for its reply.
 ///
 /// Dropping the future closes the connection, which tells the replica to stop working on
-/// the request. `sent` is set once the replica may have received the request.
+/// the request. `sent` counts the attempt from when the replica may have received the request.
 pub async fn attempt(
     router: &Rc<Router>,
     call: &Call<'_>,
     replica: &Rc<Replica>,
-    sent: &Cell<bool>,
+    sent: &SentCount,
 ) -> AttemptResult {
     let clock = &*router.clock;
     router.limit_connections(replica, call.service);
@@ -99,7 +124,7 @@
     }
     let sent_at = clock.now();
     let request = build_request(router, call, replica, sent_at);
-    sent.set(true);
+    let _sent = sent.enter();
     replica.observed.note_sent(sent_at);
     let usual = router.profile(call.route).usual;
     let echo = Echo { name: router.names.request.clone(), identity: call.identity.clone() };
--- a/crates/kumquatnotch-route/src/call.rs
+++ b/crates/kumquatnotch-route/src/call.rs
@@ -14,7 +14,7 @@
 };
 
 use crate::{
-    attempt::{self, AttemptResult, Call},
+    attempt::{self, AttemptResult, Call, SentCount},
     crash_alarm, crash_check, leaving,
     names::ReplicaId,
     replica::{self, Pick, Replica},
@@ -85,8 +85,11 @@
     let is_probing = Cell::new(false);
     let mut progress = Progress { router, call, tried, attempts, failed: None, is_probing };
     let clock = &*router.clock;
-    let sent = Cell::new(false);
+    let sent = SentCount::default();
     let mut running = FuturesUnordered::new();
+    if router.lifecycle.stage() >= Stage::Ending {
+        return Err(progress.exit_error(false));
+    }
     if call.is_retry {
         progress.note_lost(None);
         if !progress.admit_retry().await {
@@ -124,6 +127,9 @@
                 if !running.is_empty() {
                     continue;
                 }
+                if !leaving::can_finish(router, call.route, clock.now()) {
+                    return Err(progress.exit_error(false));
+                }
                 if !progress.admit_retry().await {
                     return Err(progress.final_error());
                 }
@@ -131,11 +137,14 @@
                     return Err(progress.final_error());
                 };
                 stats.retries.set(stats.retries.get() + 1);
+                too_late.set(leaving::too_late(router, call).fuse());
                 hedge_timer = clock::sleep(clock, progress.hedge_delay(&next)).fuse();
                 running.push(run_attempt(router, call, next, &sent));
             }
             () = hedge_timer => {
-                let may_hedge = router.uses(Mechanism::Copies) && !progress.is_loss_alarming();
+                let may_hedge = router.uses(Mechanism::Copies)
+                    && !progress.is_loss_alarming()
+                    && leaving::can_finish(router, call.route, clock.now());
                 if !may_hedge || !progress.attempts.may_hedge(progress.allowance(), running.len() as u32) {
                     continue;
                 }
@@ -150,17 +159,15 @@
                 }
             }
             () = deadline_timer => {
-                let in_progress = sent.get() && !running.is_empty();
-                return Err(progress.timeout_error(in_progress));
+                return Err(progress.timeout_error(sent.is_running()));
             }
             () = too_late => {
-                if !sent.get() {
+                if !sent.is_running() {
                     return Err(progress.exit_error(false));
                 }
             }
             () = ended => {
-                let in_progress = sent.get() && !running.is_empty();
-                return Err(progress.exit_error(in_progress));
+                return Err(progress.exit_error(sent.is_running()));
             }
         }
     }
@@ -171,7 +178,7 @@
     router: &Rc<Router>,
     call: &Call<'_>,
     replica: Rc<Replica>,
-    sent: &Cell<bool>,
+    sent: &SentCount,
 ) -> (Rc<Replica>, AttemptResult) {
     let result = attempt::attempt(router, call, &replica, sent).await;
     (replica, result)
--- a/crates/kumquatnotch-route/src/front.rs
+++ b/crates/kumquatnotch-route/src/front.rs
@@ -352,7 +352,9 @@
     let refusal = match outcome {
         Ok(reply) => return (reply, "answered"),
         Err(CallError::Failed(reply)) => return (reply, "failed at the replica"),
-        Err(CallError::NotRun { reason: leaving::REASON, .. }) => Refusal::leaving(router, host),
+        Err(CallError::NotRun { reason, .. }) if leaving::is_leaving(router) => {
+            Refusal { reason, ..Refusal::leaving(router, host) }
+        }
         Err(CallError::NotRun { retry_after, reason }) => Refusal::not_run(reason, retry_after),
         Err(CallError::Unknown) => Refusal::new(StatusCode::BAD_GATEWAY, "outcome unknown"),
         Err(CallError::Ended) => Refusal::new(StatusCode::BAD_GATEWAY, "ended at the exit"),
--- a/crates/kumquatnotch-route/src/gather.rs
+++ b/crates/kumquatnotch-route/src/gather.rs
@@ -5,14 +5,13 @@
 
 use std::{
     cell::Cell,
-    pin::pin,
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use futures_util::{FutureExt, StreamExt, select_biased, stream::FuturesUnordered};
 use http::HeaderValue;
-use kumquatnotch_core::{LocalFuture, clock, collections::HashSet, lifecycle::Stage};
+use kumquatnotch_core::{LocalFuture, clock, collections::HashSet};
 use kumquatnotch_net::message::{Reply, Request};
 use kumquatnotch_policy::{
     completion::{Completion, Next},
@@ -140,9 +139,8 @@
     }
     let mut due_timer = clock.sleep_until(search.due).fuse();
     let mut deadline_timer = clock.sleep_until(search.deadline).fuse();
-    let mut ended = pin!(router.lifecycle.reached(Stage::Ending).fuse());
     let mut completion = Completion::new(total, min_parts);
-    let mut interruption = None;
+    let mut timed_out = false;
     loop {
         match completion.next(progress.parts.len()) {
             Next::Wait => {}
@@ -179,11 +177,7 @@
             },
             () = due_timer => completion.note_due(progress.parts.len()),
             () = deadline_timer => {
-                interruption = Some(CallError::TimedOut);
-                break;
-            }
-            () = ended => {
-                interruption = Some(CallError::Ended);
+                timed_out = true;
                 break;
             }
         }
@@ -194,8 +188,8 @@
     let covered = progress.parts.len();
     let answer = if covered >= min_parts {
         Ok(progress.parts.merge(router, search.set))
-    } else if let Some(error) = interruption {
-        Err(error)
+    } else if timed_out {
+        Err(CallError::TimedOut)
     } else if progress.ran {
         Err(CallError::Unknown)
     } else {
@@ -224,7 +218,6 @@
     }
     let mut due_timer = clock.sleep_until(search.due).fuse();
     let mut deadline_timer = clock.sleep_until(search.deadline).fuse();
-    let mut ended = pin!(router.lifecycle.reached(Stage::Ending).fuse());
     let mut is_due = false;
     let mut progress = Progress::default();
     let mut missing: Vec<usize> = (0..allowed.len()).collect();
@@ -243,7 +236,6 @@
             },
             () = due_timer => is_due = true,
             () = deadline_timer => break,
-            () = ended => break,
         }
     }
     let ran = progress.ran || !running.is_empty();
--- a/crates/kumquatnotch-route/src/leaving.rs
+++ b/crates/kumquatnotch-route/src/leaving.rs
@@ -58,6 +58,11 @@
     Some(end.checked_sub(needed).unwrap_or(end))
 }
 
+/// Whether callers should use other nodes.
+pub(crate) fn is_leaving(router: &Router) -> bool {
+    router.lifecycle.stage() >= Stage::Leaving
+}
+
 /// Whether the node accepts no new requests any more.
 pub(crate) fn is_closing(router: &Router) -> bool {
     router.lifecycle.stage() >= Stage::Closing
--- a/crates/kumquatnotch-route/src/relay.rs
+++ b/crates/kumquatnotch-route/src/relay.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use futures_util::future::{Either, select};
 use http::{HeaderValue, StatusCode};
-use kumquatnotch_core::{Error, Result, clock, codec};
+use kumquatnotch_core::{Error, Result, clock, codec, lifecycle::Stage};
 use kumquatnotch_net::{message::Request, opaque_link::KeptLink};
 use kumquatnotch_policy::observed::Fitness;
 
@@ -75,9 +75,13 @@
     let sent = Cell::new(false);
     let send_gather = std::pin::pin!(send_gather(router, search, group, &sent));
     let lost = std::pin::pin!(wait_until_lost(router, search, peer));
-    let result = match select(send_gather, lost).await {
+    let ended = std::pin::pin!(router.lifecycle.reached(Stage::Ending));
+    let result = match select(send_gather, select(lost, ended)).await {
         Either::Left((result, _)) => result,
-        Either::Right(_) => Err(Error::ConnectionSilent),
+        Either::Right((Either::Left(_), _)) => Err(Error::ConnectionSilent),
+        Either::Right((Either::Right(_), _)) => {
+            return if sent.get() { RelayOutcome::Lost } else { RelayOutcome::NotRun };
+        }
     };
     match result {
         Ok(reply) => RelayOutcome::Gathered(reply),
--- a/crates/kumquatnotch-route/src/trial.rs
+++ b/crates/kumquatnotch-route/src/trial.rs
@@ -6,12 +6,14 @@
 
 use std::{
     cell::Cell,
+    pin::pin,
     rc::Rc,
     time::{Duration, Instant},
 };
 
+use futures_util::future::{Either, select};
 use http::HeaderValue;
-use kumquatnotch_core::{clock, ids::Fingerprint};
+use kumquatnotch_core::{clock, ids::Fingerprint, lifecycle::Stage};
 use kumquatnotch_net::message::{Reply, Request};
 use kumquatnotch_policy::observed::Fitness;
 
@@ -21,6 +23,7 @@
     crash_check,
     crash_records::Claim,
     gather::FirstPart,
+    leaving,
     names::ServiceName,
     request_log::RequestContext,
     route::{Route, ShardSet},
@@ -136,8 +139,10 @@
                     crash_check::acquit(&self.router, self.fingerprint);
                 }
             }
-            Err(CallError::NotRun { .. } | CallError::TimedOut | CallError::Ended) => {
-                self.release().await
+            Err(CallError::NotRun { .. } | CallError::TimedOut) => self.release().await,
+            // The reply does not wait for the store, as the process exits.
+            Err(CallError::Ended) => {
+                monoio::spawn(async move { self.release().await });
             }
             Err(CallError::Unknown) => {
                 monoio::spawn(self.release_unless_crashed(crashes));
@@ -148,7 +153,19 @@
 
     async fn claim(&self) -> Result<(), CallError> {
         let claim = match self.router.crash_records() {
-            Some(records) => records.claim(self.fingerprint).await,
+            Some(records) => {
+                let claim = pin!(records.claim(self.fingerprint));
+                let ended = pin!(self.router.lifecycle.reached(Stage::Ending));
+                match select(claim, ended).await {
+                    Either::Left((claim, _)) => claim,
+                    Either::Right(_) => {
+                        return Err(CallError::NotRun {
+                            retry_after: NO_REPLICA_RETRY_AFTER,
+                            reason: leaving::REASON,
+                        });
+                    }
+                }
+            }
             None => {
                 self.router.crashes.note_trial(self.fingerprint, self.router.clock.now());
                 Claim::Granted
--- a/crates/kumquatnotch-route/tests/admission.rs
+++ b/crates/kumquatnotch-route/tests/admission.rs
@@ -7,7 +7,7 @@
 use common::*;
 use futures_util::future::join;
 use http::HeaderValue;
-use kumquatnotch_core::{Clock, clock::RuntimeClock};
+use kumquatnotch_core::{Clock, clock::RuntimeClock, lifecycle::Stage};
 use kumquatnotch_net::message::Request;
 use kumquatnotch_policy::{mass_loss::MassLoss, observed::Fitness, overload::SearchOutcome};
 use kumquatnotch_route::{
@@ -307,3 +307,22 @@
         );
     });
 }
+
+/// Guards against a late retry that waits for capacity until after the exit of its node.
+#[test]
+fn late_retry_that_waits_ends_with_its_node() {
+    run(async {
+        let (tier, ids) = tier(2);
+        ids.iter().for_each(|id| fill_queue(&tier, id, 800));
+        let lifecycle = tier.router.lifecycle.clone();
+        monoio::spawn(async move {
+            pause(150).await;
+            lifecycle.advance(Stage::Ending);
+        });
+
+        let (has_room, took) = wait_for_capacity(&tier, &shards(2, 1.0)).await;
+
+        assert!(!has_room);
+        assert!(took < Duration::from_millis(300), "{took:?}");
+    });
+}
--- a/crates/kumquatnotch-route/tests/crash_records.rs
+++ b/crates/kumquatnotch-route/tests/crash_records.rs
@@ -10,13 +10,19 @@
 
 use common::*;
 use fake::FakeStore;
-use kumquatnotch_core::{Clock, Store, clock::RuntimeClock, codec, ids::Fingerprint};
+use http::HeaderValue;
+use kumquatnotch_core::{
+    Clock, Store, clock::RuntimeClock, codec, ids::Fingerprint, lifecycle::Stage,
+};
+use kumquatnotch_net::message::Request;
 use kumquatnotch_policy::crashes::{Crash, CrashRecord, MAX_TRIALS, Verdict};
 use kumquatnotch_route::{
+    crash_check,
     crash_records::{Claim, CrashRecords},
     mirror::Mirror,
 };
 use schema::{TestSchema, options};
+use standins::scripted::Step;
 
 const PRINT: Fingerprint = Fingerprint(7);
 const KEY: &str = "x/0000000000000007";
@@ -258,3 +264,39 @@
         assert_eq!(node.verdict(), Verdict::Free);
     });
 }
+
+/// Guards against a trial that is cut at the exit of its node, as its reply waits until the trial has
+/// been taken back in a store that is slow.
+#[test]
+fn trial_that_ends_with_its_node_is_answered_while_the_store_is_slow() {
+    run(async {
+        let store = store();
+        let tier = Tier::serving(single());
+        let shared: Rc<dyn Store> = store.clone();
+        CrashRecords::new(tier.router.clone(), shared, "x/").start();
+        let silent = scripted_replica(|_| vec![Step::Silence]);
+        tier.add("s0", silent.address);
+        let mut request = Request::get("/a/x");
+        request.headers.insert("host", HeaderValue::from_static(HOST));
+        let print = crash_check::fingerprint(&request);
+        for replica in 0..3 {
+            let crash = Crash { replica, service: replica };
+            let (record, now) = (CrashRecord::new("/a/x", 1 << 40), RuntimeClock.now());
+            tier.router.crashes.note_crash(print, crash, record, now);
+        }
+        let lifecycle = tier.router.lifecycle.clone();
+        monoio::spawn(async move {
+            pause(200).await;
+            store.unresponsive.set(true);
+            lifecycle.advance(Stage::Ending);
+        });
+        let start = RuntimeClock.now();
+
+        let answer = tier.get("/a/x", "r1").await;
+
+        assert_eq!(answer.status, 502);
+        let took = RuntimeClock.now() - start;
+        assert!(took < Duration::from_millis(500), "{took:?}");
+        assert_eq!(silent.requests().iter().filter(|request| request.path == "/a/x").count(), 1);
+    });
+}
--- a/crates/kumquatnotch-route/tests/leaving.rs
+++ b/crates/kumquatnotch-route/tests/leaving.rs
@@ -10,7 +10,13 @@
 use common::*;
 use kumquatnotch_core::lifecycle::Stage;
 use kumquatnotch_route::route::Route;
-use standins::{http::Answer, scripted::Step};
+use standins::{
+    http::Answer,
+    scripted::{Step, answer},
+};
+
+/// Number of permits of a replica that take all of its slots.
+const PERMITS: u32 = 100;
 
 /// Address of another node.
 fn other_node() -> SocketAddr {
@@ -124,3 +130,34 @@
         drop(held);
     });
 }
+
+/// Guards against a request that was rejected, waits for a slot of another replica of a leaving node,
+/// and gets neither an answer at once nor the truth that it has not run.
+#[test]
+fn rejected_request_that_queues_in_a_leaving_node_is_told_not_run() {
+    run(async {
+        let route = Route { timeout: Duration::from_secs(20), ..exclusive() };
+        let tier = Tier::serving(route.clone());
+        let usual = Duration::from_millis(20);
+        (0..200).for_each(|_| tier.router.service_times.note(&route.name, route.objective, usual));
+        let rejecting = scripted_replica(|_| vec![answer(503, &[("x-not-run", "1")], b"")]);
+        tier.add("s0", rejecting.address);
+        let full = scripted_replica(|_| vec![Step::Silence]);
+        let id = tier.add("s0", full.address);
+        let semaphore = tier.router.directory.find(&id).unwrap().semaphore.clone();
+        semaphore.set_limit(PERMITS);
+        let mut permits = Vec::new();
+        for _ in 0..PERMITS {
+            permits.push(semaphore.acquire(0).await);
+        }
+        tier.router.lifecycle.leave(after(3_000));
+        let start = Instant::now();
+
+        let answer = tier.post("/a/", "r1", b"x").await;
+
+        assert_eq!(answer.status, 503);
+        assert!(start.elapsed() < Duration::from_millis(500), "{:?}", start.elapsed());
+        assert!(full.requests().iter().all(|request| request.path != "/a/"));
+        drop(permits);
+    });
+}
