Requests of peers that are running when a node of the tier exits are answered

The own daemon cut them at the deadline without an answer, as the platform's node did with parts that it gathered.

--- a/crates/kumquatnotch-net/src/peer_route.rs
+++ b/crates/kumquatnotch-net/src/peer_route.rs
@@ -1,12 +1,15 @@
 //! HTTP route for messages from other nodes.
 
-use std::rc::Rc;
+use std::{pin::pin, rc::Rc};
 
+use futures_util::future::{Either, select};
 use http::{HeaderMap, Method, StatusCode};
 use kumquatnotch_core::{
     Error, Result, codec,
+    lifecycle::{Lifecycle, Stage},
     peer::{PeerHandler, PeerMessage, PeerReply},
     registry::Registry,
+    services,
 };
 
 use crate::{
@@ -44,7 +47,12 @@
 
     async fn handle(&self, message: PeerMessage) -> Result<PeerReply> {
         let handler = self.registry.find::<Rc<dyn PeerHandler>>(message.service())?;
-        handler.handle(message).await
+        let lifecycle: Lifecycle = self.registry.find(services::LIFECYCLE).unwrap_or_default();
+        let (work, ended) = (handler.handle(message), pin!(lifecycle.reached(Stage::Ending)));
+        match select(work, ended).await {
+            Either::Left((result, _)) => result,
+            Either::Right(_) => Err(Error::OutcomeUnknown),
+        }
     }
 }
 
--- a/crates/kumquatnotch/src/node.rs
+++ b/crates/kumquatnotch/src/node.rs
@@ -239,9 +239,9 @@
     }
 
     async fn close_peer_server(&self, deadline: Instant) -> bool {
-        let closed = self.peer.close(deadline).await;
+        let closed = self.peer.shut_down(&self.lifecycle, deadline).await;
         if !closed {
-            tracing::warn!("node: aborting {} requests of peers", self.peer.requests());
+            tracing::warn!("node: requests of peers were ended");
         }
         closed
     }
