core: waiters for a stage are purged at a constant cost each

They are removed when their number has doubled. Half as much time is kept for the last replies, 125 ms at most.

--- a/crates/kumquatnotch-core/src/lifecycle.rs
+++ b/crates/kumquatnotch-core/src/lifecycle.rs
@@ -8,11 +8,14 @@
 
 use futures_channel::oneshot;
 
+/// Minimum number of waiters at which those that were dropped are removed.
+const MIN_PURGE_COUNT: usize = 64;
+
 /// Fraction of the time for a shutdown that is kept free for the replies to ended requests.
-const END_MARGIN_FRACTION: f64 = 1.0 / 24.0;
+const END_MARGIN_FRACTION: f64 = 1.0 / 48.0;
 
 /// Maximum time that is kept free for them.
-const MAX_END_MARGIN: Duration = Duration::from_millis(250);
+const MAX_END_MARGIN: Duration = Duration::from_millis(125);
 
 /// Returns the time to keep free at the end of a shutdown that takes up to `total`, for the
 /// replies to the requests that are ended.
@@ -46,6 +49,8 @@
     /// When the stage [`Stage::Ending`] begins, once the node leaves.
     ends_at: Cell<Option<Instant>>,
     waiters: RefCell<Vec<(Stage, oneshot::Sender<()>)>>,
+    /// Number of waiters at which those that were dropped are removed.
+    purge_count: Cell<usize>,
 }
 
 impl Default for Shared {
@@ -54,6 +59,7 @@
             stage: Cell::new(Stage::Starting),
             ends_at: Cell::new(None),
             waiters: RefCell::default(),
+            purge_count: Cell::new(MIN_PURGE_COUNT),
         }
     }
 }
@@ -83,9 +89,10 @@
         let (sender, receiver) = oneshot::channel();
         {
             let mut waiters = self.shared.waiters.borrow_mut();
-            // Removes the waiters that were dropped, at an amortised constant cost.
-            if waiters.len() == waiters.capacity() {
+            if waiters.len() >= self.shared.purge_count.get() {
                 waiters.retain(|(_, sender)| !sender.is_canceled());
+                // Doubling makes the cost of each waiter constant on average.
+                self.shared.purge_count.set(MIN_PURGE_COUNT.max(2 * waiters.len()));
             }
             waiters.push((stage, sender));
         }
