net: a request that crosses the close of its connection is left unread

A caller may repeat a request that isn't idempotent only if it wasn't read. The server doesn't read any more, and closes a connection at once if it has sent no answer on it for five seconds.

--- a/crates/kumquatnotch-net/src/server_connection.rs
+++ b/crates/kumquatnotch-net/src/server_connection.rs
@@ -1,6 +1,11 @@
 //! The server side of one client connection.
 
-use std::{cell::Cell, pin::pin, rc::Rc, time::Duration};
+use std::{
+    cell::Cell,
+    pin::pin,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use futures_util::{FutureExt, select_biased};
 use http::{HeaderValue, Method, Response, StatusCode, Version, header, request::Parts};
@@ -22,9 +27,12 @@
     server::{Context, Work},
 };
 
-/// Maximum time for which the data of a client is read and discarded after this end is closed.
+/// Maximum time for a client to read a reply after this end of the connection is closed.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time after a reply for which its client may still be reading it.
+const REPLY_READ_TIME: Duration = Duration::from_secs(5);
+
 /// Maximum time for a client that asked to close its connection to close its end.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -56,20 +64,21 @@
     let lease = BodyLease::new(context.options.max_body);
     let mut reader = RequestReader::with_lease(read, context.options.max_body, lease.clone());
     let mut encoder = Encoder::new(write);
-    let mut is_first = true;
+    let mut replied_at = None;
     loop {
         match await_request(&mut reader, &context).await {
             Await::Request => {}
             Await::Drop => return,
-            Await::Close => return close(&mut reader, &mut encoder, &context).await,
+            Await::Close => return close_idle(&mut encoder, replied_at, &context).await,
         }
         let open = context.requests.add(context.clock.now());
         let next =
-            serve_request(&mut reader, &mut encoder, &context, &lease, is_first, &open).await;
+            serve_request(&mut reader, &mut encoder, &context, &lease, replied_at.is_none(), &open)
+                .await;
         lease.release();
         drop(open);
         match next {
-            Next::Request => is_first = false,
+            Next::Request => replied_at = Some(context.clock.now()),
             Next::AwaitClose => return await_close(&mut reader, &mut encoder, &context).await,
             Next::Close => return close(&mut reader, &mut encoder, &context).await,
             Next::End => return,
@@ -123,6 +132,20 @@
     let _ = clock::timeout_at(&*context.clock, deadline, reader.discard()).await;
 }
 
+/// Closes a connection that waits for a request in the shutdown of the server.
+///
+/// A reply that was sent a short time ago may still be on its way, so that the socket is closed
+/// later. What the client sends until then is not read: it learns from the reset that a request
+/// which crosses the close was not begun.
+async fn close_idle(encoder: &mut Encoder, replied_at: Option<Instant>, context: &Context) {
+    let clock = &*context.clock;
+    if replied_at.is_none_or(|at| clock.now() >= at + REPLY_READ_TIME) {
+        return;
+    }
+    let _ = Sink::<Response<HttpBody>>::close(encoder).await;
+    clock::sleep(clock, DISCARD_TIMEOUT).await;
+}
+
 /// Waits for the first byte of a request.
 async fn await_request(reader: &mut RequestReader, context: &Context) -> Await {
     let mut idle = clock::sleep(&*context.clock, context.options.idle_timeout).fuse();
