route: bound the numbers that replicas, nodes and the store tell

Cause: numbers of other processes were used as decoded. - The load of a replica: running + waiting overflowed (a panic where overflow is checked), and one absurd value kept a replica 'full' for weeks. - The reply of a relay: more parts than shards underflowed the number of missing ones (a panic, or a huge header); a position listed as missing n times sent the shard n requests, up to the budget. - The grace period told by a followed node was unlimited, so that vanished entries would stay for good. - Records of crashes kept as many crashes and as long a target as told. - The capacity of a node could be no number, infinite or negative.

Change: each is bounded where it is decoded. A reply of a relay that does not fit its request is a protocol error, and the relay counts as lost.

Ruled out: Instant + Duration of milli- or microseconds can't overflow (64-bit seconds); only seconds as u64 and Duration::MAX can.

A record of crashes that is dated in a distant future is still kept for good: crash_records relies on one (1 << 40 seconds).

--- a/crates/kumquatnotch-policy/src/crashes.rs
+++ b/crates/kumquatnotch-policy/src/crashes.rs
@@ -20,7 +20,7 @@
     collections::{HashMap, HashSet},
     ids::Fingerprint,
 };
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 
 /// Number of crashed replicas from which on a request runs only in trials.
 ///
@@ -62,6 +62,9 @@
 /// Maximum length of the target in a record, in bytes.
 const MAX_TARGET: usize = 200;
 
+/// Maximum number of trials that is taken from a record.
+const MAX_TOLD_TRIALS: u32 = 1_000;
+
 /// A crash of a replica while it ran a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Crash {
@@ -75,10 +78,13 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashRecord {
     /// The first crashes, up to the number from which on trials are needed.
+    #[serde(deserialize_with = "read_crashes")]
     pub crashes: Vec<Crash>,
     /// Number of trials that were started and have not shown the request to be harmless.
+    #[serde(deserialize_with = "read_trials")]
     pub trials: u32,
     /// The beginning of the request's target, for operators.
+    #[serde(deserialize_with = "read_target")]
     pub target: String,
     /// Unix time of the first crash, in seconds.
     pub created_s: u64,
@@ -126,14 +132,34 @@
     replied: HashSet<u64>,
 }
 
+fn read_crashes<'de, D: Deserializer<'de>>(source: D) -> Result<Vec<Crash>, D::Error> {
+    let mut crashes = Vec::deserialize(source)?;
+    crashes.truncate(MIN_CRASHES);
+    crashes.shrink_to_fit();
+    Ok(crashes)
+}
+
+fn read_trials<'de, D: Deserializer<'de>>(source: D) -> Result<u32, D::Error> {
+    Ok(u32::deserialize(source)?.min(MAX_TOLD_TRIALS))
+}
+
+fn read_target<'de, D: Deserializer<'de>>(source: D) -> Result<String, D::Error> {
+    Ok(shorten(&String::deserialize(source)?))
+}
+
+/// Returns the beginning of a request's target.
+fn shorten(target: &str) -> String {
+    let mut end = target.len().min(MAX_TARGET);
+    while !target.is_char_boundary(end) {
+        end -= 1;
+    }
+    target[..end].to_owned()
+}
+
 impl CrashRecord {
     /// Creates the record of a request without crashes.
     pub fn new(target: &str, created_s: u64) -> CrashRecord {
-        let mut end = target.len().min(MAX_TARGET);
-        while !target.is_char_boundary(end) {
-            end -= 1;
-        }
-        CrashRecord { target: target[..end].to_owned(), created_s, ..CrashRecord::default() }
+        CrashRecord { target: shorten(target), created_s, ..CrashRecord::default() }
     }
 
     /// Whether the request runs only in trials.
--- a/crates/kumquatnotch-route/src/attempt.rs
+++ b/crates/kumquatnotch-route/src/attempt.rs
@@ -185,6 +185,11 @@
     link.receive(&|reply| in_flight::is_reply_to(router, call.identity, reply)).await
 }
 
+/// Maximum number of running or waiting requests that is taken from a replica.
+///
+/// The load is assumed to be worked off before the replica gets requests again.
+const MAX_REPORTED: u32 = 5_000;
+
 /// The load that a replica reports.
 #[derive(Clone, Copy)]
 struct Load {
@@ -198,8 +203,8 @@
 fn reported_load(names: &HeaderNames, reply: &Reply) -> Option<Load> {
     let text = reply.headers.get(&names.load)?.to_str().ok()?;
     let mut values = text.split(',').map(|value| value.trim().parse::<u32>());
-    let running = values.next()?.ok()?;
-    let waiting = values.next()?.ok()?;
+    let running = values.next()?.ok()?.min(MAX_REPORTED);
+    let waiting = values.next()?.ok()?.min(MAX_REPORTED);
     // Replicas that share their machine report a percentage after the slots.
     let slowdown = values.nth(1).and_then(|percent| percent.ok());
     Some(Load { running, waiting, slowdown: slowdown.map(|percent| f64::from(percent) / 100.0) })
--- a/crates/kumquatnotch-route/src/fleet.rs
+++ b/crates/kumquatnotch-route/src/fleet.rs
@@ -15,7 +15,7 @@
     distances::Distances,
     placement::{self, NodeLocation},
 };
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 
 use crate::{
     advice::Candidate,
@@ -31,6 +31,9 @@
 /// Number of requests from one node that another one is assumed to run at once.
 const PEER_SLOTS: u32 = 16;
 
+/// Bounds of the capacity of a node, in cores.
+const CAPACITY_BOUNDS: (f64, f64) = (0.01, 1_024.0);
+
 /// Record by which a node announces itself to the others.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct NodeRecord {
@@ -43,9 +46,15 @@
     /// Its region.
     pub region: Region,
     /// Processor time available to it, in cores.
+    #[serde(deserialize_with = "read_capacity")]
     pub capacity: f64,
 }
 
+fn read_capacity<'de, D: Deserializer<'de>>(source: D) -> Result<f64, D::Error> {
+    // `max` and `min` replace what is no number, unlike `clamp`.
+    Ok(f64::deserialize(source)?.max(CAPACITY_BOUNDS.0).min(CAPACITY_BOUNDS.1))
+}
+
 impl NodeRecord {
     /// Returns the properties of the node that advice depends on.
     pub fn location(&self) -> NodeLocation<'_> {
--- a/crates/kumquatnotch-route/src/follow.rs
+++ b/crates/kumquatnotch-route/src/follow.rs
@@ -60,6 +60,9 @@
 /// which a change must be in force.
 pub const MAX_AGE: Duration = Duration::from_millis(2_600);
 
+/// Maximum grace period that is taken from another node.
+const MAX_GRACE: Duration = Duration::from_secs(10);
+
 /// Encoding of a change between nodes.
 #[derive(Debug, Serialize, Deserialize)]
 struct Change {
@@ -155,7 +158,8 @@
         StoreUpdate::Changes(StoreChanges { events, revision })
     };
     let age = Duration::from_micros(age_us);
-    Ok(PeerUpdate { update, age, grace: Duration::from_micros(lenient_us) })
+    let grace = Duration::from_micros(lenient_us).min(MAX_GRACE);
+    Ok(PeerUpdate { update, age, grace })
 }
 
 async fn send_request(
--- a/crates/kumquatnotch-route/src/relay.rs
+++ b/crates/kumquatnotch-route/src/relay.rs
@@ -172,7 +172,7 @@
         let status = answer.reply.status.as_u16();
         return Err(Error::protocol(format!("relay replied with status {status}")));
     }
-    let reply: RelayReply = codec::decode(&answer.reply.body)?;
+    let reply = RelayReply::decode(&answer.reply.body, group.shards.len())?;
     // Connections are long-lived, so connects alone give too few round-trip samples.
     let took = clock.now().saturating_duration_since(sent_at);
     peer.observed.note_connect(took.saturating_sub(Duration::from_micros(reply.took_us)));
--- a/crates/kumquatnotch-route/src/relay_message.rs
+++ b/crates/kumquatnotch-route/src/relay_message.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
-use kumquatnotch_core::{Error, Result};
+use kumquatnotch_core::{Error, Result, codec};
 use kumquatnotch_net::message::Request;
 use serde::{Deserialize, Serialize};
 
@@ -59,6 +59,24 @@
     pub took_us: u64,
 }
 
+impl RelayReply {
+    /// Decodes the reply to a request for `shards` shards.
+    pub fn decode(message: &[u8], shards: usize) -> Result<RelayReply> {
+        let reply: RelayReply = codec::decode(message)?;
+        let mut is_missing = vec![false; shards];
+        for index in &reply.missing {
+            let slot = is_missing.get_mut(*index);
+            if slot.is_none_or(|slot| std::mem::replace(slot, true)) {
+                return Err(Error::protocol(format!("unexpected missing shard {index}")));
+            }
+        }
+        if reply.proofs.len() + reply.missing.len() > shards {
+            return Err(Error::protocol(format!("{} parts of {shards}", reply.proofs.len())));
+        }
+        Ok(reply)
+    }
+}
+
 impl RelayRequest {
     /// Builds a route with the settings that the relay needs.
     pub fn route(&self) -> Route {
