net: confine a panic to its request

Cause: monoio does not catch panics of its tasks. One in the processing of a request unwound through the runtime and ended the process, with all other requests of the node.

Change: the server starts the processing through panics::start, which catches panics both of the start and of the work.

Not covered: tasks that a request spawns (drains of replies, probes, checks of crashes, warnings) and the reading of a request, which still end the process.

--- a/crates/kumquatnotch-net/src/lib.rs
+++ b/crates/kumquatnotch-net/src/lib.rs
@@ -25,6 +25,7 @@
 mod exchange;
 mod latency;
 mod outbound;
+mod panics;
 mod pool;
 mod reader;
 mod server_connection;
--- a/crates/kumquatnotch-net/src/server_connection.rs
+++ b/crates/kumquatnotch-net/src/server_connection.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     message::{REQUEST_ID_HEADER, Reply, Request},
+    panics,
     reader::{Peek, ReadError, RequestReader},
     server::{Context, Work},
 };
@@ -130,7 +131,7 @@
     };
     request.is_first = is_first;
     let request_id = request.headers.get(REQUEST_ID_HEADER).cloned();
-    let work = context.handler.start(request);
+    let work = panics::start(&*context.handler, request);
     let Some(reply) = run(work, reader, encoder, context).await else {
         return Next::End;
     };
