--- a/crates/kumquatnotch-net/src/lib.rs
+++ b/crates/kumquatnotch-net/src/lib.rs
@@ -28,6 +28,7 @@
 mod latency;
 mod open_requests;
 mod outbound;
+mod panics;
 mod pool;
 mod reader;
 mod server_connection;
--- a/crates/kumquatnotch-net/src/server_connection.rs
+++ b/crates/kumquatnotch-net/src/server_connection.rs
@@ -23,6 +23,7 @@
     body_budget::{self, BodyLease},
     message::{REQUEST_ID_HEADER, Reply, Request},
     open_requests::OpenGuard,
+    panics,
     reader::{Peek, ReadError, RequestReader},
     server::{Context, Work},
 };
@@ -211,7 +212,7 @@
     request.is_first = is_first;
     let request_id = request.headers.get(REQUEST_ID_HEADER).cloned();
     open.start(context.handler.identity(&request));
-    let work = context.handler.start(request);
+    let work = panics::start(&*context.handler, request);
     let Some(reply) = run(work, reader, encoder, context).await else {
         return Next::End;
     };
