soak: replicas reject long requests early and read on later

In times of 0.5 s, every 4 s, callers send bodies of 256 KB. Replicas reject 30 in 100 of them before they have read them, with "not run", and read on 60 ms later; they and the links to them have windows and buffers so small that the writer blocks. Each body is made of its request's identity, and every byte that a replica reads there is checked, also after an early rejection: the scripted stand-in shows each request that it has read to an observer. Bodies are long in the same time because what is left of one is only complete, and checked, if other long ones follow.

The check of recovery is unchanged.

--- a/crates/standins/src/relay.rs
+++ b/crates/standins/src/relay.rs
@@ -13,13 +13,14 @@
 use kumquatnotch_core::LocalFuture;
 use monoio::{
     io::{AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt, Splitable},
-    net::TcpStream,
+    net::{TcpListener, TcpStream},
 };
 use serde::{Deserialize, Serialize};
+use socket2::{Domain, Protocol, Socket, Type};
 
 use crate::{
     http::{Handler, Reply, Request},
-    listen,
+    listen, listen_with_small_window,
     server::{self, ServerHandle},
     signal::Signal,
 };
@@ -30,6 +31,9 @@
 /// Size of the read buffer, in bytes.
 const BUFFER_SIZE: usize = 16 * 1024;
 
+/// Send buffer of a link with a small receive window, in bytes.
+const SMALL_SEND_BUFFER: usize = 8 * 1024;
+
 /// A change of a link; omitted fields keep their current values.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -82,6 +86,8 @@
     opened: Cell<u64>,
     first_live: Cell<u64>,
     close: RefCell<Rc<Signal>>,
+    /// Size of the send buffer towards the upstream, if it is limited.
+    send_buffer: Option<usize>,
 }
 
 struct Links(Vec<Rc<Link>>);
@@ -89,15 +95,30 @@
 impl Relay {
     /// Starts a link to each upstream on the given port; zero selects a free port.
     pub fn start(control: u16, links: &[(u16, SocketAddr)]) -> io::Result<Relay> {
+        let listen_for = |(port, upstream): &(u16, SocketAddr)| Ok((listen(*port)?, *upstream));
+        Relay::forward(control, links.iter().map(listen_for).collect::<io::Result<_>>()?, None)
+    }
+
+    /// Starts a link to one upstream, with a receive window so small that a long message blocks
+    /// its sender until the upstream reads it.
+    pub fn with_small_window(upstream: SocketAddr) -> io::Result<Relay> {
+        let links = vec![(listen_with_small_window()?, upstream)];
+        Relay::forward(0, links, Some(SMALL_SEND_BUFFER))
+    }
+
+    fn forward(
+        control: u16,
+        links: Vec<(TcpListener, SocketAddr)>,
+        send_buffer: Option<usize>,
+    ) -> io::Result<Relay> {
         let stop: Rc<Signal> = Rc::default();
         let mut states = Vec::new();
         let mut addresses = Vec::new();
-        for (port, upstream) in links {
-            let link = Rc::new(Link::default());
-            let listener = listen(*port)?;
+        for (listener, upstream) in links {
+            let link = Rc::new(Link { send_buffer, ..Link::default() });
             addresses.push(listener.local_addr()?);
             states.push(link.clone());
-            let (upstream, stop) = (*upstream, stop.clone());
+            let stop = stop.clone();
             monoio::spawn(async move {
                 while let Some(stream) = server::accept(&listener, &stop).await {
                     monoio::spawn(forward_connection(stream, upstream, link.clone()));
@@ -154,7 +175,7 @@
     let number = link.opened.get();
     link.opened.set(number + 1);
     let close = link.close.borrow().clone();
-    let Ok(up) = TcpStream::connect_addr(upstream).await else {
+    let Ok(up) = connect(upstream, link.send_buffer) else {
         return;
     };
     let _ = (down.set_nodelay(true), up.set_nodelay(true));
@@ -166,6 +187,17 @@
     select(select(upward, back), close.wait()).await;
 }
 
+/// Connects to an upstream on this machine, which takes no time.
+fn connect(upstream: SocketAddr, send_buffer: Option<usize>) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::for_address(upstream), Type::STREAM, Some(Protocol::TCP))?;
+    if let Some(size) = send_buffer {
+        socket.set_send_buffer_size(size)?;
+    }
+    socket.connect(&upstream.into())?;
+    socket.set_nonblocking(true)?;
+    TcpStream::from_std(socket.into())
+}
+
 async fn pump(
     mut from: impl AsyncReadRent,
     mut to: impl AsyncWriteRent,
--- a/crates/standins/src/scripted.rs
+++ b/crates/standins/src/scripted.rs
@@ -56,11 +56,13 @@
 }
 
 type Script = dyn Fn(&Request) -> Vec<Step>;
+type Observer = dyn Fn(&Request);
 
 struct Shared {
     /// Returns the steps to play before the body of a request is read.
     early: Box<Script>,
     script: Box<Script>,
+    observer: RefCell<Option<Box<Observer>>>,
     requests: RefCell<Vec<Request>>,
     disconnects: Cell<u32>,
 }
@@ -110,6 +112,7 @@
         let shared = Rc::new(Shared {
             early,
             script,
+            observer: RefCell::default(),
             requests: RefCell::default(),
             disconnects: Cell::new(0),
         });
@@ -118,6 +121,11 @@
         Ok(Scripted { address, shared, stop })
     }
 
+    /// Calls `observer` with each request that is read whole, also after an early response.
+    pub fn observe(&self, observer: impl Fn(&Request) + 'static) {
+        self.shared.observer.replace(Some(Box::new(observer)));
+    }
+
     /// Returns the requests received so far.
     pub fn requests(&self) -> Vec<Request> {
         self.shared.requests.borrow().clone()
@@ -155,6 +163,9 @@
             shared.count_disconnect();
             return;
         };
+        if let Some(observer) = &*shared.observer.borrow() {
+            observer(&request);
+        }
         let steps = if is_early { Vec::new() } else { (shared.script)(&request) };
         shared.requests.borrow_mut().push(request);
         // Reads ahead while the response is played, to notice that the peer closes the
