route: a test that Expect: 100-continue is not passed on

A sibling of the early replies, shown to hold: the node asks for the body itself and removes the header. With it, a replica may take its early final reply for the end of the request, while the body follows.

--- a/crates/kumquatnotch-route/tests/early_replies.rs
+++ b/crates/kumquatnotch-route/tests/early_replies.rs
@@ -1,4 +1,4 @@
-//! Replicas that reply before they have read a long body, keep the connection and read on later.
+//! Replies that arrive before the end of a request: early final ones, and those to `Expect`.
 
 mod common;
 
@@ -11,6 +11,10 @@
 use bytes::Bytes;
 use common::*;
 use kumquatnotch_route::route::{Limits, Route, RouteConfig, RouteTable};
+use monoio::{
+    io::{AsyncReadRent, AsyncWriteRentExt},
+    net::TcpStream,
+};
 use standins::{
     http::{Answer, Request},
     scripted::{Scripted, Step, answer},
@@ -140,3 +144,30 @@
         }
     });
 }
+
+/// Guards against a replica that may take a final reply for the end of a request, because it was
+/// asked whether to go on, while the body is sent all the same.
+#[test]
+fn a_request_that_waits_to_continue_is_passed_on_without_waiting() {
+    run(async {
+        let tier = Tier::serving(single());
+        let replica = replica("p", b"body");
+        tier.add("s0", replica.address);
+        let head = format!(
+            "POST /a/x HTTP/1.1\r\nhost: {HOST}\r\nx-request-id: r0\r\ncontent-length: 4\r\n\
+             expect: 100-continue\r\nconnection: close\r\n\r\n"
+        );
+
+        let mut caller = TcpStream::connect_addr(tier.server.address()).await.unwrap();
+        caller.write_all(head.into_bytes()).await.0.unwrap();
+        let (count, interim) = caller.read(vec![0; 100]).await;
+        caller.write_all(b"text".to_vec()).await.0.unwrap();
+        let (_, reply) = caller.read(vec![0; 100]).await;
+
+        assert!(count.unwrap() > 0 && interim.starts_with(b"HTTP/1.1 100"));
+        assert!(reply.starts_with(b"HTTP/1.1 200"));
+        let [request] = &replica.requests()[..] else { panic!("it is sent once") };
+        assert_eq!(&request.body[..], b"text");
+        assert!(!request.headers.contains_key("expect"));
+    });
+}
