--- a/crates/kumquatnotch-net/tests/peer_links.rs
+++ b/crates/kumquatnotch-net/tests/peer_links.rs
@@ -173,7 +173,7 @@
 fn a_node_that_reads_a_long_message_slowly_is_not_silent() {
     run(async {
         const LONG: usize = 1 << 20;
-        let listener = standins::listen_with_small_window().unwrap();
+        let listener = standins::listen_with_small_window(0).unwrap();
         let address = listener.local_addr().unwrap();
         monoio::spawn(async move {
             let (mut stream, _) = listener.accept().await.unwrap();
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -46,13 +46,14 @@
 
 /// Listens on a free port of the loopback address, with a receive window so small that a long
 /// message blocks its sender until it is read.
-pub fn listen_with_small_window() -> io::Result<TcpListener> {
+pub fn listen_with_small_window(port: u16) -> io::Result<TcpListener> {
     let (window, segment) = SMALL_WINDOW;
     let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP))?;
     socket.set_nonblocking(true)?;
+    socket.set_reuse_address(true)?;
     socket.set_mss(segment)?;
     socket.set_recv_buffer_size(window)?;
-    socket.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, 0)).into())?;
+    socket.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, port)).into())?;
     socket.listen(BACKLOG)?;
     TcpListener::from_std(socket.into())
 }
