Count a crash by the start of its replica, not by its id

Callers saw: a request that crashes the replicas which run it is never held back at a service with two replicas that start again under their ids. Each time it comes it takes both, and the requests that they run.

Cause: a crash was told by the hash of the replica's id, "which is new with each start". Two ids make two crashes, and three are needed before a request runs only in trials.

Change: a crash is told by id and start. Where no start is told, by the id as before. The check whether a replica still runs also takes a later start for its end, as that one accepts connections at the same address.

Ruled out: the check (each crash is logged), acquittal by a reply (no line tells of one). Trials, records and warnings carry the same value; replies acquit by service; confirmed crashes are counted one by one.

--- a/crates/kumquatnotch-ctl/tests/ctl.rs
+++ b/crates/kumquatnotch-ctl/tests/ctl.rs
@@ -166,7 +166,7 @@
 #[test]
 fn refused_request_is_listed_and_lifted() {
     let fixture = Fixture::start_with("suspects", StoreFaultChange::default(), |platform| {
-        let crashes = (0..3).map(|replica| Crash { replica, service: 1 }).collect();
+        let crashes = (0..3).map(|incarnation| Crash { incarnation, service: 1 }).collect();
         let created_s = kumquatnotch_route::crash_records::unix_seconds();
         let record = CrashRecord { crashes, trials: 2, ..CrashRecord::new("/all/x?y", created_s) };
         let value = codec::encode(&record).unwrap();
--- a/crates/kumquatnotch-policy/src/crashes.rs
+++ b/crates/kumquatnotch-policy/src/crashes.rs
@@ -2,10 +2,10 @@
 //!
 //! The caller of such a request retries it at any node, and each time replicas are lost to
 //! everyone else for seconds; a search takes one replica of every shard with it. What the nodes
-//! know of such a request is therefore counted by replica, shared by all of them, and kept for a
-//! day. From a small number of crashes on, the request runs only in trials: one replica runs it,
-//! and nothing else of it is sent until that one has replied. All nodes together start few
-//! trials, each of which is claimed in the store; after that the request is refused.
+//! know of such a request is therefore counted by incarnation of a replica, shared by all of them,
+//! and kept for a day. From a small number of crashes on, the request runs only in trials: one
+//! replica runs it, and nothing else of it is sent until that one has replied. All nodes together
+//! start few trials, each of which is claimed in the store; after that the request is refused.
 //!
 //! A replica that crashes for another reason takes unrelated requests with it, a rack takes many
 //! replicas at once. A request that does no harm is told apart by replies: one of a service whose
@@ -22,7 +22,7 @@
 };
 use serde::{Deserialize, Deserializer, Serialize};
 
-/// Number of crashed replicas from which on a request runs only in trials.
+/// Number of crashes of replicas from which on a request runs only in trials.
 ///
 /// Fewer may be a coincidence: a caller that retries after a crash can be present at another one.
 pub const MIN_CRASHES: usize = 3;
@@ -68,8 +68,8 @@
 /// A crash of a replica while it ran a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Crash {
-    /// Hash of the replica's id, which is new with each start.
-    pub replica: u64,
+    /// Hash of the incarnation of the replica, which can crash once.
+    pub incarnation: u64,
     /// Hash of the name of its service.
     pub service: u64,
 }
@@ -183,7 +183,7 @@
     }
 
     fn add(&mut self, crash: Crash) {
-        let is_known = self.crashes.iter().any(|known| known.replica == crash.replica);
+        let is_known = self.crashes.iter().any(|known| known.incarnation == crash.incarnation);
         if !is_known && !self.needs_trial() {
             self.crashes.push(crash);
         }
--- a/crates/kumquatnotch-policy/tests/crashes.rs
+++ b/crates/kumquatnotch-policy/tests/crashes.rs
@@ -20,7 +20,7 @@
 }
 
 fn crash(replica: u64, service: u64) -> Crash {
-    Crash { replica, service }
+    Crash { incarnation: replica, service }
 }
 
 /// Records crashes of these replicas, each of a service of its own.
--- a/crates/kumquatnotch-route/src/call.rs
+++ b/crates/kumquatnotch-route/src/call.rs
@@ -196,7 +196,7 @@
         let Some(losses) = self.call.losses else {
             return;
         };
-        let crash = replica.map(|replica| crash_check::crash(self.call, replica));
+        let crash = replica.map(|replica| crash_check::crash(self.call.service, replica));
         if let Some(crashes) = losses.note_lost(crash) {
             crash_alarm::raise(self.router, self.call, crashes);
         }
--- a/crates/kumquatnotch-route/src/crash_check.rs
+++ b/crates/kumquatnotch-route/src/crash_check.rs
@@ -33,7 +33,7 @@
 /// service replies to the request meanwhile, the request is not the reason of the crash.
 pub fn check(router: &Rc<Router>, call: &Call<'_>, replica: &Rc<Replica>) {
     let fingerprint = fingerprint(call.request);
-    let crash = crash(call, replica);
+    let crash = crash(call.service, replica);
     let (router, replica) = (router.clone(), replica.clone());
     let (identity, service) = (call.identity.clone(), call.service.clone());
     let target = call.request.target();
@@ -64,10 +64,19 @@
 }
 
 /// Returns the crash of a replica while it ran a request.
-pub fn crash(call: &Call<'_>, replica: &Replica) -> Crash {
-    Crash {
-        replica: stable_hash(&[replica.id.as_str().as_bytes()]),
-        service: service_hash(call.service),
+pub fn crash(service: &ServiceName, replica: &Replica) -> Crash {
+    Crash { incarnation: incarnation_hash(replica), service: service_hash(service) }
+}
+
+/// Returns a hash of the incarnation of a replica.
+///
+/// A replica may start again under its id. If crashes were counted by id, a request would never be
+/// held back at a service with fewer replicas than crashes that count.
+fn incarnation_hash(replica: &Replica) -> u64 {
+    let id = replica.id.as_str().as_bytes();
+    match replica.spec().born {
+        Some(born) => stable_hash(&[id, &born.to_be_bytes()]),
+        None => stable_hash(&[id]),
     }
 }
 
@@ -76,6 +85,9 @@
     let clock = &*router.clock;
     let broken_at = clock.now();
     clock::sleep(clock, CHECK_DELAY).await;
+    if has_restarted(router, replica) {
+        return true;
+    }
     if replica.observed.has_replied_since(broken_at) {
         return false;
     }
@@ -88,6 +100,13 @@
     }
 }
 
+/// Whether a later incarnation of a replica is known, which may accept connections at its address.
+fn has_restarted(router: &Router, replica: &Replica) -> bool {
+    let current = router.directory.find(&replica.id);
+    let current_born = current.and_then(|current| current.spec().born);
+    matches!((replica.spec().born, current_born), (Some(known), Some(current)) if current > known)
+}
+
 /// Records a reply of a replica that has run a request, which did not crash it.
 ///
 /// Only replies with a proof count: others do not show that the request was run.
--- a/crates/kumquatnotch-route/tests/crash_records.rs
+++ b/crates/kumquatnotch-route/tests/crash_records.rs
@@ -47,7 +47,7 @@
     /// Notes that these replicas crashed with the request, and publishes it.
     fn crash(&self, replicas: &[u64]) {
         for replica in replicas {
-            let crash = Crash { replica: *replica, service: *replica };
+            let crash = Crash { incarnation: *replica, service: *replica };
             let (record, now) = (CrashRecord::new("/a/crash", 1 << 40), RuntimeClock.now());
             self.tier.router.crashes.note_crash(PRINT, crash, record, now);
         }
@@ -254,7 +254,7 @@
 fn expired_record_is_ignored() {
     run(async {
         let store = store();
-        let crashes = (1..4).map(|replica| Crash { replica, service: replica }).collect();
+        let crashes = (1..4).map(|number| Crash { incarnation: number, service: number }).collect();
         let record = CrashRecord { crashes, ..CrashRecord::new("/a/crash", 1_000) };
         store.put(KEY, &codec::encode(&record).unwrap());
 
@@ -280,7 +280,7 @@
         request.headers.insert("host", HeaderValue::from_static(HOST));
         let print = crash_check::fingerprint(&request);
         for replica in 0..3 {
-            let crash = Crash { replica, service: replica };
+            let crash = Crash { incarnation: replica, service: replica };
             let (record, now) = (CrashRecord::new("/a/x", 1 << 40), RuntimeClock.now());
             tier.router.crashes.note_crash(print, crash, record, now);
         }
--- a/crates/kumquatnotch-route/tests/crashes.rs
+++ b/crates/kumquatnotch-route/tests/crashes.rs
@@ -58,7 +58,8 @@
 fn note_crashes(tier: &Tier, request: &Request, count: u64) {
     let fingerprint = crash_check::fingerprint(request);
     for replica in 0..count {
-        let crash = Crash { replica, service: crash_check::service_hash(&service("s0")) };
+        let service = crash_check::service_hash(&service("s0"));
+        let crash = Crash { incarnation: replica, service };
         let record = CrashRecord::new(&request.target(), 0);
         tier.router.crashes.note_crash(fingerprint, crash, record, RuntimeClock.now());
     }
--- a/crates/kumquatnotch-route/tests/hostile_numbers.rs
+++ b/crates/kumquatnotch-route/tests/hostile_numbers.rs
@@ -138,7 +138,7 @@
 fn records_of_crashes_are_bounded_where_they_are_decoded() {
     run(async {
         let tier = Tier::serving(single());
-        let crashes = (0..50_000).map(|number| Crash { replica: number, service: number });
+        let crashes = (0..50_000).map(|number| Crash { incarnation: number, service: number });
         let record = CrashRecord {
             crashes: crashes.collect(),
             trials: u32::MAX,
