Tell a request by its caller's credentials, too

Callers saw: a search that crashes replicas for one caller is never held back while others are answered at its path; it takes the replicas of all shards each time. Where it came first, all callers of the path were refused with it.

Cause: the digest of a request had nothing of its caller, though the users' page names path, caller and body. The answers to others spoke for the request, on all paths that use the digest.

Change: `Authorization`, where a request has it, belongs to the digest. Without it the digest is that of the release before, so that records in the store stay valid.

Ruled out: answers that speak for too long; alone at its path the same request is held back.

--- a/crates/kumquatnotch-route/src/crash_check.rs
+++ b/crates/kumquatnotch-route/src/crash_check.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use http::header;
+use http::{HeaderValue, header};
 use kumquatnotch_core::{
     clock,
     ids::{Fingerprint, ServiceName, stable_hash},
@@ -138,9 +138,14 @@
 }
 
 /// Returns a hash of the request that is the same when the caller sends it again.
+///
+/// The credentials tell the caller. Without them, the replies to others at the same path would speak
+/// for a request that crashes replicas, or these others would be refused with it.
 pub fn fingerprint(request: &Request) -> Fingerprint {
-    let host = request.headers.get(header::HOST).map_or(&b""[..], |host| host.as_bytes());
+    let value = |name| request.headers.get(name).map(HeaderValue::as_bytes);
     let Request { method, path, query, body, .. } = request;
-    let parts = [method.as_str().as_bytes(), host, path.as_bytes(), query.as_bytes(), body];
+    let host = value(header::HOST).unwrap_or_default();
+    let mut parts = vec![method.as_str().as_bytes(), host, path.as_bytes(), query.as_bytes(), body];
+    parts.extend(value(header::AUTHORIZATION));
     Fingerprint(stable_hash(&parts))
 }
--- a/crates/kumquatnotch-route/tests/crash_identity.rs
+++ b/crates/kumquatnotch-route/tests/crash_identity.rs
@@ -1,4 +1,4 @@
-//! What counts as one crash of a replica, on all paths.
+//! What counts as one crash of a replica, and what identifies the request that caused it.
 
 mod common;
 #[path = "common/store.rs"]
@@ -142,3 +142,58 @@
     let form: (Vec<(u64, u64)>, u32, String, u64) = codec::decode(&written).unwrap();
     assert_eq!(form, (vec![(1, 7), (2, 7), (3, 7)], 0, "/a/crash".to_owned(), 5));
 }
+
+/// The request of a caller with these credentials.
+fn request_of(caller: Option<&'static str>) -> Request {
+    let mut request = posted("/a/today");
+    if let Some(caller) = caller {
+        let caller = http::HeaderValue::from_static(caller);
+        request.headers.insert(http::header::AUTHORIZATION, caller);
+    }
+    request
+}
+
+/// Guards against requests of two callers that count as one, and against one that is not recognised
+/// when its caller sends it again, by a node of the release before among others.
+#[test]
+fn caller_identifies_a_request() {
+    let [none, first, second] = [None, Some("one"), Some("two")]
+        .map(|caller| crash_check::fingerprint(&request_of(caller)));
+    let mut again = request_of(Some("one"));
+    again.headers.insert("x-request-id", http::HeaderValue::from_static("r2"));
+    let before = ["POST", HOST, "/a/today", "", "body"].map(str::as_bytes);
+
+    assert!(none != first && none != second && first != second);
+    assert_eq!(crash_check::fingerprint(&again), first);
+    assert_eq!(none.0, stable_hash(&before));
+}
+
+/// Guards against a request that crashes replicas and is never held back, as others are answered at
+/// its path; and against others that are refused with it.
+#[test]
+fn answers_to_other_callers_do_not_speak_for_a_request() {
+    run(async {
+        let tier = Tier::serving(single());
+        let send = async |caller: &str, identity: &str| {
+            let headers = [("host", HOST), ("x-request-id", identity), ("authorization", caller)];
+            let client = tier.client();
+            client.send("POST", "/a/today", &headers, "body".into()).await.unwrap().status
+        };
+
+        let mut statuses = Vec::new();
+        for born in 1..6 {
+            let replica = scripted_replica(|request| match header(request, "authorization") {
+                "crash" => vec![Step::Close],
+                _ => vec![proven_reply(request, "p", b"body")],
+            });
+            register(&tier, replica.address, Some(born));
+            let other = send("other", &format!("o{born}")).await;
+            statuses.push((other, send("crash", &format!("c{born}")).await));
+            drop(replica);
+            pause(DETECTION_MS).await;
+        }
+
+        let (sent, refused) = ((200, 502), (200, 503));
+        assert_eq!(statuses, [sent, sent, sent, sent, refused]);
+    });
+}
