Close connections whose next reply can't be told from a copy of the last

Callers saw: 200 without body and proof as the answer to a request that its replica was running; it was the second copy of a liveness answer. A doubled rejection without identity made a request count as not run while it ran.

Cause: copies are told apart by the identity of their request. A probe has none, and its connection went to the pool of the replica. A reply without an identity is accepted, as a rejection may have none, and its connection was kept as well.

Change: the connection of a probe is closed; one is kept only if its last reply named its request. Connections to a replica whose probes fail for long no longer add up in its pool.

Ruled out: calls between nodes, whose processes send no copies; the check after a crash, which sends nothing. The stand-in for replicas learns to send bytes late.

--- a/crates/kumquatnotch-net/src/opaque_link.rs
+++ b/crates/kumquatnotch-net/src/opaque_link.rs
@@ -59,11 +59,16 @@
 impl Echo {
     /// Whether a reply belongs to the request with this identity.
     ///
-    /// A reply without one is accepted, since any earlier request on this connection was answered
-    /// before this one was sent.
+    /// A reply without one is accepted, since the reply to each earlier request on this connection
+    /// had one: a late copy of it can be told apart.
     fn matches(&self, reply: &Reply) -> bool {
         reply.headers.get(&self.name).is_none_or(|echoed| echoed == self.identity)
     }
+
+    /// Whether a copy of a reply can be told from the replies to later requests.
+    fn identifies(&self, reply: &Reply) -> bool {
+        reply.headers.contains_key(&self.name)
+    }
 }
 
 /// A reply, and its connection if that can be reused.
@@ -166,14 +171,16 @@
             is_sent.set(sent.is_ok());
             sent
         };
-        let (reply, sending) = duplex::read_while_sending(send, receive(reader, echo)).await?;
+        let receive = receive(reader, echo.as_ref());
+        let (reply, sending) = duplex::read_while_sending(send, receive).await?;
         let ReceivedReply { reply, end, idle_limit } = reply;
         if sending == Sending::Failed && end == ReplyEnd::Closed {
             // The error was reported to the sender, so that the reader can't tell a reset from the
             // end of the reply.
             return Err(Error::ConnectionLost);
         }
-        let is_reusable = sending == Sending::Complete && self.is_reusable();
+        let is_identified = echo.is_none_or(|echo| echo.identifies(&reply));
+        let is_reusable = sending == Sending::Complete && is_identified && self.is_reusable();
         let idle_limit = idle_limit.filter(|_| is_reusable);
         let kept = idle_limit.map(|idle_limit| KeptLink { link: self, idle_limit });
         Ok(OpaqueReply { reply, kept })
@@ -215,10 +222,10 @@
 /// Reads the reply to the last request.
 ///
 /// Late or duplicate replies to earlier requests are skipped.
-async fn receive(reader: &mut ResponseReader, echo: Option<Echo>) -> Result<ReceivedReply> {
+async fn receive(reader: &mut ResponseReader, echo: Option<&Echo>) -> Result<ReceivedReply> {
     for _ in 0..MAX_REPLIES_READ {
         let received = receive_any(reader).await?;
-        if echo.as_ref().is_none_or(|echo| echo.matches(&received.reply)) {
+        if echo.is_none_or(|echo| echo.matches(&received.reply)) {
             return Ok(received);
         }
     }
--- a/crates/kumquatnotch-route/src/probe.rs
+++ b/crates/kumquatnotch-route/src/probe.rs
@@ -10,7 +10,7 @@
 use kumquatnotch_core::clock;
 use kumquatnotch_net::{
     message::{Reply, Request},
-    opaque_link::KeptLink,
+    opaque_link::OpaqueReply,
 };
 use kumquatnotch_policy::{mechanisms::Mechanism, observed::Fitness};
 
@@ -89,11 +89,10 @@
         request.headers.insert(PEER_ADDRESS_HEADER, own);
     }
     metrics::counter!("kumquatnotch_probes_total").increment(1);
-    let answer = link.exchange(&request, None).await.ok()?;
-    if let Some(KeptLink { link, idle_limit }) = answer.kept {
-        replica.pool.put(link, clock.now(), idle_limit);
-    }
-    Some(answer.reply)
+    // The connection is closed: a probe has no identity, so that a second copy of its reply would be
+    // taken for the reply to the next request.
+    let OpaqueReply { reply, .. } = link.exchange(&request, None).await.ok()?;
+    Some(reply)
 }
 
 /// Whether a reply comes from this incarnation; true if it does not say.
--- a/crates/standins/src/scripted.rs
+++ b/crates/standins/src/scripted.rs
@@ -35,6 +35,8 @@
 pub enum Step {
     /// Sends these bytes.
     Send(Vec<u8>),
+    /// Sends these bytes when the next response on the connection is due, before that one.
+    Late(Vec<u8>),
     /// Sends these bytes again and again, with this pause between them, until the peer closes.
     Repeat(Vec<u8>, Duration),
     /// Sends nothing for this time.
@@ -161,11 +163,12 @@
     let _ = stream.set_nodelay(true);
     let (reader, mut writer) = stream.into_split();
     let mut decoder = RequestDecoder::new(reader);
+    let mut late = Vec::new();
     let mut next = read_head(&mut decoder).await;
     while let Some((head, body)) = next {
         let early = (shared.early)(&head);
         let is_early = !early.is_empty();
-        if !play(&mut writer, early, &shared.repeated).await {
+        if !play(&mut writer, early, &mut late, &shared.repeated).await {
             return;
         }
         let Some(request) = read_body(&mut decoder, head, body).await else {
@@ -179,7 +182,7 @@
         shared.requests.borrow_mut().push(request);
         // Reads ahead while the response is played, to notice that the peer closes the
         // connection or pipelines the next request.
-        let played = std::pin::pin!(play(&mut writer, steps, &shared.repeated));
+        let played = std::pin::pin!(play(&mut writer, steps, &mut late, &shared.repeated));
         let next_head = std::pin::pin!(read_head(&mut decoder));
         next = match select(played, next_head).await {
             Either::Left((true, next_head)) => next_head.await,
@@ -218,10 +221,16 @@
 async fn play(
     writer: &mut OwnedWriteHalf<TcpStream>,
     steps: Vec<Step>,
+    late: &mut Vec<u8>,
     repeated: &Cell<u64>,
 ) -> bool {
+    let is_due = !steps.is_empty() && !late.is_empty();
+    if is_due && writer.write_all(std::mem::take(late)).await.0.is_err() {
+        return false;
+    }
     for step in steps {
         match step {
+            Step::Late(bytes) => late.extend(bytes),
             Step::Send(bytes) => {
                 if writer.write_all(bytes).await.0.is_err() {
                     return false;
