Let no entry without the known start replace that of a replica

Callers saw: requests lost at a replica that exited as announced. It had reported that it drains; an entry of another writer, without `born` and `ready`, had put it back to use within half a second.

Cause: a missing start was taken for another start. Of the same class: a write of the replica from before its report, done late by the store (same start, lower count), ended the drain; and an unreadable entry for a replica whose own had vanished in an outage took it off the list of those to be dropped, so that it stayed in use.

Change: an entry without a start names no replica to use where the replica tells one, or told one when it left; a drain ends only by a later write; an unreadable entry drops a replica that had vanished.

Ruled out: demanding a start of all entries, as some deployments have none (replicas_that_announce_no_start_are_used).

--- a/crates/kumquatnotch-route/src/departed.rs
+++ b/crates/kumquatnotch-route/src/departed.rs
@@ -48,6 +48,12 @@
         })
     }
 
+    /// Whether a replica that has left had announced its start.
+    pub(crate) fn has_start(&self, id: &ReplicaId, now: Instant) -> bool {
+        let replicas = self.replicas.borrow();
+        replicas.get(id).is_some_and(|entry| entry.until > now && entry.born.is_some())
+    }
+
     /// Forgets a replica, which has written its entry again. Returns whether it had left.
     pub(crate) fn forget(&self, id: &ReplicaId) -> bool {
         self.replicas.borrow_mut().remove(id).is_some()
--- a/crates/kumquatnotch-route/src/directory.rs
+++ b/crates/kumquatnotch-route/src/directory.rs
@@ -23,7 +23,8 @@
     Restarted,
     /// The service or address has changed.
     Moved,
-    /// An earlier start than that of the known incarnation; nothing has changed.
+    /// A write of an earlier incarnation, or from before the report of draining of the known one;
+    /// nothing has changed.
     Stale,
 }
 
@@ -35,6 +36,9 @@
             _ if known.service != new.service => PutOutcome::Moved,
             (Some(known), Some(new)) if new < known => PutOutcome::Stale,
             (known, new) if known != new => PutOutcome::Restarted,
+            _ if known.draining && !new.draining && new.sequence < known.sequence => {
+                PutOutcome::Stale
+            }
             _ if known.address != new.address => PutOutcome::Moved,
             _ => PutOutcome::Known,
         }
--- a/crates/kumquatnotch-route/src/entries.rs
+++ b/crates/kumquatnotch-route/src/entries.rs
@@ -26,8 +26,9 @@
     crash_records,
     departed::Departed,
     held_entries::HeldEntries,
+    names::ReplicaId,
     newest_entries,
-    replica::Replica,
+    replica::{Replica, ReplicaSpec},
     route::RouteTable,
     router::Router,
     schema::{Entry, EntryKey, Schema},
@@ -236,6 +237,17 @@
                 return None;
             }
         };
+        if let Entry::Replica(id, spec) = &entry
+            && self.lacks_start(id, spec)
+        {
+            tracing::warn!(
+                key = item.key,
+                revision = item.revision,
+                "mirror: entry without the start that its replica announces"
+            );
+            self.note_unreadable(&key);
+            return None;
+        }
         self.known.borrow_mut().insert(key.clone());
         if self.vanished.borrow_mut().remove(&key).is_some()
             && let Some(replica) = self.replica(&key)
@@ -246,16 +258,30 @@
         Some(key)
     }
 
+    /// Whether an entry lacks the start that its replica announces, and so is of another writer.
+    ///
+    /// If it were taken for that of a later incarnation, a replica that drains would get requests
+    /// again.
+    fn lacks_start(&self, id: &ReplicaId, spec: &ReplicaSpec) -> bool {
+        let has_start = || match self.router.directory.find(id) {
+            Some(known) => known.spec().born.is_some(),
+            None => self.departed.has_start(id, self.router.clock.now()),
+        };
+        spec.born.is_none() && has_start()
+    }
+
     /// Handles an entry that can't be read, and so was written by neither the tier nor a replica.
     ///
     /// A replica whose entry was overwritten by another writer is no longer used, even while
     /// vanished entries are retained: its last known address may belong to another process by now.
     /// If the replica is alive, it writes its entry again. Other state that is known stays in use.
     fn note_unreadable(&self, key: &EntryKey) {
-        if matches!(key, EntryKey::Replica(_)) && self.known.borrow_mut().remove(key) {
+        let had_vanished = self.vanished.borrow_mut().remove(key).is_some();
+        if matches!(key, EntryKey::Replica(_))
+            && (self.known.borrow_mut().remove(key) || had_vanished)
+        {
             self.drop_entry(key, "its entry can't be read");
         }
-        self.vanished.borrow_mut().remove(key);
     }
 
     fn apply_entry(&self, entry: Entry, revision: u64) {
