Answer a search that loses its parts once other nodes are warned

Callers saw: nothing in production. The test other_nodes_are_warned_before_the_caller_comes_to_them failed once, beside other builds: the second request reached a shard more than it may.

Cause: warnings were sent beside the answer. A caller that comes to another node at once may be there before the warning is, and its search then reaches the replicas that are left of each shard. That the one failure came from this is likely and not shown; that an answer doesn't wait is shown by the new test.

Change: the answer to a search that seems to crash replicas waits for the warnings, 250 ms at most and not beyond its deadline; a relay's does as well. While warnings of a search are under way, no others are sent.

Ruled out: a longer wait in the test, which would no longer guard against a caller that comes at once.

--- a/crates/kumquatnotch-route/src/crash_alarm.rs
+++ b/crates/kumquatnotch-route/src/crash_alarm.rs
@@ -2,16 +2,19 @@
 //!
 //! The caller of such a search sends it again at another node as soon as it has failed, long
 //! before the crashes are confirmed and recorded in the store. Without a warning, that node would
-//! send it to the replicas that are left of each shard.
+//! send it to the replicas that are left of each shard. The answer to the search waits for the
+//! warnings, so that they aren't overtaken by the caller.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     rc::Rc,
     time::{Duration, Instant},
 };
 
+use futures_channel::oneshot;
+use futures_util::future::{FutureExt, Shared, join_all};
 use http::{HeaderValue, StatusCode, header};
-use kumquatnotch_core::{Error, Result, clock, codec, ids::Fingerprint};
+use kumquatnotch_core::{Error, Result, clock, codec, collections::HashMap, ids::Fingerprint};
 use kumquatnotch_net::{message::Request, opaque_link::KeptLink};
 use kumquatnotch_policy::crashes::{Crash, CrashRecord};
 use serde::{Deserialize, Serialize};
@@ -32,6 +35,11 @@
 /// Timeout of a warning; later ones come too late.
 const TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Maximum time that the answer to a search waits for the warnings.
+///
+/// A few round trips to other nodes. Some of those that are warned may have just ended.
+const MAX_DELIVERY_WAIT: Duration = Duration::from_millis(250);
+
 /// Maximum number of alarms of this node in each period.
 ///
 /// A rack that is lost takes parts of all searches with it, which all seem to crash replicas.
@@ -57,6 +65,29 @@
     }
 }
 
+/// Searches whose warnings are being sent.
+#[derive(Default)]
+pub struct PendingAlarms {
+    searches: RefCell<HashMap<Fingerprint, Shared<oneshot::Receiver<()>>>>,
+}
+
+impl PendingAlarms {
+    /// Adds a search; dropping the sender ends the waits for its warnings.
+    fn insert(&self, fingerprint: Fingerprint) -> oneshot::Sender<()> {
+        let (sender, receiver) = oneshot::channel();
+        self.searches.borrow_mut().insert(fingerprint, receiver.shared());
+        sender
+    }
+
+    fn remove(&self, fingerprint: Fingerprint) {
+        self.searches.borrow_mut().remove(&fingerprint);
+    }
+
+    fn get(&self, fingerprint: Fingerprint) -> Option<Shared<oneshot::Receiver<()>>> {
+        self.searches.borrow().get(&fingerprint).cloned()
+    }
+}
+
 /// A warning of another node.
 #[derive(Debug, Serialize, Deserialize)]
 struct Alarm {
@@ -76,7 +107,7 @@
     let record = CrashRecord::new(&call.request.target(), crash_records::unix_seconds());
     let record = CrashRecord { crashes, ..record };
     router.crashes.merge(fingerprint, &record, now);
-    if !router.alarm_limit.admit(now) {
+    if router.pending_alarms.get(fingerprint).is_some() || !router.alarm_limit.admit(now) {
         return;
     }
     let mut names: Vec<_> = router.fleet.candidates().into_iter().map(|(name, _)| name).collect();
@@ -92,8 +123,28 @@
     let Ok(message) = codec::encode(&Alarm { fingerprint, record }) else {
         return;
     };
-    for peer in names.iter().filter_map(|name| router.fleet.peer(name)) {
-        monoio::spawn(warn(router.clone(), peer, message.clone()));
+    let peers = names.iter().filter_map(|name| router.fleet.peer(name));
+    let warnings: Vec<_> = peers.map(|peer| warn(router.clone(), peer, message.clone())).collect();
+    let (router, sender) = (router.clone(), router.pending_alarms.insert(fingerprint));
+    monoio::spawn(async move {
+        join_all(warnings).await;
+        router.pending_alarms.remove(fingerprint);
+        drop(sender);
+    });
+}
+
+/// Waits until the warnings of a search have been delivered, but not beyond its deadline.
+///
+/// Otherwise the caller could come to another node before the warning does, and the search would
+/// reach the replicas that are left.
+pub(crate) async fn wait_until_delivered(router: &Router, request: &Request, deadline: Instant) {
+    let Some(delivered) = router.pending_alarms.get(crash_check::fingerprint(request)) else {
+        return;
+    };
+    let clock = &*router.clock;
+    let latest = deadline.min(clock.now() + MAX_DELIVERY_WAIT);
+    if clock::timeout_at(clock, latest, delivered).await.is_err() {
+        tracing::info!("crashes: a search is answered before all nodes were warned");
     }
 }
 
--- a/crates/kumquatnotch-route/src/gather.rs
+++ b/crates/kumquatnotch-route/src/gather.rs
@@ -22,7 +22,7 @@
     admission::{self, Refused},
     attempt::Call,
     call::{self, CallError, CallStats},
-    crash_check,
+    crash_alarm, crash_check,
     names::ReplicaId,
     parts::Parts,
     relay::{self, RelayOutcome},
@@ -184,6 +184,9 @@
     }
     progress.ran |= !running.is_empty();
     drop(running);
+    if search.losses.is_alarming() {
+        crash_alarm::wait_until_delivered(router, search.request, search.deadline).await;
+    }
     progress.log_missing(search);
     let covered = progress.parts.len();
     let answer = if covered >= min_parts {
@@ -239,6 +242,9 @@
         }
     }
     let ran = progress.ran || !running.is_empty();
+    if search.losses.is_alarming() {
+        crash_alarm::wait_until_delivered(router, search.request, search.deadline).await;
+    }
     (progress.parts, missing, ran)
 }
 
--- a/crates/kumquatnotch-route/src/router.rs
+++ b/crates/kumquatnotch-route/src/router.rs
@@ -32,7 +32,7 @@
 
 use crate::{
     advice::{AdviceCache, Candidate, HostAdvice},
-    crash_alarm::AlarmLimit,
+    crash_alarm::{AlarmLimit, PendingAlarms},
     crash_records::CrashRecords,
     directory::Directory,
     fleet::{Fleet, PEER_SERVICE},
@@ -107,6 +107,8 @@
     pub crashes: Crashes,
     /// Limits how often this node warns others of searches that seem to crash replicas.
     pub(crate) alarm_limit: AlarmLimit,
+    /// Searches whose warnings are being sent to other nodes.
+    pub(crate) pending_alarms: PendingAlarms,
     /// Shares these with the other nodes.
     crash_records: OnceCell<Rc<CrashRecords>>,
     /// Overload of replicas, by route.
@@ -155,6 +157,7 @@
             service_times: ServiceTimes::default(),
             crashes: Crashes::default(),
             alarm_limit: AlarmLimit::default(),
+            pending_alarms: PendingAlarms::default(),
             crash_records: OnceCell::new(),
             overload: Overload::default(),
             mechanisms: options.mechanisms,
--- a/crates/kumquatnotch-route/tests/crashes.rs
+++ b/crates/kumquatnotch-route/tests/crashes.rs
@@ -8,8 +8,9 @@
 use kumquatnotch_core::{Clock, clock::RuntimeClock};
 use kumquatnotch_net::message::Request;
 use kumquatnotch_policy::crashes::{Crash, CrashRecord, MAX_TRIALS, MIN_CRASHES, Verdict};
-use kumquatnotch_route::crash_check;
-use standins::scripted::{Scripted, Step};
+use kumquatnotch_route::{crash_alarm::ALARM_PATH, crash_check};
+use standins::scripted::{Scripted, Step, answer};
+use yare::parameterized;
 
 const SHARDS: usize = 8;
 
@@ -112,6 +113,33 @@
     });
 }
 
+/// Guards against a caller that overtakes the warning: its failure is answered before the other nodes
+/// have taken it. A node that takes none delays the answer for a short time only.
+#[parameterized(
+    slow = { vec![Step::Wait(Duration::from_millis(200)), answer(200, &[], b"")] },
+    silent = { vec![Step::Silence] },
+)]
+fn failed_search_is_answered_after_the_warnings(steps: Vec<Step>) {
+    run(async {
+        let tier = Tier::serving(shards(SHARDS, 0.5));
+        let other = Scripted::start(move |request| match request.path.as_str() {
+            ALARM_PATH => steps.clone(),
+            _ => vec![answer(200, &[], b"")],
+        });
+        let other = other.unwrap();
+        tier.add_node("other", "home", other.address);
+        let _replicas = Replicas::start(&tier, SHARDS);
+        let start = RuntimeClock.now();
+
+        let answer = tier.get("/a/crash", "first").await;
+
+        let took = RuntimeClock.now() - start;
+        assert_eq!(answer.status, 502);
+        assert!(took >= Duration::from_millis(200), "{took:?}");
+        assert!(took < single().timeout / 2, "{took:?}");
+    });
+}
+
 /// Guards against retries of such a search that reach all shards again: each trial costs one
 /// replica, and after the last of them the search reaches none.
 #[test]
