Bound the memory of all replies that are being read

Report of another operator: a faulty replica sent bytes without end, in a head or a body; the node kept them all and ran out of memory, and the requests of other clients ended with it.

Cause here: one reply is bounded (4 MiB, a head 32 KiB), all together were not, and a connection that was kept after a large reply kept its buffer.

Change: large replies that are being read share 32 MiB; each may hold at most what is left of it, so that many get less and small ones are always read. One beyond that ends like one beyond the limit. Buffers beyond 64 KiB are given back between messages.

--- a/crates/kumquatnotch-net/src/lib.rs
+++ b/crates/kumquatnotch-net/src/lib.rs
@@ -31,6 +31,7 @@
 mod panics;
 mod pool;
 mod reader;
+mod reply_budget;
 mod server_connection;
 mod socket;
 mod target_reply;
--- a/crates/kumquatnotch-net/src/reader.rs
+++ b/crates/kumquatnotch-net/src/reader.rs
@@ -25,6 +25,7 @@
 use crate::{
     body_budget::BodyLease,
     decoders::{ChunkDecoder, HEAD_LIMIT, RequestHeads, ResponseHeads, too_long},
+    reply_budget::ReplyLease,
 };
 
 /// Maximum number of interim replies before a reply.
@@ -33,6 +34,9 @@
 /// while a sender floods the connection with them.
 pub(crate) const MAX_INTERIM_REPLIES: usize = 1_000;
 
+/// Maximum size of the buffer that a connection keeps between two messages, in bytes.
+const MAX_IDLE_BUFFER: usize = 64 << 10;
+
 /// Bytes allowed in addition to the length of a body, for chunk framing.
 const FRAMING_ALLOWANCE: usize = 64 << 10;
 
@@ -69,27 +73,39 @@
     framed: FramedRead<Bounded, D>,
     budget: Rc<Cell<usize>>,
     limit: usize,
-    lease: Option<Rc<BodyLease>>,
+    lease: Lease,
 }
 
-impl<D: Default> MessageReader<D> {
-    /// Creates a reader that accepts bodies of up to `limit` bytes.
-    pub(crate) fn new(half: OwnedReadHalf<TcpStream>, limit: usize) -> MessageReader<D> {
-        let budget = Rc::new(Cell::new(HEAD_LIMIT));
-        let input = Bounded { half, budget: budget.clone(), lease: None };
-        MessageReader { framed: FramedRead::new(input, D::default()), budget, limit, lease: None }
+/// What counts the bytes of the current message.
+#[derive(Clone)]
+enum Lease {
+    Body(Rc<BodyLease>),
+    Reply(Rc<ReplyLease>),
+}
+
+impl MessageReader<ResponseHeads> {
+    /// Creates a reader of replies with bodies of up to `limit` bytes.
+    pub(crate) fn new(half: OwnedReadHalf<TcpStream>, limit: usize) -> ResponseReader {
+        MessageReader::with(half, limit, Lease::Reply(Rc::default()))
     }
+}
 
-    /// Creates a reader that accepts bodies of up to `limit` bytes while the lease has room.
+impl MessageReader<RequestHeads> {
+    /// Creates a reader of requests with bodies of up to `limit` bytes while the lease has room.
     pub(crate) fn with_lease(
         half: OwnedReadHalf<TcpStream>,
         limit: usize,
         lease: Rc<BodyLease>,
-    ) -> MessageReader<D> {
+    ) -> RequestReader {
+        MessageReader::with(half, limit, Lease::Body(lease))
+    }
+}
+
+impl<D: Default> MessageReader<D> {
+    fn with(half: OwnedReadHalf<TcpStream>, limit: usize, lease: Lease) -> MessageReader<D> {
         let budget = Rc::new(Cell::new(HEAD_LIMIT));
-        let input = Bounded { half, budget: budget.clone(), lease: Some(lease.clone()) };
-        let framed = FramedRead::new(input, D::default());
-        MessageReader { framed, budget, limit, lease: Some(lease) }
+        let input = Bounded { half, budget: budget.clone(), lease: lease.clone() };
+        MessageReader { framed: FramedRead::new(input, D::default()), budget, limit, lease }
     }
 }
 
@@ -99,7 +115,11 @@
     /// Dropping this future loses no data: with the epoll driver, a read that has not completed
     /// has not consumed any bytes, and it starts with an empty buffer.
     pub(crate) async fn peek(&mut self) -> Peek {
-        self.budget.set(HEAD_LIMIT);
+        self.start_message();
+        let buffer = self.framed.read_buffer();
+        if buffer.is_empty() && buffer.capacity() > MAX_IDLE_BUFFER {
+            self.free_buffer();
+        }
         match self.framed.peek_data().await {
             Ok(data) if !data.is_empty() => Peek::Data,
             _ => Peek::Closed,
@@ -111,7 +131,7 @@
     where
         FramedRead<Bounded, D>: Stream<Item = Result<(H, BodyDecoder), HttpError>>,
     {
-        self.budget.set(HEAD_LIMIT);
+        self.start_message();
         match self.framed.next().await {
             Some(Ok(head)) => Ok(head),
             Some(Err(error)) => Err(read_error(error)),
@@ -119,13 +139,21 @@
         }
     }
 
+    /// Sets the limits for the next message.
+    fn start_message(&self) {
+        self.budget.set(HEAD_LIMIT);
+        if let Lease::Reply(lease) = &self.lease {
+            lease.release();
+        }
+    }
+
     /// Takes room for the body that follows a head, if its length is known.
     ///
     /// If there is none, the lease tells so.
     pub(crate) fn reserve(&self, headers: &HeaderMap) -> Result<(), ReadError> {
         let length = self.body_length(headers)?;
         match &self.lease {
-            Some(lease) if !lease.reserve(length.unwrap_or(0)) => Err(ReadError::Closed),
+            Lease::Body(lease) if !lease.reserve(length.unwrap_or(0)) => Err(ReadError::Closed),
             _ => Ok(()),
         }
     }
@@ -155,10 +183,12 @@
                 None => Err(ReadError::Closed),
             },
             PayloadDecoder::Streamed(decoder) => {
-                let lease = self.lease.clone();
-                lease.iter().for_each(|lease| lease.start_counting());
+                let Lease::Body(lease) = self.lease.clone() else {
+                    return self.chunks(decoder).await;
+                };
+                lease.start_counting();
                 let body = self.chunks(decoder).await;
-                lease.iter().for_each(|lease| lease.stop_counting());
+                lease.stop_counting();
                 body
             }
         }
@@ -256,7 +286,7 @@
 pub(crate) struct Bounded {
     half: OwnedReadHalf<TcpStream>,
     budget: Rc<Cell<usize>>,
-    lease: Option<Rc<BodyLease>>,
+    lease: Lease,
 }
 
 impl Bounded {
@@ -264,7 +294,8 @@
         let count = result?;
         self.budget.set(self.budget.get().saturating_sub(count));
         match &self.lease {
-            Some(lease) if !lease.count(count) => Err(io::ErrorKind::OutOfMemory.into()),
+            Lease::Body(lease) if !lease.count(count) => Err(io::ErrorKind::OutOfMemory.into()),
+            Lease::Reply(lease) if !lease.count(count) => Err(too_long()),
             _ => Ok(count),
         }
     }
