Reject bodies of an unknown transfer coding

A replica's reply of that coding counted as whole without its body, whose bytes were the next reply.

Cause: the decoder takes a body of a coding that it doesn't know to be empty. Change: any coding but `chunked` is rejected, 400 to a caller, no valid reply from a replica.

--- a/crates/kumquatnotch-net/src/reader.rs
+++ b/crates/kumquatnotch-net/src/reader.rs
@@ -279,6 +279,11 @@
     if lengths > 1 || (lengths == 1 && chunked) {
         return Err(ReadError::Malformed("ambiguous body length".to_owned()));
     }
+    // The decoders take a body of any other coding to be empty, and its bytes for the next message.
+    let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
+    if codings.any(|coding| !coding.as_bytes().eq_ignore_ascii_case(b"chunked")) {
+        return Err(ReadError::Malformed("unknown transfer coding".to_owned()));
+    }
     Ok(())
 }
 
