Take no success without a proof for the answer to a request

Callers can't tell by such a success that their request has run.

Change: a success without a proof is no valid reply: its replica is suspected, another one is asked where that is safe, and else the outcome is unknown (502).

Measured: success_without_a_proof_is_no_answer failed before (200, body).

--- a/crates/kumquatnotch-route/src/attempt.rs
+++ b/crates/kumquatnotch-route/src/attempt.rs
@@ -7,7 +7,7 @@
 };
 
 use http::HeaderValue;
-use kumquatnotch_core::Error;
+use kumquatnotch_core::{Error, Result};
 use kumquatnotch_net::{
     OpaqueLink,
     message::{Reply, Request},
@@ -135,7 +135,7 @@
         Some((exchange, _)) => exchange.await,
         None => Err(Error::ConnectionLost),
     };
-    match reply {
+    match reply.and_then(|answer| check_proof(router, answer)) {
         Ok(OpaqueReply { reply, kept }) => {
             crash_check::note_reply(router, call, &reply);
             let took = in_flight.record_reply();
@@ -159,6 +159,17 @@
     }
 }
 
+/// Rejects a success that does not prove that the replica has run the request.
+///
+/// Callers could not tell it from the reply of the replica, for example if it is that of a probe.
+fn check_proof(router: &Router, answer: OpaqueReply) -> Result<OpaqueReply> {
+    let Reply { status, headers, .. } = &answer.reply;
+    if status.is_success() && !headers.contains_key(&router.names.proof) {
+        return Err(Error::protocol("success without a proof"));
+    }
+    Ok(answer)
+}
+
 async fn connect(
     router: &Rc<Router>,
     call: &Call<'_>,
--- a/crates/kumquatnotch-route/tests/doubled_replies.rs
+++ b/crates/kumquatnotch-route/tests/doubled_replies.rs
@@ -53,6 +53,34 @@
     });
 }
 
+/// Guards against a client that gets a success by which it can't tell that the replica has run its
+/// request, and against a second run of one that may not be repeated.
+#[test]
+fn success_without_a_proof_is_no_answer() {
+    run(async {
+        let unproven = || {
+            scripted_replica(|request| {
+                let identity = header(request, "x-request-id");
+                vec![answer(200, &[("x-request-id", identity)], b"body")]
+            })
+        };
+        let [idempotent, exclusive] = [single(), exclusive()].map(Tier::serving);
+        let replicas = [unproven(), unproven()];
+        idempotent.add("s0", replicas[0].address);
+        let whole = replica("p", b"whole");
+        idempotent.add_in("s0", whole.address, "away");
+        exclusive.add("s0", replicas[1].address);
+        let other = replica("p", b"whole");
+        exclusive.add_in("s0", other.address, "away");
+
+        let repeated = idempotent.get("/a/x", "r1").await;
+        let lost = exclusive.post("/a/x", "r2", b"body").await;
+
+        assert_eq!((repeated.status, &repeated.body[..]), (200, &b"whole"[..]));
+        assert_eq!((lost.status, other.requests().len()), (502, 0));
+    });
+}
+
 /// Guards against a request that may not be repeated and is refused as not run while it runs: the
 /// refusal is the second copy of an earlier one, which names no request.
 #[test]
