--- a/crates/kumquatnotch-net/src/reply_budget.rs
+++ b/crates/kumquatnotch-net/src/reply_budget.rs
@@ -8,8 +8,8 @@
 
 use std::cell::Cell;
 
-/// Maximum size of all large replies that are being read, in bytes: an eighth of the memory of a
-/// node. Their buffers may have twice that size.
+/// Maximum size of all large replies that are being read, in bytes: a fifth of the memory of the
+/// smallest nodes. Their buffers may have twice that size.
 const MAX_BYTES: usize = 32 << 20;
 
 /// Size up to which a reply is always read, in bytes.
