Encode keys in the targets of calls to the store

Callers saw: 503 for all requests after a restart of all nodes while an entry of another writer stood at the end of a page of the store, under a key with a blank, &, # or +; or 503 for half of them, by a key with an encoded character, after which the scan skipped the replicas up to the key that it decodes to.

Cause: the last key of a page, a prefix and a key were put into the target as they are. A blank is no target at all, & ends the parameter and # the target, + and % are decoded by the store.

The stand-ins decode queries, and the one of the store refuses unknown parameters, as a real store may: without that the fault can't be seen.

Ruled out: the values of such entries, which were read one by one already; bodies of writes, which are JSON; ids of leases, which are numbers.

--- a/crates/kumquatnotch-net/src/message.rs
+++ b/crates/kumquatnotch-net/src/message.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
 use kumquatnotch_core::{Error, Result};
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, percent_encode};
 use serde::{Serialize, de::DeserializeOwned};
 
 /// Header with the time left until the deadline, in milliseconds.
@@ -21,6 +22,13 @@
 /// Content type of plain text.
 pub const TEXT: &str = "text/plain; charset=utf-8";
 
+/// Bytes that are encoded in a parameter of a query.
+///
+/// All but those that are never delimiters (RFC 3986, section 2.3), and slashes, which have no
+/// meaning there.
+const ENCODED: &AsciiSet =
+    &NON_ALPHANUMERIC.remove(b'-').remove(b'.').remove(b'_').remove(b'~').remove(b'/');
+
 /// A request with its complete body.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -74,6 +82,14 @@
         self
     }
 
+    /// Adds a parameter to the query; its value is encoded and may consist of any bytes.
+    pub fn with_param(mut self, name: &str, value: impl AsRef<[u8]>) -> Request {
+        let separator = if self.query.is_empty() { "" } else { "&" };
+        let value = percent_encode(value.as_ref(), ENCODED);
+        self.query = format!("{}{separator}{name}={value}", self.query);
+        self
+    }
+
     /// Returns a parameter of the query, without decoding.
     pub fn query_param(&self, name: &str) -> Option<&str> {
         let pairs = self.query.split('&').filter_map(|pair| pair.split_once('='));
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -45,10 +45,16 @@
         self.headers.get(name)?.to_str().ok()?.parse().ok()
     }
 
-    /// Returns the value of a query parameter, parsed as `T`.
+    /// Returns the decoded value of a query parameter, parsed as `T`.
     pub fn field<T: std::str::FromStr>(&self, name: &str) -> Option<T> {
-        let mut pairs = self.query.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.find(|(key, _)| *key == name)?.1.parse().ok()
+        let mut fields = form_urlencoded::parse(self.query.as_bytes());
+        fields.find(|(key, _)| key == name)?.1.parse().ok()
+    }
+
+    /// Whether the query has no parameters but these.
+    pub fn has_only_fields(&self, names: &[&str]) -> bool {
+        let mut fields = form_urlencoded::parse(self.query.as_bytes());
+        fields.all(|(key, _)| names.contains(&&*key))
     }
 
     /// Parses the body as JSON; the error is a reply with status 400.
