Ask a relay for the identity of a request as its caller chose it

Callers saw: searches through a relay that took longer than usual were run by each replica up to three times if their identity held a blank, a tab, &, #, quotes, brackets or bytes beyond ASCII, which costs the budget of repeats and the replicas' slots.

Cause: is_running put the identity into its target as it was. The relay was asked for another one, or not at all as the target could not be built, and counted as lost; the shards were queried directly while it ran them.

Change: the identity is encoded, all its bytes, and decoded by the relay.

Between nodes of two releases, an identity with characters that are encoded now (such as + or %) isn't found by the older one: its relays count as lost if they are late, as before with a blank.

--- a/crates/kumquatnotch-net/src/message.rs
+++ b/crates/kumquatnotch-net/src/message.rs
@@ -1,11 +1,11 @@
 //! HTTP messages with complete bodies, as used by handlers and clients.
 
-use std::str::FromStr;
+use std::{borrow::Cow, str::FromStr};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
 use kumquatnotch_core::{Error, Result};
-use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, percent_encode};
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, percent_decode_str, percent_encode};
 use serde::{Serialize, de::DeserializeOwned};
 
 /// Header with the time left until the deadline, in milliseconds.
@@ -90,6 +90,11 @@
         self
     }
 
+    /// Returns the bytes of a parameter of the query, decoded.
+    pub fn query_bytes(&self, name: &str) -> Option<Cow<'_, [u8]>> {
+        self.query_param(name).map(|value| percent_decode_str(value).into())
+    }
+
     /// Returns a parameter of the query, without decoding.
     pub fn query_param(&self, name: &str) -> Option<&str> {
         let pairs = self.query.split('&').filter_map(|pair| pair.split_once('='));
--- a/crates/kumquatnotch-route/src/relay.rs
+++ b/crates/kumquatnotch-route/src/relay.rs
@@ -128,8 +128,7 @@
 async fn is_running(router: &Router, search: &Search<'_>, peer: &Replica) -> Result<bool> {
     let clock = &*router.clock;
     let link = peer.pool.open(clock, clock.now() + RUNNING_TIMEOUT).await?;
-    let identity = search.identity.to_str().map_err(Error::internal)?;
-    let mut request = Request::get(&format!("{RUNNING_PATH}?request={identity}"));
+    let mut request = Request::get(RUNNING_PATH).with_param("request", search.identity);
     let host = HeaderValue::from_str(&peer.spec().address.to_string()).map_err(Error::internal)?;
     request.headers.insert(http::header::HOST, host);
     let answer = link.exchange(&request, None).await?;
--- a/crates/kumquatnotch-route/src/relay_front.rs
+++ b/crates/kumquatnotch-route/src/relay_front.rs
@@ -149,10 +149,9 @@
                 Err(error) => Reply::error(&error),
             }),
             RUNNING_PATH => {
-                let identity = request.query_param("request").unwrap_or_default();
+                let identity = request.query_bytes("request").unwrap_or_default();
                 let running = self.running.borrow();
-                let is_running =
-                    running.iter().any(|other| other.as_bytes() == identity.as_bytes());
+                let is_running = running.iter().any(|other| other.as_bytes() == &*identity);
                 let status = if is_running { StatusCode::OK } else { StatusCode::NOT_FOUND };
                 Work::ready(Reply::text(status, ""))
             }
