Decode what callers and operators name in a target

Cause: query_param returned a value as it was sent, and the command line put the name into its target as it was.

Change: query_param decodes; the command line encodes.

--- a/crates/kumquatnotch-ctl/src/caller_commands.rs
+++ b/crates/kumquatnotch-ctl/src/caller_commands.rs
@@ -25,8 +25,10 @@
 }
 
 pub async fn entry(context: &Context, args: &EntryArgs) -> Result<u8> {
-    let near = args.near.as_ref().map(|near| format!("?near={near}")).unwrap_or_default();
-    let request = Request::get(&format!("/v1/entry{near}"));
+    let mut request = Request::get("/v1/entry");
+    if let Some(near) = &args.near {
+        request = request.with_param("near", near);
+    }
     print(&context.call(request, Duration::ZERO).await?)
 }
 
--- a/crates/kumquatnotch-net/src/entry.rs
+++ b/crates/kumquatnotch-net/src/entry.rs
@@ -115,7 +115,8 @@
     }
 
     fn advice(&self, request: &Request) -> Reply {
-        to_reply(self.front().map(|front| front.advice(request.query_param("near"))))
+        let near = request.query_param("near");
+        to_reply(self.front().map(|front| front.advice(near.as_deref())))
     }
 
     async fn config(&self) -> Reply {
--- a/crates/kumquatnotch-net/src/message.rs
+++ b/crates/kumquatnotch-net/src/message.rs
@@ -5,7 +5,9 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
 use kumquatnotch_core::{Error, Result};
-use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, percent_decode_str, percent_encode};
+use percent_encoding::{
+    AsciiSet, NON_ALPHANUMERIC, PercentDecode, percent_decode_str, percent_encode,
+};
 use serde::{Serialize, de::DeserializeOwned};
 
 /// Header with the time left until the deadline, in milliseconds.
@@ -90,15 +92,21 @@
         self
     }
 
+    /// Returns a parameter of the query, decoded.
+    ///
+    /// A plus sign is itself, not a blank.
+    pub fn query_param(&self, name: &str) -> Option<Cow<'_, str>> {
+        self.query_value(name).map(PercentDecode::decode_utf8_lossy)
+    }
+
     /// Returns the bytes of a parameter of the query, decoded.
     pub fn query_bytes(&self, name: &str) -> Option<Cow<'_, [u8]>> {
-        self.query_param(name).map(|value| percent_decode_str(value).into())
+        self.query_value(name).map(Cow::from)
     }
 
-    /// Returns a parameter of the query, without decoding.
-    pub fn query_param(&self, name: &str) -> Option<&str> {
-        let pairs = self.query.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.filter(|(key, _)| *key == name).map(|(_, value)| value).next()
+    fn query_value(&self, name: &str) -> Option<PercentDecode<'_>> {
+        let mut pairs = self.query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.find(|(key, _)| *key == name).map(|(_, value)| percent_decode_str(value))
     }
 
     /// Returns the bearer token, which is the key of the caller.
