Test replies that are malformed or cut short

Reported by operators of other systems: a status of 000, names of fields with a blank or a control byte, and heads that are cut short reach callers as answers. Here they don't: each reply counts as lost, its connection is closed, another replica or 502 answers.

The stand-in makes 76 malformed replies of a sound one, whose faults are in the status, a field, the line ends, the length or a chunk, and sends them whole and byte by byte, on new and on pooled connections. They are played as the answer to idempotent and exclusive requests, parts, probes, followers, gatherings by a relay, the question whether one is running, and each call of the store. Sound replies are cut after each of their bytes.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod data;
 pub mod faults;
 pub mod http;
+pub mod malformed;
 pub mod plan;
 pub mod records;
 pub mod relay;
