Take no status beyond 599, and no change of protocol, for an answer

Callers saw: statuses such as 600 and 999 of a replica in trouble as the answer to their requests, with its body. After a status of 101, for which nothing asks, the bytes that followed were taken for the reply.

Cause: the library's type for a status takes all up to 999, and each status below 200 was skipped as an interim reply.

Change: the decoder of replies, which all clients of this tier share, rejects a reply whose status is none of HTTP or 101. Such a request counts as lost; another replica or 502 answers.

Statuses below 100 were rejected before.

--- a/crates/kumquatnotch-net/src/decoders.rs
+++ b/crates/kumquatnotch-net/src/decoders.rs
@@ -7,6 +7,7 @@
 use std::io;
 
 use bytes::BytesMut;
+use http::StatusCode;
 use monoio_codec::{Decoded, Decoder};
 use monoio_http::{
     common::error::HttpError,
@@ -22,6 +23,9 @@
 /// Maximum size of the line before a chunk, in bytes.
 const CHUNK_LINE_LIMIT: usize = 256;
 
+/// Highest status of a reply (RFC 9110, section 15).
+const MAX_STATUS: u16 = 599;
+
 /// Start of each reply.
 const REPLY_START: &[u8] = b"HTTP/1.";
 
@@ -57,10 +61,21 @@
             return Err(DecodeError::Header.into());
         }
         check_length(src)?;
-        self.0.decode(src)
+        let decoded = self.0.decode(src)?;
+        match &decoded {
+            Decoded::Some((head, _)) if !is_expected(head.status) => {
+                Err(DecodeError::Header.into())
+            }
+            _ => Ok(decoded),
+        }
     }
 }
 
+/// Whether a reply may have this status. No request asks for another protocol.
+fn is_expected(status: StatusCode) -> bool {
+    status.as_u16() <= MAX_STATUS && status != StatusCode::SWITCHING_PROTOCOLS
+}
+
 /// Error of a read beyond the size limit.
 pub(crate) fn too_long() -> io::Error {
     io::ErrorKind::FileTooLarge.into()
--- a/crates/standins/src/malformed.rs
+++ b/crates/standins/src/malformed.rs
@@ -80,6 +80,19 @@
     status_000: b"HTTP/1.1 000 X\r\n{head}\r\ncontent-length: {length}\r\n\r\n{body}",
     status_001: b"HTTP/1.1 001 X\r\n{head}\r\ncontent-length: {length}\r\n\r\n{body}",
     status_099: b"HTTP/1.1 099 X\r\n{head}\r\ncontent-length: {length}\r\n\r\n{body}",
+    status_600: b"HTTP/1.1 600 X\r\n{head}\r\ncontent-length: {length}\r\n\r\n{body}",
+    status_700: b"HTTP/1.1 700 X\r\n{head}\r\ncontent-length: {length}\r\n\r\n{body}",
+    status_999: b"HTTP/1.1 999 X\r\n{head}\r\ncontent-length: {length}\r\n\r\n{body}",
+    status_600_in_chunks:
+        b"HTTP/1.1 600 X\r\n{head}\r\ntransfer-encoding: chunked\r\n\r\n{hex}\r\n{body}\r\n0\r\n\r\n",
+    status_600_to_the_end: b"HTTP/1.1 600 X\r\n{head}\r\n\r\n{body}",
+    status_600_after_interim:
+        b"HTTP/1.1 103 X\r\n\r\nHTTP/1.1 600 X\r\n{head}\r\ncontent-length: {length}\r\n\r\n{body}",
+    status_600_before_another:
+        b"HTTP/1.1 600 X\r\n\r\nHTTP/1.1 200 X\r\n{head}\r\ncontent-length: {length}\r\n\r\n{body}",
+    status_101: b"HTTP/1.1 101 X\r\n{head}\r\n\r\n{body}",
+    status_101_before_another:
+        b"HTTP/1.1 101 X\r\n\r\nHTTP/1.1 200 X\r\n{head}\r\ncontent-length: {length}\r\n\r\n{body}",
     status_of_four_digits: b"HTTP/1.1 2000 X\r\n{head}\r\ncontent-length: {length}\r\n\r\n{body}",
     status_of_two_digits: b"HTTP/1.1 20 X\r\n{head}\r\ncontent-length: {length}\r\n\r\n{body}",
     status_of_letters: b"HTTP/1.1 OK X\r\n{head}\r\ncontent-length: {length}\r\n\r\n{body}",
