Reject heads in which a line feed alone ends a line

Callers saw, or would have: an answer with a body that was not the replica's. After two line feeds the rest of the head, up to the next empty line with carriage returns, was lost: the start of the body, or a whole reply; what followed was delivered as the body.

Cause: the decoder removes all up to the next \r\n\r\n, and then parses a head in it that may end earlier, as its parser takes line feeds alone. The same held for requests, whose reader and an intermediary could disagree on where they end.

Change: a head with a line that does not end in both is rejected as soon as that is certain: no valid reply, or 400. Those with line feeds only were never answered, as their end wasn't found.

--- a/crates/kumquatnotch-net/src/decoders.rs
+++ b/crates/kumquatnotch-net/src/decoders.rs
@@ -45,7 +45,7 @@
     type Error = HttpError;
 
     fn decode(&mut self, src: &mut BytesMut) -> Result<Decoded<Self::Item>, HttpError> {
-        check_length(src)?;
+        check_head(src)?;
         self.0.decode(src)
     }
 }
@@ -60,7 +60,7 @@
         if text[..count] != REPLY_START[..count] {
             return Err(DecodeError::Header.into());
         }
-        check_length(src)?;
+        check_head(src)?;
         let decoded = self.0.decode(src)?;
         match &decoded {
             Decoded::Some((head, _)) if !is_expected(head.status) => {
@@ -81,16 +81,26 @@
     io::ErrorKind::FileTooLarge.into()
 }
 
-/// Rejects a head beyond the limit, also one that has arrived whole in a large buffer.
-fn check_length(src: &[u8]) -> Result<(), HttpError> {
-    if src.len() < HEAD_LIMIT {
-        return Ok(());
+/// Rejects a head beyond the limit, also one that has arrived whole in a large buffer, and one with a
+/// line that does not end in a carriage return and a line feed.
+///
+/// The decoders take a line feed alone for the end of a line, and two for the end of the head, but
+/// remove what they have decoded up to the next [`HEAD_END`]: the start of the body is lost.
+fn check_head(src: &[u8]) -> Result<(), HttpError> {
+    let limited = &src[..src.len().min(HEAD_LIMIT)];
+    let end = limited.windows(HEAD_END.len()).position(|window| window == HEAD_END);
+    if end.is_none() && src.len() >= HEAD_LIMIT {
+        return Err(DecodeError::Io(too_long()).into());
     }
-    let mut ends = src[..HEAD_LIMIT].windows(HEAD_END.len());
-    if ends.any(|window| window == HEAD_END) {
-        return Ok(());
+    let head = &limited[..end.unwrap_or(limited.len())];
+    let mut previous = None;
+    for byte in head {
+        if *byte == b'\n' && previous != Some(b'\r') {
+            return Err(DecodeError::Header.into());
+        }
+        previous = Some(*byte);
     }
-    Err(DecodeError::Io(too_long()).into())
+    Ok(())
 }
 
 /// Decodes the chunks of a body.
--- a/crates/kumquatnotch-net/tests/server.rs
+++ b/crates/kumquatnotch-net/tests/server.rs
@@ -42,6 +42,14 @@
     bad_chunk = {
         "POST /x HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n", "400", "1001"
     },
+    feeds_end_the_head = {
+        "POST /x HTTP/1.1\r\ncontent-length: 4\n\nabcd\r\n\r\nefgh", "400", "1001"
+    },
+    feed_and_line_end_the_head = {
+        "GET /x HTTP/1.1\r\nhost: x\n\r\nGET /y HTTP/1.1\r\nhost: x\r\n\r\n", "400", "1001"
+    },
+    feed_ends_a_field = { "GET /x HTTP/1.1\r\nhost: x\nname: y\r\n\r\n", "400", "1001" },
+    feed_ends_the_request_line = { "GET /x HTTP/1.1\nhost: x\r\n\r\n", "400", "1001" },
     long_body = { "POST /x HTTP/1.1\r\ncontent-length: 1001\r\n\r\n", "413", "1002" },
     long_chunk = {
         "POST /x HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n3e9\r\nLONG\r\n0\r\n\r\n",
--- a/crates/standins/src/malformed.rs
+++ b/crates/standins/src/malformed.rs
@@ -145,6 +145,19 @@
 
 /// Replies whose head ends at another place for another reader.
 pub const LINE_ENDS: &[Malformed] = malformed! {
+    feeds_end_the_head:
+        b"HTTP/1.1 200 X\r\ncontent-length: {length}\r\n{head}\n\nOTHER\r\n\r\n{body}",
+    feed_ends_the_head:
+        b"HTTP/1.1 200 X\r\ncontent-length: {length}\r\n{head}\r\n\nOTHER\r\n\r\n{body}",
+    feed_and_line_end_the_head:
+        b"HTTP/1.1 200 X\r\ncontent-length: {length}\r\n{head}\n\r\nOTHER\r\n\r\n{body}",
+    feeds_end_the_head_before_another:
+        b"HTTP/1.1 200 X\r\ncontent-length: {length}\n\nHTTP/1.1 200 X\r\n{head}\r\n\r\n{body}",
+    feed_ends_the_status_line:
+        b"HTTP/1.1 200 X\n{head}\r\ncontent-length: {length}\r\n\r\n{body}",
+    feed_ends_a_field: b"HTTP/1.1 200 X\r\n{head}\ncontent-length: {length}\r\n\r\n{body}",
+    feed_in_a_value:
+        b"HTTP/1.1 200 X\r\n{head}\r\nname: x\nother: y\r\ncontent-length: {length}\r\n\r\n{body}",
     only_feeds: b"HTTP/1.1 200 X\ncontent-length: {length}\n{head}\n\n{body}",
     only_returns: b"HTTP/1.1 200 X\rcontent-length: {length}\r{head}\r\r{body}",
 };
