Take no line without a size for that of the last chunk

Callers saw, or would have: a 200 with an empty or short body, framed as whole, of a replica that sent an empty line where the size of its next chunk was due. Uploads that broke off so were taken for whole as well.

Cause: the decoder reads a size of no digits as zero, which ends the body.

Change: a line that begins with its end is rejected: no valid reply, or 400.

Evidence: 2 forms of replies failed before, in 9 of 29 tests, and 2 of 2 of requests; now none does. Ruled out: heads and chunks that are cut short by the end of the connection, which are lost at each of their bytes.

--- a/crates/kumquatnotch-net/src/decoders.rs
+++ b/crates/kumquatnotch-net/src/decoders.rs
@@ -122,6 +122,10 @@
     type Error = DecodeError;
 
     fn decode(&mut self, src: &mut BytesMut) -> Result<Decoded<Self::Item>, DecodeError> {
+        // The decoder takes a line without a size for that of the last chunk.
+        if !self.in_chunk && src.first() == Some(&b'\r') {
+            return Err(DecodeError::Chunked);
+        }
         let length = src.len();
         let decoded = self.chunks.decode(src)?;
         // The line is removed as soon as it is complete.
--- a/crates/kumquatnotch-net/tests/server.rs
+++ b/crates/kumquatnotch-net/tests/server.rs
@@ -42,6 +42,10 @@
     bad_chunk = {
         "POST /x HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n", "400", "1001"
     },
+    chunk_without_size = {
+        "POST /x HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n4\r\nabcd\r\n\r\n\r\n", "400", "1001"
+    },
+    no_chunk = { "POST /x HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n\r\n\r\n", "400", "1001" },
     feeds_end_the_head = {
         "POST /x HTTP/1.1\r\ncontent-length: 4\n\nabcd\r\n\r\nefgh", "400", "1001"
     },
--- a/crates/standins/src/malformed.rs
+++ b/crates/standins/src/malformed.rs
@@ -188,6 +188,9 @@
 
 /// Replies in chunks of which one is none.
 pub const CHUNKS: &[Malformed] = malformed! {
+    no_size: b"HTTP/1.1 200 X\r\n{head}\r\ntransfer-encoding: chunked\r\n\r\n\r\n\r\n{body}",
+    no_last_size:
+        b"HTTP/1.1 200 X\r\n{head}\r\ntransfer-encoding: chunked\r\n\r\n{hex}\r\n{body}\r\n\r\n\r\n",
     no_last_chunk:
         b"HTTP/1.1 200 X\r\n{head}\r\ntransfer-encoding: chunked\r\n\r\n{hex}\r\n{body}\r\n",
     no_end: b"HTTP/1.1 200 X\r\n{head}\r\ntransfer-encoding: chunked\r\n\r\n{hex}\r\n{body}\r\n0\r\n",
