Reject a body with two transfer codings

Callers saw, or would have: a body whose reader and an intermediary disagree about what it is. Chunks in chunks, announced by two headers, were decoded once and delivered with the framing of the inner ones.

Cause: each header of a transfer coding was checked for itself; a list of two in one header was rejected.

Change: two are as ambiguous as a length beside chunks: no valid reply, or 400.

Evidence: coding_twice failed before in 9 of 29 tests of replies, and among the requests; now it doesn't.

--- a/crates/kumquatnotch-net/src/reader.rs
+++ b/crates/kumquatnotch-net/src/reader.rs
@@ -270,13 +270,13 @@
 
 /// Rejects heads with ambiguous framing, which allow request smuggling.
 ///
-/// With two lengths, or a length and chunks, this process and an intermediary could disagree
-/// about where the message ends. The rest of one caller's message would then be mistaken for
+/// With two lengths, two codings, or a length and chunks, this process and an intermediary could
+/// disagree about where the message ends. The rest of one caller's message would then be mistaken for
 /// the request of another caller.
 fn check_framing(headers: &HeaderMap) -> Result<(), ReadError> {
     let lengths = headers.get_all(header::CONTENT_LENGTH).iter().count();
-    let chunked = headers.contains_key(header::TRANSFER_ENCODING);
-    if lengths > 1 || (lengths == 1 && chunked) {
+    let codings = headers.get_all(header::TRANSFER_ENCODING).iter().count();
+    if lengths + codings > 1 {
         return Err(ReadError::Malformed("ambiguous body length".to_owned()));
     }
     // The decoders take a body of any other coding to be empty, and its bytes for the next message.
--- a/crates/kumquatnotch-net/tests/server.rs
+++ b/crates/kumquatnotch-net/tests/server.rs
@@ -42,6 +42,11 @@
     bad_chunk = {
         "POST /x HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n", "400", "1001"
     },
+    coding_twice = {
+        "POST /x HTTP/1.1\r\ntransfer-encoding: chunked\r\ntransfer-encoding: chunked\r\n\r\n\
+         4\r\nabcd\r\n0\r\n\r\n",
+        "400", "1001"
+    },
     chunk_without_size = {
         "POST /x HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n4\r\nabcd\r\n\r\n\r\n", "400", "1001"
     },
--- a/crates/standins/src/malformed.rs
+++ b/crates/standins/src/malformed.rs
@@ -180,6 +180,8 @@
     length_beyond_64_bits:
         b"HTTP/1.1 200 X\r\n{head}\r\ncontent-length: 18446744073709551616\r\n\r\n{body}",
     length_beyond_the_body: b"HTTP/1.1 200 X\r\n{head}\r\ncontent-length: 9{length}\r\n\r\n{body}",
+    coding_twice: b"HTTP/1.1 200 X\r\n{head}\r\ntransfer-encoding: chunked\r\n\
+        transfer-encoding: chunked\r\n\r\n{hex}\r\n{body}\r\n0\r\n\r\n",
     list_of_codings: b"HTTP/1.1 200 X\r\n{head}\r\ntransfer-encoding: chunked, chunked\r\n\r\n\
         {hex}\r\n{body}\r\n0\r\n\r\n",
     unknown_coding: b"HTTP/1.1 200 X\r\n{head}\r\ntransfer-encoding: x\r\n\r\n{body}",
