Read and send no body where a reply can't have one

Callers saw: after a 204 or 304 of a replica whose head tells a length, the bytes behind it as the body, which they take for the start of the next reply; or 504 at the deadline, as a body was waited for that does not come. The same after each HEAD: 504, and the text of a refusal as the start of the next reply.

Cause: the length in the head went before the status, and the method of the request was not looked at.

Change: a reply to HEAD, a 204 and a 304 end with their head when they are read and when they are sent.

--- a/crates/kumquatnotch-net/src/message.rs
+++ b/crates/kumquatnotch-net/src/message.rs
@@ -193,6 +193,12 @@
     }
 }
 
+/// Whether a reply has no body, whatever its headers say (RFC 9112, section 6.3).
+pub(crate) fn is_bodiless(method: &Method, status: StatusCode) -> bool {
+    let bodiless = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED];
+    method == Method::HEAD || bodiless.contains(&status)
+}
+
 #[derive(Serialize)]
 struct ErrorBody {
     error: ErrorDetail,
--- a/crates/kumquatnotch-net/src/opaque_link.rs
+++ b/crates/kumquatnotch-net/src/opaque_link.rs
@@ -13,8 +13,9 @@
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
 use futures_util::FutureExt;
-use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri, header};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri, header};
 use kumquatnotch_core::{Clock, Error, LocalFuture, Result, clock};
 use monoio::{
     io::{OwnedWriteHalf, Splitable, sink::SinkExt},
@@ -24,7 +25,7 @@
 
 use crate::{
     duplex::{self, Sending},
-    message::{Reply, Request},
+    message::{Reply, Request, is_bodiless},
     reader::{MAX_INTERIM_REPLIES, ReadError, ResponseReader},
     socket,
 };
@@ -166,12 +167,13 @@
         is_sent: &Cell<bool>,
     ) -> Result<OpaqueReply> {
         let OpaqueLink { reader, encoder } = &mut self;
+        let method = message.method().clone();
         let send = async {
             let sent = encoder.send_and_flush(message).await;
             is_sent.set(sent.is_ok());
             sent
         };
-        let receive = receive(reader, echo.as_ref());
+        let receive = receive(reader, &method, echo.as_ref());
         let (reply, sending) = duplex::read_while_sending(send, receive).await?;
         let ReceivedReply { reply, end, idle_limit } = reply;
         if sending == Sending::Failed && end == ReplyEnd::Closed {
@@ -222,9 +224,13 @@
 /// Reads the reply to the last request.
 ///
 /// Late or duplicate replies to earlier requests are skipped.
-async fn receive(reader: &mut ResponseReader, echo: Option<&Echo>) -> Result<ReceivedReply> {
+async fn receive(
+    reader: &mut ResponseReader,
+    method: &Method,
+    echo: Option<&Echo>,
+) -> Result<ReceivedReply> {
     for _ in 0..MAX_REPLIES_READ {
-        let received = receive_any(reader).await?;
+        let received = receive_any(reader, method).await?;
         if echo.is_none_or(|echo| echo.matches(&received.reply)) {
             return Ok(received);
         }
@@ -232,14 +238,17 @@
     Err(Error::protocol("received only replies to other requests"))
 }
 
-async fn receive_any(reader: &mut ResponseReader) -> Result<ReceivedReply> {
+async fn receive_any(reader: &mut ResponseReader, method: &Method) -> Result<ReceivedReply> {
     for _ in 0..=MAX_INTERIM_REPLIES {
         let (head, decoder) = reader.head().await.map_err(to_error)?;
         if head.status.is_informational() {
             continue;
         }
-        let is_framed = has_length(&head.headers) || is_bodiless(head.status);
-        let body = if is_framed {
+        let is_bodiless = is_bodiless(method, head.status);
+        let is_framed = is_bodiless || has_length(&head.headers);
+        let body = if is_bodiless {
+            Bytes::new()
+        } else if is_framed {
             reader.body(&head.headers, decoder).await.map_err(to_error)?
         } else {
             reader.body_to_end().await.map_err(to_error)?
@@ -272,10 +281,6 @@
     headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
 }
 
-fn is_bodiless(status: StatusCode) -> bool {
-    status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED
-}
-
 /// Maximum idle time if the other side does not advertise one.
 const DEFAULT_IDLE: Duration = Duration::from_secs(10);
 
--- a/crates/kumquatnotch-net/src/server_connection.rs
+++ b/crates/kumquatnotch-net/src/server_connection.rs
@@ -7,6 +7,7 @@
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
 use futures_util::{FutureExt, select_biased};
 use http::{HeaderValue, Method, Response, StatusCode, Version, header, request::Parts};
 use kumquatnotch_core::{Error, clock};
@@ -21,7 +22,7 @@
 
 use crate::{
     body_budget::{self, BodyLease},
-    message::{REQUEST_ID_HEADER, Reply, Request},
+    message::{REQUEST_ID_HEADER, Reply, Request, is_bodiless},
     open_requests::OpenGuard,
     panics,
     reader::{Peek, ReadError, RequestReader},
@@ -211,6 +212,7 @@
     };
     request.is_first = is_first;
     let request_id = request.headers.get(REQUEST_ID_HEADER).cloned();
+    let method = request.method.clone();
     open.start(context.handler.identity(&request));
     let work = panics::start(&*context.handler, request);
     let Some(reply) = run(work, reader, encoder, context).await else {
@@ -220,6 +222,7 @@
     // if the connection were closed at once, the request would look lost in transit.
     let keep_open = keep_alive && context.drained.get().is_none();
     open.reply();
+    let reply = without_unexpected_body(&method, reply);
     match send(encoder, reply, request_id, keep_open, context).await {
         true if keep_alive => Next::Request,
         true => Next::AwaitClose,
@@ -337,6 +340,14 @@
     }
 }
 
+/// Removes the body of a reply that can't have one, which the client would read as the next reply.
+fn without_unexpected_body(method: &Method, reply: Reply) -> Reply {
+    match is_bodiless(method, reply.status) {
+        true => Reply { body: Bytes::new(), ..reply },
+        false => reply,
+    }
+}
+
 /// Sends a reply; returns false if the connection broke.
 ///
 /// Unless `keep_open` is set, the reply asks the client to close the connection.
