Log the identity of a request also if it is not ASCII

Operators saw: log lines without an identity for requests whose caller chose one with other characters, so that nothing of them could be told from the logs.

Cause: the text of a header was taken only if it is visible ASCII.

Change: the bytes that are no text are replaced, and the rest is logged.

JSON escapes quotes and the like, before as now.

--- a/crates/kumquatnotch-net/src/message.rs
+++ b/crates/kumquatnotch-net/src/message.rs
@@ -193,6 +193,11 @@
     }
 }
 
+/// Returns the value of a header for the log, where bytes that are no text are replaced.
+pub fn log_text(value: &HeaderValue) -> Cow<'_, str> {
+    String::from_utf8_lossy(value.as_bytes())
+}
+
 /// Whether a reply has no body, whatever its headers say (RFC 9112, section 6.3).
 pub(crate) fn is_bodiless(method: &Method, status: StatusCode) -> bool {
     let bodiless = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED];
--- a/crates/kumquatnotch-net/src/server.rs
+++ b/crates/kumquatnotch-net/src/server.rs
@@ -7,6 +7,7 @@
 //! still running when the time for the shutdown runs out.
 
 use std::{
+    borrow::Cow,
     cell::{Cell, RefCell},
     collections::VecDeque,
     net::SocketAddr,
@@ -26,7 +27,7 @@
 use monoio::net::TcpListener;
 
 use crate::{
-    message::{REQUEST_ID_HEADER, Reply, Request},
+    message::{REQUEST_ID_HEADER, Reply, Request, log_text},
     open_requests::OpenRequests,
     server_connection, socket,
 };
@@ -54,9 +55,8 @@
     fn start(&self, request: Request) -> Work<'_>;
 
     /// Returns the identity of a request for the log; empty if it has none.
-    fn identity<'a>(&self, request: &'a Request) -> &'a str {
-        let value = request.headers.get(REQUEST_ID_HEADER);
-        value.and_then(|value| value.to_str().ok()).unwrap_or_default()
+    fn identity<'a>(&self, request: &'a Request) -> Cow<'a, str> {
+        request.headers.get(REQUEST_ID_HEADER).map(log_text).unwrap_or_default()
     }
 
     /// Returns the reply to a request that is refused before it was read, as the process exits.
--- a/crates/kumquatnotch-net/src/server_connection.rs
+++ b/crates/kumquatnotch-net/src/server_connection.rs
@@ -213,7 +213,7 @@
     request.is_first = is_first;
     let request_id = request.headers.get(REQUEST_ID_HEADER).cloned();
     let method = request.method.clone();
-    open.start(context.handler.identity(&request));
+    open.start(&context.handler.identity(&request));
     let work = panics::start(&*context.handler, request);
     let Some(reply) = run(work, reader, encoder, context).await else {
         return Next::End;
--- a/crates/kumquatnotch-route/src/admission.rs
+++ b/crates/kumquatnotch-route/src/admission.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     gather::Search,
-    replica,
+    headers, replica,
     router::Router,
     semaphore::{Permit, PrioritySemaphore},
 };
@@ -78,7 +78,7 @@
     }
     let has_room = permit.is_some() && poll_capacity(router, search, wait, until).await;
     tracing::info!(
-        request = search.identity.to_str().unwrap_or_default(),
+        request = %headers::log_text(search.identity),
         ms = clock.now().saturating_duration_since(start).as_millis() as u64,
         has_room,
         "forecast: a caller came again"
@@ -156,7 +156,7 @@
     let Forecast { needed, optional, .. } = forecast;
     let slowest = needed.last();
     tracing::info!(
-        request = search.identity.to_str().unwrap_or_default(),
+        request = %headers::log_text(search.identity),
         late = needed.len() + optional.len(),
         needed = needed.len(),
         service = slowest.map(|shard| search.set.shards[shard.index].as_str()),
--- a/crates/kumquatnotch-route/src/call.rs
+++ b/crates/kumquatnotch-route/src/call.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     attempt::{self, AttemptResult, Call, SentCount},
-    crash_alarm, crash_check, leaving,
+    crash_alarm, crash_check, headers, leaving,
     names::ReplicaId,
     replica::{self, Pick, Replica},
     route::RouteKind,
@@ -307,7 +307,7 @@
         let now = self.router.clock.now();
         let profile = self.router.profile(self.call.route);
         tracing::info!(
-            request = self.call.identity.to_str().unwrap_or_default(),
+            request = %headers::log_text(self.call.identity),
             service = self.call.service.as_str(),
             late = self.tried.first().map(ReplicaId::as_str),
             replica = next.id.as_str(),
@@ -340,7 +340,7 @@
                 self.end_retry(false);
                 self.note_lost(Some(replica));
                 tracing::info!(
-                    request = self.call.identity.to_str().unwrap_or_default(),
+                    request = %headers::log_text(self.call.identity),
                     replica = replica.id.as_str(),
                     service = self.call.service.as_str(),
                     code = error.code(),
--- a/crates/kumquatnotch-route/src/crash_alarm.rs
+++ b/crates/kumquatnotch-route/src/crash_alarm.rs
@@ -20,7 +20,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    attempt::Call, crash_check, crash_records, relay::PEER_MAX_IDLE, replica::Replica,
+    attempt::Call, crash_check, crash_records, headers, relay::PEER_MAX_IDLE, replica::Replica,
     router::Router,
 };
 
@@ -115,7 +115,7 @@
     router.random.shuffle(&mut names);
     names.truncate(MAX_WARNED);
     tracing::warn!(
-        request = call.identity.to_str().unwrap_or_default(),
+        request = %headers::log_text(call.identity),
         print = %fingerprint,
         nodes = names.len(),
         "crashes: a search loses its parts, warning other nodes"
--- a/crates/kumquatnotch-route/src/crash_check.rs
+++ b/crates/kumquatnotch-route/src/crash_check.rs
@@ -10,7 +10,7 @@
 use kumquatnotch_net::message::{Reply, Request};
 use kumquatnotch_policy::crashes::{Crash, CrashRecord};
 
-use crate::{attempt::Call, crash_records, replica::Replica, router::Router};
+use crate::{attempt::Call, crash_records, headers, replica::Replica, router::Router};
 
 /// Delay between a broken connection and the check whether the replica has crashed.
 ///
@@ -50,7 +50,7 @@
         let counted = !has_replied && router.crashes.note_crash(fingerprint, crash, record, now);
         router.crashes.note_confirmed(fingerprint);
         tracing::info!(
-            request = identity.to_str().unwrap_or_default(),
+            request = %headers::log_text(&identity),
             replica = replica.id.as_str(),
             service = service.as_str(),
             print = %fingerprint,
--- a/crates/kumquatnotch-route/src/front.rs
+++ b/crates/kumquatnotch-route/src/front.rs
@@ -1,6 +1,7 @@
 //! Entry point for callers: finds the route of a request and answers it.
 
 use std::{
+    borrow::Cow,
     cell::Cell,
     rc::Rc,
     time::{Duration, Instant},
@@ -28,7 +29,7 @@
     call::{self, CallError},
     crash_check,
     gather::{self, FirstPart, Gathered, Search, losses_of},
-    leaving,
+    headers, leaving,
     names::ServiceName,
     request_log::{RequestContext, RequestLog},
     route::{Destination, RouteTable, ShardSet},
@@ -122,7 +123,7 @@
             Err(refusal) => {
                 let identity = request.headers.get(&self.router.names.request);
                 tracing::info!(
-                    request = identity.and_then(|value| value.to_str().ok()).unwrap_or_default(),
+                    request = %identity.map(headers::log_text).unwrap_or_default(),
                     status = refusal.status.as_u16(),
                     reason = refusal.reason,
                     "front: refused"
@@ -326,8 +327,9 @@
         Work::new(self.answer(request, arrival))
     }
 
-    fn identity<'a>(&self, request: &'a Request) -> &'a str {
-        header_text(&request.headers, &self.router.names.request).unwrap_or_default()
+    fn identity<'a>(&self, request: &'a Request) -> Cow<'a, str> {
+        let identity = request.headers.get(&self.router.names.request);
+        identity.map(headers::log_text).unwrap_or_default()
     }
 
     fn refuse_unread(&self) -> Reply {
--- a/crates/kumquatnotch-route/src/gather.rs
+++ b/crates/kumquatnotch-route/src/gather.rs
@@ -22,7 +22,7 @@
     admission::{self, Refused},
     attempt::Call,
     call::{self, CallError, CallStats},
-    crash_alarm, crash_check,
+    crash_alarm, crash_check, headers,
     names::ReplicaId,
     parts::Parts,
     relay::{self, RelayOutcome},
@@ -284,7 +284,7 @@
             return;
         }
         tracing::info!(
-            request = search.identity.to_str().unwrap_or_default(),
+            request = %headers::log_text(search.identity),
             late = names.join(" "),
             "gather: shards are missing"
         );
--- a/crates/kumquatnotch-route/src/headers.rs
+++ b/crates/kumquatnotch-route/src/headers.rs
@@ -1,6 +1,7 @@
 //! The names of the HTTP headers that have a meaning for the tier.
 
 use http::HeaderName;
+pub(crate) use kumquatnotch_net::message::log_text;
 
 /// The names of the HTTP headers that the tier exchanges with callers and replicas.
 ///
--- a/crates/kumquatnotch-route/src/relay.rs
+++ b/crates/kumquatnotch-route/src/relay.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     gather::Search,
-    probe,
+    headers, probe,
     relay_message::{RelayReply, RelayRequest},
     relay_plan::Group,
     replica::Replica,
@@ -87,7 +87,7 @@
         Ok(reply) => RelayOutcome::Gathered(reply),
         Err(error) => {
             tracing::info!(
-                request = search.identity.to_str().unwrap_or_default(),
+                request = %headers::log_text(search.identity),
                 node = peer.id.as_str(),
                 shards = group.shards.len(),
                 sent = sent.get(),
--- a/crates/kumquatnotch-route/src/relay_front.rs
+++ b/crates/kumquatnotch-route/src/relay_front.rs
@@ -15,7 +15,7 @@
     crash_alarm::{self, ALARM_PATH},
     follow::{self, FOLLOW_PATH},
     gather::{self, Search, losses_of},
-    leaving,
+    headers, leaving,
     names::ReplicaId,
     relay::{PEER_ADDRESS_HEADER, PROBE_PATH, RELAY_PATH, RUNNING_PATH},
     relay_message::{RelayReply, RelayRequest},
@@ -109,7 +109,7 @@
             gather::gather_direct(router, &search, &allowed, message.enough, &stats).await;
         let took = router.clock.now().saturating_duration_since(now);
         tracing::info!(
-            request = identity.to_str().unwrap_or_default(),
+            request = %headers::log_text(&identity),
             route = message.route,
             shards = set.shards.len(),
             parts = parts.len(),
--- a/crates/kumquatnotch-route/src/request_log.rs
+++ b/crates/kumquatnotch-route/src/request_log.rs
@@ -4,7 +4,7 @@
 
 use http::{HeaderValue, StatusCode};
 
-use crate::{call::CallStats, route::Route, router::Router};
+use crate::{call::CallStats, headers, route::Route, router::Router};
 
 /// The route, deadlines and identity of a request.
 pub(crate) struct RequestContext {
@@ -58,7 +58,7 @@
         metrics::histogram!("kumquatnotch_request_seconds", "route" => route.to_owned())
             .record(took.as_secs_f64());
         tracing::info!(
-            request = context.identity.to_str().unwrap_or_default(),
+            request = %headers::log_text(&context.identity),
             route,
             version = context.version,
             status = status.as_u16(),
