Bound the descriptions of errors

Operators saw, or would have: log lines of up to a megabyte for each entry of another writer, on each node, as the description of a value that can't be read quotes it; 4,096 of them fit the queue. Replies that report a malformed body could be as long.

Cause: the text of a library's error was taken as it is.

Change: what exceeds 500 bytes is cut off.

--- a/crates/kumquatnotch-core/src/errors.rs
+++ b/crates/kumquatnotch-core/src/errors.rs
@@ -14,6 +14,11 @@
 /// The result of an operation that fails with a numbered [`Error`].
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
+/// Maximum length of a description, in bytes.
+///
+/// Those by libraries may quote what another program sent, which has up to a megabyte.
+const MAX_DETAIL_BYTES: usize = 500;
+
 /// A failure with a stable numeric code.
 #[derive(Clone, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -303,7 +308,7 @@
 
     /// Creates an error for a malformed request.
     pub fn bad_request(detail: impl ToString) -> Error {
-        Error::BadRequest { detail: detail.to_string() }
+        Error::BadRequest { detail: shorten(detail.to_string()) }
     }
 
     /// Creates an error for an invalid expression.
@@ -313,7 +318,7 @@
 
     /// Creates an error for a protocol violation by the remote side.
     pub fn protocol(detail: impl ToString) -> Error {
-        Error::Protocol { detail: detail.to_string() }
+        Error::Protocol { detail: shorten(detail.to_string()) }
     }
 
     /// Creates a refusal for lack of capacity, with the time until a retry is useful.
@@ -323,6 +328,17 @@
 
     /// Creates an internal error.
     pub fn internal(detail: impl ToString) -> Error {
-        Error::Internal { detail: detail.to_string() }
+        Error::Internal { detail: shorten(detail.to_string()) }
+    }
+}
+
+/// Cuts off what exceeds the maximum length.
+fn shorten(mut detail: String) -> String {
+    if detail.len() > MAX_DETAIL_BYTES {
+        let mut ends = (0..=MAX_DETAIL_BYTES).rev();
+        let end = ends.find(|end| detail.is_char_boundary(*end)).unwrap_or_default();
+        detail.truncate(end);
+        detail.push('\u{2026}');
     }
+    detail
 }
--- a/crates/kumquatnotch-core/tests/errors.rs
+++ b/crates/kumquatnotch-core/tests/errors.rs
@@ -61,3 +61,17 @@
     assert_eq!(row[3], error.status().to_string());
     assert_eq!(row[4] == "yes", error.is_not_run());
 }
+
+/// Guards against log lines and replies as long as what another program sent.
+#[parameterized(
+    bad_request = { Error::bad_request },
+    protocol = { Error::protocol },
+    internal = { Error::internal },
+)]
+fn description_is_bounded(error: fn(String) -> Error) {
+    let short = error("x".repeat(500)).to_string();
+    let long = error("\u{e4}".repeat(1_000_000)).to_string();
+
+    assert!(short.ends_with('x'), "{short}");
+    assert!(long.ends_with("\u{e4}\u{2026}") && long.len() < 600, "{}", long.len());
+}
