Take no success for a part unless it has a single proof

Callers saw, or would have: a merged answer that they must reject whole, as one of its proofs is none, after a replica in trouble sent an empty proof, a list of them, or two.

Cause: a reply counted as proven if it had the header at all, and the first value was joined to those of the other parts.

Change: the proof must be one value, not empty and without the separator; else the reply counts as lost, and the part is left out or asked of another replica.

--- a/crates/kumquatnotch-route/src/attempt.rs
+++ b/crates/kumquatnotch-route/src/attempt.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use http::HeaderValue;
+use http::{HeaderMap, HeaderValue};
 use kumquatnotch_core::{Error, Result};
 use kumquatnotch_net::{
     OpaqueLink,
@@ -164,12 +164,23 @@
 /// Callers could not tell it from the reply of the replica, for example if it is that of a probe.
 fn check_proof(router: &Router, answer: OpaqueReply) -> Result<OpaqueReply> {
     let Reply { status, headers, .. } = &answer.reply;
-    if status.is_success() && !headers.contains_key(&router.names.proof) {
+    if status.is_success() && !has_proof(headers, &router.names) {
         return Err(Error::protocol("success without a proof"));
     }
     Ok(answer)
 }
 
+/// Whether a reply has a single proof.
+///
+/// Callers get the proofs of parts separated by commas, and reject them all if one is none.
+fn has_proof(headers: &HeaderMap, names: &HeaderNames) -> bool {
+    let mut proofs = headers.get_all(&names.proof).iter();
+    match (proofs.next(), proofs.next()) {
+        (Some(proof), None) => !proof.is_empty() && !proof.as_bytes().contains(&b','),
+        _ => false,
+    }
+}
+
 async fn connect(
     router: &Rc<Router>,
     call: &Call<'_>,
--- a/crates/kumquatnotch-route/tests/malformed_replies.rs
+++ b/crates/kumquatnotch-route/tests/malformed_replies.rs
@@ -378,3 +378,41 @@
         }
     });
 }
+
+/// Guards against an answer that callers reject whole, as the list of its proofs has an entry that is
+/// none, and against a success that proves nothing.
+#[parameterized(
+    empty = { "x-proof:" },
+    blank = { "x-proof:  " },
+    list = { "x-proof: a, b" },
+    separator = { "x-proof: a," },
+    two = { "x-proof: a\r\nx-proof: b" },
+)]
+fn reply_without_a_single_proof_is_no_answer(line: &'static str) {
+    run(async {
+        let unproven = || {
+            scripted_replica(move |request| {
+                let identity = header(request, "x-request-id");
+                let head = format!(
+                    "HTTP/1.1 200 X\r\n{line}\r\nx-request-id: {identity}\r\ncontent-length: 16\r\n\r\n"
+                );
+                vec![Step::Send([head.as_bytes(), BODY].concat())]
+            })
+        };
+        let (one, parts) = (Tier::serving(single()), Tier::serving(shards(2, 0.5)));
+        let (alone, part, sound) = (unproven(), unproven(), replica("sound", SOUND));
+        one.add("s0", alone.address);
+        parts.add("s0", part.address);
+        parts.add("s1", sound.address);
+
+        let answer = one.get("/a/x", "r1").await;
+        let search = parts.get("/a/x", "r2").await;
+
+        assert_eq!(answer.status, 502);
+        assert_eq!((search.status, &search.body[..]), (200, SOUND));
+        assert_eq!(
+            (&search.headers["x-proofs"], &search.headers["x-missing"]),
+            (&"sound".parse().unwrap(), &"1".parse().unwrap(),)
+        );
+    });
+}
