--- a/crates/standins/src/malformed.rs
+++ b/crates/standins/src/malformed.rs
@@ -77,6 +77,7 @@
 
 /// Replies whose status is none, or not one that answers a request.
 pub const STATUSES: &[Malformed] = malformed! {
+    no_message: b"\x16\x03\x01 no reply\r\n\r\n",
     status_000: b"HTTP/1.1 000 X\r\n{head}\r\ncontent-length: {length}\r\n\r\n{body}",
     status_001: b"HTTP/1.1 001 X\r\n{head}\r\ncontent-length: {length}\r\n\r\n{body}",
     status_099: b"HTTP/1.1 099 X\r\n{head}\r\ncontent-length: {length}\r\n\r\n{body}",
