--- a/crates/kumquatnotch-route/tests/malformed_replies.rs
+++ b/crates/kumquatnotch-route/tests/malformed_replies.rs
@@ -1,46 +1,25 @@
-//! Replicas, and nodes in their place, whose replies are malformed or cut short.
+//! Replicas whose replies are malformed or cut short.
 
 mod common;
+#[path = "common/malformed.rs"]
+mod played;
 
-use std::{
-    cell::{Cell, RefCell},
-    rc::Rc,
-    time::Duration,
-};
+use std::{cell::Cell, rc::Rc};
 
 use common::*;
 use futures_util::future::join_all;
-use kumquatnotch_core::{codec, store::StoreScan};
-use kumquatnotch_net::message::Request as NodeRequest;
-use kumquatnotch_policy::observed::Fitness;
-use kumquatnotch_route::{
-    follow::{self, FOLLOW_PATH},
-    names::ReplicaId,
-    relay::{PROBE_PATH, RELAY_PATH, RUNNING_PATH},
-    relay_message::RelayReply,
-    route::Route,
-};
+use kumquatnotch_route::route::Route;
+use played::{BODY, CONNECTIONS, PROOF, SOUND, is_leaked, play};
 use standins::{
     http::{Answer, Request},
     malformed::{self, Malformed, Pace, send_and_close},
-    scripted::{Scripted, Step, answer},
+    scripted::{Scripted, Step},
 };
 use yare::parameterized;
 
-/// Body of a malformed reply, which no caller may get.
-const BODY: &[u8] = b"\x0fREPLICA-IN-TROU";
-
-/// Body of a sound reply.
-const SOUND: &[u8] = b"\x0eA-SOUND-REPLICA";
-
-/// How long a suspected replica is watched; it is probed many times.
-const PROBE_WATCH_MS: u64 = 400;
-
-const PACES: [Pace; 2] = [Pace::Whole, Pace::Bytewise];
-
 /// Returns the headers of the reply that a malformed one is made of.
 fn headers(request: &Request) -> [(&'static str, &str); 2] {
-    [("x-request-id", header(request, "x-request-id")), ("x-proof", "malformed")]
+    [("x-request-id", header(request, "x-request-id")), ("x-proof", PROOF)]
 }
 
 /// Starts a replica that sends `steps` to each request but the first one on a connection, or to
@@ -62,35 +41,6 @@
     tier.get("/a/x", "second").await
 }
 
-/// Whether anything of a malformed reply reached the caller.
-fn is_leaked(answer: &Answer) -> bool {
-    let has_body = answer.body.windows(BODY.len()).any(|window| window == BODY);
-    let has_header = |name: &str| {
-        let mut values = answer.headers.get_all(name).iter();
-        values.any(|value| value.as_bytes().windows(9).any(|window| window == b"malformed"))
-    };
-    has_body || has_header("x-proof") || has_header("x-proofs")
-}
-
-/// Plays all replies of a kind, and returns the names of those that `check` finds wrong.
-async fn play<'a, F: Future<Output = bool>>(
-    replies: &'a [Malformed],
-    check: impl Fn(&'a Malformed, Pace, bool) -> F,
-) -> Vec<String> {
-    let wrong = RefCell::new(Vec::new());
-    for pace in PACES {
-        for is_pooled in [false, true] {
-            let played = replies.iter().map(|reply| async {
-                if !check(reply, pace, is_pooled).await {
-                    wrong.borrow_mut().push(format!("{} {pace:?} {is_pooled}", reply.name));
-                }
-            });
-            join_all(played).await;
-        }
-    }
-    wrong.into_inner()
-}
-
 const KINDS: [&[Malformed]; 5] = [
     malformed::STATUSES,
     malformed::FIELDS,
@@ -129,7 +79,7 @@
             }
         };
 
-        assert_eq!(play(replies, check).await, [""; 0]);
+        assert_eq!(play(replies.iter(), &CONNECTIONS, check).await, [""; 0]);
     });
 }
 
@@ -158,7 +108,7 @@
                 && answer.headers["x-proof"] == "sound"
         };
 
-        assert_eq!(play(replies, check).await, [""; 0]);
+        assert_eq!(play(replies.iter(), &CONNECTIONS, check).await, [""; 0]);
     });
 }
 
@@ -192,142 +142,7 @@
                     == (&"1".parse().unwrap(), &"sound".parse().unwrap())
         };
 
-        assert_eq!(play(replies, check).await, [""; 0]);
-    });
-}
-
-/// Guards against a replica that gets requests again because its replies to probes are taken for
-/// sound ones.
-#[test]
-fn malformed_reply_to_a_probe_shows_no_health() {
-    run(async {
-        for pace in PACES {
-            let played = malformed::all().map(|reply| async move {
-                let tier = Tier::serving(single());
-                let faulty = Scripted::start(move |request| match &*request.path {
-                    "/probe" => reply.steps(&headers(request), BODY, pace),
-                    _ => vec![Step::Send(b"no answer\r\n\r\n".to_vec())],
-                });
-                let faulty = faulty.unwrap();
-                let id = tier.add("s0", faulty.address);
-                tier.get("/a/x", "first").await;
-                let replica = tier.router.directory.find(&id).unwrap();
-                pause(PROBE_WATCH_MS).await;
-                let is_probed = faulty.requests().iter().any(|request| request.path == "/probe");
-                (reply.name, replica.observed.fitness() == Fitness::Suspect && is_probed)
-            });
-            let played = join_all(played).await;
-
-            let wrong = played.iter().filter(|(_, is_suspect)| !is_suspect);
-            assert_eq!(wrong.map(|(name, _)| *name).collect::<Vec<_>>(), [""; 0], "{pace:?}");
-        }
-    });
-}
-
-/// Guards against a node that takes over the state of the store from a malformed reply of another
-/// one.
-#[test]
-fn malformed_reply_to_a_follower_is_no_state() {
-    run(async {
-        let source = Tier::serving(single());
-        let scan = StoreScan { items: Vec::new(), revision: 7 };
-        source.router.journal.reset(&scan, std::time::Instant::now());
-        let target = format!("{FOLLOW_PATH}?after=0&wait_ms=0");
-        let body = follow::serve(&source.router, &NodeRequest::get(&target)).await.unwrap();
-        for pace in PACES {
-            let played = malformed::all().map(|reply| {
-                let body = body.clone();
-                async move {
-                    let tier = Tier::serving(single());
-                    let node = Scripted::start(move |_| reply.steps(&[("a", "b")], &body, pace));
-                    let node = node.unwrap();
-                    let clock = &*tier.router.clock;
-                    let peer = tier.router.fleet.peer_at(node.address, clock.now());
-                    let fetched = follow::fetch(&tier.router, &peer, 0, Duration::ZERO).await;
-                    (reply.name, fetched.is_err() && !node.requests().is_empty())
-                }
-            });
-            let played = join_all(played).await;
-
-            let wrong = played.iter().filter(|(_, is_refused)| !is_refused);
-            assert_eq!(wrong.map(|(name, _)| *name).collect::<Vec<_>>(), [""; 0], "{pace:?}");
-        }
-    });
-}
-
-/// A node that replies to each path as told, and the shards that it is to gather.
-async fn answer_by_relay(
-    steps: impl Fn(&Request) -> Vec<Step> + 'static,
-) -> (Answer, Vec<Scripted>) {
-    let home = Tier::at(100.0, "home");
-    home.put(1, vec![shards(2, 1.0)]);
-    let relay = Scripted::start(steps).unwrap();
-    home.add_node("a1", "away", relay.address);
-    let replicas: Vec<Scripted> = (0..2).map(|_| replica("sound", SOUND)).collect();
-    for (index, replica) in replicas.iter().enumerate() {
-        let id = ReplicaId::from(&*format!("r{index}"));
-        home.add_as(&id, &format!("s{index}"), replica.address, "away");
-    }
-    let answer = home.get("/a/", "r1").await;
-    assert!(relay.requests().iter().any(|request| request.path == RELAY_PATH));
-    (answer, replicas)
-}
-
-/// Guards against parts that are taken from a malformed reply of the node that gathers them.
-#[test]
-fn malformed_reply_of_a_relay_has_no_parts() {
-    run(async {
-        let reply = RelayReply {
-            records: [record(1), record(2)].concat().into(),
-            proofs: vec!["malformed".into(), "malformed-2".into()],
-            missing: Vec::new(),
-            ran: true,
-            took_us: 1,
-        };
-        let body = codec::encode(&reply).unwrap();
-        for pace in PACES {
-            let played = malformed::all().map(|reply| {
-                let body = body.clone();
-                async move {
-                    let relayed = answer_by_relay(move |request| match &*request.path {
-                        RELAY_PATH => reply.steps(&[("a", "b")], &body, pace),
-                        _ => vec![Step::Silence],
-                    });
-                    let (answer, replicas) = relayed.await;
-                    let is_direct = replicas.iter().all(|replica| !replica.requests().is_empty());
-                    (reply.name, answer.status == 200 && !is_leaked(&answer) && is_direct)
-                }
-            });
-            let played = join_all(played).await;
-
-            let wrong = played.iter().filter(|(_, is_direct)| !is_direct);
-            assert_eq!(wrong.map(|(name, _)| *name).collect::<Vec<_>>(), [""; 0], "{pace:?}");
-        }
-    });
-}
-
-/// Guards against waiting for a relay that seems to be running a request by a malformed reply.
-#[test]
-fn malformed_reply_says_of_no_request_that_it_is_running() {
-    run(async {
-        for pace in PACES {
-            let played = malformed::all().map(|reply| async move {
-                let start = std::time::Instant::now();
-                let relayed = answer_by_relay(move |request| match &*request.path {
-                    RUNNING_PATH => reply.steps(&[("a", "b")], BODY, pace),
-                    PROBE_PATH => vec![answer(200, &[], b"")],
-                    _ => vec![Step::Silence],
-                });
-                let (answer, _) = relayed.await;
-                // The relay would be waited for until the deadline, 3 s after the start.
-                let is_given_up = start.elapsed() < Duration::from_millis(1_500);
-                (reply.name, answer.status == 200 && is_given_up)
-            });
-            let played = join_all(played).await;
-
-            let wrong = played.iter().filter(|(_, is_given_up)| !is_given_up);
-            assert_eq!(wrong.map(|(name, _)| *name).collect::<Vec<_>>(), [""; 0], "{pace:?}");
-        }
+        assert_eq!(play(replies.iter(), &CONNECTIONS, check).await, [""; 0]);
     });
 }
 
--- a/crates/standins/src/malformed.rs
+++ b/crates/standins/src/malformed.rs
@@ -228,6 +228,6 @@
 };
 
 /// Returns all malformed replies.
-pub fn all() -> impl Iterator<Item = &'static Malformed> {
+pub fn all() -> impl Iterator<Item = &'static Malformed> + Clone {
     [STATUSES, FIELDS, LINE_ENDS, LENGTHS, CHUNKS].into_iter().flatten()
 }
