--- a/crates/kumquatnotch-route/tests/malformed_replies.rs
+++ b/crates/kumquatnotch-route/tests/malformed_replies.rs
@@ -12,7 +12,9 @@
 use played::{BODY, CONNECTIONS, PROOF, SOUND, is_leaked, play};
 use standins::{
     http::{Answer, Request},
-    malformed::{self, Malformed, Pace, send_and_close},
+    malformed::{
+        self, CHUNKS, FIELDS, LENGTHS, LINE_ENDS, Malformed, Pace, STATUSES, send_and_close,
+    },
     scripted::{Scripted, Step},
 };
 use yare::parameterized;
@@ -22,8 +24,7 @@
     [("x-request-id", header(request, "x-request-id")), ("x-proof", PROOF)]
 }
 
-/// Starts a replica that sends `steps` to each request but the first one on a connection, or to
-/// that, too.
+/// Starts a replica that replies with `steps`; if `is_pooled`, its first reply is sound.
 fn faulty_replica(is_pooled: bool, steps: impl Fn(&Request) -> Vec<Step> + 'static) -> Scripted {
     let is_sound = Cell::new(is_pooled);
     scripted_replica(move |request| match is_sound.take() {
@@ -41,26 +42,18 @@
     tier.get("/a/x", "second").await
 }
 
-const KINDS: [&[Malformed]; 5] = [
-    malformed::STATUSES,
-    malformed::FIELDS,
-    malformed::LINE_ENDS,
-    malformed::LENGTHS,
-    malformed::CHUNKS,
-];
-
 /// Guards against a caller that gets a malformed reply as the answer, or one made of its bytes.
 #[parameterized(
-    statuses = { KINDS[0], single() },
-    fields = { KINDS[1], single() },
-    line_ends = { KINDS[2], single() },
-    lengths = { KINDS[3], single() },
-    chunks = { KINDS[4], single() },
-    statuses_exclusive = { KINDS[0], exclusive() },
-    fields_exclusive = { KINDS[1], exclusive() },
-    line_ends_exclusive = { KINDS[2], exclusive() },
-    lengths_exclusive = { KINDS[3], exclusive() },
-    chunks_exclusive = { KINDS[4], exclusive() },
+    statuses = { STATUSES, single() },
+    fields = { FIELDS, single() },
+    line_ends = { LINE_ENDS, single() },
+    lengths = { LENGTHS, single() },
+    chunks = { CHUNKS, single() },
+    statuses_exclusive = { STATUSES, exclusive() },
+    fields_exclusive = { FIELDS, exclusive() },
+    line_ends_exclusive = { LINE_ENDS, exclusive() },
+    lengths_exclusive = { LENGTHS, exclusive() },
+    chunks_exclusive = { CHUNKS, exclusive() },
 )]
 fn malformed_reply_is_no_answer(replies: &'static [Malformed], route: Route) {
     run(async {
@@ -85,11 +78,11 @@
 
 /// Guards against a caller that gets a malformed reply although another replica answers.
 #[parameterized(
-    statuses = { KINDS[0] },
-    fields = { KINDS[1] },
-    line_ends = { KINDS[2] },
-    lengths = { KINDS[3] },
-    chunks = { KINDS[4] },
+    statuses = { STATUSES },
+    fields = { FIELDS },
+    line_ends = { LINE_ENDS },
+    lengths = { LENGTHS },
+    chunks = { CHUNKS },
 )]
 fn another_replica_answers_in_place_of_a_malformed_reply(replies: &'static [Malformed]) {
     run(async {
@@ -114,11 +107,11 @@
 
 /// Guards against an answer of parts that contains a malformed one.
 #[parameterized(
-    statuses = { KINDS[0] },
-    fields = { KINDS[1] },
-    line_ends = { KINDS[2] },
-    lengths = { KINDS[3] },
-    chunks = { KINDS[4] },
+    statuses = { STATUSES },
+    fields = { FIELDS },
+    line_ends = { LINE_ENDS },
+    lengths = { LENGTHS },
+    chunks = { CHUNKS },
 )]
 fn malformed_reply_is_no_part(replies: &'static [Malformed]) {
     run(async {
