--- a/crates/kumquatnotch-route/tests/odd_identities.rs
+++ b/crates/kumquatnotch-route/tests/odd_identities.rs
@@ -42,7 +42,7 @@
 }
 
 /// Guards against a relay that is taken for lost while it runs a request, as it is asked for another
-/// identity: the replicas run the request twice.
+/// identity: the replicas run the request again.
 #[parameterized(
     plain = { b"r-1" },
     blank = { b"a b" },
